Processes say where others reach them, and what they have in force

Cause: a link between two processes can only be cut or delayed in a trial when a process may be reached by another address than the one it listens on; and nothing outside could see which version each process has in force. Ruled out: distinct loopback sources per process (monoio's connect takes none). Settings gain `advertise`, operators `GET /v1/process`.

--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -25,6 +25,9 @@
         pub region: Region,
         /// Where it takes messages from other processes and from operators.
         pub listen: SocketAddr,
+        /// Where others reach `listen`, when that is another address.
+        #[serde(default)]
+        pub advertise: Option<SocketAddr>,
         /// Where the control processes listen.
         pub control: Vec<SocketAddr>,
         /// File with the secret that all processes of the system share.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -8,6 +8,7 @@
 use eelgrassdyke_agent::Agent;
 use eelgrassdyke_control::Control;
 use eelgrassdyke_core::event::{Code, Event};
+use eelgrassdyke_core::id::{Incarnation, Process, Version};
 use eelgrassdyke_core::settings::Settings;
 use eelgrassdyke_core::wire::{BATCH_BYTES_MAX, Sender};
 use eelgrassdyke_entry::Entry;
@@ -48,6 +49,27 @@
     draining: Cell<bool>,
 }
 
+eelgrassdyke_core::data! {
+    /// What a process says of itself.
+    #[derive(Eq)]
+    pub struct Report {
+        /// Its name.
+        pub process: Process,
+        /// Its present life.
+        pub incarnation: Incarnation,
+        /// Whether every role takes work.
+        pub ready: bool,
+        /// Requests and attempts in progress.
+        pub open: usize,
+        /// Configuration version in force in the entry role.
+        pub entry_version: Option<Version>,
+        /// Configuration version in force in the agent role.
+        pub agent_version: Option<Version>,
+        /// Configuration version that the control role has applied.
+        pub control_version: Option<Version>,
+    }
+}
+
 /// How a graceful shutdown ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Shutdown {
@@ -100,7 +122,7 @@
         let me = Sender {
             process: settings.process.clone(),
             incarnation: Clock::incarnation(),
-            address,
+            address: settings.advertise.unwrap_or(address),
         };
         let context = context(&settings, me, &secret);
         let seed = rand::rng().random();
@@ -335,6 +357,22 @@
         self.agent.as_ref()
     }
 
+    /// What the process says of itself.
+    pub fn report(&self) -> Report {
+        Report {
+            process: self.context.me.process.clone(),
+            incarnation: self.context.me.incarnation,
+            ready: self.is_ready(),
+            open: self.open(),
+            entry_version: self.entry.as_ref().map(|role| role.read(Entry::version)),
+            agent_version: self.agent.as_ref().map(|role| role.read(Agent::version)),
+            control_version: self
+                .control
+                .as_ref()
+                .map(|role| role.read(Control::version)),
+        }
+    }
+
     /// Where the process takes messages.
     pub fn address(&self) -> SocketAddr {
         self.context.me.address
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -25,6 +25,7 @@
         (&Method::GET, "/v1/config") => ask(node, Query::Config, responder),
         (&Method::GET, "/v1/status") => ask(node, Query::Status, responder),
         (&Method::GET, "/v1/report") => ask(node, Query::Report, responder),
+        (&Method::GET, "/v1/process") => json(responder, StatusCode::OK, &node.report()),
         (&Method::GET, "/v1/timeline") => timeline(node, &request, responder),
         (&Method::POST, "/v1/drain") => {
             node.drain();
