Claims: no key runs twice by a late word on an earlier claim or a forgotten key

(2) An agent that had forgotten a finished key, its memory being bounded, said "sealed" of it. (3) A key whose window had closed was forgotten by control and run as new. Besides, a draining or full agent refused a second copy of a running dispatch as not run.

Now: the agent's word names the claim. What an agent may have forgotten it calls gone, and a seal is never forgotten. Keys that are UUIDs of version 7 carry their date and are refused as too old behind a horizon that never goes back; keys without a date leave a digest for good, up to a bound. Memory is bounded by bytes; under pressure the horizon moves up, but never closer than ten minutes, and then new keys are refused as not run.

Ruled out: a header with the key's date (a resend by another library would not repeat it); keys without a date refused outright (today's applications send such keys).

Left open: an exchange that delivers one dispatch twice to two lives of an agent would break this; TCP does not. The leader's wall clock decides what is too old; one set far ahead makes dated keys too old until it has passed.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -215,20 +215,24 @@
         if other || dispatch.incarnation != self.me.incarnation {
             return Err(Refusal::not_run(Reason::Incarnation));
         }
-        if self.state() != State::Up {
-            return Err(Refusal::not_run(Reason::Draining).after(COME_BACK));
-        }
-        if self.queue.len() >= self.options.queue {
-            return Err(Refusal::not_run(Reason::Overload).after(COME_BACK));
+        // A second copy of a dispatch that runs must not be refused as not run.
+        let key = work.name().zip(dispatch.claim.as_ref());
+        if let Some((name, claim)) = &key {
+            match self.keys.admit(name, claim.number) {
+                Admission::Granted => {}
+                Admission::Sealed => return Err(Refusal::not_run(Reason::Sealed)),
+                Admission::Taken => return Err(Refusal::maybe_run(Reason::StillRunning)),
+            }
         }
-        let (Some(name), Some(claim)) = (work.name(), &dispatch.claim) else {
-            return Ok(());
+        let refused = match self.state() {
+            State::Up if self.queue.len() < self.options.queue => return Ok(()),
+            State::Up => Reason::Overload,
+            _ => Reason::Draining,
         };
-        match self.keys.admit(&name, claim.number) {
-            Admission::Granted => Ok(()),
-            Admission::Sealed => Err(Refusal::not_run(Reason::Sealed)),
-            Admission::Taken => Err(Refusal::maybe_run(Reason::StillRunning)),
+        if let Some((name, claim)) = &key {
+            self.keys.release(name, claim.number);
         }
+        Err(Refusal::not_run(refused).after(COME_BACK))
     }
 
     fn refuse(&mut self, ticket: Ticket, work: &Work, refusal: Refusal, out: &mut Vec<Output>) {
@@ -485,10 +489,10 @@
                     true => self.keys.probe(&probe.name, probe.claim),
                     false => Status::Gone,
                 };
-                let (request, name) = (probe.request, probe.name);
                 let message = Message::Probed(Probed {
-                    request,
-                    name,
+                    request: probe.request,
+                    name: probe.name,
+                    claim: probe.claim,
                     status,
                 });
                 out.push(Output::Send {
--- a/crates/agent/src/keys.rs
+++ b/crates/agent/src/keys.rs
@@ -3,16 +3,23 @@
 //! A claim is granted to one agent life, so what this life remembers settles whether the claimed
 //! request ran. A key that is asked about before its dispatch arrived is sealed: a dispatch under
 //! that claim, or an earlier one, is refused from then on.
+//!
+//! Memory is bounded, and what was forgotten proves nothing: of a key that may have been forgotten
+//! the answer is never that it did not run. Sealed keys are never forgotten; when no more fit, a key
+//! that never arrived is left open and its state unknown.
 
 use std::collections::{BTreeMap, VecDeque};
 
+use eelgrassdyke_core::time::Wall;
 use eelgrassdyke_core::wire::claim::{Name, Outcome, Status};
 
 /// What is remembered of a key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum State {
-    /// Claims up to this one are refused.
+    /// Claims up to this one are refused, as promised to an entry.
     Sealed(u32),
+    /// Claims up to this one were refused before they ran.
+    Released(u32),
     /// Waits or runs.
     Running,
     /// Ran.
@@ -35,69 +42,114 @@
 pub struct Keys {
     states: BTreeMap<Name, State>,
     finished: VecDeque<Name>,
+    sealed: usize,
     most: usize,
+    /// Latest date of a forgotten key that carries one.
+    floor: Option<Wall>,
+    /// Whether a key without a date was forgotten.
+    undated_forgotten: bool,
 }
 
 impl Keys {
-    /// Remembers at most `most` finished keys, oldest forgotten first.
+    /// Remembers at most `most` finished keys, oldest forgotten first, and `most` sealed ones.
     pub fn new(most: usize) -> Self {
         Self {
             states: BTreeMap::new(),
             finished: VecDeque::new(),
+            sealed: 0,
             most,
+            floor: None,
+            undated_forgotten: false,
         }
     }
 
     /// Takes in a dispatch under `claim`.
     pub fn admit(&mut self, name: &Name, claim: u32) -> Admission {
         match self.states.get(name) {
-            Some(State::Sealed(sealed)) if claim <= *sealed => Admission::Sealed,
-            None | Some(State::Sealed(_)) => {
-                self.states.insert(name.clone(), State::Running);
-                Admission::Granted
+            Some(State::Sealed(refused) | State::Released(refused)) if claim <= *refused => {
+                return Admission::Sealed;
+            }
+            Some(State::Running | State::Done(_)) => return Admission::Taken,
+            Some(State::Sealed(_)) => self.sealed -= 1,
+            Some(State::Released(_)) => {}
+            // A dated key that may have been forgotten may be a second copy of one that ran.
+            None if name.key.date().is_some() && self.may_have_forgotten(name) => {
+                return Admission::Taken;
             }
-            Some(State::Running | State::Done(_)) => Admission::Taken,
+            None => {}
         }
+        self.states.insert(name.clone(), State::Running);
+        Admission::Granted
     }
 
-    /// Notes that an admitted dispatch was not passed on and won't be.
+    /// Notes that a dispatch was not passed on and won't be.
+    ///
+    /// A key that runs or ran under an earlier dispatch stays as it is.
     pub fn release(&mut self, name: &Name, claim: u32) {
-        self.states.insert(name.clone(), State::Sealed(claim));
-        self.forget(name);
+        match self.states.get_mut(name) {
+            Some(State::Sealed(refused) | State::Released(refused)) => {
+                *refused = claim.max(*refused);
+            }
+            Some(State::Done(_)) => {}
+            Some(State::Running) | None => {
+                self.states.insert(name.clone(), State::Released(claim));
+                self.forget_oldest(name);
+            }
+        }
     }
 
     /// Notes how an admitted dispatch ended.
     pub fn finish(&mut self, name: &Name, outcome: Outcome) {
         self.states.insert(name.clone(), State::Done(outcome));
-        self.forget(name);
+        self.forget_oldest(name);
     }
 
     /// Answers what became of a key, and seals it if its dispatch never arrived.
     pub fn probe(&mut self, name: &Name, claim: u32) -> Status {
-        match self.states.get_mut(name) {
-            Some(State::Running) => Status::Running,
-            Some(State::Done(outcome)) => Status::Done(outcome.clone()),
-            Some(State::Sealed(sealed)) => {
-                *sealed = claim.max(*sealed);
-                Status::Sealed
-            }
-            None => {
-                self.states.insert(name.clone(), State::Sealed(claim));
-                self.forget(name);
-                Status::Sealed
+        let refused = match self.states.get(name) {
+            Some(State::Running) => return Status::Running,
+            Some(State::Done(outcome)) => return Status::Done(outcome.clone()),
+            Some(State::Sealed(refused)) => {
+                let refused = claim.max(*refused);
+                self.states.insert(name.clone(), State::Sealed(refused));
+                return Status::Sealed;
             }
+            Some(State::Released(refused)) => *refused,
+            None if self.may_have_forgotten(name) => return Status::Gone,
+            None => 0,
+        };
+        if self.sealed >= self.most {
+            return Status::Gone;
+        }
+        self.sealed += 1;
+        self.states
+            .insert(name.clone(), State::Sealed(claim.max(refused)));
+        Status::Sealed
+    }
+
+    /// Whether a key without a state may have had one.
+    fn may_have_forgotten(&self, name: &Name) -> bool {
+        match name.key.date() {
+            Some(date) => Some(date) <= self.floor,
+            None => self.undated_forgotten,
         }
     }
 
-    /// Puts a finished key last in the order of forgetting.
-    fn forget(&mut self, name: &Name) {
+    /// Puts a finished key last in the order of forgetting, and forgets the first if too many.
+    fn forget_oldest(&mut self, name: &Name) {
         self.finished.push_back(name.clone());
         while self.finished.len() > self.most {
             let Some(oldest) = self.finished.pop_front() else {
                 return;
             };
-            if self.states.get(&oldest) != Some(&State::Running) {
-                self.states.remove(&oldest);
+            let state = self.states.get(&oldest);
+            if !matches!(state, Some(State::Done(_) | State::Released(_))) {
+                continue;
+            }
+            self.states.remove(&oldest);
+            match oldest.key.date() {
+                Some(date) => self.floor = self.floor.max(Some(date)),
+                None => self.undated_forgotten = true,
             }
         }
     }
--- a/crates/agent/tests/keys.rs
+++ b/crates/agent/tests/keys.rs
@@ -2,6 +2,7 @@
 
 use eelgrassdyke_agent::{Admission, Keys};
 use eelgrassdyke_core::wire::claim::{Name, Outcome, Status};
+use test_case::test_case;
 
 fn name() -> Name {
     Name {
@@ -37,3 +38,43 @@
     assert_eq!(keys.admit(&name(), 1), Admission::Sealed);
     assert_eq!(keys.admit(&name(), 2), Admission::Granted);
 }
+
+#[test_case("order-"; "without a date")]
+#[test_case("00000000-0001-7000-8000-00000000000"; "of one date")]
+fn a_forgotten_key_is_never_said_not_to_have_run(prefix: &str) {
+    let mut keys = Keys::new(2);
+    let name = |number: u32| Name {
+        team: "hobart".parse().unwrap(),
+        key: format!("{prefix}{number}").parse().unwrap(),
+    };
+    for number in 0..4 {
+        assert_eq!(keys.admit(&name(number), 1), Admission::Granted);
+        keys.finish(&name(number), Outcome::Lost);
+        if number < 2 {
+            assert_eq!(keys.probe(&name(9), 1), Status::Sealed);
+            continue;
+        }
+        assert_eq!(keys.probe(&name(0), 1), Status::Gone);
+        assert_eq!(keys.probe(&name(8), 1), Status::Gone);
+        break;
+    }
+    assert_eq!(keys.admit(&name(9), 1), Admission::Sealed);
+}
+
+#[test]
+fn a_seal_is_never_forgotten_and_none_is_promised_beyond_the_bound() {
+    let mut keys = Keys::new(2);
+    let name = |number: u32| Name {
+        team: "hobart".parse().unwrap(),
+        key: format!("order-{number}").parse().unwrap(),
+    };
+    assert_eq!(keys.probe(&name(0), 1), Status::Sealed);
+    assert_eq!(keys.probe(&name(1), 1), Status::Sealed);
+    assert_eq!(keys.probe(&name(2), 1), Status::Gone);
+    for number in 10..20 {
+        keys.admit(&name(number), 1);
+        keys.release(&name(number), 1);
+    }
+    assert_eq!(keys.admit(&name(0), 1), Admission::Sealed);
+    assert_eq!(keys.admit(&name(1), 1), Admission::Sealed);
+}
--- a/crates/control/src/state/claim.rs
+++ b/crates/control/src/state/claim.rs
@@ -1,4 +1,9 @@
 //! Claims on idempotency keys, and the outcomes of what ran under them.
+//!
+//! A key runs at most once, so a key that was forgotten must never be taken for a new one. A key
+//! that carries its date is forgotten when the horizon passes that date, and every key at or before
+//! the horizon is refused as too old. A key without a date leaves a short digest behind for good;
+//! when no more of these can be kept, new keys without a date are refused.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -8,14 +13,49 @@
 use eelgrassdyke_core::time::Wall;
 use eelgrassdyke_core::wire::claim::{Ask, Finding, Holder, Name, Outcome, Step};
 
+/// Time after its date in which a key's claim is kept, room permitting, in milliseconds.
+const WINDOW_MS: u64 = 24 * 3600 * 1000;
+
+/// Time after its date in which a key's claim is kept in any case, in milliseconds.
+const WINDOW_MIN_MS: u64 = 600 * 1000;
+
+/// Time by which a key's date may lie ahead of control's clock, in milliseconds.
+const AHEAD_MAX_MS: u64 = 60 * 1000;
+
+/// Memory of one claim without its texts and outcome, in bytes.
+const CLAIM_BYTES: u64 = 600;
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            bytes: 256 << 20,
+            undated: 500_000,
+        }
+    }
+}
+
 data! {
+    /// Bounds on what is kept; part of the state, so that every replica has the same ones.
+    #[derive(Copy, Eq)]
+    pub struct Limits {
+        /// Memory of all claims, in bytes.
+        pub bytes: u64,
+        /// Keys without a date remembered for good.
+        pub undated: usize,
+    }
+
     /// Every key whose window is open.
     #[derive(Default)]
     #[serde(default)]
     pub struct Claims {
         #[serde(with = "pairs")]
         keys: BTreeMap<Name, Claim>,
-        ends: BTreeSet<(Wall, Name)>,
+        by_date: BTreeSet<(Wall, Name)>,
+        horizon: Wall,
+        bytes: u64,
+        undated: BTreeSet<(u64, u64)>,
+        open_undated: usize,
+        limits: Limits,
     }
 
     /// The present claim on one key.
@@ -25,11 +65,19 @@
         call: Sha256,
         holder: Holder,
         outcome: Option<Outcome>,
-        ends: Wall,
+        date: Wall,
     }
 }
 
 impl Claims {
+    /// No claims yet, under other bounds than the default ones.
+    pub fn with_limits(limits: Limits) -> Self {
+        Self {
+            limits,
+            ..Self::default()
+        }
+    }
+
     /// Keys whose window is open.
     pub fn len(&self) -> usize {
         self.keys.len()
@@ -40,15 +88,19 @@
         self.keys.is_empty()
     }
 
+    /// Memory of all claims, in bytes, as counted against the bound.
+    pub fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
+    /// Keys dated up to here are too old.
+    pub fn horizon(&self) -> Wall {
+        self.horizon
+    }
+
     /// Forgets the keys whose window has closed.
     pub fn forget(&mut self, clock: Wall) {
-        while let Some((ends, name)) = self.ends.first().cloned() {
-            if ends > clock {
-                return;
-            }
-            self.ends.remove(&(ends, name.clone()));
-            self.keys.remove(&name);
-        }
+        self.raise_horizon(Wall(clock.0.saturating_sub(WINDOW_MS)));
     }
 
     /// Applies what an entry asks of a key.
@@ -58,35 +110,64 @@
                 call,
                 holder,
                 replaces,
-                window_ms,
-            } => {
-                let ends = Wall(clock.0.saturating_add(*window_ms));
-                self.claim(ask, call, holder, *replaces, ends)
+            } => match self.keys.contains_key(&ask.name) {
+                true => self.claim_again(ask, call, holder, *replaces),
+                false => self.claim_first(clock, ask, call, holder),
+            },
+            Step::Settle { claim, outcome } => self.settle(clock, &ask.name, *claim, outcome),
+        }
+    }
+
+    /// Claims a key that has no open claim: a new one, or one that was forgotten.
+    fn claim_first(&mut self, clock: Wall, ask: &Ask, call: &Sha256, holder: &Holder) -> Finding {
+        let name = &ask.name;
+        if let Some(finding) = self.refusal(clock, name) {
+            return finding;
+        }
+        if !self.make_room(clock, fixed_cost(name)) {
+            return Finding::Full;
+        }
+        let date = name.key.date();
+        let claim = Claim {
+            number: 1,
+            request: ask.request.clone(),
+            call: *call,
+            holder: holder.clone(),
+            outcome: None,
+            date: date.unwrap_or(clock),
+        };
+        self.open_undated += usize::from(date.is_none());
+        self.bytes += fixed_cost(name);
+        self.by_date.insert((claim.date, name.clone()));
+        self.keys.insert(name.clone(), claim);
+        Finding::Granted { claim: 1 }
+    }
+
+    /// Why a key without an open claim can't be claimed.
+    fn refusal(&self, clock: Wall, name: &Name) -> Option<Finding> {
+        let Some(date) = name.key.date() else {
+            if self.undated.contains(&remains(name)) {
+                return Some(Finding::Expired);
             }
-            Step::Settle { claim, outcome } => self.settle(&ask.name, *claim, outcome),
+            let remembered = self.undated.len() + self.open_undated;
+            return (remembered >= self.limits.undated).then_some(Finding::Undated);
+        };
+        if date <= self.horizon {
+            return Some(Finding::Expired);
         }
+        (date.0 > clock.0.saturating_add(AHEAD_MAX_MS)).then_some(Finding::Ahead)
     }
 
-    fn claim(
+    /// Claims a key that has an open claim.
+    fn claim_again(
         &mut self,
         ask: &Ask,
         call: &Sha256,
         holder: &Holder,
         replaces: Option<u32>,
-        ends: Wall,
     ) -> Finding {
         let Some(held) = self.keys.get_mut(&ask.name) else {
-            self.ends.insert((ends, ask.name.clone()));
-            let claim = Claim {
-                number: 1,
-                request: ask.request.clone(),
-                call: *call,
-                holder: holder.clone(),
-                outcome: None,
-                ends,
-            };
-            self.keys.insert(ask.name.clone(), claim);
-            return Finding::Granted { claim: 1 };
+            return Finding::Expired;
         };
         if held.call != *call {
             return Finding::Other;
@@ -111,12 +192,19 @@
         Finding::Granted { claim: held.number }
     }
 
-    fn settle(&mut self, name: &Name, claim: u32, outcome: &Outcome) -> Finding {
+    fn settle(&mut self, clock: Wall, name: &Name, claim: u32, outcome: &Outcome) -> Finding {
+        // Making room may forget the very key, so it comes first.
+        let fits = self.make_room(clock, outcome_cost(outcome));
         let Some(held) = self.keys.get_mut(name) else {
             return Finding::Expired;
         };
         if held.number == claim && held.outcome.is_none() {
-            held.outcome = Some(outcome.clone());
+            let kept = match fits {
+                true => outcome.clone(),
+                false => without_answer(outcome),
+            };
+            self.bytes += outcome_cost(&kept);
+            held.outcome = Some(kept);
         }
         match &held.outcome {
             Some(outcome) => Finding::Settled(outcome.clone()),
@@ -126,6 +214,76 @@
             },
         }
     }
+
+    /// Forgets the oldest keys until `cost` more bytes fit; false when younger ones fill the bound.
+    fn make_room(&mut self, clock: Wall, cost: u64) -> bool {
+        let youngest = Wall(clock.0.saturating_sub(WINDOW_MIN_MS));
+        while self.bytes + cost > self.limits.bytes {
+            let Some((date, _)) = self.by_date.first() else {
+                return false;
+            };
+            if *date > youngest {
+                return false;
+            }
+            self.raise_horizon(*date);
+        }
+        true
+    }
+
+    /// Raises the horizon and forgets every key at or before it.
+    fn raise_horizon(&mut self, horizon: Wall) {
+        self.horizon = self.horizon.max(horizon);
+        while let Some((date, _)) = self.by_date.first() {
+            if *date > self.horizon {
+                return;
+            }
+            let Some((_, name)) = self.by_date.pop_first() else {
+                return;
+            };
+            self.drop_claim(&name);
+        }
+    }
+
+    fn drop_claim(&mut self, name: &Name) {
+        let Some(claim) = self.keys.remove(name) else {
+            return;
+        };
+        let outcome = claim.outcome.as_ref().map_or(0, outcome_cost);
+        self.bytes = self.bytes.saturating_sub(fixed_cost(name) + outcome);
+        if name.key.date().is_none() {
+            self.open_undated = self.open_undated.saturating_sub(1);
+            self.undated.insert(remains(name));
+        }
+    }
+}
+
+/// What is remembered for good of a key without a date.
+fn remains(name: &Name) -> (u64, u64) {
+    Sha256::of(format!("{}\n{}", name.team, name.key).as_bytes()).short()
+}
+
+/// Memory of a claim without its outcome, in bytes; names are held twice.
+fn fixed_cost(name: &Name) -> u64 {
+    let texts = name.team.as_str().len() + name.key.as_str().len();
+    CLAIM_BYTES + texts as u64
+}
+
+/// Memory of an outcome, in bytes.
+fn outcome_cost(outcome: &Outcome) -> u64 {
+    let Outcome::Answered { head, body } = outcome else {
+        return 0;
+    };
+    let fields = head.headers.iter();
+    let texts: usize = fields.map(|(name, value)| name.len() + value.len()).sum();
+    (texts + body.len()) as u64
+}
+
+/// An outcome whose answer finds no room: the key ran, and that is still known.
+fn without_answer(outcome: &Outcome) -> Outcome {
+    match outcome {
+        Outcome::Answered { .. } | Outcome::Lost => Outcome::Lost,
+        Outcome::NotRun => Outcome::NotRun,
+    }
 }
 
 /// Serialises a map whose keys are not text as a list of pairs.
--- a/crates/core/src/digest.rs
+++ b/crates/core/src/digest.rs
@@ -29,6 +29,15 @@
     pub fn of(bytes: &[u8]) -> Self {
         Self(sha2::Sha256::digest(bytes).into())
     }
+
+    /// The first 128 bits, for sets that remember much and may rarely take one value for another.
+    pub fn short(&self) -> (u64, u64) {
+        let word = |at: usize| {
+            let bytes = self.0.iter().skip(at).take(8);
+            bytes.fold(0, |word, byte| word << 8 | u64::from(*byte))
+        };
+        (word(0), word(8))
+    }
 }
 
 impl PartialEq for Sha256 {
--- a/crates/core/src/wire/claim.rs
+++ b/crates/core/src/wire/claim.rs
@@ -7,6 +7,7 @@
 use crate::data;
 use crate::digest::Sha256;
 use crate::id::{Incarnation, Key, Request, Server, Team};
+use crate::time::Wall;
 use crate::wire::dispatch::Head;
 
 data! {
@@ -41,8 +42,6 @@
             holder: Holder,
             /// The claim found sealed, which this one replaces; none for a first claim.
             replaces: Option<u32>,
-            /// Time until the key's window closes, in milliseconds.
-            window_ms: u64,
         },
         /// Stores the outcome of the claim numbered `claim`.
         Settle {
@@ -111,8 +110,14 @@
         Settled(Outcome),
         /// The key was used for another call.
         Other,
-        /// The key's window has closed.
+        /// The key is too old: what became of it is no longer known, and it is not run again.
         Expired,
+        /// The key's date lies ahead of control's clock; it was never claimed.
+        Ahead,
+        /// Control holds as many open keys as it can; this one was never claimed.
+        Full,
+        /// Control remembers as many keys without a date as it can; this one was never claimed.
+        Undated,
         /// The asked process doesn't lead.
         NotLeader {
             /// Where the leader is, when known.
@@ -140,6 +145,8 @@
         pub request: Request,
         /// The key.
         pub name: Name,
+        /// Number of the claim that was asked about; the answer says nothing of a later one.
+        pub claim: u32,
         /// What the agent says.
         pub status: Status,
     }
@@ -157,3 +164,34 @@
         Gone,
     }
 }
+
+/// Length of a UUID in its usual text form, in bytes.
+const UUID_BYTES: usize = 36;
+
+/// Positions of the hyphens in a UUID.
+const UUID_HYPHENS: [usize; 4] = [8, 13, 18, 23];
+
+/// Position of the version digit in a UUID.
+const UUID_VERSION: usize = 14;
+
+impl Key {
+    /// When the key was made, if it is a UUID of version 7 (RFC 9562), which carries its date.
+    pub fn date(&self) -> Option<Wall> {
+        let text = self.as_str().as_bytes();
+        if text.len() != UUID_BYTES || text[UUID_VERSION] != b'7' {
+            return None;
+        }
+        for (at, byte) in text.iter().enumerate() {
+            let fits = match UUID_HYPHENS.contains(&at) {
+                true => *byte == b'-',
+                false => byte.is_ascii_hexdigit(),
+            };
+            if !fits {
+                return None;
+            }
+        }
+        let high = u64::from_str_radix(&self.as_str()[..8], 16).ok()?;
+        let low = u64::from_str_radix(&self.as_str()[9..13], 16).ok()?;
+        Some(Wall(high << 16 | low))
+    }
+}
--- a/crates/entry/src/io.rs
+++ b/crates/entry/src/io.rs
@@ -149,8 +149,6 @@
     pub freshness: Duration,
     /// Time in which a claim must be granted.
     pub claim_timeout: Duration,
-    /// Time in which the outcome of a key is kept.
-    pub key_window: Duration,
     /// Attempts at a request at most.
     pub attempts: u32,
 }
@@ -164,7 +162,6 @@
             serve_without_control: true,
             freshness: Duration::from_secs(10),
             claim_timeout: Duration::from_secs(2),
-            key_window: Duration::from_secs(24 * 3600),
             attempts: 3,
         }
     }
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -57,7 +57,7 @@
     /// Sends the present claim to the replica that is thought to lead.
     fn ask_control(&mut self, now: Instant, mut flight: Flight, out: &mut Vec<Output>) {
         flight.ask_again = now + ASK_AGAIN;
-        let question = claim_question(&flight, self.options.key_window);
+        let question = claim_question(&flight);
         let address = self.leader_address();
         self.land(flight);
         if let (Some(to), Some(ask)) = (address, question) {
@@ -104,6 +104,14 @@
             Finding::Expired => {
                 self.refuse(now, flight, Refusal::maybe_run(Reason::KeyExpired), out);
             }
+            Finding::Full => {
+                let refusal = Refusal::not_run(Reason::Overload).after(RUNNING_AGAIN);
+                self.refuse(now, flight, refusal, out);
+            }
+            // The caller must send another kind of key; this one was never claimed.
+            Finding::Ahead | Finding::Undated => {
+                self.refuse(now, flight, Refusal::not_run(Reason::Malformed), out);
+            }
             Finding::NotLeader { leader: Some(_) } => self.ask_control(now, flight, out),
             Finding::NotLeader { leader: None } => self.land(flight),
         }
@@ -151,6 +159,11 @@
             self.land(flight);
             return;
         };
+        // A late answer about an earlier claim must not let the present one be replaced.
+        if answer.claim != claim {
+            self.land(flight);
+            return;
+        }
         match answer.status {
             Status::Sealed => {
                 out.push(key_event(Code::KeySealed, &flight));
@@ -251,7 +264,7 @@
     }
 }
 
-fn claim_question(flight: &Flight, window: Duration) -> Option<Ask> {
+fn claim_question(flight: &Flight) -> Option<Ask> {
     let Stage::Claiming { holder, replaces } = &flight.stage else {
         return None;
     };
@@ -259,7 +272,6 @@
         call: flight.digest,
         holder: holder.clone(),
         replaces: *replaces,
-        window_ms: window.as_millis() as u64,
     };
     Some(Ask {
         request: flight.request.clone(),
