Configuration: cost follows the change, resends never become new changes

Cause: every change copied the document and hashed its whole JSON, and so did every follower's question, once a second and follower. A resend whose answer had been forgotten after 20,000 operations was decided anew. A follower whose digest differed got deltas again and again.

A change whose base reaches back before the memory of operations is refused.

Ruled out: a tree of digests (more structure for the same cost); a floor on base alone (20,000 refused operations would have locked every operator out).

Tests: state_config.rs; 30 histories of a follower between two replicas compare each version with a full copy.

--- /dev/null
+++ b/crates/control/examples/state_cost.rs
@@ -0,0 +1,251 @@
+//! Measures what control's state costs at the planned size; prints a line for each figure.
+//!
+//! `cargo run --release -p eelgrassdyke-control --example state_cost`
+
+use std::collections::BTreeMap;
+use std::time::Instant as Clock;
+
+use eelgrassdyke_control::directory::Directory;
+use eelgrassdyke_control::state::State;
+use eelgrassdyke_control::state::claim::Claims;
+use eelgrassdyke_control::state::config::Config;
+use eelgrassdyke_control::state::validate::validate;
+use eelgrassdyke_core::config::{Change, Document, Patch, Submission, TeamSpec, Verdict};
+use eelgrassdyke_core::digest::Sha256;
+use eelgrassdyke_core::id::{Incarnation, Request, Version};
+use eelgrassdyke_core::time::{Instant, Wall};
+use eelgrassdyke_core::unit::TokenRate;
+use eelgrassdyke_core::wire::claim::{Ask, Holder, Name, Outcome, Step};
+use eelgrassdyke_core::wire::directory::{Beat, Load, Row, State as Up};
+use eelgrassdyke_core::wire::dispatch::Head;
+use eelgrassdyke_core::wire::encode;
+
+const TEAMS: u64 = 38_000;
+const SERVERS: u64 = 2_900;
+const CLAIMS: u64 = 100_000;
+const CHANGES: u64 = 50;
+
+fn main() {
+    // Claims first, since memory that the others gave back would hide theirs.
+    measure_claims();
+    measure_directory();
+    measure_config();
+}
+
+/// Resident memory of this process, in bytes.
+fn resident() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split(' ').nth(1).and_then(|pages| pages.parse().ok());
+    pages.unwrap_or(0u64) * 4096
+}
+
+fn timed<T>(what: &str, times: u64, mut work: impl FnMut() -> T) {
+    let start = Clock::now();
+    for _ in 0..times {
+        std::hint::black_box(work());
+    }
+    let micros = start.elapsed().as_micros() as f64 / times as f64;
+    println!("{what}: {micros:.1} us");
+}
+
+fn team(number: u64, weight: u32) -> TeamSpec {
+    let text = format!(
+        r#"{{"tokens":["{}"],"shares":{{"draft":{{"weight":{weight},"cap":900}}}}}}"#,
+        Sha256::of(&number.to_le_bytes())
+    );
+    serde_json::from_str(&text).expect("a team")
+}
+
+fn measure_config() {
+    let before = resident();
+    let mut document: Document =
+        serde_json::from_str(r#"{"services":{"draft":{"kind":"drafting"}}}"#).expect("a document");
+    for number in 0..TEAMS {
+        let name = format!("team-{number:05}").parse().expect("a name");
+        document.teams.insert(name, team(number, 1));
+    }
+    println!(
+        "document as JSON: {} bytes",
+        serde_json::to_vec(&document).map_or(0, |b| b.len())
+    );
+    let copy = document.clone();
+    let mut config = Config::default();
+    let whole = Submission {
+        operation: "whole".parse().expect("a name"),
+        base: Version(0),
+        change: Change::Whole(document),
+        author: "operator".to_owned(),
+    };
+    let verdict = config.submit(&whole);
+    assert!(matches!(verdict, Verdict::Accepted { .. }));
+    drop(whole);
+    println!("memory, config and one copy: {} bytes", resident() - before);
+    timed("clone of the document", 10, || copy.clone());
+    timed("digest of the whole JSON", 10, || {
+        Sha256::of(&serde_json::to_vec(&copy).unwrap_or_default())
+    });
+    timed("validation of the whole", 10, || validate(&copy));
+    let mut number = 0;
+    timed("change of one team", CHANGES, || {
+        number += 1;
+        let name = format!("team-{:05}", number * 7).parse().expect("a name");
+        let patch = Patch {
+            teams: BTreeMap::from([(name, Some(team(number * 7, 2)))]),
+            ..Patch::default()
+        };
+        let submission = Submission {
+            operation: format!("op-{number}").parse().expect("a name"),
+            base: config.version(),
+            change: Change::Patch(patch),
+            author: "operator".to_owned(),
+        };
+        config.submit(&submission)
+    });
+    let digest = config.digest();
+    let version = config.version();
+    timed("question of a follower that is up to date", 1000, || {
+        config.since(version, &digest)
+    });
+    timed("snapshot for a follower", 10, || {
+        config.since(Version(0), &digest)
+    });
+    let snapshot = config.since(Version(0), &digest);
+    timed("encoding that snapshot", 3, || encode(&snapshot));
+    let state = State {
+        config,
+        ..State::default()
+    };
+    println!(
+        "state encoded: {} bytes",
+        encode(&state).map_or(0, |b| b.len())
+    );
+}
+
+fn row(number: u64) -> Row {
+    Row {
+        server: format!("engine-{number:04}").parse().expect("a name"),
+        service: "draft".parse().expect("a name"),
+        agent: format!("agent-{number:04}").parse().expect("a name"),
+        incarnation: Incarnation(1_764_797_040_000),
+        address: "10.0.0.1:7301".parse().expect("an address"),
+        host: format!("host-{number:04}").parse().expect("a name"),
+        data_centre: "hobart-a".parse().expect("a name"),
+        state: Up::Up,
+        slots: 64,
+        token_rate: TokenRate(600),
+        holds: Vec::new(),
+    }
+}
+
+fn measure_directory() {
+    let mut directory = Directory::new("control-1".parse().expect("a name"), Incarnation(1));
+    let mut sequence = 0;
+    let mut beat_all = |directory: &mut Directory, now: Instant| {
+        sequence += 1;
+        for number in 0..SERVERS {
+            let load = Load {
+                running: (number % 64) as u32,
+                queued: sequence as u32 % 5,
+                backlog_tokens: 10_000,
+                first_token_us: 300_000,
+                token_us: 20_000,
+            };
+            let beat = Beat {
+                row: row(number),
+                sequence,
+                load,
+            };
+            directory.hear(now, beat);
+        }
+    };
+    beat_all(&mut directory, Instant(0));
+    let beat = Beat {
+        row: row(1),
+        sequence: 100,
+        load: Load::default(),
+    };
+    println!("one beat: {} bytes", encode(&beat).map_or(0, |b| b.len()));
+    let mut now = Instant(0);
+    timed("2,900 beats", 10, || {
+        now.0 += 1_000_000;
+        beat_all(&mut directory, now);
+    });
+    timed("expire", 100, || directory.expire(now));
+    timed("next deadline", 100, || directory.next_deadline());
+    let whole = directory.since(now, None);
+    println!(
+        "whole directory: {} bytes",
+        encode(&whole).map_or(0, |b| b.len())
+    );
+    let held = whole.revision.clone();
+    let same = directory.since(now, Some(&held));
+    println!(
+        "no row changed: {} bytes",
+        encode(&same).map_or(0, |b| b.len())
+    );
+    timed("update for one entry", 100, || {
+        directory.since(now, Some(&held))
+    });
+    timed("encoding it", 100, || encode(&same));
+}
+
+fn measure_claims() {
+    let before = resident();
+    let mut claims = Claims::default();
+    let clock = Wall(1_764_797_040_000);
+    let start = Clock::now();
+    for number in 0..CLAIMS {
+        let request = Request {
+            entry: "entry-hobart-1".parse().expect("a name"),
+            incarnation: Incarnation(1_764_797_040_000),
+            number,
+        };
+        let name = Name {
+            team: "team-00001".parse().expect("a name"),
+            key: format!("018f3b2e-7c00-4abc-8def-{number:012}")
+                .parse()
+                .expect("a key"),
+        };
+        let holder = Holder {
+            server: "orders-1".parse().expect("a name"),
+            incarnation: Incarnation(1_764_797_040_000),
+            address: "10.0.0.1:7301".parse().expect("an address"),
+        };
+        let step = Step::Claim {
+            call: Sha256::of(b"call"),
+            holder,
+            replaces: None,
+        };
+        claims.apply(
+            clock,
+            &Ask {
+                request: request.clone(),
+                name: name.clone(),
+                step,
+            },
+        );
+        let outcome = Outcome::Answered {
+            head: Head {
+                status: 200,
+                headers: vec![("content-type".to_owned(), "application/json".to_owned())],
+            },
+            body: vec![7; 64],
+        };
+        let step = Step::Settle { claim: 1, outcome };
+        claims.apply(
+            clock,
+            &Ask {
+                request,
+                name,
+                step,
+            },
+        );
+    }
+    let micros = start.elapsed().as_micros() as f64 / CLAIMS as f64;
+    let grown = resident() - before;
+    println!("claim and settle: {micros:.1} us");
+    println!("memory of a settled claim: {} bytes", grown / CLAIMS);
+    println!("counted: {} bytes", claims.bytes() / CLAIMS);
+    let encoded = encode(&claims).map_or(0, |b| b.len()) as u64;
+    println!("a claim in a snapshot: {} bytes", encoded / CLAIMS);
+}
--- a/crates/control/src/state/claim.rs
+++ b/crates/control/src/state/claim.rs
@@ -23,7 +23,7 @@
 const AHEAD_MAX_MS: u64 = 60 * 1000;
 
 /// Memory of one claim without its texts and outcome, in bytes.
-const CLAIM_BYTES: u64 = 600;
+const CLAIM_BYTES: u64 = 760;
 
 impl Default for Limits {
     fn default() -> Self {
--- a/crates/control/src/state/config.rs
+++ b/crates/control/src/state/config.rs
@@ -3,11 +3,12 @@
 //! A change names the version that it was made from. Whole documents compare it with the present
 //! version, patches with the version of each object that they touch, so that operators who work on
 //! different objects don't collide. The answer to each operation is remembered, and a resend gets
-//! it again.
+//! it again. A change made from a version older than that memory reaches back is refused, so that a
+//! resend whose answer was forgotten is never applied as new.
 
 use std::collections::{BTreeMap, VecDeque};
 
-use eelgrassdyke_core::config::{Change, Document, Patch, Submission, Verdict};
+use eelgrassdyke_core::config::{Change, Document, Patch, Submission, Tracked, Verdict};
 use eelgrassdyke_core::data;
 use eelgrassdyke_core::digest::Sha256;
 use eelgrassdyke_core::id::{Operation, Version};
@@ -18,20 +19,38 @@
 /// Changes kept to bring followers up to date without a snapshot.
 const DELTAS_MAX: usize = 1024;
 
+/// Objects in all changes kept.
+const DELTA_OBJECTS_MAX: usize = 16_384;
+
 /// Operations remembered.
 const OPERATIONS_MAX: usize = 20_000;
 
+/// Removed objects whose last change is remembered.
+const REMOVED_MAX: usize = 20_000;
+
+/// Objects that a conflict names at most.
+const CONFLICTS_MAX: usize = 100;
+
+/// What a conflict names when the whole document is in the way.
+const WHOLE: &str = "document";
+
 data! {
     /// The configuration, its history as far as kept, and the operations that made it.
     #[derive(Default)]
     #[serde(default)]
     pub struct Config {
         version: Version,
-        document: Document,
+        held: Tracked,
         touched: BTreeMap<String, Touch>,
-        deltas: VecDeque<follow::Delta>,
+        removed: VecDeque<(Version, String)>,
+        deltas: VecDeque<Kept>,
+        delta_objects: usize,
         operations: BTreeMap<Operation, Answered>,
         order: VecDeque<Operation>,
+        /// Changes made from a version below this one are refused.
+        oldest_base: Version,
+        /// Version at which the last forgotten operation was decided; none before the first.
+        forgotten_at: Option<Version>,
     }
 
     /// Who last changed an object.
@@ -40,10 +59,17 @@
         operation: Operation,
     }
 
-    /// An operation and its answer.
+    /// A change and the digest of the document after it.
+    struct Kept {
+        delta: follow::Delta,
+        digest: Sha256,
+    }
+
+    /// An operation, its answer and the version at which it was given.
     struct Answered {
         submission: Sha256,
         verdict: Verdict,
+        at: Version,
     }
 }
 
@@ -55,33 +81,42 @@
 
     /// The present document.
     pub fn document(&self) -> &Document {
-        &self.document
+        self.held.document()
+    }
+
+    /// The digest of the present document.
+    pub fn digest(&self) -> Sha256 {
+        self.held.digest()
     }
 
     /// What a follower that holds `version` with `digest` lacks.
     pub fn since(&self, version: Version, digest: &Sha256) -> Option<follow::Config> {
-        let present = self.document.digest();
-        if version == self.version && *digest == present {
+        // Nothing steps back, so a follower that is as far, or farther, gets nothing.
+        if version >= self.version {
             return None;
         }
-        let oldest = self.deltas.front().map(|delta| delta.version);
-        let reaches = oldest.is_some_and(|oldest| version.next() >= oldest);
-        if version >= self.version || version == Version(0) || !reaches {
-            let document = self.document.clone();
+        let Some(first) = self.position_after(version, digest) else {
             return Some(follow::Config::Snapshot {
                 version: self.version,
-                document,
+                document: self.held.document().clone(),
             });
-        }
-        let newer = self.deltas.iter().filter(|delta| delta.version > version);
-        let changes = newer.cloned().collect();
+        };
+        let newer = self.deltas.iter().skip(first);
         Some(follow::Config::Deltas {
             from: version,
-            changes,
-            digest: present,
+            changes: newer.map(|kept| kept.delta.clone()).collect(),
+            digest: self.held.digest(),
         })
     }
 
+    /// Position of the first change after `version`, if a follower can go on from there.
+    fn position_after(&self, version: Version, digest: &Sha256) -> Option<usize> {
+        let oldest = self.deltas.front()?.delta.version;
+        let held = version.0.checked_sub(oldest.0)? as usize;
+        let kept = self.deltas.get(held)?;
+        (kept.digest == *digest).then_some(held + 1)
+    }
+
     /// Decides a submission and applies it when it is accepted.
     pub fn submit(&mut self, submission: &Submission) -> Verdict {
         let digest = submission_digest(submission);
@@ -91,35 +126,37 @@
                 false => Verdict::Reused,
             };
         }
+        let at = self.version;
         let verdict = self.decide(submission);
-        self.remember(submission, digest, verdict.clone());
+        let answered = Answered {
+            submission: digest,
+            verdict: verdict.clone(),
+            at,
+        };
+        self.remember(&submission.operation, answered);
         verdict
     }
 
     fn decide(&mut self, submission: &Submission) -> Verdict {
         let patch = match &submission.change {
-            Change::Whole(document) => difference(&self.document, document),
+            Change::Whole(document) => difference(self.held.document(), document),
             Change::Patch(patch) => patch.clone(),
         };
         let objects = self.conflicts(submission, &patch);
-        if !objects.is_empty() {
-            let holder = self
-                .touched
-                .get(&objects[0])
-                .map(|touch| touch.operation.clone());
+        if let Some(first) = objects.first() {
+            let touch = self.touched.get(first);
             return Verdict::Conflict {
                 present: self.version,
+                holder: touch.map(|touch| touch.operation.clone()),
                 objects,
-                holder,
             };
         }
-        let mut document = self.document.clone();
-        document.apply(&patch);
-        let faults = validate(&document);
+        let undo = self.held.apply(&patch);
+        let faults = validate(self.held.document());
         if !faults.is_empty() {
+            self.held.apply(&undo);
             return Verdict::Invalid { faults };
         }
-        self.document = document;
         self.version = self.version.next();
         self.record(&submission.operation, patch);
         Verdict::Accepted {
@@ -129,23 +166,36 @@
 
     /// Objects that changed after the version that a submission was made from.
     fn conflicts(&self, submission: &Submission, patch: &Patch) -> Vec<String> {
+        let base = submission.base;
+        if base > self.version || self.is_too_old(base) {
+            return vec![WHOLE.to_owned()];
+        }
         if let Change::Whole(_) = submission.change {
-            if submission.base == self.version {
-                return Vec::new();
-            }
-            return vec!["document".to_owned()];
+            return match base == self.version {
+                true => Vec::new(),
+                false => vec![WHOLE.to_owned()],
+            };
         }
         let newer = |name: &String| {
             let touch = self.touched.get(name);
-            touch.is_some_and(|touch| touch.version > submission.base)
+            touch.is_some_and(|touch| touch.version > base)
         };
-        if submission.base > self.version {
-            return vec!["document".to_owned()];
-        }
-        names(patch).into_iter().filter(newer).collect()
+        let names = names(patch).into_iter();
+        names.filter(newer).take(CONFLICTS_MAX).collect()
+    }
+
+    /// Whether a change made from `base` may be the resend of a forgotten operation, or may touch
+    /// an object whose last change was forgotten.
+    ///
+    /// At the version where the operation was decided, it would be decided the same way again.
+    fn is_too_old(&self, base: Version) -> bool {
+        let forgotten = self.forgotten_at;
+        let resent = forgotten.is_some_and(|at| base <= at && at < self.version);
+        resent || base < self.oldest_base
     }
 
     fn record(&mut self, operation: &Operation, patch: Patch) {
+        let removed = removed_names(&patch);
         for name in names(&patch) {
             let touch = Touch {
                 version: self.version,
@@ -153,32 +203,59 @@
             };
             self.touched.insert(name, touch);
         }
-        let operation = operation.clone();
-        self.deltas.push_back(follow::Delta {
-            version: self.version,
-            operation,
-            patch,
+        for name in removed {
+            self.removed.push_back((self.version, name));
+        }
+        self.forget_removed();
+        self.delta_objects += patch.len();
+        self.deltas.push_back(Kept {
+            delta: follow::Delta {
+                version: self.version,
+                operation: operation.clone(),
+                patch,
+            },
+            digest: self.held.digest(),
         });
-        if self.deltas.len() > DELTAS_MAX {
-            self.deltas.pop_front();
+        self.forget_deltas();
+    }
+
+    fn forget_removed(&mut self) {
+        while self.removed.len() > REMOVED_MAX {
+            let Some((version, name)) = self.removed.pop_front() else {
+                return;
+            };
+            self.oldest_base = version;
+            if self
+                .touched
+                .get(&name)
+                .is_some_and(|touch| touch.version == version)
+            {
+                self.touched.remove(&name);
+            }
         }
     }
 
-    fn remember(&mut self, submission: &Submission, digest: Sha256, verdict: Verdict) {
-        let operation = submission.operation.clone();
-        self.operations.insert(
-            operation.clone(),
-            Answered {
-                submission: digest,
-                verdict,
-            },
-        );
-        self.order.push_back(operation);
+    /// Keeps the last change in any case.
+    fn forget_deltas(&mut self) {
+        let full = |config: &Self| {
+            config.deltas.len() > DELTAS_MAX || config.delta_objects > DELTA_OBJECTS_MAX
+        };
+        while self.deltas.len() > 1 && full(self) {
+            if let Some(oldest) = self.deltas.pop_front() {
+                self.delta_objects -= oldest.delta.patch.len();
+            }
+        }
+    }
+
+    fn remember(&mut self, operation: &Operation, answered: Answered) {
+        self.operations.insert(operation.clone(), answered);
+        self.order.push_back(operation.clone());
         if self.order.len() <= OPERATIONS_MAX {
             return;
         }
-        if let Some(oldest) = self.order.pop_front() {
-            self.operations.remove(&oldest);
+        let oldest = self.order.pop_front();
+        if let Some(answered) = oldest.and_then(|oldest| self.operations.remove(&oldest)) {
+            self.forgotten_at = Some(answered.at);
         }
     }
 }
@@ -197,6 +274,21 @@
     names
 }
 
+/// Names of the objects that a patch removes.
+fn removed_names(patch: &Patch) -> Vec<String> {
+    let kept = Patch {
+        teams: only_removed(&patch.teams),
+        services: only_removed(&patch.services),
+        groups: only_removed(&patch.groups),
+    };
+    names(&kept)
+}
+
+fn only_removed<K: Ord + Clone, V>(changes: &BTreeMap<K, Option<V>>) -> BTreeMap<K, Option<V>> {
+    let removed = changes.iter().filter(|(_, change)| change.is_none());
+    removed.map(|(name, _)| (name.clone(), None)).collect()
+}
+
 /// The patch that turns `old` into `new`.
 fn difference(old: &Document, new: &Document) -> Patch {
     Patch {
--- a/crates/control/src/state/validate.rs
+++ b/crates/control/src/state/validate.rs
@@ -1,85 +1,231 @@
 //! Checks a whole document and names every fault with its path and remedy.
 
-use eelgrassdyke_core::config::{Document, Fault, ServiceSpec, TeamSpec};
-use eelgrassdyke_core::unit::Permille;
+use std::collections::BTreeMap;
+
+use eelgrassdyke_core::config::{Document, Fault, GroupSpec, Kind, ServiceSpec, TeamSpec};
+use eelgrassdyke_core::digest::Sha256;
+use eelgrassdyke_core::id::{Group, Rank, Server, Service, Team};
+use eelgrassdyke_core::unit::{Bytes, Permille};
 
 /// Longest deadline that a service may have, in milliseconds.
 const TIMEOUT_MS_MAX: u64 = 3_600_000;
 
-/// Every fault of `document`; empty when it is valid.
+/// Largest request body that a service may take.
+const BODY_MAX: Bytes = Bytes(32 << 20);
+
+/// Faults that are named; the rest is counted.
+const FAULTS_MAX: usize = 100;
+
+/// Every fault of `document`, at most [`FAULTS_MAX`] of them named; empty when it is valid.
 pub fn validate(document: &Document) -> Vec<Fault> {
-    let mut faults = Vec::new();
+    let mut check = Check {
+        document,
+        faults: Vec::new(),
+        more: 0,
+        token_owners: BTreeMap::new(),
+        guaranteed: BTreeMap::new(),
+        server_groups: BTreeMap::new(),
+    };
     for (name, service) in &document.services {
-        check_service(name.as_str(), service, &mut faults);
+        check.service(name, service);
     }
     for (name, team) in &document.teams {
-        check_team(document, name.as_str(), team, &mut faults);
+        check.team(name, team);
+    }
+    check.guarantees();
+    for (name, group) in &document.groups {
+        check.group(name, group);
     }
-    check_guarantees(document, &mut faults);
-    faults
+    check.finish()
 }
 
-fn check_service(name: &str, service: &ServiceSpec, faults: &mut Vec<Fault>) {
-    if service.timeout_ms == 0 || service.timeout_ms > TIMEOUT_MS_MAX {
-        faults.push(fault(
-            format!("services.{name}.timeout_ms"),
-            format!("{} is out of range", service.timeout_ms),
-            format!("give 1 to {TIMEOUT_MS_MAX} milliseconds"),
-        ));
-    }
-    for (at, route) in service.routes.iter().enumerate() {
-        if !route.path.starts_with('/') {
-            faults.push(fault(
-                format!("services.{name}.routes.{at}.path"),
-                format!("{:?} is not a path", route.path),
-                "begin it with /".to_owned(),
-            ));
+/// A check in progress.
+struct Check<'a> {
+    document: &'a Document,
+    faults: Vec<Fault>,
+    more: usize,
+    token_owners: BTreeMap<Sha256, &'a Team>,
+    guaranteed: BTreeMap<&'a Service, u64>,
+    server_groups: BTreeMap<&'a Server, &'a Group>,
+}
+
+impl<'a> Check<'a> {
+    fn service(&mut self, name: &Service, service: &ServiceSpec) {
+        let at = |field: &str| format!("services.{name}.{field}");
+        if service.kind == Kind::Plain && name.as_str().contains('/') {
+            self.add(
+                format!("services.{name}"),
+                "a plain service is addressed by the first segment of the path".to_owned(),
+                "give it a name without /",
+            );
+        }
+        if service.timeout_ms == 0 || service.timeout_ms > TIMEOUT_MS_MAX {
+            self.add(
+                at("timeout_ms"),
+                format!("{} is out of range", service.timeout_ms),
+                &format!("give 1 to {TIMEOUT_MS_MAX} milliseconds"),
+            );
+        }
+        if service.body_max > BODY_MAX {
+            self.add(
+                at("body_max"),
+                format!("{} bytes are too many", service.body_max),
+                &format!("give at most {BODY_MAX} bytes"),
+            );
+        }
+        if service.retry_budget > Permille::WHOLE {
+            self.add(
+                at("retry_budget"),
+                format!(
+                    "{} thousandths are more than every request",
+                    service.retry_budget
+                ),
+                "give at most 1000",
+            );
+        }
+        for (position, route) in service.routes.iter().enumerate() {
+            if !route.path.starts_with('/') {
+                self.add(
+                    at(&format!("routes.{position}.path")),
+                    format!("{:?} is not a path", route.path),
+                    "begin it with /",
+                );
+            }
         }
     }
-}
 
-fn check_team(document: &Document, name: &str, team: &TeamSpec, faults: &mut Vec<Fault>) {
-    for (service, share) in &team.shares {
-        let path = format!("teams.{name}.shares.{service}");
-        if !document.services.contains_key(service) {
-            faults.push(fault(
-                path.clone(),
-                "no such service".to_owned(),
-                "create the service or drop the share".to_owned(),
-            ));
-        }
-        if share.cap > Permille::WHOLE || share.guaranteed > share.cap {
-            faults.push(fault(
-                path,
-                format!("guaranteed {} and cap {}", share.guaranteed, share.cap),
-                "give guaranteed at most cap and cap at most 1000".to_owned(),
-            ));
+    fn team(&mut self, name: &'a Team, team: &'a TeamSpec) {
+        for (position, token) in team.tokens.iter().enumerate() {
+            if let Some(owner) = self.token_owners.insert(*token, name) {
+                self.add(
+                    format!("teams.{name}.tokens.{position}"),
+                    format!("team {owner} has the same token"),
+                    "give each team tokens of its own, each once",
+                );
+            }
+        }
+        for (service, share) in &team.shares {
+            let path = format!("teams.{name}.shares.{service}");
+            if !self.document.services.contains_key(service) {
+                self.add(
+                    path.clone(),
+                    "no such service".to_owned(),
+                    "create the service or drop the share",
+                );
+            }
+            if share.cap > Permille::WHOLE || share.guaranteed > share.cap {
+                self.add(
+                    path.clone(),
+                    format!("guaranteed {} and cap {}", share.guaranteed, share.cap),
+                    "give guaranteed at most cap and cap at most 1000",
+                );
+            }
+            if share.weight == 0 && share.guaranteed == Permille(0) && share.cap > Permille(0) {
+                self.add(
+                    path,
+                    "neither a guaranteed part nor a weight".to_owned(),
+                    "give a weight of at least 1, or a cap of 0 to shut the team out",
+                );
+            }
+            *self.guaranteed.entry(service).or_default() += share.guaranteed.0;
         }
     }
-}
 
-/// The guaranteed parts of one service may not exceed the whole.
-fn check_guarantees(document: &Document, faults: &mut Vec<Fault>) {
-    for service in document.services.keys() {
-        let shares = document
-            .teams
-            .values()
-            .filter_map(|team| team.shares.get(service));
-        let sum: u64 = shares.map(|share| share.guaranteed.0).sum();
-        if sum > Permille::WHOLE.0 {
-            faults.push(fault(
+    /// The guaranteed parts of one service may not exceed the whole.
+    fn guarantees(&mut self) {
+        for (service, sum) in std::mem::take(&mut self.guaranteed) {
+            if sum <= Permille::WHOLE.0 {
+                continue;
+            }
+            self.add(
                 format!("services.{service}"),
                 format!("teams are guaranteed {sum} thousandths together"),
-                "lower their guaranteed parts to 1000 together".to_owned(),
-            ));
+                "lower their guaranteed parts to 1000 together",
+            );
         }
     }
-}
 
-fn fault(path: String, problem: String, remedy: String) -> Fault {
-    Fault {
-        path,
-        problem,
-        remedy,
+    fn group(&mut self, name: &'a Group, group: &'a GroupSpec) {
+        let at = |field: &str| format!("groups.{name}.{field}");
+        let service = self.document.services.get(&group.service);
+        if service.is_none_or(|service| service.kind != Kind::Drafting) {
+            self.add(
+                at("service"),
+                format!("{} is not a drafting service", group.service),
+                "name a service of kind drafting",
+            );
+        }
+        let counts = [
+            ("ranks", group.ranks.len() as u64),
+            ("experts", group.experts.into()),
+            ("layers", group.layers.into()),
+            ("slots", group.slots.into()),
+            ("expert_bytes", group.expert_bytes.0),
+            ("store_rate", group.store_rate.0),
+        ];
+        for (field, count) in counts {
+            if count == 0 {
+                self.add(at(field), "is nothing".to_owned(), "give at least 1");
+            }
+        }
+        let dense = (0..)
+            .map(Rank)
+            .zip(group.ranks.keys())
+            .all(|(a, b)| a == *b);
+        if !dense {
+            self.add(
+                at("ranks"),
+                "the ranks have gaps".to_owned(),
+                "number them from 0 without gaps",
+            );
+        }
+        let room = group.ranks.len() as u64 * u64::from(group.slots);
+        if room < group.experts.into() {
+            self.add(
+                at("slots"),
+                format!("{room} slots for {} experts", group.experts),
+                "give ranks times slots at least as many as experts",
+            );
+        }
+        if group.skew_weight == 0 && group.move_weight == 0 {
+            self.add(
+                at("skew_weight"),
+                "neither skew nor moves have a price".to_owned(),
+                "give skew_weight or move_weight at least 1",
+            );
+        }
+        for (rank, server) in &group.ranks {
+            if let Some(other) = self.server_groups.insert(server, name) {
+                self.add(
+                    at(&format!("ranks.{rank}")),
+                    format!("server {server} holds a rank of group {other}"),
+                    "give each rank a server of its own",
+                );
+            }
+        }
+    }
+
+    fn add(&mut self, path: String, problem: String, remedy: &str) {
+        if self.faults.len() >= FAULTS_MAX {
+            self.more += 1;
+            return;
+        }
+        self.faults.push(Fault {
+            path,
+            problem,
+            remedy: remedy.to_owned(),
+        });
+    }
+
+    fn finish(mut self) -> Vec<Fault> {
+        if self.more == 0 {
+            return self.faults;
+        }
+        self.faults.push(Fault {
+            path: "document".to_owned(),
+            problem: format!("{} more faults", self.more),
+            remedy: "mend those named, then submit again".to_owned(),
+        });
+        self.faults
     }
 }
--- /dev/null
+++ b/crates/control/tests/state_config.rs
@@ -0,0 +1,291 @@
+//! The configuration: races, resends, bounds, validation, and followers against a full copy.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use eelgrassdyke_control::state::config::Config;
+use eelgrassdyke_control::state::validate::validate;
+use eelgrassdyke_core::config::{Change, Document, Patch, Submission, TeamSpec, Tracked, Verdict};
+use eelgrassdyke_core::digest::Sha256;
+use eelgrassdyke_core::follow::Follower;
+use eelgrassdyke_core::id::{Team, Version};
+use eelgrassdyke_core::time::Instant;
+use eelgrassdyke_core::wire::follow::{Config as Newer, Update};
+use eelgrassdyke_core::wire::{decode, encode};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+use test_case::test_case;
+
+fn team(token: u64) -> TeamSpec {
+    TeamSpec {
+        tokens: vec![Sha256::of(&token.to_le_bytes())],
+        shares: BTreeMap::new(),
+    }
+}
+
+fn name(number: u64) -> Team {
+    format!("team-{number}").parse().unwrap()
+}
+
+fn put(number: u64, token: u64) -> Patch {
+    Patch {
+        teams: BTreeMap::from([(name(number), Some(team(token)))]),
+        ..Patch::default()
+    }
+}
+
+fn remove(number: u64) -> Patch {
+    Patch {
+        teams: BTreeMap::from([(name(number), None)]),
+        ..Patch::default()
+    }
+}
+
+fn submission(operation: &str, base: u64, change: Change) -> Submission {
+    Submission {
+        operation: operation.parse().unwrap(),
+        base: Version(base),
+        change,
+        author: "operator".to_owned(),
+    }
+}
+
+fn patch(operation: &str, base: u64, patch: Patch) -> Submission {
+    submission(operation, base, Change::Patch(patch))
+}
+
+fn accepted(version: u64) -> Verdict {
+    Verdict::Accepted {
+        version: Version(version),
+    }
+}
+
+fn is_conflict(verdict: &Verdict, object: &str) -> bool {
+    matches!(verdict, Verdict::Conflict { objects, .. } if objects == &[object.to_owned()])
+}
+
+fn document(text: &str) -> Document {
+    serde_json::from_str(text).unwrap()
+}
+
+#[test]
+fn of_two_operators_with_the_same_base_one_wins() {
+    let mut config = Config::default();
+    assert_eq!(config.submit(&patch("a", 0, put(1, 1))), accepted(1));
+    assert!(is_conflict(
+        &config.submit(&patch("b", 0, put(1, 2))),
+        "teams/team-1"
+    ));
+    // Another object is free, and the global number counts for whole documents only.
+    assert_eq!(config.submit(&patch("c", 0, put(2, 2))), accepted(2));
+    let whole = |operation, base| submission(operation, base, Change::Whole(Document::default()));
+    assert!(is_conflict(&config.submit(&whole("d", 1)), "document"));
+    assert_eq!(config.submit(&whole("e", 2)), accepted(3));
+    assert!(is_conflict(&config.submit(&whole("f", 2)), "document"));
+    assert!(is_conflict(
+        &config.submit(&patch("g", 9, put(1, 1))),
+        "document"
+    ));
+    assert!(is_conflict(
+        &config.submit(&patch("h", 2, put(1, 1))),
+        "teams/team-1"
+    ));
+}
+
+#[test]
+fn a_resend_gets_the_first_answer_also_after_a_snapshot() {
+    let mut config = Config::default();
+    let all = [
+        patch("a", 0, put(1, 1)),
+        patch("b", 0, put(1, 2)),
+        patch("c", 1, put(2, 1)),
+        patch("d", 1, remove(1)),
+    ];
+    let answers: Vec<Verdict> = all.iter().map(|one| config.submit(one)).collect();
+    assert!(
+        matches!(answers[2], Verdict::Invalid { .. }),
+        "the token stands twice"
+    );
+    let mut config: Config = decode(&encode(&config).unwrap()).unwrap();
+    let before = config.clone();
+    for (one, answer) in all.iter().zip(&answers) {
+        assert_eq!(config.submit(one), *answer);
+    }
+    assert_eq!(config, before);
+    assert_eq!(config.submit(&patch("a", 0, put(7, 7))), Verdict::Reused);
+}
+
+#[test]
+fn a_refused_change_leaves_nothing_behind() {
+    let mut config = Config::default();
+    config.submit(&patch("a", 0, put(1, 1)));
+    let (document, digest) = (config.document().clone(), config.digest());
+    let mut change = put(2, 1);
+    change.teams.extend(put(3, 3).teams);
+    change.teams.extend(remove(1).teams);
+    change.teams.extend(put(4, 3).teams);
+    assert!(matches!(
+        config.submit(&patch("b", 1, change)),
+        Verdict::Invalid { .. }
+    ));
+    assert_eq!((config.document(), config.digest()), (&document, digest));
+    assert_eq!(config.version(), Version(1));
+}
+
+#[test]
+fn a_resend_whose_answer_was_forgotten_is_not_applied_as_new() {
+    let mut config = Config::default();
+    config.submit(&patch("a", 0, put(1, 1)));
+
+    // Invalid now, since the token is taken, and valid once team 1 is gone.
+    let lost = patch("lost", 1, put(2, 1));
+    assert!(matches!(config.submit(&lost), Verdict::Invalid { .. }));
+    for number in 0..20_001 {
+        let invalid = patch(&format!("filler-{number}"), 1, put(3, 1));
+        assert!(matches!(config.submit(&invalid), Verdict::Invalid { .. }));
+    }
+
+    // At the version where it was decided, the answer is the same and others may still submit.
+    assert!(matches!(config.submit(&lost), Verdict::Invalid { .. }));
+    assert_eq!(config.submit(&patch("free", 1, remove(1))), accepted(2));
+    let lost = patch("lost-too", 1, put(2, 1));
+    assert!(is_conflict(&config.submit(&lost), "document"));
+    assert_eq!(config.submit(&patch("fresh", 2, put(2, 1))), accepted(3));
+}
+
+#[test]
+fn a_follower_ends_up_with_the_same_bytes_and_never_steps_back() {
+    for seed in 0..30 {
+        follow_history(seed);
+    }
+}
+
+/// Two replicas, one of which lags, and a follower whose updates come late, twice or not at all.
+fn follow_history(seed: u64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut leader = Config::default();
+    let mut lagging = Config::default();
+    let mut copies = vec![Document::default()];
+    let mut follower = Follower::new(vec!["127.0.0.1:1".parse().unwrap()], false, 0);
+    let from = "control".parse().unwrap();
+    let mut late: Vec<Update> = Vec::new();
+    let mut last = Version(0);
+    for round in 0..rng.random_range(50..1500) {
+        let number = rng.random_range(0..10);
+        let change = match rng.random_bool(0.2) {
+            true => remove(number),
+            false => put(number, round),
+        };
+        let base = leader.version().0;
+        leader.submit(&patch(&format!("op-{round}"), base, change));
+        copies.push(leader.document().clone());
+        if rng.random_bool(0.1) {
+            lagging = leader.clone();
+        }
+        if rng.random_bool(0.7) {
+            continue;
+        }
+        let now = Instant(round * 10_000_000);
+        let Some((_, follow)) = follower.ask(now) else {
+            continue;
+        };
+        let replica = if rng.random_bool(0.5) {
+            &leader
+        } else {
+            &lagging
+        };
+        let update = Update {
+            present: replica.version(),
+            confirmed: true,
+            config: replica.since(follow.version, &follow.digest),
+            directory: None,
+        };
+        late.push(update);
+        for _ in 0..rng.random_range(0..3) {
+            let at = rng.random_range(0..late.len());
+            let mut update = late[at].clone();
+            if rng.random_bool(0.05) {
+                damage(&mut update);
+            }
+            follower.apply(now, &from, update);
+            assert!(follower.version() >= last, "seed {seed}");
+            last = follower.version();
+            assert_eq!(follower.document(), &copies[last.0 as usize], "seed {seed}");
+        }
+    }
+
+    // The end: one answer from the leader brings the follower up to date.
+    for round in 0..2 {
+        let now = Instant(1 << 60) + std::time::Duration::from_secs(10 * round);
+        let (_, follow) = follower.ask(now).unwrap();
+        let update = Update {
+            present: leader.version(),
+            confirmed: true,
+            config: leader.since(follow.version, &follow.digest),
+            directory: None,
+        };
+        follower.apply(now, &from, update);
+    }
+    assert_eq!(follower.version(), leader.version());
+    let whole = Tracked::from(Arc::new(leader.document().clone()));
+    assert_eq!(leader.digest(), whole.digest());
+}
+
+/// Drops a change from the middle of an update, which its digest then gives away.
+fn damage(update: &mut Update) {
+    let Some(Newer::Deltas { changes, .. }) = &mut update.config else {
+        return;
+    };
+    if let Some(first) = changes.first_mut() {
+        first.patch = put(99, 99);
+    }
+}
+
+const VALID: &str = r#"{
+    "teams": {"a": {"tokens": [], "shares": {"draft": {"guaranteed": 600}}}},
+    "services": {"draft": {"kind": "drafting"}, "orders": {"kind": "plain"}},
+    "groups": {"g": {"service": "draft", "ranks": {"0": "s-0", "1": "s-1"}, "experts": 4,
+        "layers": 2, "slots": 2, "expert_bytes": 10, "store_rate": 5, "skew_weight": 1,
+        "move_weight": 1}}
+}"#;
+
+#[test_case(r#""guaranteed": 600"#, r#""guaranteed": 1001"#, &["teams.a.shares.draft", "services.draft"])]
+#[test_case(r#""guaranteed": 600"#, r#""weight": 0"#, &["teams.a.shares.draft"])]
+#[test_case(r#""shares": {"draft""#, r#""shares": {"none""#, &["teams.a.shares.none"])]
+#[test_case(r#""kind": "plain""#, r#""kind": "plain", "timeout_ms": 0"#, &["services.orders.timeout_ms"])]
+#[test_case(r#""kind": "plain""#, r#""kind": "plain", "body_max": 99999999"#, &["services.orders.body_max"])]
+#[test_case(r#""kind": "plain""#, r#""kind": "plain", "retry_budget": 1001"#, &["services.orders.retry_budget"])]
+#[test_case(r#""kind": "plain""#, r#""kind": "plain", "routes": [{"path": "x", "idempotent": true}]"#, &["services.orders.routes.0.path"])]
+#[test_case(r#""orders": {"kind""#, r#""or/ders": {"kind""#, &["services.or/ders"])]
+#[test_case(r#""service": "draft""#, r#""service": "orders""#, &["groups.g.service"])]
+#[test_case(r#""1": "s-1""#, r#""2": "s-1""#, &["groups.g.ranks"])]
+#[test_case(r#""1": "s-1""#, r#""1": "s-0""#, &["groups.g.ranks.1"])]
+#[test_case(r#""slots": 2"#, r#""slots": 1"#, &["groups.g.slots"])]
+#[test_case(r#""layers": 2"#, r#""layers": 0"#, &["groups.g.layers"])]
+#[test_case(r#""skew_weight": 1"#, r#""skew_weight": 0, "frozen": true"#, &[])]
+fn every_fault_is_named_by_its_path(valid: &str, faulty: &str, paths: &[&str]) {
+    assert_eq!(validate(&document(VALID)), Vec::new());
+    assert!(VALID.contains(valid));
+    let faults = validate(&document(&VALID.replace(valid, faulty)));
+    let found: Vec<&str> = faults.iter().map(|fault| fault.path.as_str()).collect();
+    assert_eq!(found, paths);
+    assert!(faults.iter().all(|fault| !fault.remedy.is_empty()));
+}
+
+#[test]
+fn a_token_that_two_teams_share_is_a_fault_and_all_faults_come_at_once() {
+    let token = Sha256::of(b"t");
+    let text = VALID.replace(
+        "\"tokens\": []",
+        &format!("\"tokens\": [\"{token}\", \"{token}\"]"),
+    );
+    let text = text.replace(r#""slots": 2"#, r#""slots": 1"#);
+    let mut faulty = document(&text);
+    let copy = faulty.teams.values().next().unwrap().clone();
+    faulty.teams.insert("b".parse().unwrap(), copy);
+    let faults = validate(&faulty);
+    let paths: Vec<&str> = faults.iter().map(|fault| fault.path.as_str()).collect();
+    let tokens = ["teams.a.tokens.1", "teams.b.tokens.0", "teams.b.tokens.1"];
+    assert_eq!(paths[..3], tokens);
+    assert_eq!(paths[3..], ["services.draft", "groups.g.slots"]);
+}
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -6,9 +6,13 @@
 //! same on every process.
 
 use std::collections::BTreeMap;
+use std::fmt::Display;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
 
 use crate::data;
-use crate::digest::Sha256;
+use crate::digest::{Sha256, Sum};
 use crate::id::{Group, Model, Operation, Rank, Server, Service, Team, Version};
 use crate::unit::{ByteRate, Bytes, Permille, TokenRate};
 
@@ -229,29 +233,108 @@
     }
 }
 
-impl Document {
-    /// The digest of the canonical form.
+impl Patch {
+    /// Objects touched.
+    pub fn len(&self) -> usize {
+        self.teams.len() + self.services.len() + self.groups.len()
+    }
+
+    /// Whether nothing is touched.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+/// A document together with its digest, which follows each change at the cost of the change.
+///
+/// The document is shared, so that a snapshot for a follower costs no copy; it is copied when it
+/// changes while such a snapshot is still held.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(from = "Arc<Document>", into = "Arc<Document>")]
+pub struct Tracked {
+    document: Arc<Document>,
+    sum: Sum,
+}
+
+impl Tracked {
+    /// The document.
+    pub fn document(&self) -> &Arc<Document> {
+        &self.document
+    }
+
+    /// The document's digest.
     pub fn digest(&self) -> Sha256 {
-        // Ordered maps make the serialised form canonical, and it holds no type that can fail.
-        Sha256::of(&serde_json::to_vec(self).unwrap_or_default())
+        self.sum.digest()
+    }
+
+    /// Puts each `Some` of `patch`, removes each `None`; gives the patch that takes it back.
+    pub fn apply(&mut self, patch: &Patch) -> Patch {
+        let document = Arc::make_mut(&mut self.document);
+        let sum = &mut self.sum;
+        Patch {
+            teams: merge("teams", &mut document.teams, &patch.teams, sum),
+            services: merge("services", &mut document.services, &patch.services, sum),
+            groups: merge("groups", &mut document.groups, &patch.groups, sum),
+        }
+    }
+}
+
+impl From<Arc<Document>> for Tracked {
+    fn from(document: Arc<Document>) -> Self {
+        let mut sum = Sum::default();
+        add_all("teams", &document.teams, &mut sum);
+        add_all("services", &document.services, &mut sum);
+        add_all("groups", &document.groups, &mut sum);
+        Self { document, sum }
+    }
+}
+
+impl From<Tracked> for Arc<Document> {
+    fn from(tracked: Tracked) -> Self {
+        tracked.document
     }
+}
 
-    /// Applies `patch`: puts each `Some`, removes each `None`.
-    pub fn apply(&mut self, patch: &Patch) {
-        merge(&mut self.teams, &patch.teams);
-        merge(&mut self.services, &patch.services);
-        merge(&mut self.groups, &patch.groups);
+fn add_all<K: Display, V: Serialize>(kind: &str, objects: &BTreeMap<K, V>, sum: &mut Sum) {
+    for (name, object) in objects {
+        sum.add(&object_digest(kind, name, object));
     }
 }
 
-/// Puts each `Some` of `changes` into `objects` and removes each `None`.
-fn merge<K: Ord + Clone, V: Clone>(objects: &mut BTreeMap<K, V>, changes: &BTreeMap<K, Option<V>>) {
+/// Puts each `Some` of `changes` into `objects`, removes each `None`, and gives what was there.
+fn merge<K, V>(
+    kind: &str,
+    objects: &mut BTreeMap<K, V>,
+    changes: &BTreeMap<K, Option<V>>,
+    sum: &mut Sum,
+) -> BTreeMap<K, Option<V>>
+where
+    K: Ord + Clone + Display,
+    V: Clone + Serialize,
+{
+    let mut before = BTreeMap::new();
     for (name, change) in changes {
-        match change {
+        let old = match change {
             Some(object) => objects.insert(name.clone(), object.clone()),
             None => objects.remove(name),
         };
+        if let Some(object) = &old {
+            sum.remove(&object_digest(kind, name, object));
+        }
+        if let Some(object) = change {
+            sum.add(&object_digest(kind, name, object));
+        }
+        before.insert(name.clone(), old);
     }
+    before
+}
+
+/// The digest of one object's canonical form.
+fn object_digest(kind: &str, name: &impl Display, object: &impl Serialize) -> Sha256 {
+    let mut text = format!("{kind}/{name}\n").into_bytes();
+    // Ordered maps make the serialised form canonical, and it holds no type that can fail.
+    text.extend(serde_json::to_vec(object).unwrap_or_default());
+    Sha256::of(&text)
 }
 
 /// A share that the fair queue and the credits work with.
--- a/crates/core/src/digest.rs
+++ b/crates/core/src/digest.rs
@@ -32,11 +32,56 @@
 
     /// The first 128 bits, for sets that remember much and may rarely take one value for another.
     pub fn short(&self) -> (u64, u64) {
-        let word = |at: usize| {
-            let bytes = self.0.iter().skip(at).take(8);
-            bytes.fold(0, |word, byte| word << 8 | u64::from(*byte))
-        };
-        (word(0), word(8))
+        let [first, second, ..] = self.words();
+        (first, second)
+    }
+
+    /// The digest as numbers, least first.
+    fn words(&self) -> [u64; 4] {
+        let mut words = [0; 4];
+        for (word, chunk) in words.iter_mut().zip(self.0.chunks_exact(8)) {
+            let bytes = chunk.iter().rev();
+            *word = bytes.fold(0, |word, byte| word << 8 | u64::from(*byte));
+        }
+        words
+    }
+}
+
+/// A digest of a set: the sum of its members' digests modulo 2^256.
+///
+/// A member is added or taken out at the cost of that member alone, whatever the set's size. It
+/// tells sets that differ by accident, not sets that somebody chose to collide.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sum([u64; 4]);
+
+impl Sum {
+    /// Adds a member.
+    pub fn add(&mut self, member: &Sha256) {
+        let mut carry = false;
+        for (word, other) in self.0.iter_mut().zip(member.words()) {
+            let (sum, first) = word.overflowing_add(other);
+            let (sum, second) = sum.overflowing_add(u64::from(carry));
+            (*word, carry) = (sum, first || second);
+        }
+    }
+
+    /// Takes out a member.
+    pub fn remove(&mut self, member: &Sha256) {
+        let mut borrow = false;
+        for (word, other) in self.0.iter_mut().zip(member.words()) {
+            let (rest, first) = word.overflowing_sub(other);
+            let (rest, second) = rest.overflowing_sub(u64::from(borrow));
+            (*word, borrow) = (rest, first || second);
+        }
+    }
+
+    /// The digest of the set.
+    pub fn digest(&self) -> Sha256 {
+        let mut bytes = [0; 32];
+        for (chunk, word) in bytes.chunks_exact_mut(8).zip(self.0) {
+            chunk.copy_from_slice(&word.to_le_bytes());
+        }
+        Sha256(bytes)
     }
 }
 
--- a/crates/core/src/follow.rs
+++ b/crates/core/src/follow.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::config::Document;
+use crate::config::{Document, Tracked};
 use crate::digest::Sha256;
 use crate::id::{Process, Server, Version};
 use crate::time::Instant;
@@ -47,8 +47,9 @@
     control: Vec<SocketAddr>,
     wants_directory: bool,
     version: Version,
-    digest: Sha256,
-    document: Document,
+    held: Tracked,
+    /// Whether the next question asks for a snapshot, since deltas did not fit.
+    wants_snapshot: bool,
     servers: BTreeMap<Server, Seen>,
     revision: Option<Revision>,
     confirmed: bool,
@@ -61,13 +62,12 @@
 impl Follower {
     /// A follower that holds nothing; `first` picks the control process that it asks first.
     pub fn new(control: Vec<SocketAddr>, wants_directory: bool, first: usize) -> Self {
-        let document = Document::default();
         Self {
             control,
             wants_directory,
             version: Version(0),
-            digest: document.digest(),
-            document,
+            held: Tracked::default(),
+            wants_snapshot: false,
             servers: BTreeMap::new(),
             revision: None,
             confirmed: false,
@@ -85,7 +85,7 @@
 
     /// The configuration in force.
     pub fn document(&self) -> &Document {
-        &self.document
+        self.held.document()
     }
 
     /// The back ends known, by name.
@@ -119,9 +119,14 @@
             self.waiting_since = now;
         }
         self.next_ask = now + ASK_INTERVAL;
+        // A digest that no document has makes control send a snapshot.
+        let digest = match self.wants_snapshot {
+            true => Sha256::of(b"snapshot"),
+            false => self.held.digest(),
+        };
         let follow = Follow {
             version: self.version,
-            digest: self.digest,
+            digest,
             directory: self.revision.clone(),
             wants_directory: self.wants_directory,
             confirm: !self.confirmed,
@@ -153,9 +158,9 @@
                 if version <= self.version {
                     return false;
                 }
-                self.digest = document.digest();
-                self.document = document;
+                self.held = Tracked::from(document);
                 self.version = version;
+                self.wants_snapshot = false;
                 true
             }
             Config::Deltas {
@@ -169,17 +174,17 @@
                 if from != self.version || last <= self.version {
                     return false;
                 }
-                let mut document = self.document.clone();
+                let mut undo = Vec::new();
                 for delta in &changes {
-                    document.apply(&delta.patch);
+                    undo.push(self.held.apply(&delta.patch));
                 }
-                if document.digest() != digest {
-                    // An unlikely digest makes control send a snapshot.
-                    self.digest = Sha256::of(b"mismatch");
+                if self.held.digest() != digest {
+                    for patch in undo.iter().rev() {
+                        self.held.apply(patch);
+                    }
+                    self.wants_snapshot = true;
                     return false;
                 }
-                self.document = document;
-                self.digest = digest;
                 self.version = last;
                 true
             }
--- a/crates/core/src/wire/follow.rs
+++ b/crates/core/src/wire/follow.rs
@@ -4,6 +4,8 @@
 //! answers with what is newer and pushes changes for a few seconds after. Nothing is applied that
 //! would step back.
 
+use std::sync::Arc;
+
 use crate::config::{Document, Patch};
 use crate::data;
 use crate::digest::Sha256;
@@ -55,7 +57,7 @@
             /// Its version.
             version: Version,
             /// The document.
-            document: Document,
+            document: Arc<Document>,
         },
         /// Changes to apply in order to version `from`.
         Deltas {
