--- /dev/null
+++ b/crates/eelgrassdyke/tests/scenarios.rs
@@ -0,0 +1,43 @@
+//! The scripted scenarios of `tests/scenarios`, over the real binaries on loopback.
+//!
+//! Each file says in its first lines what it shows. A failed scenario keeps its folder of logs.
+
+use std::path::Path;
+use std::sync::Mutex;
+
+use eelgrassdyke_testkit::scenario::Scenario;
+use eelgrassdyke_testkit::site::Options;
+use test_case::test_case;
+
+/// One site at a time: a scenario starts a dozen processes.
+static TURN: Mutex<()> = Mutex::new(());
+
+fn run(name: &str) {
+    let _turn = TURN.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    let path = Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("tests/scenarios")
+        .join(name);
+    let text = std::fs::read_to_string(&path).unwrap();
+    let scenario = Scenario::parse(&text).unwrap();
+    let mut folder = tempfile::tempdir().unwrap();
+    let binary = Path::new(env!("CARGO_BIN_EXE_eelgrassdyke"));
+    let result = eelgrassdyke_node::runtime::block_on(async {
+        scenario
+            .run(binary, folder.path(), Options::default())
+            .await
+    });
+    if let Err(error) = result.unwrap() {
+        folder.disable_cleanup(true);
+        panic!("{name}: {error}\nlogs in {}", folder.path().display());
+    }
+}
+
+#[test_case("plain-day.txt")]
+#[test_case("agent-killed.txt")]
+#[test_case("entry-killed.txt")]
+#[test_case("messages-doubled-and-late.txt")]
+#[test_case("graceful-stop.txt")]
+#[test_case("engine-frozen.txt")]
+fn scenario_holds(name: &str) {
+    run(name);
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -155,8 +155,11 @@
             metrics,
             draining,
         });
+        let detail = match ports.callers()? {
+            Some(callers) => format!("peers {address} callers {callers}"),
+            None => format!("peers {address}"),
+        };
         node.clone().serve(ports)?;
-        let detail = format!("listens on {address}");
         node.context
             .timeline
             .note(Event::new(Code::ProcessStarted, detail));
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -21,6 +21,9 @@
     "rinse", "label", "stock",
 ];
 
+/// The event that ends a stream.
+const DONE: &str = "data: [DONE]\n\n";
+
 /// How a stand-in engine behaves.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
@@ -58,6 +61,21 @@
     max_tokens: Option<u64>,
 }
 
+/// The whole streamed answer to a completions call with this prompt, as every engine gives it.
+pub fn expected_stream(model: &str, prompt: &str, tokens: u64) -> String {
+    let completion = Completion {
+        prompt: prompt.into(),
+        ..Completion::default()
+    };
+    let seed = seed(&completion);
+    let mut stream = String::new();
+    for at in 0..tokens {
+        stream.push_str(&String::from_utf8_lossy(&event(model, seed, at)));
+    }
+    stream.push_str(DONE);
+    stream
+}
+
 /// Serves a stand-in engine on `listener`; gives its address.
 pub fn serve(listener: TcpListener, options: Options) -> std::io::Result<SocketAddr> {
     let engine = Rc::new(Engine {
@@ -111,7 +129,7 @@
         }
         self.book.write(|book| book.finished += 1);
         if completion.stream {
-            responder.data(Bytes::from_static(b"data: [DONE]\n\n"));
+            responder.data(Bytes::from_static(DONE.as_bytes()));
             responder.end();
             return;
         }
