Replicated log of control, its data folder, and three control processes

Cause: control kept its state in one process's memory, so a restart lost accepted changes and a lost host lost them all. A replica's identity is drawn when its folder is made; founders promise durably to one set of identities before any of them forms a cluster.

Ruled out: letting a majority of the founders form the cluster (a founder that loses its disk half-way could then help to form a second one); confirming versions by the leader's lease (a paused machine's clock may stand still, so a confirmation costs a round to a majority instead); cutting a torn tail in place (after a failed sync the page cache may hold what the disk does not, so the log file is written and synced anew at every start).

Conclusion: three control processes keep one state.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -2,20 +2,24 @@
 
 use std::time::Duration;
 
-use eelgrassdyke_core::config::{Submission, Verdict};
+use eelgrassdyke_core::config::Submission;
 use eelgrassdyke_core::event::{Code, Event};
-use eelgrassdyke_core::id::{Process, Term, Ticket, Version};
+use eelgrassdyke_core::id::{Process, Ticket, Version};
 use eelgrassdyke_core::time::{Instant, Wall};
-use eelgrassdyke_core::wire::claim::{self, Ask};
+use eelgrassdyke_core::wire::claim::Ask;
 use eelgrassdyke_core::wire::follow::{Follow, Update};
+use eelgrassdyke_core::wire::log::{Payload, Record};
 use eelgrassdyke_core::wire::report::Kept;
-use eelgrassdyke_core::wire::{Message, Sender};
+use eelgrassdyke_core::wire::{self, Message, Sender};
 
+use crate::confirm::Confirmations;
 use crate::directory::Directory;
 use crate::followers::{Follower, Followers};
 use crate::io::{Answer, FollowerStatus, Input, Options, Output, Query, Status};
+use crate::log::{self, Recovered, Replica};
+use crate::proposals::{Proposals, Waiting};
 use crate::report::Ledger;
-use crate::state::{Action, Command, Effect, State};
+use crate::state::{Action, Command, State};
 
 /// Time between two looks at leases and followers.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
@@ -24,6 +28,9 @@
 pub struct Control {
     options: Options,
     me: Sender,
+    replica: Replica,
+    proposals: Proposals,
+    confirmations: Confirmations,
     state: State,
     directory: Directory,
     followers: Followers,
@@ -33,18 +40,31 @@
 }
 
 impl Control {
-    /// A control process that has heard nothing yet.
-    pub fn new(me: Sender, options: Options) -> Self {
-        Self {
+    /// A control process that continues from what its data folder holds.
+    pub fn new(
+        now: Instant,
+        me: Sender,
+        options: Options,
+        recovered: Recovered,
+        out: &mut Vec<Output>,
+    ) -> Self {
+        let mut begun = Vec::new();
+        let replica = Replica::new(now, me.address, recovered, options.log.clone(), &mut begun);
+        let mut control = Self {
             directory: Directory::new(me.process.clone(), me.incarnation),
+            replica,
+            proposals: Proposals::default(),
+            confirmations: Confirmations::default(),
             state: State::default(),
             followers: Followers::default(),
             ledger: Ledger::default(),
             pushed: (Version(0), 0),
-            next_sweep: Instant(0),
+            next_sweep: now,
             me,
             options,
-        }
+        };
+        control.carry_out(now, begun, out);
+        control
     }
 
     /// Takes in what happened at `now` and adds what is to be done to `out`.
@@ -56,20 +76,29 @@
                 let answer = self.query(now, query);
                 out.push(Output::Answer { ticket, answer });
             }
-            Input::Tick => {}
+            Input::Members { ticket, change } => {
+                let token = self.proposals.add(Waiting::Member { ticket });
+                self.drive(now, log::Input::Change { token, change }, out);
+            }
+            Input::Persisted { job } => self.drive(now, log::Input::Persisted { job }, out),
+            Input::DiskFailed { problem } => {
+                self.drive(now, log::Input::DiskFailed { problem }, out);
+            }
+            Input::Tick => self.drive(now, log::Input::Tick, out),
         }
+        self.confirm_followers(now, out);
         self.sweep(now, out);
         self.push_changes(now, out);
     }
 
     /// When control next needs [`Input::Tick`].
     pub fn next_deadline(&self) -> Instant {
-        self.next_sweep
+        self.next_sweep.min(self.replica.next_deadline())
     }
 
-    /// Whether this replica can reach a quorum.
-    pub fn is_ready(&self) -> bool {
-        true
+    /// Whether this replica leads or heard a leader lately, at `now`.
+    pub fn has_quorum(&self, now: Instant) -> bool {
+        self.replica.has_quorum(now)
     }
 
     /// Version of the configuration applied.
@@ -83,6 +112,10 @@
 
     fn take_mail(&mut self, now: Instant, from: &Sender, message: Message, out: &mut Vec<Output>) {
         match message {
+            Message::Log(message) => {
+                let from = from.address;
+                self.drive(now, log::Input::Message { from, message }, out);
+            }
             Message::Beat(beat) => out.extend(self.directory.hear(now, beat).map(Output::Event)),
             Message::Follow(follow) => self.take_follow(now, from, follow, out),
             Message::Claim(ask) => self.take_claim(now, from, ask, out),
@@ -109,63 +142,141 @@
         out: &mut Vec<Output>,
     ) {
         let operation = submission.operation.clone();
-        let command = Command {
-            at: self.wall(now),
-            action: Action::Submit(submission),
-        };
-        let Effect::Verdict(verdict) = self.state.apply(&command) else {
-            return;
-        };
-        let code = match &verdict {
-            Verdict::Accepted { .. } => Code::ConfigAccepted,
-            _ => Code::ConfigRefused,
-        };
-        let detail = format!("version {}", self.version());
-        out.push(Output::Event(
-            Event::new(code, detail).operation(&operation),
-        ));
-        out.push(Output::Answer {
-            ticket,
-            answer: Answer::Verdict(verdict),
-        });
+        let waiting = Waiting::Operator { ticket, operation };
+        self.propose(now, Action::Submit(submission), waiting, out);
     }
 
     fn take_claim(&mut self, now: Instant, from: &Sender, ask: Ask, out: &mut Vec<Output>) {
-        let (request, name) = (ask.request.clone(), ask.name.clone());
-        let command = Command {
-            at: self.wall(now),
-            action: Action::Claim(ask),
-        };
-        let Effect::Claim(finding) = self.state.apply(&command) else {
-            return;
+        let waiting = Waiting::Entry {
+            address: from.address,
+            request: ask.request.clone(),
+            name: ask.name.clone(),
         };
-        let answer = claim::Answer {
-            request,
-            name,
-            finding,
+        self.propose(now, Action::Claim(ask), waiting, out);
+    }
+
+    /// Passes a command to the log; it takes effect once a quorum holds it.
+    fn propose(&mut self, now: Instant, action: Action, waiting: Waiting, out: &mut Vec<Output>) {
+        let at = self.wall(now);
+        let token = self.proposals.add(waiting);
+        match wire::encode(&Command { at, action }) {
+            Ok(command) => self.drive(now, log::Input::Propose { token, command }, out),
+            Err(error) => {
+                let detail = error.to_string();
+                out.push(Output::Event(Event::new(Code::InputRefused, detail)));
+                self.proposals.lose(token, out);
+            }
+        }
+    }
+
+    /// Hands an input to the log and carries out what it decides.
+    fn drive(&mut self, now: Instant, input: log::Input, out: &mut Vec<Output>) {
+        let mut decided = Vec::new();
+        self.replica.handle(now, input, &mut decided);
+        self.carry_out(now, decided, out);
+    }
+
+    fn carry_out(&mut self, now: Instant, decided: Vec<log::Output>, out: &mut Vec<Output>) {
+        let mut snapshot_wanted = false;
+        for output in decided {
+            match output {
+                log::Output::Send { to, message } => out.push(Output::Send {
+                    to,
+                    message: Message::Log(message),
+                }),
+                log::Output::Persist(job) => out.push(Output::Persist(job)),
+                log::Output::Apply { record, token } => self.apply(&record, token, out),
+                log::Output::Restore(snapshot) => self.restore(now, &snapshot.data, out),
+                log::Output::WantSnapshot => snapshot_wanted = true,
+                log::Output::Refused { token, refusal } => {
+                    let leader = self.replica.leader();
+                    self.proposals.refuse(token, refusal, leader, out);
+                }
+                log::Output::Unknown { token } => self.proposals.lose(token, out),
+                log::Output::Confirmed { question, index } => {
+                    self.confirmations.confirm(question, index);
+                }
+                log::Output::Event(event) => out.push(Output::Event(event)),
+            }
+        }
+        // Only now does the state hold everything that the log handed out.
+        if snapshot_wanted {
+            match wire::encode(&self.state) {
+                Ok(data) => self.drive(now, log::Input::Snapshot { data }, out),
+                Err(error) => self.fail(now, error.to_string(), out),
+            }
+        }
+    }
+
+    /// Applies a committed record and answers who waits for it.
+    fn apply(&mut self, record: &Record, token: Option<u64>, out: &mut Vec<Output>) {
+        let command = match &record.payload {
+            Payload::Blank => return,
+            Payload::Members(members) => {
+                if let Some(token) = token {
+                    self.proposals.settle_members(token, members, out);
+                }
+                return;
+            }
+            Payload::Command(command) => command,
         };
-        out.push(Output::Send {
-            to: from.address,
-            message: Message::Claimed(answer),
-        });
+        match wire::decode::<Command>(command) {
+            Ok(command) => {
+                let effect = self.state.apply(&command);
+                if let Some(token) = token {
+                    self.proposals.settle(token, effect, self.version(), out);
+                }
+            }
+            // Every replica skips it alike.
+            Err(error) => {
+                let detail = format!("record {}: {error}", record.index);
+                out.push(Output::Event(Event::new(Code::InputRefused, detail)));
+            }
+        }
+    }
+
+    fn restore(&mut self, now: Instant, data: &[u8], out: &mut Vec<Output>) {
+        match wire::decode(data) {
+            Ok(state) => self.state = state,
+            Err(error) => self.fail(now, error.to_string(), out),
+        }
+    }
+
+    /// Stops the log, since this replica can no longer keep the state.
+    fn fail(&mut self, now: Instant, problem: String, out: &mut Vec<Output>) {
+        self.drive(now, log::Input::DiskFailed { problem }, out);
     }
 
     fn take_follow(&mut self, now: Instant, from: &Sender, follow: Follow, out: &mut Vec<Output>) {
         self.followers.hear(now, from, follow.clone());
+        let confirm = follow.confirm && self.replica.has_quorum(now);
         let follower = Follower {
             address: from.address,
             follow,
             heard: now,
         };
-        self.update(now, &from.process, &follower, out);
+        if !confirm {
+            self.update(now, &from.process, &follower, false, out);
+            return;
+        }
+        let question = self.confirmations.ask(from.process.clone(), follower);
+        self.drive(now, log::Input::Confirm { question }, out);
+    }
+
+    /// Answers the followers whose question a quorum has confirmed.
+    fn confirm_followers(&mut self, now: Instant, out: &mut Vec<Output>) {
+        for (process, follower) in self.confirmations.ready(self.replica.applied()) {
+            self.update(now, &process, &follower, true, out);
+        }
     }
 
-    /// Sends a follower what it lacks, and so confirms what it holds.
+    /// Sends a follower what it lacks.
     fn update(
         &mut self,
         now: Instant,
         process: &Process,
         follower: &Follower,
+        confirmed: bool,
         out: &mut Vec<Output>,
     ) {
         let follow = &follower.follow;
@@ -179,7 +290,7 @@
         }
         let update = Update {
             present: self.version(),
-            confirmed: true,
+            confirmed,
             config,
             directory,
         };
@@ -212,10 +323,11 @@
         }
         Status {
             process: self.me.process.clone(),
-            leads: true,
-            leader: Some(self.me.address),
-            term: Term(0),
-            quorum: true,
+            leads: self.replica.leads(),
+            leader: self.replica.leader(),
+            term: self.replica.term(),
+            quorum: self.replica.has_quorum(now),
+            log: self.replica.standing(now),
             version: self.version(),
             followers,
             servers: self.directory.servers(),
@@ -241,7 +353,7 @@
         self.pushed = present;
         for (process, follower) in self.followers.subscribed(now) {
             if config_changed || follower.follow.wants_directory {
-                self.update(now, &process, &follower, out);
+                self.update(now, &process, &follower, false, out);
             }
         }
     }
--- a/crates/control/src/io.rs
+++ b/crates/control/src/io.rs
@@ -9,8 +9,10 @@
 use eelgrassdyke_core::id::{Process, Term, Ticket, Version};
 use eelgrassdyke_core::time::Wall;
 use eelgrassdyke_core::wire::directory::{Load, Row};
+use eelgrassdyke_core::wire::log::Members;
 use eelgrassdyke_core::wire::{Message, Sender};
 
+use crate::log::{Change, Job, Standing};
 use crate::report::Line;
 
 /// Something that happened.
@@ -30,6 +32,23 @@
         /// The change.
         submission: Submission,
     },
+    /// An operator changes the members of the log.
+    Members {
+        /// The waiting operator.
+        ticket: Ticket,
+        /// The change.
+        change: Change,
+    },
+    /// All jobs up to this one are durable.
+    Persisted {
+        /// The job.
+        job: u64,
+    },
+    /// The disk failed.
+    DiskFailed {
+        /// What went wrong and what to do about it.
+        problem: String,
+    },
     /// An operator asks.
     Query {
         /// The waiting operator.
@@ -69,6 +88,8 @@
         /// The answer.
         answer: Answer,
     },
+    /// Make this durable, after all jobs before it, and answer [`Input::Persisted`].
+    Persist(Job),
     /// Note an event.
     Event(Event),
 }
@@ -86,6 +107,15 @@
         },
         /// The change was passed to the log, but its fate is not known: resend it.
         Unknown,
+        /// It can't be done now; nothing was accepted.
+        Refused {
+            /// What is in the way.
+            problem: String,
+            /// What to do about it.
+            remedy: String,
+        },
+        /// The members after a change.
+        Members(Members),
         /// The configuration.
         Config {
             /// Its version.
@@ -111,6 +141,8 @@
         pub term: Term,
         /// Whether it can reach a quorum; what it says is stale when not.
         pub quorum: bool,
+        /// Its view of the log.
+        pub log: Standing,
         /// Version of the configuration it has applied.
         pub version: Version,
         /// Processes that follow it, by name.
@@ -138,6 +170,6 @@
     pub control: Vec<SocketAddr>,
     /// The wall clock at instant zero.
     pub wall_at_zero: Wall,
-    /// Seed of random choices.
-    pub seed: u64,
+    /// Options of the replicated log.
+    pub log: crate::log::Options,
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,13 +8,17 @@
 #![forbid(unsafe_code)]
 #![warn(rust_2018_idioms)]
 
+mod confirm;
 mod control;
 mod io;
+mod proposals;
 
 pub mod directory;
 pub mod followers;
+pub mod log;
 pub mod report;
 pub mod state;
+pub mod store;
 
 pub use control::Control;
 pub use io::{Answer, FollowerStatus, Input, Options, Output, Query, Status};
--- /dev/null
+++ b/crates/control/src/log/replica.rs
@@ -0,0 +1,608 @@
+//! The replica: its state, its clockwork and its writes.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use eelgrassdyke_core::event::{Code, Event};
+use eelgrassdyke_core::id::{Index, Replica as Id, Term};
+use eelgrassdyke_core::time::Instant;
+use eelgrassdyke_core::wire::log::{Body, Members, Message, Payload, Record};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+
+use super::entries::{self, Entries};
+use super::found::Founding;
+use super::io::{Hard, Input, Job, Options, Output, Recovered, Refusal, Snapshot, Standing, Write};
+use super::leader::Leader;
+use super::replication::Incoming;
+
+/// One replica of the log.
+pub struct Replica {
+    pub(super) options: Options,
+    pub(super) id: Id,
+    pub(super) address: SocketAddr,
+    pub(super) hard: Hard,
+    pub(super) log: Entries,
+    pub(super) commit: Index,
+    pub(super) applied: Index,
+    pub(super) durable: Index,
+    /// On a follower: the last position known to match the present leader's log.
+    pub(super) verified: Index,
+    /// On a follower: the last round heard from the present leader.
+    pub(super) round: u64,
+    pub(super) role: Role,
+    pub(super) leader: Option<Id>,
+    /// When a leader was last heard, or this replica started.
+    pub(super) heard: Instant,
+    pub(super) election_at: Instant,
+    pub(super) founding: Founding,
+    pub(super) incoming: Option<Incoming>,
+    pub(super) tokens: BTreeMap<Index, (Term, u64)>,
+    pub(super) snapshot: Index,
+    pub(super) snapshot_cache: Option<Snapshot>,
+    pub(super) snapshot_wanted: bool,
+    applied_bytes: usize,
+    addresses: BTreeMap<Id, SocketAddr>,
+    impostors: BTreeSet<SocketAddr>,
+    quorum_seen: bool,
+    writes: Vec<Write>,
+    issued: u64,
+    done: u64,
+    marks: VecDeque<Mark>,
+    held: VecDeque<(u64, Id, Body)>,
+    stopped: Option<String>,
+    rng: ChaCha8Rng,
+}
+
+/// What a replica does at present.
+pub(super) enum Role {
+    /// Belongs to no cluster.
+    Blank,
+    /// Follows a leader, or waits for one.
+    Follower,
+    /// Asks for votes; with `pre`, only whether it would get them.
+    Candidate { pre: bool, votes: BTreeSet<Id> },
+    /// Leads.
+    Leader(Box<Leader>),
+}
+
+/// The end of the log that a job makes durable.
+struct Mark {
+    job: u64,
+    index: Index,
+    term: Term,
+}
+
+impl Replica {
+    /// A replica that continues from what its data folder holds.
+    pub fn new(
+        now: Instant,
+        address: SocketAddr,
+        recovered: Recovered,
+        options: Options,
+        out: &mut Vec<Output>,
+    ) -> Self {
+        let base = recovered.snapshot.as_ref();
+        let base = base.map_or((Index(0), Term(0), Members::default()), |snapshot| {
+            (snapshot.index, snapshot.term, snapshot.members.clone())
+        });
+        let mut log = Entries::new((base.0, base.1), base.2);
+        for record in recovered.records {
+            log.push(record);
+        }
+        let role = match recovered.hard.cluster {
+            0 => Role::Blank,
+            _ => Role::Follower,
+        };
+        if recovered.cut > 0 {
+            let detail = format!("{} bytes", recovered.cut);
+            out.push(Output::Event(Event::new(Code::LogCut, detail)));
+        }
+        out.extend(recovered.snapshot.map(Output::Restore));
+        let seed = options.seed ^ recovered.replica.0;
+        let mut replica = Self {
+            id: recovered.replica,
+            address,
+            hard: recovered.hard,
+            commit: base.0,
+            applied: base.0,
+            durable: log.last(),
+            verified: Index(0),
+            round: 0,
+            snapshot: base.0,
+            log,
+            role,
+            leader: None,
+            heard: now,
+            election_at: now,
+            founding: Founding::default(),
+            incoming: None,
+            tokens: BTreeMap::new(),
+            snapshot_cache: None,
+            snapshot_wanted: false,
+            applied_bytes: 0,
+            addresses: BTreeMap::new(),
+            impostors: BTreeSet::new(),
+            quorum_seen: false,
+            writes: Vec::new(),
+            issued: 0,
+            done: 0,
+            marks: VecDeque::new(),
+            held: VecDeque::new(),
+            stopped: None,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            options,
+        };
+        replica.delay_election(now);
+        if replica.is_only_voter() {
+            replica.election_at = now;
+        }
+        replica
+    }
+
+    /// Takes in what happened at `now` and adds what is to be done to `out`.
+    pub fn handle(&mut self, now: Instant, input: Input, out: &mut Vec<Output>) {
+        if self.stopped.is_some() {
+            self.refuse(&input, out);
+            return;
+        }
+        match input {
+            Input::Message { from, message } => self.take(now, from, message, out),
+            Input::Persisted { job } => self.take_persisted(now, job, out),
+            Input::DiskFailed { problem } => {
+                self.stop(problem, out);
+                return;
+            }
+            Input::Propose { token, command } => self.propose(now, token, command, out),
+            Input::Change { token, change } => self.change_members(now, token, change, out),
+            Input::Confirm { question } => self.ask_confirm(now, question, out),
+            Input::Snapshot { data } => self.take_snapshot(data, out),
+            Input::Tick => {}
+        }
+        self.tick(now, out);
+        self.flush(now, out);
+        self.finish(out);
+    }
+
+    /// When the replica next needs [`Input::Tick`].
+    pub fn next_deadline(&self) -> Instant {
+        if self.stopped.is_some() {
+            return Instant::NEVER;
+        }
+        match &self.role {
+            Role::Blank => self.founding.next_hello,
+            Role::Leader(leader) => leader.next_round,
+            _ if self.is_voter() => self.election_at,
+            _ if self.quorum_seen => self.heard + self.options.election_max,
+            _ => Instant::NEVER,
+        }
+    }
+
+    /// Whether this replica leads.
+    pub fn leads(&self) -> bool {
+        matches!(self.role, Role::Leader(_)) && self.stopped.is_none()
+    }
+
+    /// Where the leader takes messages, as far as this replica knows.
+    pub fn leader(&self) -> Option<SocketAddr> {
+        self.leader.and_then(|leader| self.address_of(leader))
+    }
+
+    /// The newest term known.
+    pub fn term(&self) -> Term {
+        self.hard.term
+    }
+
+    /// This replica's identity.
+    pub fn id(&self) -> Id {
+        self.id
+    }
+
+    /// The last position handed out to apply.
+    pub fn applied(&self) -> Index {
+        self.applied
+    }
+
+    /// The present members.
+    pub fn members(&self) -> &Members {
+        self.log.members()
+    }
+
+    /// Whether a leader with a quorum was heard lately, or this replica is one.
+    pub fn has_quorum(&self, now: Instant) -> bool {
+        if self.stopped.is_some() {
+            return false;
+        }
+        match &self.role {
+            Role::Leader(leader) => now < self.quorum_until(leader),
+            Role::Follower => {
+                self.leader.is_some() && now.since(self.heard) < self.options.election_max
+            }
+            _ => false,
+        }
+    }
+
+    /// Whether no other replica can have been elected, if clocks drift no more than the options say
+    /// and this process was not frozen since `now` was read.
+    ///
+    /// What must hold even then is confirmed by [`Input::Confirm`], which reads no clock.
+    pub fn holds_lease(&self, now: Instant) -> bool {
+        match &self.role {
+            Role::Leader(leader) => {
+                let span = self.options.election_min;
+                let lost = span.mul_f64(self.options.drift.fraction());
+                now < self.quorum_heard(leader) + span.saturating_sub(lost)
+            }
+            _ => false,
+        }
+    }
+
+    /// The replica's view of the log, for operators.
+    pub fn standing(&self, now: Instant) -> Standing {
+        let matched = match &self.role {
+            Role::Leader(leader) => leader.matched(),
+            _ => BTreeMap::new(),
+        };
+        Standing {
+            replica: self.id,
+            cluster: self.hard.cluster,
+            commit: self.commit,
+            last: self.log.last(),
+            snapshot: self.snapshot,
+            members: self.log.members().clone(),
+            matched,
+            waiting: self.founding.waiting(now),
+            stopped: self.stopped.clone(),
+        }
+    }
+
+    fn take(&mut self, now: Instant, from: SocketAddr, message: Message, out: &mut Vec<Output>) {
+        if let Body::Hello { .. } = message.body {
+            self.take_hello(now, message, out);
+            return;
+        }
+        if message.to != self.id || message.from == self.id || message.cluster == 0 {
+            return;
+        }
+        if self.hard.cluster == 0 && !self.adopt(now, &message) {
+            return;
+        }
+        if message.cluster != self.hard.cluster || self.is_impostor(&message, from, out) {
+            return;
+        }
+        self.addresses.insert(message.from, from);
+        match message.body {
+            Body::Vote { .. } => self.take_vote(now, &message, out),
+            Body::Voted { .. } => self.take_voted(now, &message, out),
+            Body::Append { .. } | Body::Install { .. } => self.take_leader(now, message, out),
+            Body::Appended { .. } | Body::Installing { .. } => {
+                self.take_follower(now, &message, out);
+            }
+            Body::Confirm { question } => self.take_confirm(now, message.from, question),
+            Body::Confirmed { question, index } => {
+                out.push(Output::Confirmed { question, index });
+            }
+            Body::Hello { .. } => {}
+        }
+    }
+
+    /// Whether a message comes from another address than the member of that identity has: a copied
+    /// data folder.
+    fn is_impostor(&mut self, message: &Message, from: SocketAddr, out: &mut Vec<Output>) -> bool {
+        let known = self.log.members().address(message.from);
+        if known.is_none_or(|address| address == from) {
+            return false;
+        }
+        if self.impostors.insert(from) {
+            let detail = format!(
+                "{from} speaks as replica {}, a member at another address; \
+                 empty its data folder and add it as a new replica",
+                message.from
+            );
+            out.push(Output::Event(Event::new(Code::InputRefused, detail)));
+        }
+        true
+    }
+
+    fn tick(&mut self, now: Instant, out: &mut Vec<Output>) {
+        match &self.role {
+            Role::Blank => self.tick_founding(now, out),
+            Role::Leader(_) => self.tick_leader(now, out),
+            _ if self.is_voter() && now >= self.election_at => self.sound_out(now, out),
+            _ => {}
+        }
+        let quorum = self.has_quorum(now);
+        if self.quorum_seen && !quorum {
+            let detail = format!("term {}", self.hard.term);
+            out.push(Output::Event(Event::new(Code::QuorumLost, detail)));
+        }
+        self.quorum_seen = quorum;
+    }
+
+    /// Answers what can't be taken in after the disk failed.
+    fn refuse(&self, input: &Input, out: &mut Vec<Output>) {
+        let (Input::Propose { token, .. } | Input::Change { token, .. }) = input else {
+            return;
+        };
+        out.push(Output::Refused {
+            token: *token,
+            refusal: Refusal::NotLeader,
+        });
+    }
+
+    fn stop(&mut self, problem: String, out: &mut Vec<Output>) {
+        out.push(Output::Event(Event::new(Code::DiskFailed, problem.clone())));
+        self.abandon(out);
+        self.role = Role::Follower;
+        self.leader = None;
+        self.held.clear();
+        self.stopped = Some(problem);
+    }
+
+    /// Gives up the proposals in flight.
+    pub(super) fn abandon(&mut self, out: &mut Vec<Output>) {
+        for (_, (_, token)) in std::mem::take(&mut self.tokens) {
+            out.push(Output::Unknown { token });
+        }
+    }
+
+    /// Goes on as a follower, in a newer term if `term` is one.
+    pub(super) fn follow(
+        &mut self,
+        now: Instant,
+        term: Term,
+        leader: Option<Id>,
+        out: &mut Vec<Output>,
+    ) {
+        if term > self.hard.term {
+            self.hard.term = term;
+            self.hard.vote = None;
+            self.write_hard();
+            self.leader = None;
+            self.verified = Index(0);
+            self.round = 0;
+            self.incoming = None;
+        }
+        if let Role::Leader(_) = self.role {
+            let detail = format!("term {}", self.hard.term);
+            out.push(Output::Event(Event::new(Code::LeaderLost, detail)));
+            self.abandon(out);
+            self.delay_election(now);
+        }
+        if leader.is_some() {
+            self.leader = leader;
+        } else if matches!(self.role, Role::Leader(_)) {
+            self.leader = None;
+        }
+        self.role = Role::Follower;
+    }
+
+    /// Draws the time of the next election.
+    pub(super) fn delay_election(&mut self, now: Instant) {
+        let least = self.options.election_min.as_micros() as u64;
+        let most = (self.options.election_max.as_micros() as u64).max(least + 1);
+        let span = self.rng.random_range(least..most);
+        self.election_at = now + Duration::from_micros(span);
+    }
+
+    /// Whether this replica votes, by the newest members it holds.
+    pub(super) fn is_voter(&self) -> bool {
+        self.hard.cluster != 0 && self.log.members().voters.contains_key(&self.id)
+    }
+
+    pub(super) fn is_only_voter(&self) -> bool {
+        self.is_voter() && self.log.members().voters.len() == 1
+    }
+
+    pub(super) fn address_of(&self, id: Id) -> Option<SocketAddr> {
+        if id == self.id {
+            return Some(self.address);
+        }
+        let member = self.log.members().address(id);
+        member.or_else(|| self.addresses.get(&id).copied())
+    }
+
+    /// Sends a message at once.
+    pub(super) fn send(&self, to: Id, body: Body, out: &mut Vec<Output>) {
+        self.send_in(self.hard.term, to, body, out);
+    }
+
+    /// Sends a message in another term than the present one.
+    pub(super) fn send_in(&self, term: Term, to: Id, body: Body, out: &mut Vec<Output>) {
+        let Some(address) = self.address_of(to) else {
+            return;
+        };
+        let message = Message {
+            cluster: self.hard.cluster,
+            from: self.id,
+            to,
+            term,
+            body,
+        };
+        out.push(Output::Send {
+            to: address,
+            message,
+        });
+    }
+
+    /// Sends a message once everything written so far is durable.
+    pub(super) fn send_durable(&mut self, to: Id, body: Body, out: &mut Vec<Output>) {
+        let job = self.issued + u64::from(!self.writes.is_empty());
+        if job <= self.done {
+            self.send(to, body, out);
+            return;
+        }
+        self.held.push_back((job, to, body));
+    }
+
+    pub(super) fn write_hard(&mut self) {
+        self.writes.push(Write::Hard(self.hard.clone()));
+    }
+
+    /// Appends records to the log, in place of what is at their position and after it.
+    pub(super) fn append(&mut self, records: Vec<Record>) {
+        let Some(first) = records.first().map(|record| record.index) else {
+            return;
+        };
+        if first <= self.log.last() {
+            self.log.cut(first);
+            self.durable = self.durable.min(first - Index(1));
+        }
+        for record in &records {
+            self.log.push(record.clone());
+        }
+        if let Some(Write::Records(written)) = self.writes.last_mut()
+            && written
+                .last()
+                .is_some_and(|last| last.index.next() == first)
+        {
+            written.extend(records);
+            return;
+        }
+        self.writes.push(Write::Records(records));
+    }
+
+    /// Hands out the writes gathered as one job.
+    fn finish(&mut self, out: &mut Vec<Output>) {
+        if self.writes.is_empty() {
+            return;
+        }
+        self.issued += 1;
+        let writes = std::mem::take(&mut self.writes);
+        if writes.iter().any(|write| !matches!(write, Write::Hard(_))) {
+            self.marks.push_back(Mark {
+                job: self.issued,
+                index: self.log.last(),
+                term: self.log.last_term(),
+            });
+        }
+        out.push(Output::Persist(Job {
+            number: self.issued,
+            writes,
+        }));
+    }
+
+    fn take_persisted(&mut self, now: Instant, job: u64, out: &mut Vec<Output>) {
+        self.done = self.done.max(job);
+        while let Some(mark) = self.marks.front()
+            && mark.job <= self.done
+        {
+            // A mark counts only while the records that it stands for are still in the log.
+            if self.log.term(mark.index) == Some(mark.term) {
+                self.durable = self.durable.max(mark.index);
+            }
+            self.marks.pop_front();
+        }
+        while let Some((job, ..)) = self.held.front()
+            && *job <= self.done
+        {
+            if let Some((_, to, body)) = self.held.pop_front() {
+                self.send(to, body, out);
+            }
+        }
+        self.persisted(now, out);
+    }
+
+    /// Goes on with what waited for the disk.
+    fn persisted(&mut self, now: Instant, out: &mut Vec<Output>) {
+        match &self.role {
+            Role::Leader(_) => self.advance_commit(now, out),
+            Role::Candidate { pre: false, .. } => self.count_own_vote(now, out),
+            Role::Follower => self.acknowledge(out),
+            _ => {}
+        }
+    }
+
+    /// Whether everything written so far is durable.
+    pub(super) fn is_settled(&self) -> bool {
+        self.writes.is_empty() && self.done >= self.issued
+    }
+
+    /// Hands out the records that became committed.
+    pub(super) fn apply(&mut self, out: &mut Vec<Output>) {
+        while self.applied < self.commit {
+            let Some(record) = self.log.get(self.applied.next()).cloned() else {
+                break;
+            };
+            self.applied = record.index;
+            self.applied_bytes += entries::size(&record);
+            if let Payload::Members(members) = &record.payload {
+                let detail = members.to_string();
+                out.push(Output::Event(Event::new(Code::MembersChanged, detail)));
+            }
+            let token = match self.tokens.remove(&record.index) {
+                Some((term, token)) if term == record.term => Some(token),
+                _ => None,
+            };
+            out.push(Output::Apply { record, token });
+        }
+        let records = (self.applied - self.snapshot).0;
+        let due = records >= self.options.snapshot_records
+            || self.applied_bytes >= self.options.snapshot_bytes;
+        if due && records > 0 {
+            self.want_snapshot(out);
+        }
+    }
+
+    pub(super) fn want_snapshot(&mut self, out: &mut Vec<Output>) {
+        if !std::mem::replace(&mut self.snapshot_wanted, true) {
+            out.push(Output::WantSnapshot);
+        }
+    }
+
+    fn take_snapshot(&mut self, data: Vec<u8>, out: &mut Vec<Output>) {
+        self.snapshot_wanted = false;
+        let index = self.applied;
+        let Some(term) = self.log.term(index) else {
+            return;
+        };
+        let snapshot = Snapshot {
+            index,
+            term,
+            members: self.log.members_at(index).clone(),
+            data: data.into(),
+        };
+        if self.leads() {
+            self.snapshot_cache = Some(snapshot.clone());
+        }
+        if index == self.snapshot {
+            return;
+        }
+        self.snapshot = index;
+        self.applied_bytes = 0;
+        let records = self.log.from(index.next());
+        let write = Write::Snapshot {
+            snapshot,
+            hard: self.hard.clone(),
+            records,
+        };
+        self.writes.push(write);
+        let keep = Index(self.options.keep_records);
+        let trim = index - keep;
+        if trim > self.log.base() {
+            self.log.trim(trim);
+        }
+        let detail = format!("up to {index}");
+        out.push(Output::Event(Event::new(Code::SnapshotTaken, detail)));
+    }
+
+    /// Starts the log anew from a snapshot that the leader sent.
+    pub(super) fn restore(&mut self, snapshot: Snapshot, out: &mut Vec<Output>) {
+        let base = (snapshot.index, snapshot.term);
+        self.log = Entries::new(base, snapshot.members.clone());
+        self.durable = Index(0);
+        self.commit = snapshot.index;
+        self.applied = snapshot.index;
+        self.snapshot = snapshot.index;
+        self.applied_bytes = 0;
+        self.writes.push(Write::Snapshot {
+            snapshot: snapshot.clone(),
+            hard: self.hard.clone(),
+            records: Vec::new(),
+        });
+        let detail = format!("up to {}", snapshot.index);
+        out.push(Output::Event(Event::new(Code::SnapshotInstalled, detail)));
+        out.push(Output::Restore(snapshot));
+    }
+}
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -7,7 +7,7 @@
 use std::fmt;
 use std::str::FromStr;
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use thiserror::Error;
 
 use crate::{name, quantity};
@@ -101,12 +101,30 @@
 }
 
 /// A replica of the control log; drawn at random when its data folder is first made.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
-)]
-#[serde(transparent)]
+///
+/// Written as 16 hexadecimal digits where people read it, and as a number elsewhere.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Replica(pub u64);
 
+impl Serialize for Replica {
+    fn serialize<S: Serializer>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error> {
+        match serializer.is_human_readable() {
+            true => serializer.collect_str(self),
+            false => serializer.serialize_u64(self.0),
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for Replica {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> std::result::Result<Self, D::Error> {
+        if !deserializer.is_human_readable() {
+            return u64::deserialize(deserializer).map(Self);
+        }
+        let text = String::deserialize(deserializer)?;
+        text.parse().map_err(serde::de::Error::custom)
+    }
+}
+
 impl fmt::Display for Replica {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}", self.0)
--- a/crates/core/src/wire/log.rs
+++ b/crates/core/src/wire/log.rs
@@ -1,5 +1,8 @@
 //! Messages between replicas of the control log.
 
+use std::fmt;
+use std::net::SocketAddr;
+
 use crate::data;
 use crate::id::{Index, Replica, Term};
 
@@ -30,9 +33,20 @@
     #[derive(Default, Eq)]
     pub struct Members {
         /// Voting replicas and where each takes messages.
-        pub voters: std::collections::BTreeMap<Replica, std::net::SocketAddr>,
+        pub voters: std::collections::BTreeMap<Replica, SocketAddr>,
         /// Learners and where each takes messages.
-        pub learners: std::collections::BTreeMap<Replica, std::net::SocketAddr>,
+        pub learners: std::collections::BTreeMap<Replica, SocketAddr>,
+    }
+
+    /// How far a replica has come in forming a cluster.
+    #[derive(Eq)]
+    pub enum Stage {
+        /// It belongs to no cluster and has promised nothing.
+        Blank,
+        /// It has durably promised to form a cluster of these members and no other.
+        Promised(Members),
+        /// It belongs to the cluster that these members formed.
+        Formed(Members),
     }
 
     /// A message from one replica to another.
@@ -117,5 +131,54 @@
             /// The round answered.
             round: u64,
         },
+        /// From a replica without a cluster: looks for the other founders, or for a leader that an
+        /// operator lets add it. Also the answer to such a message.
+        Hello {
+            /// Where the sender takes messages.
+            address: SocketAddr,
+            /// The replicas that form the cluster, by the sender's settings; empty when it joins.
+            founders: Vec<SocketAddr>,
+            /// How far the sender is.
+            stage: Stage,
+        },
+        /// From any replica to the leader: which position is committed now, by a quorum?
+        Confirm {
+            /// The sender's question.
+            question: u64,
+        },
+        /// From the leader: a quorum still followed it after the question arrived.
+        Confirmed {
+            /// The question.
+            question: u64,
+            /// Position committed when the question arrived.
+            index: Index,
+        },
+    }
+}
+
+impl Members {
+    /// Where the member `id` takes messages.
+    pub fn address(&self, id: Replica) -> Option<SocketAddr> {
+        let voter = self.voters.get(&id);
+        voter.or_else(|| self.learners.get(&id)).copied()
+    }
+
+    /// Whether more than half of the voters fit `holds`.
+    pub fn is_quorum(&self, holds: impl Fn(Replica) -> bool) -> bool {
+        let count = self.voters.keys().filter(|id| holds(**id)).count();
+        count * 2 > self.voters.len()
+    }
+}
+
+impl fmt::Display for Members {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut between = "";
+        for (kind, members) in [("voter", &self.voters), ("learner", &self.learners)] {
+            for (id, address) in members {
+                write!(f, "{between}{kind} {id} at {address}")?;
+                between = ", ";
+            }
+        }
+        Ok(())
     }
 }
--- a/crates/eelgrassdyke/src/demo.rs
+++ b/crates/eelgrassdyke/src/demo.rs
@@ -41,6 +41,7 @@
     let site = Site::start(folder)?;
     println!("control on {}, callers on {}", site.control, site.callers);
 
+    site.wait_quorum().await?;
     let submission = submission();
     let verdict = site
         .operate("POST", "/v1/config", submission.to_string())
@@ -112,16 +113,29 @@
         })
     }
 
+    /// Waits until control takes changes.
+    async fn wait_quorum(&self) -> Result<()> {
+        self.wait(async |status| Ok(status["quorum"] == true)).await
+    }
+
     /// Waits until both services answer.
     async fn wait_ready(&self) -> Result<()> {
+        self.wait(async |status| {
+            let servers = status["servers"].as_array().map_or(0, Vec::len);
+            let up = self.nodes.iter().all(|node| node.is_ready());
+            Ok(servers == 2 && up && self.knows_teams().await?)
+        })
+        .await
+    }
+
+    /// Waits until the status of control fits.
+    async fn wait(&self, fits: impl AsyncFn(&Value) -> Result<bool>) -> Result<()> {
         let mut waited = Duration::ZERO;
         let pause = Duration::from_millis(50);
         loop {
             let status = self.operate("GET", "/v1/status", String::new()).await?;
             let status: Value = serde_json::from_str(&status)?;
-            let servers = status["status"]["servers"].as_array().map_or(0, Vec::len);
-            let up = self.nodes.iter().all(|node| node.is_ready());
-            if servers == 2 && up && self.knows_teams().await? {
+            if fits(&status["status"]).await? {
                 return Ok(());
             }
             if waited > START_MAX {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 #![warn(rust_2018_idioms)]
 
 pub mod clock;
+pub mod disk;
 pub mod driver;
 pub mod errors;
 pub mod http;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -130,14 +130,10 @@
             let options = eelgrassdyke_entry::Options::from_settings(&settings, entry, seed);
             role::entry::Role::start(Entry::new(context.me.clone(), options), context.clone())
         });
-        let control = settings.control_role.as_ref().map(|_| {
-            let options = eelgrassdyke_control::Options {
-                control: settings.control.clone(),
-                wall_at_zero: context.clock.wall_at_zero(),
-                seed,
-            };
-            role::control::Role::start(Control::new(context.me.clone(), options), context.clone())
+        let control = settings.control_role.as_ref().map(|control| {
+            role::control::Role::start(control, &settings.control, seed, context.clone())
         });
+        let control = control.transpose()?;
         let agent = settings.agent_role.as_ref().map(|agent| {
             let options = eelgrassdyke_agent::Options::from_settings(&settings, agent);
             let core = Agent::new(context.me.clone(), options);
@@ -237,15 +233,18 @@
             .entry
             .as_ref()
             .is_none_or(|role| role.read(Entry::is_ready));
-        let control = self
-            .control
-            .as_ref()
-            .is_none_or(|role| role.read(Control::is_ready));
         let agent = self
             .agent
             .as_ref()
             .is_none_or(|role| role.read(Agent::is_ready));
-        entry && control && agent && !self.draining.get()
+        // The data path goes on without control, so a lost quorum counts only where nothing else runs.
+        let other = self.entry.is_some() || self.agent.is_some();
+        let now = self.context.clock.now();
+        let control = self
+            .control
+            .as_ref()
+            .is_none_or(|role| role.read(|control| control.has_quorum(now)));
+        entry && agent && (other || control) && !self.draining.get()
     }
 
     /// Begins a graceful shutdown; [`Node::drained`] waits for its end.
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -1,5 +1,6 @@
 //! What operators ask over HTTP, as JSON.
 
+use eelgrassdyke_control::log::Change;
 use eelgrassdyke_control::{Answer, Query};
 use eelgrassdyke_core::config::{Submission, Verdict};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
@@ -22,6 +23,7 @@
     let path = request.uri.path().to_owned();
     match (&request.method, path.as_str()) {
         (&Method::POST, "/v1/config") => submit(node, &request, responder),
+        (&Method::POST, "/v1/members") => change_members(node, &request, responder),
         (&Method::GET, "/v1/config") => ask(node, Query::Config, responder),
         (&Method::GET, "/v1/status") => ask(node, Query::Status, responder),
         (&Method::GET, "/v1/report") => ask(node, Query::Report, responder),
@@ -72,6 +74,22 @@
     }
 }
 
+fn change_members(node: &Node, request: &Request, responder: Responder) {
+    let Some(control) = node.control() else {
+        no_control(responder);
+        return;
+    };
+    match serde_json::from_slice::<Change>(&request.body) {
+        Ok(change) => control.change_members(change, responder),
+        Err(error) => {
+            let problem = format!("the change does not read: {error}");
+            let remedy = "send {\"add\": \"REPLICA\"}, {\"promote\": \"REPLICA\"} or \
+                          {\"remove\": \"REPLICA\"}; see docs/operators/control.md";
+            fail(responder, StatusCode::BAD_REQUEST, &problem, remedy);
+        }
+    }
+}
+
 fn ask(node: &Node, query: Query, responder: Responder) {
     match node.control() {
         Some(control) => control.ask(query, responder),
@@ -106,7 +124,10 @@
         Answer::Verdict(Verdict::Invalid { .. }) => StatusCode::UNPROCESSABLE_ENTITY,
         Answer::NotLeader { .. } => StatusCode::MISDIRECTED_REQUEST,
         Answer::Unknown => StatusCode::GATEWAY_TIMEOUT,
-        Answer::Config { .. } | Answer::Status(_) | Answer::Report(_) => StatusCode::OK,
+        Answer::Refused { .. } => StatusCode::SERVICE_UNAVAILABLE,
+        Answer::Config { .. } | Answer::Status(_) | Answer::Report(_) | Answer::Members(_) => {
+            StatusCode::OK
+        }
     };
     json(responder, status, answer);
 }
--- a/crates/node/src/role/control.rs
+++ b/crates/node/src/role/control.rs
@@ -2,14 +2,21 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
-use eelgrassdyke_control::{Answer, Control, Input, Output, Query};
+use eelgrassdyke_control::log::Change;
+use eelgrassdyke_control::{Answer, Control, Input, Options, Output, Query};
 use eelgrassdyke_core::config::Submission;
 use eelgrassdyke_core::id::Ticket;
+use eelgrassdyke_core::settings::{self, Start};
+use futures_channel::mpsc::UnboundedReceiver;
+use futures_util::StreamExt as _;
 
 use super::Context;
+use crate::disk::{Done, Writer};
 use crate::driver::Driver;
+use crate::errors::Result;
 use crate::http::server::Responder;
 use crate::operator;
 
@@ -17,22 +24,52 @@
 pub struct Role {
     driver: Rc<Driver<Control>>,
     context: Context,
+    disk: Writer,
     waiting: RefCell<HashMap<Ticket, Responder>>,
     next_ticket: Cell<u64>,
 }
 
 impl Role {
-    /// Wraps the core and starts its alarm.
-    pub fn start(core: Control, context: Context) -> Rc<Self> {
+    /// Opens the data folder, starts the core on what it holds, and its alarm.
+    pub fn start(
+        settings: &settings::Control,
+        control: &[SocketAddr],
+        seed: u64,
+        context: Context,
+    ) -> Result<Rc<Self>> {
+        let (disk, recovered, done) = Writer::start(&settings.data)?;
+        let options = Options {
+            control: control.to_vec(),
+            wall_at_zero: context.clock.wall_at_zero(),
+            log: log_options(settings, control, seed),
+        };
+        let mut begun = Vec::new();
+        let now = context.clock.now();
+        let core = Control::new(now, context.me.clone(), options, recovered, &mut begun);
         let role = Rc::new(Self {
             driver: Rc::new(Driver::new(core, context.clock)),
             context,
+            disk,
             waiting: RefCell::default(),
             next_ticket: Cell::new(1),
         });
+        for output in begun {
+            role.carry_out(output);
+        }
+        monoio::spawn(role.clone().hear_disk(done));
         let ticker = role.clone();
         monoio::spawn(role.driver.clone().run(move || ticker.feed(Input::Tick)));
-        role
+        Ok(role)
+    }
+
+    /// Hands the core what the disk has done.
+    async fn hear_disk(self: Rc<Self>, mut done: UnboundedReceiver<Done>) {
+        while let Some(done) = done.next().await {
+            self.feed(match done {
+                Done::Persisted(job) => Input::Persisted { job },
+                Done::Failed(problem) => Input::DiskFailed { problem },
+            });
+        }
     }
 
     /// Reads something off the core.
@@ -53,6 +90,12 @@
         self.feed(Input::Submit { ticket, submission });
     }
 
+    /// Passes an operator's change of the members on.
+    pub fn change_members(self: &Rc<Self>, change: Change, responder: Responder) {
+        let ticket = self.wait(responder);
+        self.feed(Input::Members { ticket, change });
+    }
+
     /// Passes an operator's question on.
     pub fn ask(self: &Rc<Self>, query: Query, responder: Responder) {
         let ticket = self.wait(responder);
@@ -69,6 +112,7 @@
         match output {
             Output::Send { to, message } => self.context.mail.send(to, message),
             Output::Answer { ticket, answer } => self.answer(ticket, &answer),
+            Output::Persist(job) => self.disk.write(job),
             Output::Event(event) => self.context.timeline.note(event),
         }
     }
@@ -79,3 +123,20 @@
         }
     }
 }
+
+fn log_options(
+    settings: &settings::Control,
+    control: &[SocketAddr],
+    seed: u64,
+) -> eelgrassdyke_control::log::Options {
+    let founders = match &settings.start {
+        Start::Found(addresses) => addresses.clone(),
+        Start::Join => Vec::new(),
+    };
+    eelgrassdyke_control::log::Options {
+        founders,
+        contacts: control.to_vec(),
+        seed,
+        ..Default::default()
+    }
+}
