eelgrassctl, strict settings that tell every error at once

Cause: operators had no command line, and settings stopped at the first error and took duplicate fields. What was weighed: serde with a repaired value and another try for each error was ruled out (the errors found depend on the order of repairs); each field is read by itself instead. eelgrassctl asks every control process and takes followers by process, newest first. The time line test fails when Hybrid::receive ignores the stamp it heard, and passes with it. The first run of the time line showed an agent's AttemptStarted before the entry's RequestDispatched: dispatches carry no stamp yet. Conclusion: apply, get, diff, status, report, timeline, drain and token work; stamps on dispatches come next.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod event;
 pub mod follow;
 pub mod id;
+pub mod jsonc;
 pub mod settings;
 pub mod time;
 pub mod unit;
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings/mod.rs
@@ -1,19 +1,27 @@
 //! Settings of one process, read from a JSON file with comments.
 //!
-//! Reading is strict: an unknown or doubled field is an error, and every error names the file, the
-//! path within it, the value and the remedy.
+//! Reading is strict: an unknown or duplicate field is an error. All errors are found at once, and
+//! each names the file, the place, the path, the value and the remedy. [`Settings::check_files`]
+//! looks at the files that the settings name.
 
+use std::fmt;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use crate::data;
 use crate::id::{DataCentre, Group, Host, Process, Rank, Region, Server, Service};
+use crate::jsonc::{self, Fault};
 use crate::unit::TokenRate;
 
+pub use files::Files;
+
+mod files;
+mod read;
+mod section;
+
 data! {
     /// Settings of one process.
     #[derive(Eq)]
-    #[serde(deny_unknown_fields)]
     pub struct Settings {
         /// The process's name, unique over the system.
         pub process: Process,
@@ -26,7 +34,6 @@
         /// Where it takes messages from other processes and from operators.
         pub listen: SocketAddr,
         /// Where others reach `listen`, when that is another address.
-        #[serde(default)]
         pub advertise: Option<SocketAddr>,
         /// Where the control processes listen.
         pub control: Vec<SocketAddr>,
@@ -35,25 +42,19 @@
         /// File with SHA-256 digests of operators' tokens, one a line.
         pub operator_tokens_file: PathBuf,
         /// Logging.
-        #[serde(default)]
         pub log: Log,
         /// Bounds on callers and peers.
-        #[serde(default)]
         pub limits: Limits,
         /// Role: takes callers' requests.
-        #[serde(default)]
         pub entry_role: Option<Entry>,
         /// Role: keeps the system's state.
-        #[serde(default)]
         pub control_role: Option<Control>,
         /// Role: stands beside one back end.
-        #[serde(default)]
         pub agent_role: Option<Agent>,
     }
 
     /// Logging.
     #[derive(Eq)]
-    #[serde(default, deny_unknown_fields)]
     pub struct Log {
         /// Level: error, warn, info, debug or trace.
         pub level: String,
@@ -65,7 +66,6 @@
 
     /// Bounds on callers and peers.
     #[derive(Eq)]
-    #[serde(default, deny_unknown_fields)]
     pub struct Limits {
         /// Connections at once on each port.
         pub connections: usize,
@@ -77,18 +77,15 @@
 
     /// The entry role.
     #[derive(Eq)]
-    #[serde(deny_unknown_fields)]
     pub struct Entry {
         /// Where callers connect.
         pub listen: SocketAddr,
         /// Serve on with the last configuration when all of control is out of reach.
-        #[serde(default = "yes")]
         pub serve_without_control: bool,
     }
 
     /// The control role.
     #[derive(Eq)]
-    #[serde(deny_unknown_fields)]
     pub struct Control {
         /// Folder for durable state.
         pub data: PathBuf,
@@ -108,7 +105,6 @@
 
     /// The agent role.
     #[derive(Eq)]
-    #[serde(deny_unknown_fields)]
     pub struct Agent {
         /// The back end's name.
         pub server: Server,
@@ -119,16 +115,13 @@
         /// Requests it runs at once.
         pub slots: u32,
         /// Tokens a second with all slots busy; zero for a plain service.
-        #[serde(default)]
         pub token_rate: TokenRate,
         /// The rank that the back end holds, if any.
-        #[serde(default)]
         pub rank: Option<Seat>,
     }
 
     /// A rank of a group.
     #[derive(Eq)]
-    #[serde(deny_unknown_fields)]
     pub struct Seat {
         /// The group.
         pub group: Group,
@@ -137,10 +130,6 @@
     }
 }
 
-fn yes() -> bool {
-    true
-}
-
 impl Default for Log {
     fn default() -> Self {
         Self {
@@ -175,29 +164,35 @@
         /// What went wrong.
         source: std::io::Error,
     },
-    /// The text is not JSON with comments.
-    #[error("{path}: {problem}; correct the syntax")]
-    Syntax {
+    /// The file doesn't hold good settings.
+    #[error("{}", Listing(path, faults))]
+    Invalid {
         /// The file.
         path: PathBuf,
-        /// What is wrong, and where.
-        problem: String,
-    },
-    /// A value is wrong.
-    #[error("{path}: at {at}: {problem}; correct the value")]
-    Value {
-        /// The file.
-        path: PathBuf,
-        /// Path within the file.
-        at: String,
-        /// What is wrong.
-        problem: String,
+        /// Every fault found.
+        faults: Vec<Fault>,
     },
 }
 
+/// Faults of one file, a line each.
+struct Listing<'a>(&'a Path, &'a [Fault]);
+
+impl fmt::Display for Listing<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (at, fault) in self.1.iter().enumerate() {
+            if at > 0 {
+                writeln!(f)?;
+            }
+            let separator = if fault.place.is_some() { "" } else { " " };
+            write!(f, "{}:{separator}{fault}", self.0.display())?;
+        }
+        Ok(())
+    }
+}
+
 impl Settings {
-    /// Reads the settings in the file at `path`.
-    pub fn read(path: &std::path::Path) -> Result<Self> {
+    /// Reads the settings in the file at `path`; relative paths in them start at its folder.
+    pub fn read(path: &Path) -> Result<Self> {
         let text = std::fs::read_to_string(path).map_err(|source| Error::File {
             path: path.to_owned(),
             source,
@@ -210,7 +205,7 @@
     }
 
     /// Takes relative paths in the settings as relative to `folder`.
-    fn rebase(&mut self, folder: &std::path::Path) {
+    fn rebase(&mut self, folder: &Path) {
         let paths = [
             Some(&mut self.peer_secret_file),
             Some(&mut self.operator_tokens_file),
@@ -223,17 +218,12 @@
     }
 
     /// Reads settings from `text`; `path` names it in errors.
-    pub fn parse(text: &str, path: &std::path::Path) -> Result<Self> {
-        let options = jsonc_parser::ParseOptions::default();
-        let value: serde_json::Value =
-            jsonc_parser::parse_to_serde_value(text, &options).map_err(|error| Error::Syntax {
-                path: path.to_owned(),
-                problem: error.to_string(),
-            })?;
-        serde_path_to_error::deserialize(value).map_err(|error| Error::Value {
+    pub fn parse(text: &str, path: &Path) -> Result<Self> {
+        let fail = |faults| Error::Invalid {
             path: path.to_owned(),
-            at: error.path().to_string(),
-            problem: error.inner().to_string(),
-        })
+            faults,
+        };
+        let tree = jsonc::read(text).map_err(fail)?;
+        read::settings(&tree).map_err(fail)
     }
 }
--- /dev/null
+++ b/crates/eelgrassctl/src/table.rs
@@ -0,0 +1,32 @@
+//! Tables for people.
+
+use comfy_table::{CellAlignment, Table, presets};
+
+use crate::output;
+
+/// A column: its name, and whether it holds numbers.
+pub type Column = (&'static str, bool);
+
+/// Builds a table with numbers set flush right.
+pub fn build(columns: &[Column], rows: impl IntoIterator<Item = Vec<String>>) -> Table {
+    let mut table = Table::new();
+    table.load_style(presets::NOTHING);
+    table.set_header(columns.iter().map(|(name, _)| *name));
+    for row in rows {
+        table.add_row(row);
+    }
+    for (at, (_, number)) in columns.iter().enumerate() {
+        let Some(column) = table.column_mut(at) else {
+            continue;
+        };
+        if *number {
+            column.set_cell_alignment(CellAlignment::Right);
+        }
+    }
+    table
+}
+
+/// Prints a table.
+pub fn print(columns: &[Column], rows: impl IntoIterator<Item = Vec<String>>) {
+    output::line(build(columns, rows).trim_fmt());
+}
--- /dev/null
+++ b/crates/eelgrassctl/src/timeline/html.rs
@@ -0,0 +1,103 @@
+//! The time line as one page with a lane for each process.
+
+use std::collections::BTreeSet;
+use std::fmt::Write as _;
+
+use eelgrassdyke_core::id::Process;
+use eelgrassdyke_core::time::Stamp;
+
+use super::merge::Entry;
+use crate::report::{STYLE, escape};
+
+/// Layout of the lanes, beside the common style.
+const LANES: &str = "\
+body { max-width: none; } .lanes { border-collapse: separate; border-spacing: 0; }
+.lanes th { position: sticky; top: 0; background: var(--page); }
+.lanes td { vertical-align: top; white-space: normal; min-width: 9rem; max-width: 22rem; }
+.lanes td.stamp { white-space: nowrap; color: var(--dim); min-width: 0; }
+.event { border-left: 3px solid var(--a); padding-left: .5rem; }
+.gap { border-left: 3px solid var(--b); padding-left: .5rem; color: var(--b); }
+.event b { font-weight: 600; } .event i { color: var(--dim); font-style: normal; }
+";
+
+/// Renders the page; `missing` names the processes that could not be read.
+pub fn render(entries: &[Entry], missing: &[String]) -> String {
+    let lanes: BTreeSet<&Process> = entries.iter().map(process).collect();
+    let mut page = String::new();
+    let _ = write!(
+        page,
+        "<!doctype html>\n<html lang=\"en\">\n<head>\n<meta charset=\"utf-8\">\n\
+         <meta name=\"viewport\" content=\"width=device-width, initial-scale=1\">\n\
+         <title>Time line</title>\n<style>\n{STYLE}{LANES}</style>\n</head>\n<body>\n\
+         <h1>Time line</h1>\n<p>Causes stand above their effects. Times are milliseconds from the \
+         first event, by the hybrid clock.</p>\n"
+    );
+    for problem in missing {
+        let _ = writeln!(page, "<p class=\"gap\">Missing: {}</p>", escape(problem));
+    }
+    page.push_str("<table class=\"lanes\">\n<tr><th class=\"number\">ms</th>");
+    for lane in &lanes {
+        let _ = write!(page, "<th>{}</th>", escape(lane.as_str()));
+    }
+    page.push_str("</tr>\n");
+    let start = entries.first().map_or(0, |entry| stamp(entry).wall.0);
+    for entry in entries {
+        let since = stamp(entry).wall.0.saturating_sub(start);
+        let _ = write!(page, "<tr><td class=\"stamp number\">{since}</td>");
+        for lane in &lanes {
+            match *lane == process(entry) {
+                true => page.push_str(&cell(entry)),
+                false => page.push_str("<td></td>"),
+            }
+        }
+        page.push_str("</tr>\n");
+    }
+    page.push_str("</table>\n</body>\n</html>\n");
+    page
+}
+
+fn process(entry: &Entry) -> &Process {
+    match entry {
+        Entry::Event(record) => &record.process,
+        Entry::Gap(gap) => &gap.process,
+    }
+}
+
+fn stamp(entry: &Entry) -> Stamp {
+    match entry {
+        Entry::Event(record) => record.stamp,
+        Entry::Gap(gap) => gap.before,
+    }
+}
+
+fn cell(entry: &Entry) -> String {
+    let record = match entry {
+        Entry::Event(record) => record,
+        Entry::Gap(gap) => {
+            return format!(
+                "<td><div class=\"gap\">events {} to {} are missing</div></td>",
+                gap.first, gap.last
+            );
+        }
+    };
+    let event = &record.event;
+    let subject = &event.subject;
+    let mut about = Vec::new();
+    let mut add = |name: &str, value: Option<String>| {
+        about.extend(value.map(|value| format!("{name} {value}")));
+    };
+    add("request", subject.request.as_ref().map(ToString::to_string));
+    add("team", subject.team.as_ref().map(ToString::to_string));
+    add("server", subject.server.as_ref().map(ToString::to_string));
+    add("group", subject.group.as_ref().map(ToString::to_string));
+    let operation = subject.operation.as_ref().map(ToString::to_string);
+    add("operation", operation);
+    format!(
+        "<td><div class=\"event\" title=\"{}\"><b>{} {}</b><br><i>{}</i><br>{}</div></td>",
+        escape(event.code.meaning()),
+        event.code as u16,
+        event.code.as_str(),
+        escape(&about.join(", ")),
+        escape(&event.detail)
+    )
+}
--- a/crates/eelgrassdyke/src/run.rs
+++ b/crates/eelgrassdyke/src/run.rs
@@ -20,6 +20,9 @@
 pub fn run(path: &Path) -> Result<ExitCode> {
     let settings = Settings::read(path)?;
     let _logger = start_log(&settings)?;
+    for fault in settings.check_files().warnings {
+        log::warn!("{}: {fault}", path.display());
+    }
     let metrics = PrometheusBuilder::new().install_recorder()?;
     let signals = Arc::new(AtomicUsize::new(0));
     count_signals(signals.clone())?;
@@ -52,9 +55,25 @@
     Ok(())
 }
 
-/// Checks a settings file.
+/// Checks a settings file and the files that it names, and prints everything found.
 pub fn check(path: &Path) -> Result<ExitCode> {
-    let settings = Settings::read(path)?;
+    let settings = match Settings::read(path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            println!("{error}");
+            return Ok(ExitCode::FAILURE);
+        }
+    };
+    let files = settings.check_files();
+    for fault in &files.errors {
+        println!("{}: {fault}", path.display());
+    }
+    for fault in &files.warnings {
+        println!("{}: warning: {fault}", path.display());
+    }
+    if !files.errors.is_empty() {
+        return Ok(ExitCode::FAILURE);
+    }
     println!(
         "{}: good settings for process {}",
         path.display(),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -373,6 +373,11 @@
         }
     }
 
+    /// The present life of the process.
+    pub fn incarnation(&self) -> Incarnation {
+        self.context.me.incarnation
+    }
+
     /// Where the process takes messages.
     pub fn address(&self) -> SocketAddr {
         self.context.me.address
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -91,13 +91,23 @@
 
 fn timeline(node: &Node, request: &Request, responder: Responder) {
     let query = request.uri.query().unwrap_or_default();
-    let after = query
-        .strip_prefix("after=")
-        .and_then(|text| text.parse().ok());
-    let records = node.timeline().since(after.unwrap_or(0));
+    let after = number(query, "after").unwrap_or(0);
+    // Numbers begin again with each life, so those of another life say nothing.
+    let life = number(query, "life").unwrap_or(node.incarnation().0);
+    let records = match life == node.incarnation().0 {
+        true => node.timeline().since(after),
+        false => node.timeline().since(0),
+    };
     json(responder, StatusCode::OK, &records);
 }
 
+/// A number in the query of a request.
+fn number(query: &str, name: &str) -> Option<u64> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let (_, value) = pairs.find(|(held, _)| *held == name)?;
+    value.parse().ok()
+}
+
 /// Answers with what control decided.
 pub fn answer(responder: Responder, answer: &Answer) {
     let status = match answer {
