--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -233,6 +233,22 @@
     }
 }
 
+impl Document {
+    /// Puts each `Some` of `patch`, removes each `None`; gives the patch that takes it back.
+    pub fn apply(&mut self, patch: &Patch) -> Patch {
+        self.merge(patch, &mut Sum::default())
+    }
+
+    /// Applies `patch` and brings `sum`, the sum of the objects' digests, up to date.
+    fn merge(&mut self, patch: &Patch, sum: &mut Sum) -> Patch {
+        Patch {
+            teams: merge("teams", &mut self.teams, &patch.teams, sum),
+            services: merge("services", &mut self.services, &patch.services, sum),
+            groups: merge("groups", &mut self.groups, &patch.groups, sum),
+        }
+    }
+}
+
 impl Patch {
     /// Objects touched.
     pub fn len(&self) -> usize {
@@ -270,12 +286,7 @@
     /// Puts each `Some` of `patch`, removes each `None`; gives the patch that takes it back.
     pub fn apply(&mut self, patch: &Patch) -> Patch {
         let document = Arc::make_mut(&mut self.document);
-        let sum = &mut self.sum;
-        Patch {
-            teams: merge("teams", &mut document.teams, &patch.teams, sum),
-            services: merge("services", &mut document.services, &patch.services, sum),
-            groups: merge("groups", &mut document.groups, &patch.groups, sum),
-        }
+        document.merge(patch, &mut self.sum)
     }
 }
 
