Distribution: followers never step back between replicas, loads cost little

Cause, each found by review and pinned by a test: a follower that switched control processes took the other's directory as it stood, so that a control process just restarted took every back end away, and one that lagged put a draining back end up again. A beat that came late brought back a back end that had left. A frozen control process dropped everybody on thawing. Two processes under one name and incarnation took turns. Every load went to every entry every second. All followers of a dead control process went to the next one, and all agents with one port asked the same one first. An answer meant for an earlier life confirmed a restarted process.

Now: rows carry the number of their beat; absent rows count as gone only once every back end had a lease's time to announce itself; the last beat of a back end that is gone is kept for a minute; leases don't run while control itself stood still; the first of two rivals keeps the name while its lease lives. Loads go out when a part changed by more than an eighth, 400 in an answer at most, the longest unsent first, without field names, and never with pushes; the directory is pushed once in 200 ms at most. The next control process is drawn at random, questions come with jitter and carry a number.

Ruled out: a full map of load versions per follower (one cursor does); holding the directory back until it is settled (the first start would take 3 s more).

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -84,9 +84,8 @@
 impl Agent {
     /// An agent that has taken in nothing yet.
     pub fn new(me: Sender, options: Options) -> Self {
-        let first = me.address.port() as usize;
         Self {
-            follower: Follower::new(options.control.clone(), false, first),
+            follower: Follower::new(&me, options.control.clone(), false),
             keys: Keys::new(options.keys),
             queue: Queue::default(),
             works: BTreeMap::new(),
--- a/crates/control/examples/state_cost.rs
+++ b/crates/control/examples/state_cost.rs
@@ -172,19 +172,19 @@
     });
     timed("expire", 100, || directory.expire(now));
     timed("next deadline", 100, || directory.next_deadline());
-    let whole = directory.since(now, None);
+    let whole = directory.since(now, None, true);
     println!(
         "whole directory: {} bytes",
         encode(&whole).map_or(0, |b| b.len())
     );
     let held = whole.revision.clone();
-    let same = directory.since(now, Some(&held));
+    let same = directory.since(now, Some(&held), true);
     println!(
         "no row changed: {} bytes",
         encode(&same).map_or(0, |b| b.len())
     );
     timed("update for one entry", 100, || {
-        directory.since(now, Some(&held))
+        directory.since(now, Some(&held), true)
     });
     timed("encoding it", 100, || encode(&same));
 }
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -24,6 +24,20 @@
 /// Time between two looks at leases and followers.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Least time between two pushes of the directory; the next sweep makes up for one that waits.
+const PUSH_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Why a follower is sent an update.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Occasion {
+    /// Something changed.
+    Push,
+    /// It asked.
+    Answer,
+    /// It asked, and a quorum has confirmed what it is told.
+    Confirmed,
+}
+
 /// The state machine of the control role.
 pub struct Control {
     options: Options,
@@ -36,6 +50,7 @@
     followers: Followers,
     ledger: Ledger,
     pushed: (Version, u64),
+    next_push: Instant,
     next_sweep: Instant,
 }
 
@@ -59,6 +74,7 @@
             followers: Followers::default(),
             ledger: Ledger::default(),
             pushed: (Version(0), 0),
+            next_push: now,
             next_sweep: now,
             me,
             options,
@@ -256,7 +272,7 @@
             heard: now,
         };
         if !confirm {
-            self.update(now, &from.process, &follower, false, out);
+            self.update(now, &from.process, &follower, Occasion::Answer, out);
             return;
         }
         let question = self.confirmations.ask(from.process.clone(), follower);
@@ -266,7 +282,7 @@
     /// Answers the followers whose question a quorum has confirmed.
     fn confirm_followers(&mut self, now: Instant, out: &mut Vec<Output>) {
         for (process, follower) in self.confirmations.ready(self.replica.applied()) {
-            self.update(now, &process, &follower, true, out);
+            self.update(now, &process, &follower, Occasion::Confirmed, out);
         }
     }
 
@@ -276,21 +292,24 @@
         now: Instant,
         process: &Process,
         follower: &Follower,
-        confirmed: bool,
+        occasion: Occasion,
         out: &mut Vec<Output>,
     ) {
         let follow = &follower.follow;
+        let answers = occasion != Occasion::Push;
         let config = self.state.config.since(follow.version, &follow.digest);
-        let directory = follow
-            .wants_directory
-            .then(|| self.directory.since(now, follow.directory.as_ref()));
+        let directory = follow.wants_directory.then(|| {
+            self.directory
+                .since(now, follow.directory.as_ref(), answers)
+        });
         if let Some(directory) = &directory {
             self.followers
                 .note_directory(process, directory.revision.clone());
         }
         let update = Update {
             present: self.version(),
-            confirmed,
+            confirmed: occasion == Occasion::Confirmed,
+            question: follow.question,
             config,
             directory,
         };
@@ -343,17 +362,22 @@
         out.extend(self.directory.expire(now).into_iter().map(Output::Event));
     }
 
-    /// Pushes a new configuration or directory to everybody who follows.
+    /// Pushes a new configuration at once, and a new directory once in a while, to everybody who
+    /// follows.
     fn push_changes(&mut self, now: Instant, out: &mut Vec<Output>) {
         let present = (self.version(), self.directory.revision());
         if present == self.pushed {
             return;
         }
         let config_changed = present.0 != self.pushed.0;
+        if !config_changed && now < self.next_push {
+            return;
+        }
         self.pushed = present;
+        self.next_push = now + PUSH_INTERVAL;
         for (process, follower) in self.followers.subscribed(now) {
             if config_changed || follower.follow.wants_directory {
-                self.update(now, &process, &follower, false, out);
+                self.update(now, &process, &follower, Occasion::Push, out);
             }
         }
     }
--- a/crates/control/src/directory.rs
+++ b/crates/control/src/directory.rs
@@ -3,7 +3,7 @@
 //! Agents announce themselves to every control process, which each keep a directory of their own.
 //! It needs no leader: a back end whose announcements stop is dropped when its lease runs out.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use eelgrassdyke_core::event::{Code, Event};
@@ -18,21 +18,50 @@
 /// Changes kept to bring followers up to date without sending everything.
 const CHANGES_MAX: usize = 4096;
 
+/// Time for which the last beat of a back end that is gone is remembered.
+const MEMORY: Duration = Duration::from_secs(60);
+
+/// Standstill of this process that leases don't run through.
+const STANDSTILL: Duration = Duration::from_secs(1);
+
+/// Loads in one answer at most, so that a follower's share of the line stays small.
+const LOADS_MAX: usize = 400;
+
+/// A load is noted when a part of it changed by more than one in this many.
+const CHANGE_PART: u64 = 8;
+
 #[derive(Clone, Debug)]
 struct Known {
     row: Row,
+    /// Beat with which the row last changed.
+    changed: u64,
     sequence: u64,
     load: Load,
+    /// The load as last noted for followers, and its number.
+    noted: (u64, Load),
     heard: Instant,
+    rival: bool,
+}
+
+/// The last beat of a back end that is gone.
+#[derive(Clone, Copy, Debug)]
+struct Last {
+    position: (Incarnation, u64),
+    at: Instant,
 }
 
 /// Back ends and their leases.
 #[derive(Clone, Debug)]
 pub struct Directory {
     of: (Process, Incarnation),
+    started: Option<Instant>,
+    swept: Instant,
     revision: u64,
+    loads: u64,
     servers: BTreeMap<Server, Known>,
     changes: VecDeque<(u64, Server)>,
+    by_load: BTreeMap<u64, Server>,
+    gone: BTreeMap<Server, Last>,
 }
 
 impl Directory {
@@ -40,53 +69,126 @@
     pub fn new(process: Process, incarnation: Incarnation) -> Self {
         Self {
             of: (process, incarnation),
-            revision: 0,
+            started: None,
+            swept: Instant(0),
+            revision: 1,
+            loads: 0,
             servers: BTreeMap::new(),
             changes: VecDeque::new(),
+            by_load: BTreeMap::new(),
+            gone: BTreeMap::new(),
         }
     }
 
-    /// The revision, which rises with each change.
+    /// The revision, from 1, which rises with each change.
     pub fn revision(&self) -> u64 {
         self.revision
     }
 
     /// Takes in an announcement; gives the event when it changed the directory.
     pub fn hear(&mut self, now: Instant, beat: Beat) -> Option<Event> {
+        self.start(now);
         let server = beat.row.server.clone();
-        let held = self.servers.get(&server);
-        let position = |row: &Row, sequence| (row.incarnation, sequence);
-        if held.is_some_and(|k| position(&k.row, k.sequence) >= position(&beat.row, beat.sequence))
-        {
+        let position = (beat.row.incarnation, beat.sequence);
+        if self.is_old(&server, position) {
             return None;
         }
+        if let Some(event) = self.refuse_rival(&beat) {
+            return event;
+        }
         if beat.row.state == State::Left {
-            self.servers.remove(&server)?;
-            self.note(&server);
-            return Some(Event::new(Code::ServerLeft, "").server(&server));
+            return self.leave(now, &server, position);
         }
+        self.gone.remove(&server);
+        let held = self.servers.get(&server);
         let same = held.is_some_and(|known| known.row == beat.row);
-        let code = match beat.row.state {
-            State::Draining => Code::ServerDraining,
-            _ => Code::ServerUp,
+        let changed = match held {
+            Some(known) if same => known.changed,
+            _ => beat.sequence,
         };
-        let detail = format!("incarnation {}", beat.row.incarnation);
+        let noted = held.map_or((0, Load::default()), |known| known.noted);
+        let event = Event::new(
+            match beat.row.state {
+                State::Draining => Code::ServerDraining,
+                _ => Code::ServerUp,
+            },
+            format!("incarnation {}", beat.row.incarnation),
+        );
         let known = Known {
             row: beat.row,
+            changed,
             sequence: beat.sequence,
             load: beat.load,
+            noted,
             heard: now,
+            rival: false,
         };
         self.servers.insert(server.clone(), known);
+        self.note_load(&server);
         if same {
             return None;
         }
         self.note(&server);
-        Some(Event::new(code, detail).server(&server))
+        Some(event.server(&server))
+    }
+
+    /// Notes when this directory began to listen.
+    fn start(&mut self, now: Instant) {
+        if self.started.is_none() {
+            self.started = Some(now);
+            self.swept = now;
+        }
+    }
+
+    /// Whether a beat at `position` was overtaken by another of the same back end.
+    fn is_old(&self, server: &Server, position: (Incarnation, u64)) -> bool {
+        let held = self.servers.get(server);
+        let held = held.map(|known| (known.row.incarnation, known.sequence));
+        let last = self.gone.get(server).map(|last| last.position);
+        held.is_some_and(|held| position <= held) || last.is_some_and(|last| position <= last)
+    }
+
+    /// Refuses a second process that announces a held back end under the same incarnation.
+    ///
+    /// The first one keeps the name while its lease lives. Gives none when there is no rival.
+    fn refuse_rival(&mut self, beat: &Beat) -> Option<Option<Event>> {
+        let known = self.servers.get_mut(&beat.row.server)?;
+        let held = (&known.row.agent, known.row.address);
+        let tie = known.row.incarnation == beat.row.incarnation;
+        if !tie || held == (&beat.row.agent, beat.row.address) {
+            return None;
+        }
+        if known.rival {
+            return Some(None);
+        }
+        known.rival = true;
+        let detail = format!(
+            "{} at {} announces a server that {} at {} holds; give each server a name of its own",
+            beat.row.agent, beat.row.address, known.row.agent, known.row.address
+        );
+        let event = Event::new(Code::InputRefused, detail);
+        Some(Some(event.server(&beat.row.server)))
+    }
+
+    fn leave(
+        &mut self,
+        now: Instant,
+        server: &Server,
+        position: (Incarnation, u64),
+    ) -> Option<Event> {
+        let last = Last { position, at: now };
+        self.gone.insert(server.clone(), last);
+        let known = self.servers.remove(server)?;
+        self.by_load.remove(&known.noted.0);
+        self.note(server);
+        Some(Event::new(Code::ServerLeft, "").server(server))
     }
 
     /// Drops the back ends whose lease has run out.
     pub fn expire(&mut self, now: Instant) -> Vec<Event> {
+        self.start(now);
+        self.skip_standstill(now);
+        self.gone.retain(|_, last| now.since(last.at) < MEMORY);
         let mut events = Vec::new();
         let lost = |known: &Known| now.since(known.heard) >= LEASE;
         let names: Vec<Server> = self
@@ -96,57 +198,113 @@
             .map(|(name, _)| name.clone())
             .collect();
         for server in names {
-            self.servers.remove(&server);
+            let Some(known) = self.servers.remove(&server) else {
+                continue;
+            };
+            self.by_load.remove(&known.noted.0);
+            let position = (known.row.incarnation, known.sequence);
+            self.gone.insert(server.clone(), Last { position, at: now });
             self.note(&server);
             events.push(Event::new(Code::ServerLost, "lease ran out").server(&server));
         }
         events
     }
 
+    /// Extends all leases by the time in which this process stood still and could hear nobody.
+    fn skip_standstill(&mut self, now: Instant) {
+        let gap = now.since(self.swept);
+        self.swept = now;
+        if gap <= STANDSTILL {
+            return;
+        }
+        for known in self.servers.values_mut() {
+            known.heard = (known.heard + gap).min(now);
+        }
+    }
+
     /// When the next lease runs out.
     pub fn next_deadline(&self) -> Instant {
         let first = self.servers.values().map(|known| known.heard).min();
         first.map_or(Instant::NEVER, |heard| heard + LEASE)
     }
 
-    /// What a follower that holds `held` lacks; loads are always sent.
-    pub fn since(&self, now: Instant, held: Option<&follow::Revision>) -> follow::Directory {
+    /// What a follower that holds `held` lacks; `with_loads` of the loads as well.
+    pub fn since(
+        &self,
+        now: Instant,
+        held: Option<&follow::Revision>,
+        with_loads: bool,
+    ) -> follow::Directory {
+        let settled = self.is_settled(now);
         let since = held
-            .filter(|held| self.reaches(held))
+            .filter(|held| settled && held.number > 0 && self.reaches(held))
             .map(|held| held.number);
         let mut rows = Vec::new();
         let mut gone = Vec::new();
+        let row = |known: &Known| (known.row.clone(), known.changed);
         match since {
-            None => rows.extend(self.servers.values().map(|known| known.row.clone())),
+            None => rows.extend(self.servers.values().map(row)),
             Some(since) => {
-                let newer = self.changes.iter().filter(|(number, _)| *number > since);
-                let names: std::collections::BTreeSet<_> = newer.map(|(_, name)| name).collect();
+                let first = self.changes.partition_point(|(number, _)| *number <= since);
+                let newer = self.changes.iter().skip(first);
+                let names: BTreeSet<_> = newer.map(|(_, name)| name).collect();
                 for name in names {
                     match self.servers.get(name) {
-                        Some(known) => rows.push(known.row.clone()),
+                        Some(known) => rows.push(row(known)),
                         None => gone.push(name.clone()),
                     }
                 }
             }
         }
-        let mut loads = Vec::new();
-        for (name, known) in &self.servers {
-            let age_ms = now.since(known.heard).as_millis() as u32;
-            loads.push((name.clone(), known.load, age_ms));
-        }
-        let revision = follow::Revision {
-            of: self.of.clone(),
-            number: self.revision,
+        let known_loads = held.filter(|held| held.of == self.of);
+        let known_loads = known_loads.map_or(0, |held| held.loads);
+        let (loads, last) = match with_loads {
+            true => self.loads_after(now, known_loads),
+            false => (Vec::new(), known_loads),
         };
         follow::Directory {
-            revision,
+            revision: follow::Revision {
+                of: self.of.clone(),
+                // Number 0 brings the whole directory again once it is settled.
+                number: if settled { self.revision } else { 0 },
+                loads: last,
+            },
             since,
+            settled,
             rows,
             gone,
+            loads_complete: last == self.loads,
             loads,
         }
     }
 
+    /// Loads noted after number `after`, the oldest first, and the number of the last one given.
+    fn loads_after(&self, now: Instant, after: u64) -> (Vec<follow::Reading>, u64) {
+        let mut readings = Vec::new();
+        let mut last = after;
+        for (number, server) in self.by_load.range(after + 1..).take(LOADS_MAX) {
+            last = *number;
+            let Some(known) = self.servers.get(server) else {
+                continue;
+            };
+            readings.push(follow::Reading {
+                server: server.clone(),
+                load: known.load,
+                age_ms: now.since(known.heard).as_millis() as u32,
+            });
+        }
+        match readings.len() < LOADS_MAX {
+            true => (readings, self.loads),
+            false => (readings, last),
+        }
+    }
+
+    /// Whether every living back end has had time to announce itself.
+    fn is_settled(&self, now: Instant) -> bool {
+        self.started
+            .is_some_and(|started| now.since(started) >= LEASE)
+    }
+
     /// Whether the changes kept lead from `held` to the present.
     fn reaches(&self, held: &follow::Revision) -> bool {
         if held.of != self.of || held.number > self.revision {
@@ -167,6 +325,21 @@
             .collect()
     }
 
+    /// Notes a load for followers when it changed by much.
+    fn note_load(&mut self, server: &Server) {
+        let Some(known) = self.servers.get_mut(server) else {
+            return;
+        };
+        let (number, noted) = known.noted;
+        if number > 0 && !is_much(&noted, &known.load) {
+            return;
+        }
+        self.loads += 1;
+        known.noted = (self.loads, known.load);
+        self.by_load.remove(&number);
+        self.by_load.insert(self.loads, server.clone());
+    }
+
     fn note(&mut self, server: &Server) {
         self.revision += 1;
         self.changes.push_back((self.revision, server.clone()));
@@ -175,3 +348,16 @@
         }
     }
 }
+
+/// Whether a part of a load changed by more than one in [`CHANGE_PART`].
+fn is_much(old: &Load, new: &Load) -> bool {
+    let pairs = [
+        (old.running.into(), new.running.into()),
+        (old.queued.into(), new.queued.into()),
+        (old.backlog_tokens, new.backlog_tokens),
+        (old.first_token_us, new.first_token_us),
+        (old.token_us, new.token_us),
+    ];
+    let much = |(old, new): (u64, u64)| old.abs_diff(new) > old / CHANGE_PART;
+    pairs.into_iter().any(much)
+}
--- a/crates/control/tests/claims_cores.rs
+++ b/crates/control/tests/claims_cores.rs
@@ -319,12 +319,14 @@
                 self.directory.hear(self.now, beat);
             }
             Message::Follow(follow) => {
-                let directory = follow
-                    .wants_directory
-                    .then(|| self.directory.since(self.now, follow.directory.as_ref()));
+                let directory = follow.wants_directory.then(|| {
+                    self.directory
+                        .since(self.now, follow.directory.as_ref(), true)
+                });
                 let update = Update {
                     present: self.state.config.version(),
                     confirmed: true,
+                    question: follow.question,
                     config: self.state.config.since(follow.version, &follow.digest),
                     directory,
                 };
--- /dev/null
+++ b/crates/control/tests/follow.rs
@@ -0,0 +1,125 @@
+//! How followers ask: spread over control processes and time, and confirmed in their own life.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use eelgrassdyke_core::follow::Follower;
+use eelgrassdyke_core::id::{Incarnation, Version};
+use eelgrassdyke_core::time::Instant;
+use eelgrassdyke_core::wire::Sender;
+use eelgrassdyke_core::wire::follow::Update;
+
+const FOLLOWERS: u64 = 3300;
+
+fn control() -> Vec<SocketAddr> {
+    let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
+    (1..=10).map(address).collect()
+}
+
+fn sender(number: u64, incarnation: u64) -> Sender {
+    Sender {
+        process: format!("process-{number}").parse().unwrap(),
+        incarnation: Incarnation(incarnation),
+        address: "127.0.0.1:1000".parse().unwrap(),
+    }
+}
+
+fn answer(present: u64, question: u64) -> Update {
+    Update {
+        present: Version(present),
+        confirmed: true,
+        question,
+        config: None,
+        directory: None,
+    }
+}
+
+/// How many ask each control process.
+fn count(asked: impl Iterator<Item = SocketAddr>) -> BTreeMap<SocketAddr, u64> {
+    let mut counts = BTreeMap::new();
+    for address in asked {
+        *counts.entry(address).or_default() += 1;
+    }
+    counts
+}
+
+#[test]
+fn followers_spread_at_start_and_after_a_control_process_died() {
+    let new = |number| Follower::new(&sender(number, 1), control(), false);
+    let mut followers: Vec<Follower> = (0..FOLLOWERS).map(new).collect();
+    let first = |f: &mut Follower| f.ask(Instant(0)).unwrap().0;
+    let asked: Vec<SocketAddr> = followers.iter_mut().map(first).collect();
+    let even = FOLLOWERS / 10;
+    for (address, times) in count(asked.iter().copied()) {
+        assert!(times < even * 13 / 10, "{address} is asked by {times}");
+    }
+
+    // The first one is dead; those that asked it go to all the others alike.
+    let dead = control()[0];
+    let orphans = followers
+        .iter_mut()
+        .zip(&asked)
+        .filter(|(_, a)| **a == dead);
+    let mut moved = Vec::new();
+    for (follower, _) in orphans {
+        let mut now = Instant(0);
+        loop {
+            now = follower.next_deadline().max(now + Duration::from_millis(1));
+            let (address, _) = follower.ask(now).unwrap();
+            if address != dead {
+                moved.push(address);
+                break;
+            }
+            assert!(now.since(Instant(0)) < Duration::from_secs(5));
+        }
+    }
+    let most = count(moved.iter().copied()).into_values().max().unwrap();
+    assert!(
+        most < moved.len() as u64 / 9 * 2,
+        "{most} of {}",
+        moved.len()
+    );
+}
+
+#[test]
+fn questions_come_about_once_a_second_and_not_in_step() {
+    let mut tenths = BTreeMap::new();
+    for number in 0..FOLLOWERS {
+        let mut follower = Follower::new(&sender(number, 1), control(), false);
+        let mut now = Instant(0);
+        for _ in 0..60 {
+            let question = follower.ask(now).unwrap().1.question;
+            follower.apply(now, &"control-1".parse().unwrap(), answer(0, question));
+            let next = follower.next_deadline();
+            let wait = next.since(now);
+            assert!(wait >= Duration::from_millis(800) && wait <= Duration::from_millis(1200));
+            now = next;
+        }
+        *tenths.entry(now.0 / 100_000 % 10).or_insert(0) += 1;
+    }
+    for (tenth, times) in tenths {
+        assert!(
+            times < FOLLOWERS / 5,
+            "{times} questions fall into tenth {tenth}"
+        );
+    }
+}
+
+#[test]
+fn an_answer_to_an_earlier_life_confirms_nothing() {
+    let from = "control-1".parse().unwrap();
+    let mut earlier = Follower::new(&sender(1, 1), control(), false);
+    let (_, old) = earlier.ask(Instant(0)).unwrap();
+    let mut follower = Follower::new(&sender(1, 2), control(), false);
+    let (_, new) = follower.ask(Instant(0)).unwrap();
+    follower.apply(Instant(1), &from, answer(0, old.question));
+    assert!(!follower.is_confirmed());
+    follower.apply(Instant(1), &from, answer(7, new.question));
+    assert!(
+        !follower.is_confirmed(),
+        "it does not hold what was confirmed"
+    );
+    follower.apply(Instant(1), &from, answer(0, new.question));
+    assert!(follower.is_confirmed());
+}
--- a/crates/control/tests/state_config.rs
+++ b/crates/control/tests/state_config.rs
@@ -8,10 +8,10 @@
 use eelgrassdyke_core::config::{Change, Document, Patch, Submission, TeamSpec, Tracked, Verdict};
 use eelgrassdyke_core::digest::Sha256;
 use eelgrassdyke_core::follow::Follower;
-use eelgrassdyke_core::id::{Team, Version};
+use eelgrassdyke_core::id::{Incarnation, Team, Version};
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::follow::{Config as Newer, Update};
-use eelgrassdyke_core::wire::{decode, encode};
+use eelgrassdyke_core::wire::{Sender, decode, encode};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use test_case::test_case;
@@ -23,6 +23,14 @@
     }
 }
 
+fn sender() -> Sender {
+    Sender {
+        process: "agent-1".parse().unwrap(),
+        incarnation: Incarnation(1),
+        address: "127.0.0.1:2".parse().unwrap(),
+    }
+}
+
 fn name(number: u64) -> Team {
     format!("team-{number}").parse().unwrap()
 }
@@ -166,7 +174,7 @@
     let mut leader = Config::default();
     let mut lagging = Config::default();
     let mut copies = vec![Document::default()];
-    let mut follower = Follower::new(vec!["127.0.0.1:1".parse().unwrap()], false, 0);
+    let mut follower = Follower::new(&sender(), vec!["127.0.0.1:1".parse().unwrap()], false);
     let from = "control".parse().unwrap();
     let mut late: Vec<Update> = Vec::new();
     let mut last = Version(0);
@@ -197,6 +205,7 @@
         let update = Update {
             present: replica.version(),
             confirmed: true,
+            question: follow.question,
             config: replica.since(follow.version, &follow.digest),
             directory: None,
         };
@@ -221,6 +230,7 @@
         let update = Update {
             present: leader.version(),
             confirmed: true,
+            question: follow.question,
             config: leader.since(follow.version, &follow.digest),
             directory: None,
         };
--- a/crates/core/src/follow.rs
+++ b/crates/core/src/follow.rs
@@ -2,9 +2,10 @@
 //!
 //! A [`Follower`] holds what is in force in one process, asks control for what is newer and applies
 //! it. The version in force never goes down: an update that would step back, or whose digest does
-//! not fit, is dropped and a snapshot is asked for.
+//! not fit, is dropped and a snapshot is asked for. Questions are spread over time and over the
+//! control processes, so that a cut does not bring all followers to one of them at once.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -12,15 +13,22 @@
 use crate::digest::Sha256;
 use crate::id::{Process, Server, Version};
 use crate::time::Instant;
+use crate::wire::Sender;
 use crate::wire::directory::{Load, Row};
 use crate::wire::follow::{Config, Directory, Follow, Revision, Update};
 
 /// Time between two questions to the same control process.
 pub const ASK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Most by which a question comes early or late, in parts of [`ASK_INTERVAL`].
+const JITTER_PART: u32 = 8;
+
 /// Time without an answer after which another control process is asked.
 pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(2500);
 
+/// Time between two reports of a back end's load.
+const BEAT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// What an update changed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Change {
@@ -52,16 +60,22 @@
     wants_snapshot: bool,
     servers: BTreeMap<Server, Seen>,
     revision: Option<Revision>,
+    /// Number of the beat that each row came with.
+    beats: BTreeMap<Server, u64>,
     confirmed: bool,
     asked: usize,
+    seed: u64,
+    question: u64,
     next_ask: Instant,
     heard: Option<Instant>,
     waiting_since: Instant,
 }
 
 impl Follower {
-    /// A follower that holds nothing; `first` picks the control process that it asks first.
-    pub fn new(control: Vec<SocketAddr>, wants_directory: bool, first: usize) -> Self {
+    /// A follower that holds nothing; the life of its process decides whom it asks first.
+    pub fn new(me: &Sender, control: Vec<SocketAddr>, wants_directory: bool) -> Self {
+        let life = format!("{}/{}", me.process, me.incarnation);
+        let (seed, _) = Sha256::of(life.as_bytes()).short();
         Self {
             control,
             wants_directory,
@@ -70,8 +84,11 @@
             wants_snapshot: false,
             servers: BTreeMap::new(),
             revision: None,
+            beats: BTreeMap::new(),
             confirmed: false,
-            asked: first,
+            asked: (mix(seed) >> 1) as usize,
+            seed,
+            question: mix(seed),
             next_ask: Instant(0),
             heard: None,
             waiting_since: Instant(0),
@@ -114,11 +131,17 @@
             return None;
         }
         let last = self.heard.unwrap_or_default().max(self.waiting_since);
+        self.question = self.question.wrapping_add(1);
+        let random = mix(self.seed ^ self.question);
         if now.since(last) >= ANSWER_TIMEOUT {
-            self.asked += 1;
+            // Any of the others, so that the followers of a dead one don't all go to the next.
+            let others = self.control.len().max(2) - 1;
+            self.asked = (self.asked % self.control.len()) + 1 + random as usize % others;
             self.waiting_since = now;
         }
-        self.next_ask = now + ASK_INTERVAL;
+        let spread = 2 * ASK_INTERVAL.as_micros() as u64 / u64::from(JITTER_PART);
+        let jitter = Duration::from_micros(random % spread);
+        self.next_ask = now + (ASK_INTERVAL - ASK_INTERVAL / JITTER_PART) + jitter;
         // A digest that no document has makes control send a snapshot.
         let digest = match self.wants_snapshot {
             true => Sha256::of(b"snapshot"),
@@ -130,6 +153,7 @@
             directory: self.revision.clone(),
             wants_directory: self.wants_directory,
             confirm: !self.confirmed,
+            question: self.question,
         };
         Some((self.control[self.asked % self.control.len()], follow))
     }
@@ -146,12 +170,19 @@
         if let Some(directory) = update.directory {
             change.directory = self.apply_directory(now, directory);
         }
-        if update.confirmed && update.present <= self.version {
+        // An answer to an earlier life of this process confirms nothing to this one.
+        let answers = update.question.wrapping_sub(mix(self.seed)) <= self.asked_so_far();
+        if update.confirmed && answers && update.present <= self.version {
             self.confirmed = true;
         }
         change
     }
 
+    /// Questions asked so far.
+    fn asked_so_far(&self) -> u64 {
+        self.question.wrapping_sub(mix(self.seed))
+    }
+
     fn apply_config(&mut self, config: Config) -> bool {
         match config {
             Config::Snapshot { version, document } => {
@@ -195,32 +226,70 @@
         let held = self.revision.as_ref();
         let same = held.is_some_and(|revision| revision.of == directory.revision.of);
         let number = held.map_or(0, |revision| revision.number);
+        let (process, life) = &directory.revision.of;
+        if held.is_some_and(|held| held.of.0 == *process && held.of.1 > *life) {
+            return false;
+        }
         match directory.since {
             Some(since) if !same || since != number => return false,
             None if same && directory.revision.number < number => return false,
             Some(_) => {}
-            None => {
-                let rows = &directory.rows;
-                self.servers
-                    .retain(|name, _| rows.iter().any(|row| row.server == *name));
-            }
+            None if directory.settled => self.drop_absent(&directory.rows),
+            None => {}
         }
-        for row in directory.rows {
-            let held = self.servers.get(&row.server);
-            let (load, load_at) = held.map_or((Load::default(), now), |s| (s.load, s.load_at));
-            self.servers
-                .insert(row.server.clone(), Seen { row, load, load_at });
+        for (row, beat) in directory.rows {
+            self.put_row(now, row, beat, same);
         }
         for server in &directory.gone {
             self.servers.remove(server);
+            self.beats.remove(server);
+        }
+        if directory.loads_complete {
+            self.renew_loads(now);
         }
-        for (server, load, age_ms) in directory.loads {
-            if let Some(seen) = self.servers.get_mut(&server) {
-                seen.load = load;
-                seen.load_at = now - Duration::from_millis(age_ms.into());
+        for reading in directory.loads {
+            if let Some(seen) = self.servers.get_mut(&reading.server) {
+                seen.load = reading.load;
+                seen.load_at = now - Duration::from_millis(reading.age_ms.into());
             }
         }
         self.revision = Some(directory.revision);
         true
     }
+
+    fn drop_absent(&mut self, rows: &[(Row, u64)]) {
+        let present: BTreeSet<&Server> = rows.iter().map(|(row, _)| &row.server).collect();
+        self.servers.retain(|name, _| present.contains(name));
+        self.beats.retain(|name, _| present.contains(name));
+    }
+
+    /// Puts a row in force, unless another control process told of a later one.
+    fn put_row(&mut self, now: Instant, row: Row, beat: u64, same: bool) {
+        let server = row.server.clone();
+        let held = self.servers.get(&server);
+        let held_beat = self.beats.get(&server).copied().unwrap_or(0);
+        let later =
+            held.is_some_and(|seen| (seen.row.incarnation, held_beat) > (row.incarnation, beat));
+        if later && !same {
+            return;
+        }
+        let (load, load_at) = held.map_or((Load::default(), now), |s| (s.load, s.load_at));
+        self.beats.insert(server.clone(), beat);
+        self.servers.insert(server, Seen { row, load, load_at });
+    }
+
+    /// Notes that loads which were not sent are as they were.
+    fn renew_loads(&mut self, now: Instant) {
+        for seen in self.servers.values_mut() {
+            seen.load_at = seen.load_at.max(now - BEAT_INTERVAL);
+        }
+    }
+}
+
+/// Mixes the bits of a number, so that neighbours lie far apart (SplitMix64).
+fn mix(number: u64) -> u64 {
+    let mut mixed = number.wrapping_add(0x9E37_79B9_7F4A_7C15);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    mixed ^ (mixed >> 31)
 }
--- a/crates/core/src/wire/follow.rs
+++ b/crates/core/src/wire/follow.rs
@@ -26,6 +26,8 @@
         pub wants_directory: bool,
         /// Whether it asks for a version that a quorum has confirmed before it serves.
         pub confirm: bool,
+        /// Names this question; no other life of the follower uses the same number.
+        pub question: u64,
     }
 
     /// A revision of one control process's directory.
@@ -33,8 +35,10 @@
     pub struct Revision {
         /// The control process and life.
         pub of: (crate::id::Process, crate::id::Incarnation),
-        /// Rises with each change.
+        /// Rises with each change; 0 while back ends have yet to announce themselves.
         pub number: u64,
+        /// Rises with each load noted.
+        pub loads: u64,
     }
 
     /// What is newer than a follower holds.
@@ -43,6 +47,8 @@
         pub present: Version,
         /// Whether a quorum confirmed `present` after the follower asked.
         pub confirmed: bool,
+        /// The question answered; of a push, the last one heard.
+        pub question: u64,
         /// The configuration, when the follower's is older.
         pub config: Option<Config>,
         /// The directory, when the follower's is older.
@@ -87,11 +93,63 @@
         pub revision: Revision,
         /// The revision that `rows` and `gone` apply to; none when `rows` is everything.
         pub since: Option<u64>,
-        /// Back ends that are new or changed.
-        pub rows: Vec<Row>,
+        /// Whether every back end had time to announce itself; if not, absent rows are not gone.
+        pub settled: bool,
+        /// Back ends that are new or changed, with the number of the beat that said so.
+        pub rows: Vec<(Row, u64)>,
         /// Back ends that are gone.
         pub gone: Vec<Server>,
-        /// Loads as last reported, with their age in milliseconds.
-        pub loads: Vec<(Server, Load, u32)>,
+        /// Loads that changed by much, the longest unsent first.
+        pub loads: Vec<Reading>,
+        /// Whether `loads` holds all that is newer; the other loads are then as they were.
+        pub loads_complete: bool,
+    }
+
+    /// A back end's load as last reported.
+    #[derive(Eq)]
+    #[serde(into = "Packed", from = "Packed")]
+    pub struct Reading {
+        /// The back end.
+        pub server: Server,
+        /// Its load.
+        pub load: Load,
+        /// Time since it was reported, in milliseconds.
+        pub age_ms: u32,
+    }
+}
+
+/// A reading without field names, since many of them travel.
+type Packed = (Server, u32, u32, u32, u64, u64, u64);
+
+impl From<Reading> for Packed {
+    fn from(reading: Reading) -> Self {
+        let load = reading.load;
+        (
+            reading.server,
+            reading.age_ms,
+            load.running,
+            load.queued,
+            load.backlog_tokens,
+            load.first_token_us,
+            load.token_us,
+        )
+    }
+}
+
+impl From<Packed> for Reading {
+    fn from(packed: Packed) -> Self {
+        let (server, age_ms, running, queued, backlog_tokens, first_token_us, token_us) = packed;
+        let load = Load {
+            running,
+            queued,
+            backlog_tokens,
+            first_token_us,
+            token_us,
+        };
+        Self {
+            server,
+            load,
+            age_ms,
+        }
     }
 }
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -57,7 +57,7 @@
         let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
         let first = rng.random_range(0..options.control.len().max(1));
         Self {
-            follower: Follower::new(options.control.clone(), true, first),
+            follower: Follower::new(&me, options.control.clone(), true),
             books: Books::new(me.process.clone(), me.incarnation, Side::Delivered),
             me,
             tokens: Tokens::default(),
