Scenarios of control under failure: kills, freezes, cuts, lost disks, races

Two failures on the way were the scenario's own: a replica's id is text in JSON, and a second race under the same operation names is rightly answered "reused".

--- a/crates/eelgrassdyke/tests/scenarios.rs
+++ b/crates/eelgrassdyke/tests/scenarios.rs
@@ -38,6 +38,15 @@
 #[test_case("messages-doubled-and-late.txt")]
 #[test_case("graceful-stop.txt")]
 #[test_case("engine-frozen.txt")]
+#[test_case("leader-killed.txt")]
+#[test_case("leader-frozen.txt")]
+#[test_case("leader-cut-off.txt")]
+#[test_case("disks-lost-one-after-another.txt")]
+#[test_case("operators-race.txt")]
+#[test_case("away-for-long.txt")]
+#[test_case("control-out.txt")]
+#[test_case("entry-cut-off-from-control.txt")]
+#[test_case("two-at-once.txt")]
 fn scenario_holds(name: &str) {
     run(name);
 }
--- a/crates/testkit/src/scenario/mod.rs
+++ b/crates/testkit/src/scenario/mod.rs
@@ -11,6 +11,7 @@
 use crate::errors::{Error, Result};
 use crate::site::Options;
 
+mod operate;
 pub mod run;
 pub mod step;
 pub mod verdict;
--- a/crates/testkit/src/scenario/run.rs
+++ b/crates/testkit/src/scenario/run.rs
@@ -34,12 +34,13 @@
 
 /// A scenario under way.
 pub struct Runner {
-    site: Site,
-    ledger: Rc<RefCell<Ledger>>,
+    pub(super) site: Site,
+    pub(super) ledger: Rc<RefCell<Ledger>>,
     told: Rc<RefCell<BTreeMap<String, Told>>>,
-    verdicts: BTreeMap<String, Value>,
+    pub(super) verdicts: BTreeMap<String, Value>,
     sent: BTreeMap<String, u64>,
     pending: Rc<RefCell<BTreeMap<String, u64>>>,
+    old_leader: String,
 }
 
 impl Runner {
@@ -53,6 +54,7 @@
             verdicts: BTreeMap::new(),
             sent: BTreeMap::new(),
             pending: Rc::default(),
+            old_leader: String::new(),
         };
         runner.wait_leader().await?;
         let change = json!({"whole": first_document()});
@@ -68,19 +70,28 @@
     pub async fn step(&mut self, step: &Step) -> Result<()> {
         log::info!("{step:?}");
         match step {
-            Step::Start { process } => self.site.spawn(process).await,
-            Step::Stop { process } => self.site.signal(process, Signal::SIGTERM),
+            Step::Start { process } => {
+                let name = self.name(process).await?;
+                self.site.spawn(&name).await
+            }
+            Step::Stop { process } => self.signal(process, Signal::SIGTERM).await,
             Step::Ended { process } => self.expect_ended(process).await,
-            Step::Kill { process } => self.site.kill(process),
-            Step::Freeze { process } => self.site.signal(process, Signal::SIGSTOP),
-            Step::Thaw { process } => self.site.signal(process, Signal::SIGCONT),
-            Step::LoseDisk { process } => self.site.lose_disk(process),
-            Step::Cut { one, other } => self.link(one, other, |rule| rule.cut = true),
+            Step::Kill { process } => {
+                let name = self.name(process).await?;
+                self.site.kill(&name)
+            }
+            Step::Freeze { process } => self.signal(process, Signal::SIGSTOP).await,
+            Step::Thaw { process } => self.signal(process, Signal::SIGCONT).await,
+            Step::LoseDisk { process } => {
+                let name = self.name(process).await?;
+                self.site.lose_disk(&name)
+            }
+            Step::Cut { one, other } => self.link(one, other, |rule| rule.cut = true).await,
             Step::Delay { one, other, ms } => {
                 let delay = Duration::from_millis(*ms);
-                self.link(one, other, |rule| rule.delay = delay)
+                self.link(one, other, |rule| rule.delay = delay).await
             }
-            Step::Double { one, other } => self.link(one, other, |rule| rule.double = true),
+            Step::Double { one, other } => self.link(one, other, |rule| rule.double = true).await,
             Step::Heal => {
                 self.site.rules.clear();
                 Ok(())
@@ -90,8 +101,11 @@
                 Ok(())
             }
             Step::Ready { process } => self.wait_ready(process).await,
-            Step::Leader => self.wait_leader().await,
+            Step::Leader => self.wait_leader().await.map(|_| ()),
             Step::InForce { version } => self.wait_in_force(*version).await,
+            Step::Replace { process } => self.replace(process).await,
+            Step::Churn { count } => self.churn(*count).await,
+            Step::Race { team, base, count } => self.race(team, *base, *count).await,
             Step::Submit {
                 operation,
                 team,
@@ -100,7 +114,8 @@
                 only,
             } => {
                 let change = json!({"patch": {"teams": {team: team_spec(team)}}});
-                self.submit(operation, via, *base, change, *only).await
+                let via = self.name(via).await?;
+                self.submit(operation, &via, *base, change, *only).await
             }
             Step::Send {
                 name,
@@ -124,6 +139,23 @@
         }
     }
 
+    /// The process that a name stands for.
+    async fn name(&mut self, text: &str) -> Result<String> {
+        match text {
+            "leader" => {
+                self.old_leader = self.wait_leader().await?;
+                Ok(self.old_leader.clone())
+            }
+            "old-leader" => Ok(self.old_leader.clone()),
+            _ => Ok(text.to_owned()),
+        }
+    }
+
+    async fn signal(&mut self, process: &str, signal: Signal) -> Result<()> {
+        let name = self.name(process).await?;
+        self.site.signal(&name, signal)
+    }
+
     /// Waits for what is open and checks the invariants.
     pub async fn finish(mut self) -> Result<()> {
         let names: Vec<String> = self.pending.borrow().keys().cloned().collect();
@@ -136,14 +168,15 @@
         self.ledger.borrow().check(&orders)
     }
 
-    fn link(&self, one: &str, other: &str, change: impl Fn(&mut Rule)) -> Result<()> {
+    async fn link(&mut self, one: &str, other: &str, change: impl Fn(&mut Rule)) -> Result<()> {
+        let one = &self.name(one).await?;
         let others = match other {
             "all" => self.site.processes(),
             _ => vec![other.to_owned()],
         };
         let name = |text: &str| -> Result<Process> { text.parse().map_err(Error::outside) };
         for other in others {
-            if other == one {
+            if other == *one {
                 continue;
             }
             self.site.rules.change(&name(one)?, &name(&other)?, &change);
@@ -246,7 +279,8 @@
         Ok(())
     }
 
-    async fn submit(
+    /// Submits a change until there is a verdict on it.
+    pub(super) async fn submit(
         &mut self,
         operation: &str,
         via: &str,
@@ -294,7 +328,8 @@
         }
     }
 
-    async fn wait_leader(&mut self) -> Result<()> {
+    /// Waits until a control process leads with a quorum; gives its name.
+    pub(super) async fn wait_leader(&mut self) -> Result<String> {
         let begun = Instant::now();
         loop {
             for name in self.site.processes() {
@@ -304,7 +339,7 @@
                 if let Ok((200, body)) = self.site.operate(&name, "/v1/status", None).await {
                     let status = &body["status"];
                     if status["leads"] == json!(true) && status["quorum"] == json!(true) {
-                        return Ok(());
+                        return Ok(name);
                     }
                 }
             }
@@ -429,6 +464,7 @@
     }
 
     async fn expect_ended(&mut self, process: &str) -> Result<()> {
+        let process = &self.name(process).await?;
         let code = self.site.ended(process).await?;
         match code {
             0 => Ok(()),
@@ -474,6 +510,16 @@
                     false => Err(Error::expect(format!("{name}: {verdict}"), got.to_string())),
                 }
             }
+            Expectation::NotVerdict { verdict } => {
+                let got = self.verdicts.get(name).cloned().unwrap_or_default();
+                match got != json!(verdict) {
+                    true => Ok(()),
+                    false => Err(Error::expect(
+                        format!("{name}: not {verdict}"),
+                        got.to_string(),
+                    )),
+                }
+            }
             Expectation::Answered { share } => self.expect_answered(*share),
         }
     }
@@ -525,14 +571,18 @@
     let Ok((_, body)) = answer else {
         return "unreachable".to_owned();
     };
-    let first = |value: &Value| match value {
+    match body.get("verdict") {
+        Some(verdict) => first_of(verdict).unwrap_or_default(),
+        None => first_of(body).unwrap_or_else(|| "unreachable".to_owned()),
+    }
+}
+
+/// The name of a variant, as JSON gives it.
+pub(super) fn first_of(value: &Value) -> Option<String> {
+    match value {
         Value::String(text) => Some(text.clone()),
         Value::Object(fields) => fields.keys().next().cloned(),
         _ => None,
-    };
-    match body.get("verdict") {
-        Some(verdict) => first(verdict).unwrap_or_default(),
-        None => first(body).unwrap_or_else(|| "unreachable".to_owned()),
     }
 }
 
--- a/crates/testkit/src/scenario/step.rs
+++ b/crates/testkit/src/scenario/step.rs
@@ -1,4 +1,7 @@
 //! What a line of a scenario can say.
+//!
+//! Where a process is named, `leader` stands for the control process that leads at that moment, and
+//! `old-leader` for the one that `leader` last stood for.
 
 use clap::{Parser, Subcommand};
 
@@ -91,6 +94,29 @@
         /// The version.
         version: u64,
     },
+    /// Replaces the replica of a control process that lost its disk: adds the new one, promotes it
+    /// once it has caught up, and removes the old one.
+    Replace {
+        /// The process.
+        process: String,
+    },
+    /// Submits many changes one after the other, each made from the version before.
+    Churn {
+        /// Changes.
+        count: u64,
+    },
+    /// Submits changes of one team made from the same version, all at once through all control
+    /// processes; exactly one may be accepted.
+    Race {
+        /// The team that all of them put.
+        team: String,
+        /// The version.
+        #[arg(long)]
+        base: u64,
+        /// Changes.
+        #[arg(long, default_value_t = 6)]
+        count: u64,
+    },
     /// Submits a change that puts a team; the verdict is kept under the operation's name.
     Submit {
         /// The operation.
@@ -178,6 +204,11 @@
         /// The verdict.
         verdict: String,
     },
+    /// Some verdict other than this one.
+    NotVerdict {
+        /// The verdict.
+        verdict: String,
+    },
     /// Whole answers to at least this share of the traffic, in hundredths.
     Answered {
         /// Hundredths.
--- a/crates/testkit/src/site.rs
+++ b/crates/testkit/src/site.rs
@@ -310,6 +310,17 @@
         Some(child.id())
     }
 
+    /// Where the others reach a control process.
+    pub fn address(&self, name: &str) -> Result<SocketAddr> {
+        let number = name
+            .strip_prefix("control-")
+            .and_then(|text| text.parse::<usize>().ok());
+        let address = number.and_then(|number| self.control.get(number.checked_sub(1)?));
+        address
+            .copied()
+            .ok_or_else(|| Error::Unknown(format!("control process {name}")))
+    }
+
     /// Where an entry takes callers.
     pub fn callers(&self, name: &str) -> Result<SocketAddr> {
         let member = self.members.get(name);
