Fair queue by team in the agent, and claims that name their holder

Cause: the agent served first in, first out, walked its whole queue on each input, and its keys said "sealed" of a key that had run once the key's outcome had been forgotten. A late Granted answer was taken for the entry's present choice of holder, so the claim could be dispatched to an agent that control does not name. Ruled out: one virtual time for guaranteed part and weight together, since the part of the rest depends on who is active; a digest of forgotten keys without an end, since an agent that lives long would refuse everything.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -1,24 +1,23 @@
 //! The agent's state machine.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use eelgrassdyke_core::books::Books;
 use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::follow::Follower;
-use eelgrassdyke_core::id::{Server, Ticket, Version};
+use eelgrassdyke_core::id::{Process, Server, Ticket, Version};
 use eelgrassdyke_core::time::Instant;
-use eelgrassdyke_core::wire::claim::{Name, Outcome, Probed, Status};
+use eelgrassdyke_core::wire::claim::{Probed, Status};
 use eelgrassdyke_core::wire::directory::{Beat, Load, Row, State};
-use eelgrassdyke_core::wire::dispatch::{Dispatch, Frame, Head};
-use eelgrassdyke_core::wire::refusal::{Reason, Refusal};
-use eelgrassdyke_core::wire::report::{Counts, Side};
+use eelgrassdyke_core::wire::report::Side;
 use eelgrassdyke_core::wire::{Message, Sender};
 
-use crate::events::Splitter;
-use crate::io::{Input, Options, Output, Reply};
-use crate::keys::{Admission, Keys};
-use crate::queue::{Item, Queue};
+use crate::io::{Input, Options, Output};
+use crate::keys::Keys;
+use crate::pace::Pace;
+use crate::queue::Queue;
+use crate::work::Work;
 
 /// Time between two announcements.
 const BEAT_INTERVAL: Duration = Duration::from_secs(1);
@@ -26,54 +25,26 @@
 /// Time between two pages of the books.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Largest answer whose outcome is kept, in bytes.
-const OUTCOME_BYTES_MAX: usize = 16 << 10;
-
-/// Largest event held while it is not whole, in bytes.
-const EVENT_BYTES_MAX: usize = 1 << 20;
-
 /// Health checks in a row that must fail before the back end counts as down.
 const FAILURES_MAX: u32 = 2;
 
-/// When an entry may come back to a full or draining agent.
-const COME_BACK: Duration = Duration::from_millis(500);
-
-/// One attempt between its arrival and its end.
-#[derive(Clone, Debug)]
-struct Work {
-    dispatch: Dispatch,
-    since: Instant,
-    started: Option<Instant>,
-    deadline: Instant,
-    entry_gone: bool,
-    head: Option<Head>,
-    body: Vec<u8>,
-    splitter: Splitter,
-    streams: bool,
-    events: u64,
-}
-
-impl Work {
-    fn name(&self) -> Option<Name> {
-        let claim = self.dispatch.claim.as_ref()?;
-        Some(Name {
-            team: self.dispatch.team.clone(),
-            key: claim.key.clone(),
-        })
-    }
-}
-
 /// The state machine of the agent role.
 pub struct Agent {
-    options: Options,
-    me: Sender,
-    follower: Follower,
-    keys: Keys,
-    queue: Queue,
-    works: BTreeMap<Ticket, Work>,
-    running: u32,
-    load: Load,
-    books: Books,
+    pub(crate) options: Options,
+    pub(crate) me: Sender,
+    pub(crate) follower: Follower,
+    pub(crate) keys: Keys,
+    pub(crate) queue: Queue,
+    pub(crate) pace: Pace,
+    pub(crate) works: BTreeMap<Ticket, Work>,
+    /// Started attempts by the instant at which they are aborted.
+    pub(crate) limits: BTreeSet<(Instant, Ticket)>,
+    /// Open attempts by entry.
+    pub(crate) entries: BTreeMap<Process, u32>,
+    pub(crate) running: u32,
+    /// Tokens expected of started attempts that have not come yet.
+    pub(crate) backlog: u64,
+    pub(crate) books: Books,
     beat: u64,
     next_beat: Instant,
     next_report: Instant,
@@ -87,11 +58,14 @@
         let first = me.address.port() as usize;
         Self {
             follower: Follower::new(options.control.clone(), false, first),
-            keys: Keys::new(options.keys),
-            queue: Queue::default(),
+            keys: Keys::new(options.keys, options.key_window),
+            queue: Queue::new(options.queue, options.slots),
+            pace: Pace::new(options.slots, options.token_rate),
             works: BTreeMap::new(),
+            limits: BTreeSet::new(),
+            entries: BTreeMap::new(),
             running: 0,
-            load: Load::default(),
+            backlog: 0,
             books: Books::new(me.process.clone(), me.incarnation, Side::Ran),
             beat: 0,
             next_beat: Instant(0),
@@ -125,8 +99,10 @@
 
     /// When the agent next needs [`Input::Tick`].
     pub fn next_deadline(&self) -> Instant {
-        let queue = self.queue.next_deadline();
-        queue
+        let limit = self.limits.first().map_or(Instant::NEVER, |(at, _)| *at);
+        self.queue
+            .next_deadline()
+            .min(limit)
             .min(self.next_beat)
             .min(self.next_report)
             .min(self.follower.next_deadline())
@@ -162,7 +138,7 @@
         self.books.is_settled()
     }
 
-    fn state(&self) -> State {
+    pub(crate) fn state(&self) -> State {
         match (self.draining, self.failures < FAILURES_MAX) {
             (true, _) if self.works.is_empty() => State::Left,
             (true, _) => State::Draining,
@@ -171,288 +147,6 @@
         }
     }
 
-    fn take_dispatch(
-        &mut self,
-        now: Instant,
-        ticket: Ticket,
-        dispatch: Dispatch,
-        out: &mut Vec<Output>,
-    ) {
-        let work = Work {
-            since: now,
-            started: None,
-            deadline: now + Duration::from_micros(dispatch.left_us),
-            entry_gone: false,
-            head: None,
-            body: Vec::new(),
-            splitter: Splitter::default(),
-            streams: false,
-            events: 0,
-            dispatch,
-        };
-        self.books
-            .row(&work.dispatch.team, &work.dispatch.service)
-            .asked += 1;
-        if let Err(refusal) = self.admit(&work) {
-            self.refuse(ticket, &work, refusal, out);
-            return;
-        }
-        self.queue.push(Item {
-            ticket,
-            team: work.dispatch.team.clone(),
-            priority: work.dispatch.priority,
-            tokens: work.dispatch.tokens,
-            since: now,
-            deadline: work.deadline,
-        });
-        self.works.insert(ticket, work);
-    }
-
-    /// Whether a dispatch may be queued; admits its key if it has one.
-    fn admit(&mut self, work: &Work) -> Result<(), Refusal> {
-        let dispatch = &work.dispatch;
-        let other = dispatch.server != self.options.server;
-        if other || dispatch.incarnation != self.me.incarnation {
-            return Err(Refusal::not_run(Reason::Incarnation));
-        }
-        if self.state() != State::Up {
-            return Err(Refusal::not_run(Reason::Draining).after(COME_BACK));
-        }
-        if self.queue.len() >= self.options.queue {
-            return Err(Refusal::not_run(Reason::Overload).after(COME_BACK));
-        }
-        let (Some(name), Some(claim)) = (work.name(), &dispatch.claim) else {
-            return Ok(());
-        };
-        match self.keys.admit(&name, claim.number) {
-            Admission::Granted => Ok(()),
-            Admission::Sealed => Err(Refusal::not_run(Reason::Sealed)),
-            Admission::Taken => Err(Refusal::maybe_run(Reason::StillRunning)),
-        }
-    }
-
-    fn refuse(&mut self, ticket: Ticket, work: &Work, refusal: Refusal, out: &mut Vec<Output>) {
-        let dispatch = &work.dispatch;
-        let row = self.books.row(&dispatch.team, &dispatch.service);
-        *row.refused.entry(refusal.reason).or_default() += 1;
-        out.push(self.event(Code::AttemptRefused, work, refusal.reason.as_str()));
-        let frame = Frame::Refused {
-            refusal,
-            load: self.load(),
-        };
-        out.push(Output::Frame { ticket, frame });
-    }
-
-    /// Refuses what waited until its deadline.
-    fn expire(&mut self, now: Instant, out: &mut Vec<Output>) {
-        for item in self.queue.expired(now) {
-            self.drop_queued(item.ticket, Refusal::not_run(Reason::Deadline), out);
-        }
-    }
-
-    /// Refuses a queued attempt; its key never ran.
-    fn drop_queued(&mut self, ticket: Ticket, refusal: Refusal, out: &mut Vec<Output>) {
-        let Some(work) = self.works.remove(&ticket) else {
-            return;
-        };
-        if let (Some(name), Some(claim)) = (work.name(), &work.dispatch.claim) {
-            self.keys.release(&name, claim.number);
-        }
-        self.refuse(ticket, &work, refusal, out);
-    }
-
-    fn start_queued(&mut self, now: Instant, out: &mut Vec<Output>) {
-        while self.running < self.options.slots {
-            let Some(item) = self.queue.pop() else {
-                return;
-            };
-            let Some(work) = self.works.get_mut(&item.ticket) else {
-                continue;
-            };
-            work.started = Some(now);
-            self.running += 1;
-            let call = backend_call(&work.dispatch);
-            let left = work.deadline.since(now);
-            let (team, service) = (work.dispatch.team.clone(), work.dispatch.service.clone());
-            let queued = now.since(work.since).as_micros() as u64;
-            let row = self.books.row(&team, &service);
-            row.run += 1;
-            row.queued_us += queued;
-            out.push(self.event(Code::AttemptStarted, &self.works[&item.ticket], ""));
-            out.push(Output::Run {
-                ticket: item.ticket,
-                call,
-                left,
-            });
-        }
-    }
-
-    /// Deals with an entry that broke off: what may run again is aborted.
-    fn drop_entry(&mut self, now: Instant, ticket: Ticket, out: &mut Vec<Output>) {
-        let Some(work) = self.works.get_mut(&ticket) else {
-            return;
-        };
-        work.entry_gone = true;
-        let claimed = work.dispatch.claim.is_some();
-        if self.queue.remove(ticket).is_some() {
-            self.drop_queued(ticket, Refusal::not_run(Reason::CallerGone), out);
-            return;
-        }
-        if claimed {
-            return;
-        }
-        out.push(Output::Abort { ticket });
-        self.end(now, ticket, Some(Reason::CallerGone), out);
-    }
-
-    fn take_reply(&mut self, now: Instant, ticket: Ticket, reply: Reply, out: &mut Vec<Output>) {
-        if !self.works.contains_key(&ticket) {
-            return;
-        }
-        match reply {
-            Reply::Head(head) => self.take_head(ticket, head, out),
-            Reply::Data(data) => self.take_data(now, ticket, &data, out),
-            Reply::End => self.finish(now, ticket, out),
-            Reply::Failed { sent, detail } => self.fail(now, ticket, sent, detail, out),
-        }
-    }
-
-    fn take_head(&mut self, ticket: Ticket, head: Head, out: &mut Vec<Output>) {
-        let Some(work) = self.works.get_mut(&ticket) else {
-            return;
-        };
-        let kind = head.headers.iter().find(|(name, _)| name == "content-type");
-        work.streams = kind.is_some_and(|(_, value)| value.starts_with("text/event-stream"));
-        work.head = Some(head.clone());
-        out.push(Output::Frame {
-            ticket,
-            frame: Frame::Head(head),
-        });
-    }
-
-    fn take_data(&mut self, now: Instant, ticket: Ticket, data: &[u8], out: &mut Vec<Output>) {
-        let Some(work) = self.works.get_mut(&ticket) else {
-            return;
-        };
-        if !work.streams {
-            if work.dispatch.claim.is_some() && work.body.len() <= OUTCOME_BYTES_MAX {
-                work.body.extend_from_slice(data);
-            }
-            let frame = Frame::Data(data.to_vec());
-            out.push(Output::Frame { ticket, frame });
-            return;
-        }
-        let events = work.splitter.push(data);
-        let first = work.events == 0 && !events.is_empty();
-        work.events += events.len() as u64;
-        let oversized = work.splitter.held_bytes() > EVENT_BYTES_MAX;
-        if first {
-            let micros = now.since(work.since).as_micros() as u64;
-            let (team, service) = (work.dispatch.team.clone(), work.dispatch.service.clone());
-            Counts::observe(&mut self.books.row(&team, &service).first_us, micros);
-        }
-        for event in events {
-            out.push(Output::Frame {
-                ticket,
-                frame: Frame::Data(event),
-            });
-        }
-        if oversized {
-            out.push(Output::Abort { ticket });
-            self.fail(now, ticket, true, "an event is too large".to_owned(), out);
-        }
-    }
-
-    /// Ends an attempt whose answer is whole, or was cut.
-    fn finish(&mut self, now: Instant, ticket: Ticket, out: &mut Vec<Output>) {
-        let Some(work) = self.works.get(&ticket) else {
-            return;
-        };
-        if work.streams && !work.splitter.is_done() {
-            self.fail(
-                now,
-                ticket,
-                true,
-                "the stream ended without [DONE]".to_owned(),
-                out,
-            );
-            return;
-        }
-        let tokens = match work.streams {
-            true => work.events.saturating_sub(1),
-            false => work.dispatch.tokens,
-        };
-        let started = work.started.unwrap_or(work.since);
-        let queued_us = started.since(work.since).as_micros() as u64;
-        let whole = now.since(work.since).as_micros() as u64;
-        if let Some(name) = work.name() {
-            let outcome = outcome(work);
-            self.keys.finish(&name, outcome);
-        }
-        let (team, service) = (work.dispatch.team.clone(), work.dispatch.service.clone());
-        let row = self.books.row(&team, &service);
-        row.delivered += 1;
-        row.tokens += tokens;
-        Counts::observe(&mut row.whole_us, whole);
-        self.end(now, ticket, None, out);
-        let frame = Frame::End {
-            tokens,
-            queued_us,
-            load: self.load(),
-        };
-        out.push(Output::Frame { ticket, frame });
-    }
-
-    fn fail(
-        &mut self,
-        now: Instant,
-        ticket: Ticket,
-        sent: bool,
-        detail: String,
-        out: &mut Vec<Output>,
-    ) {
-        let Some(work) = self.works.get(&ticket) else {
-            return;
-        };
-        out.push(self.event(Code::BackendFailed, work, &detail));
-        if let (Some(name), Some(claim)) = (work.name(), &work.dispatch.claim) {
-            match sent {
-                true => self.keys.finish(&name, Outcome::Lost),
-                false => self.keys.release(&name, claim.number),
-            }
-        }
-        let tokens = work.events;
-        self.end(now, ticket, Some(Reason::ServerFailed), out);
-        let frame = match sent {
-            true => Frame::Broken { tokens, detail },
-            false => Frame::Refused {
-                refusal: Refusal::not_run(Reason::ServerFailed),
-                load: self.load(),
-            },
-        };
-        out.push(Output::Frame { ticket, frame });
-    }
-
-    /// Frees the slot of a started attempt.
-    fn end(
-        &mut self,
-        _now: Instant,
-        ticket: Ticket,
-        failure: Option<Reason>,
-        out: &mut Vec<Output>,
-    ) {
-        let Some(work) = self.works.remove(&ticket) else {
-            return;
-        };
-        self.running = self.running.saturating_sub(1);
-        if let Some(reason) = failure {
-            let row = self.books.row(&work.dispatch.team, &work.dispatch.service);
-            *row.refused.entry(reason).or_default() += 1;
-        }
-        let detail = failure.map_or("whole", Reason::as_str);
-        out.push(self.event(Code::AttemptEnded, &work, detail));
-    }
-
     fn take_health(&mut self, now: Instant, passed: bool, out: &mut Vec<Output>) {
         let before = self.state();
         self.failures = match passed {
@@ -478,11 +172,12 @@
                 if self.follower.apply(now, &from.process, update).config {
                     let detail = format!("version {}", self.follower.version());
                     out.push(Output::Event(Event::new(Code::ConfigApplied, detail)));
+                    self.reshare();
                 }
             }
             Message::Probe(probe) => {
                 let status = match probe.incarnation == self.me.incarnation {
-                    true => self.keys.probe(&probe.name, probe.claim),
+                    true => self.keys.probe(now, &probe.name, probe.claim),
                     false => Status::Gone,
                 };
                 let (request, name) = (probe.request, probe.name);
@@ -501,6 +196,16 @@
         }
     }
 
+    /// Puts the shares of the configuration in force for the teams that are queued.
+    fn reshare(&mut self) {
+        let teams = &self.follower.document().teams;
+        let service = &self.options.service;
+        self.queue.reshare(|team| {
+            let share = teams.get(team).and_then(|spec| spec.shares.get(service));
+            share.cloned().unwrap_or_default()
+        });
+    }
+
     fn drain(&mut self, now: Instant, out: &mut Vec<Output>) {
         if self.draining {
             return;
@@ -571,16 +276,17 @@
         }
     }
 
-    fn load(&self) -> Load {
+    pub(crate) fn load(&self) -> Load {
         Load {
             running: self.running,
             queued: self.queue.len() as u32,
-            backlog_tokens: self.queue.tokens(),
-            ..self.load
+            backlog_tokens: self.queue.cost() + self.backlog,
+            first_token_us: self.pace.first_us(),
+            token_us: self.pace.token_us(),
         }
     }
 
-    fn event(&self, code: Code, work: &Work, detail: &str) -> Output {
+    pub(crate) fn event(&self, code: Code, work: &Work, detail: &str) -> Output {
         let dispatch = &work.dispatch;
         Output::Event(
             Event::new(code, detail)
@@ -590,29 +296,3 @@
         )
     }
 }
-
-/// The call as the back end gets it.
-fn backend_call(dispatch: &Dispatch) -> eelgrassdyke_core::wire::dispatch::Call {
-    let mut call = dispatch.call.clone();
-    call.headers.push((
-        "x-eelgrassdyke-priority".to_owned(),
-        dispatch.priority.to_string(),
-    ));
-    if dispatch.resume_after > 0 {
-        let after = dispatch.resume_after.to_string();
-        call.headers
-            .push(("x-eelgrassdyke-resume-after".to_owned(), after));
-    }
-    call
-}
-
-/// The outcome of a claimed attempt whose answer is whole.
-fn outcome(work: &Work) -> Outcome {
-    match &work.head {
-        Some(head) if work.body.len() <= OUTCOME_BYTES_MAX => Outcome::Answered {
-            head: head.clone(),
-            body: work.body.clone(),
-        },
-        _ => Outcome::Lost,
-    }
-}
--- a/crates/agent/src/io.rs
+++ b/crates/agent/src/io.rs
@@ -11,6 +11,9 @@
 use eelgrassdyke_core::wire::dispatch::{Call, Dispatch, Frame, Head};
 use eelgrassdyke_core::wire::{Message, Sender};
 
+/// Time for which it is remembered that a key was there.
+const KEY_WINDOW: Duration = Duration::from_secs(25 * 3600);
+
 /// What a back end answers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Reply {
@@ -122,8 +125,10 @@
     pub token_rate: TokenRate,
     /// Requests queued at most.
     pub queue: usize,
-    /// Keys remembered at most.
+    /// Keys whose outcome is remembered at most.
     pub keys: usize,
+    /// Time for which it is remembered that a key was there; no shorter than control's window.
+    pub key_window: Duration,
 }
 
 impl Options {
@@ -139,6 +144,7 @@
             token_rate: agent.token_rate,
             queue: 1024,
             keys: 100_000,
+            key_window: KEY_WINDOW,
         }
     }
 
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -8,13 +8,18 @@
 #![warn(rust_2018_idioms)]
 
 mod agent;
+mod answer;
 mod events;
+mod gate;
 mod io;
 mod keys;
+mod pace;
 mod queue;
+mod work;
 
 pub use agent::Agent;
 pub use events::Splitter;
 pub use io::{Input, Options, Output, Reply};
 pub use keys::{Admission, Keys};
-pub use queue::{Item, Queue};
+pub use pace::{Pace, Reading};
+pub use queue::{Item, Queue, Turn};
--- a/crates/control/src/state/claim.rs
+++ b/crates/control/src/state/claim.rs
@@ -86,7 +86,10 @@
                 ends,
             };
             self.keys.insert(ask.name.clone(), claim);
-            return Finding::Granted { claim: 1 };
+            return Finding::Granted {
+                claim: 1,
+                holder: holder.clone(),
+            };
         };
         if held.call != *call {
             return Finding::Other;
@@ -97,7 +100,10 @@
             None if replaces == Some(held.number) => {}
             // A resend of the question that was granted gets the same answer.
             None if held.request == ask.request && held.holder == *holder => {
-                return Finding::Granted { claim: held.number };
+                return Finding::Granted {
+                    claim: held.number,
+                    holder: holder.clone(),
+                };
             }
             None => {
                 let (claim, holder) = (held.number, held.holder.clone());
@@ -108,7 +114,10 @@
         held.request = ask.request.clone();
         held.holder = holder.clone();
         held.outcome = None;
-        Finding::Granted { claim: held.number }
+        Finding::Granted {
+            claim: held.number,
+            holder: holder.clone(),
+        }
     }
 
     fn settle(&mut self, name: &Name, claim: u32, outcome: &Outcome) -> Finding {
--- a/crates/core/src/wire/claim.rs
+++ b/crates/core/src/wire/claim.rs
@@ -99,6 +99,8 @@
         Granted {
             /// Number of the claim, rising per key.
             claim: u32,
+            /// Where it is to run; a late answer may speak of an earlier choice.
+            holder: Holder,
         },
         /// Another request holds the claim.
         Held {
--- a/crates/core/src/wire/dispatch.rs
+++ b/crates/core/src/wire/dispatch.rs
@@ -69,6 +69,13 @@
         pub headers: Vec<(String, String)>,
     }
 
+    /// Tokens that an entry may have open for one team on one server.
+    #[derive(Copy, Default, Eq)]
+    pub struct Credit {
+        /// The bound; none while nothing queues.
+        pub tokens: Option<u64>,
+    }
+
     /// A part of an agent's answer.
     #[derive(Eq)]
     pub enum Frame {
@@ -84,6 +91,12 @@
             queued_us: u64,
             /// The back end's load after it.
             load: Load,
+            /// What the agent grants the team from now on.
+            #[serde(default)]
+            credit: Credit,
+            /// Tokens of the prompt that the back end found in its cache, when it said so.
+            #[serde(default)]
+            cached: Option<u64>,
         },
         /// Not passed on to the back end.
         Refused {
@@ -91,6 +104,9 @@
             refusal: Refusal,
             /// The back end's load.
             load: Load,
+            /// What the agent grants the team from now on.
+            #[serde(default)]
+            credit: Credit,
         },
         /// The back end failed in the middle.
         Broken {
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -85,14 +85,14 @@
         let Some(flight) = self.lift(answer.request.number) else {
             return;
         };
-        let Stage::Claiming { holder, replaces } = flight.stage.clone() else {
+        let Stage::Claiming { replaces, .. } = flight.stage.clone() else {
             self.land(flight);
             return;
         };
         match answer.finding {
             // A late answer to an earlier question grants a claim that has been replaced.
-            Finding::Granted { claim } if replaces >= Some(claim) => self.land(flight),
-            Finding::Granted { claim } => {
+            Finding::Granted { claim, .. } if replaces >= Some(claim) => self.land(flight),
+            Finding::Granted { claim, holder } => {
                 out.push(key_event(Code::KeyClaimed, &flight));
                 self.dispatch_claimed(now, flight, holder, claim, out);
             }
