Claims: late answers are matched, and a refusal says no more than is known

Ruled out: a new request number for every question, since owners are found by number; saying unknown for every refusal of a dispatch meant for an earlier life, since one dispatch travels on one connection.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -180,10 +180,10 @@
                     true => self.keys.probe(now, &probe.name, probe.claim),
                     false => Status::Gone,
                 };
-                let (request, name) = (probe.request, probe.name);
                 let message = Message::Probed(Probed {
-                    request,
-                    name,
+                    request: probe.request,
+                    name: probe.name,
+                    claim: probe.claim,
                     status,
                 });
                 out.push(Output::Send {
--- a/crates/core/src/wire/claim.rs
+++ b/crates/core/src/wire/claim.rs
@@ -142,6 +142,8 @@
         pub request: Request,
         /// The key.
         pub name: Name,
+        /// Number of the claim that was asked about.
+        pub claim: u32,
         /// What the agent says.
         pub status: Status,
     }
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -12,6 +12,8 @@
 use crate::entry::Entry;
 use crate::flight::{Flight, Stage};
 use crate::io::Output;
+use crate::once::OUTCOME_BYTES_MAX;
+use crate::retry::Budget;
 
 /// When a caller may come back after servers failed its request.
 const COME_BACK_MS: u64 = 1000;
@@ -139,18 +141,12 @@
         frame: Frame,
         out: &mut Vec<Output>,
     ) {
-        let Some(mut flight) = self.lift_attempt(attempt, out) else {
+        let Some(flight) = self.lift_attempt(attempt, out) else {
             return;
         };
         match frame {
-            Frame::Head(head) => {
-                self.take_head(&mut flight, head, out);
-                self.land(flight);
-            }
-            Frame::Data(data) => {
-                self.take_data(now, &mut flight, data, out);
-                self.land(flight);
-            }
+            Frame::Head(head) => self.take_head(now, flight, head, out),
+            Frame::Data(data) => self.take_data(now, flight, data, out),
             Frame::End { tokens, .. } => self.finish(now, flight, tokens, out),
             Frame::Refused { refusal, .. } => self.take_refusal(now, flight, refusal, out),
             Frame::Broken { .. } => {
@@ -189,51 +185,87 @@
         None
     }
 
-    fn take_head(&mut self, flight: &mut Flight, head: Head, out: &mut Vec<Output>) {
-        flight.head = Some(head.clone());
-        if !flight.class.stream || flight.begun || head.status != 200 {
+    fn take_head(&mut self, now: Instant, mut flight: Flight, head: Head, out: &mut Vec<Output>) {
+        let streams = head.status == 200 && is_event_stream(&head);
+        let unfit = match flight.begun {
+            // A stream goes on only with more of the stream.
+            true => !streams,
+            false => head.status >= 500 && flight.class.idempotent && self.may_retry(now, &flight),
+        };
+        if unfit {
+            self.cancel(&flight, out);
+            self.recover(now, flight, true, out);
             return;
         }
-        let Some(ticket) = flight.ticket else {
-            return;
-        };
-        flight.begun = true;
-        out.push(Output::Head { ticket, head });
+        flight.head = Some(head.clone());
+        if flight.class.stream && streams && !flight.begun {
+            flight.begun = true;
+            if let Some(ticket) = flight.ticket {
+                out.push(Output::Head { ticket, head });
+            }
+        }
+        self.land(flight);
     }
 
     fn take_data(
         &mut self,
         now: Instant,
-        flight: &mut Flight,
+        mut flight: Flight,
         data: Vec<u8>,
         out: &mut Vec<Output>,
     ) {
-        if !flight.begun {
+        if flight.begun {
+            // A claimed stream is kept as its outcome too, up to what is kept at all.
+            if !flight.class.idempotent && flight.body.len() <= OUTCOME_BYTES_MAX {
+                flight.body.extend_from_slice(&data);
+            }
+            self.pass_event(now, &mut flight, data, out);
+            self.land(flight);
+            return;
+        }
+        if flight.body.len() + data.len() <= self.options.body_max {
             flight.body.extend_from_slice(&data);
+            self.land(flight);
             return;
         }
+        self.cancel(&flight, out);
+        let refusal = Refusal {
+            reason: Reason::ServerFailed,
+            run: Run::Yes,
+            retry_after_ms: None,
+        };
+        self.refuse(now, flight, refusal, out);
+    }
+
+    /// Passes an event of a stream on to the caller.
+    fn pass_event(
+        &mut self,
+        now: Instant,
+        flight: &mut Flight,
+        data: Vec<u8>,
+        out: &mut Vec<Output>,
+    ) {
         let Some(ticket) = flight.ticket else {
             return;
         };
-        let row = self.books.row(&flight.team, &flight.class.service);
-        row.tokens += 1;
-        if flight.passed == 0 {
-            Counts::observe(
-                &mut row.first_us,
-                now.since(flight.since).as_micros() as u64,
-            );
+        flight.passed_bytes += data.len();
+        flight.done |= is_done(&data);
+        if !flight.done {
+            let row = self.books.row(&flight.team, &flight.class.service);
+            row.tokens += 1;
+            if flight.passed == 0 {
+                let micros = now.since(flight.since).as_micros() as u64;
+                Counts::observe(&mut row.first_us, micros);
+            }
+            flight.passed += 1;
+            flight.ran = Run::Yes;
         }
-        flight.passed += 1;
         out.push(Output::Data { ticket, data });
     }
 
     /// Ends a flight whose answer is whole.
     fn finish(&mut self, now: Instant, mut flight: Flight, tokens: u64, out: &mut Vec<Output>) {
         self.end_attempt(&flight);
-        if flight.begun {
-            self.finish_stream(now, &mut flight, out);
-            return;
-        }
         let body = std::mem::take(&mut flight.body);
         let head = flight.head.clone().unwrap_or(Head {
             status: 502,
@@ -245,6 +277,10 @@
         {
             self.settle(&flight, claim, Self::outcome(&head, &body), out);
         }
+        if flight.begun {
+            self.finish_stream(now, &mut flight, out);
+            return;
+        }
         if flight.ticket.is_some() {
             self.books.row(&flight.team, &flight.class.service).tokens += tokens;
         }
@@ -268,7 +304,8 @@
             return;
         };
         flight.tried.push(server);
-        if !self.may_retry(now, &flight, &refusal) {
+        let hopeless = matches!(refusal.reason, Reason::Deadline | Reason::Share);
+        if hopeless || !self.may_retry(now, &flight) || !self.spend_retry(&flight) {
             self.refuse(now, flight, refusal, out);
             return;
         }
@@ -307,17 +344,25 @@
             self.probe(now, flight, claim, holder, out);
             return;
         }
+        if flight.done {
+            // Nothing is missing but the end.
+            self.finish_stream(now, &mut flight, out);
+            return;
+        }
         flight.tried.push(server);
         let run = match sent {
             true => Run::Unknown,
             false => Run::No,
         };
+        if sent && flight.ran == Run::No {
+            flight.ran = Run::Unknown;
+        }
         let refusal = Refusal {
             reason: Reason::ServerFailed,
             run,
             retry_after_ms: Some(COME_BACK_MS),
         };
-        if flight.ticket.is_none() || !self.may_retry(now, &flight, &refusal) {
+        if flight.ticket.is_none() || !self.may_retry(now, &flight) || !self.spend_retry(&flight) {
             self.refuse(now, flight, refusal, out);
             return;
         }
@@ -330,19 +375,19 @@
         self.dispatch(now, flight, Some(refusal), out);
     }
 
-    /// Whether another attempt is worth its cost.
-    fn may_retry(&mut self, now: Instant, flight: &Flight, refusal: &Refusal) -> bool {
+    /// Whether another attempt may still bring an answer.
+    fn may_retry(&self, now: Instant, flight: &Flight) -> bool {
         if now >= flight.deadline || flight.attempts >= self.options.attempts {
             return false;
         }
-        if matches!(
-            refusal.reason,
-            Reason::Deadline | Reason::Share | Reason::KeyReused
-        ) {
-            return false;
-        }
+        let budget = self.budgets.get(&flight.class.service);
+        budget.is_some_and(Budget::is_open)
+    }
+
+    /// Takes a retry out of the service's budget.
+    fn spend_retry(&mut self, flight: &Flight) -> bool {
         let budget = self.budgets.get_mut(&flight.class.service);
-        budget.is_some_and(|budget| budget.spend())
+        budget.is_some_and(Budget::spend)
     }
 
     /// Counts the present attempt as ended.
@@ -353,7 +398,7 @@
     }
 
     /// Breaks off what a flight that is given up still has running.
-    pub(crate) fn cancel(&mut self, _now: Instant, flight: &Flight, out: &mut Vec<Output>) {
+    pub(crate) fn cancel(&mut self, flight: &Flight, out: &mut Vec<Output>) {
         if let Stage::Running { attempt, .. } = &flight.stage {
             out.push(Output::Cancel {
                 attempt: attempt.clone(),
@@ -363,6 +408,17 @@
     }
 }
 
+fn is_event_stream(head: &Head) -> bool {
+    let kind = head.headers.iter().find(|(name, _)| name == "content-type");
+    kind.is_some_and(|(_, value)| value.starts_with("text/event-stream"))
+}
+
+/// Whether an event is the one that ends a whole stream.
+fn is_done(event: &[u8]) -> bool {
+    let data = event.strip_prefix(b"data:").unwrap_or_default();
+    data.trim_ascii() == b"[DONE]"
+}
+
 fn claim_of(flight: &Flight, number: Option<u32>) -> Option<dispatch::Claim> {
     let key = flight.class.key.clone()?;
     Some(dispatch::Claim {
--- a/crates/entry/src/classify.rs
+++ b/crates/entry/src/classify.rs
@@ -46,6 +46,8 @@
     pub priority: u8,
     /// Tokens expected; 1 for a plain call.
     pub tokens: u64,
+    /// Which of the caller's own tries this is, from 1.
+    pub attempt: u32,
 }
 
 /// The fields of a completions call that matter here.
@@ -86,6 +88,7 @@
         timeout: timeout(call, spec)?,
         priority: priority(call)?,
         tokens: completion.max_tokens.unwrap_or(TOKENS_DEFAULT).max(1),
+        attempt: attempt(call)?,
         service,
     })
 }
@@ -116,6 +119,7 @@
         timeout: timeout(call, spec)?,
         priority: priority(call)?,
         tokens: 1,
+        attempt: attempt(call)?,
         service,
     })
 }
@@ -165,6 +169,14 @@
     Ok(asked.min(most))
 }
 
+/// Which of its own tries the caller says this is.
+pub(crate) fn attempt(call: &Call) -> Result<u32, Reason> {
+    match call.header("x-eelgrassdyke-attempt") {
+        None => Ok(1),
+        Some(text) => text.trim().parse().map_err(|_| Reason::Malformed),
+    }
+}
+
 fn priority(call: &Call) -> Result<u8, Reason> {
     let Some(text) = call.header("x-eelgrassdyke-priority") else {
         return Ok(PRIORITY_DEFAULT);
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -19,7 +19,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::authenticate::Tokens;
-use crate::classify::{Class, classify};
+use crate::classify::{Class, attempt, classify};
 use crate::flight::{Flight, Stage};
 use crate::io::{Call, Input, Options, Output};
 use crate::retry::Budget;
@@ -31,6 +31,9 @@
 /// When a caller that was refused for a passing reason may come back.
 const COME_BACK: Duration = Duration::from_secs(1);
 
+/// Least spread of the instants at which refused callers come back, in milliseconds.
+const SPREAD_MS: u64 = 500;
+
 /// The state machine of the entry role.
 pub struct Entry {
     pub(crate) options: Options,
@@ -77,6 +80,8 @@
 
     /// Takes in what happened at `now` and adds what is to be done to `out`.
     pub fn handle(&mut self, now: Instant, input: Input, out: &mut Vec<Output>) {
+        // What is overdue is given up first, so that no answer is passed on after its deadline.
+        self.run_timers(now, out);
         match input {
             Input::Call { ticket, call } => self.take_call(now, ticket, call, out),
             Input::Gone { ticket } => self.drop_caller(now, ticket, out),
@@ -125,7 +130,12 @@
     }
 
     fn take_call(&mut self, now: Instant, ticket: Ticket, call: Call, out: &mut Vec<Output>) {
-        if let Err(refusal) = self.admit_process(now) {
+        if let Err(mut refusal) = self.admit_process(now) {
+            // An earlier try under the key may have run.
+            if call.header("idempotency-key").is_some() && !matches!(attempt(&call), Ok(1)) {
+                refusal.run = Run::Unknown;
+            }
+            let refusal = self.spread(refusal);
             out.push(Output::Refuse { ticket, refusal });
             return;
         }
@@ -157,7 +167,11 @@
                 .team(&team),
         ));
         self.books.row(&team, &class.service).asked += 1;
-        self.earn_retry(&class.service);
+        // An earlier call of a caller that says it sends again may have run.
+        let ran = match class.attempt > 1 {
+            true => Run::Unknown,
+            false => Run::No,
+        };
         let flight = Flight {
             request,
             ticket: Some(ticket),
@@ -169,12 +183,16 @@
             since: now,
             stage: Stage::Queued,
             ask_again: Instant::NEVER,
+            claiming_since: now,
+            ran,
             attempts: 0,
             tried: Vec::new(),
             head: None,
             body: Vec::new(),
             passed: 0,
+            passed_bytes: 0,
             begun: false,
+            done: false,
         };
         self.tickets.insert(ticket, number);
         self.launch(now, flight, out);
@@ -194,6 +212,11 @@
 
     /// Starts a flight: claims its key, or dispatches it.
     fn launch(&mut self, now: Instant, flight: Flight, out: &mut Vec<Output>) {
+        if !self.account_try(&flight.class) {
+            let refusal = Refusal::not_run(Reason::Overload).after(COME_BACK);
+            self.refuse(now, flight, refusal, out);
+            return;
+        }
         if flight.class.idempotent {
             self.dispatch(now, flight, None, out);
             return;
@@ -205,17 +228,24 @@
         self.claim(now, flight, None, out);
     }
 
-    fn earn_retry(&mut self, service: &Service) {
-        let Some(spec) = self.follower.document().services.get(service) else {
-            return;
+    /// Earns a part of a retry for a first try, or spends one for a caller's own retry.
+    ///
+    /// A retry under a key is always let through: its outcome may be kept already.
+    fn account_try(&mut self, class: &Class) -> bool {
+        let Some(spec) = self.follower.document().services.get(&class.service) else {
+            return true;
         };
         let share = spec.retry_budget;
         let budget = self
             .budgets
-            .entry(service.clone())
+            .entry(class.service.clone())
             .or_insert_with(|| Budget::new(share));
         budget.set_share(share);
-        budget.earn();
+        if class.attempt <= 1 {
+            budget.earn();
+            return true;
+        }
+        budget.spend() || !class.idempotent
     }
 
     fn drop_caller(&mut self, now: Instant, ticket: Ticket, out: &mut Vec<Output>) {
@@ -233,12 +263,10 @@
         ));
         self.count_refusal(&flight, Reason::CallerGone);
 
-        // A non-idempotent request runs to its end, so that its outcome is kept for a resend.
-        if !flight.class.idempotent {
-            self.land(flight);
-            return;
+        match flight.class.idempotent {
+            true => self.cancel(&flight, out),
+            false => self.linger(now, flight, out),
         }
-        self.cancel(now, &flight, out);
     }
 
     fn take_mail(&mut self, now: Instant, from: &Sender, message: Message, out: &mut Vec<Output>) {
@@ -352,6 +380,8 @@
         let Some(ticket) = self.take_ticket(flight) else {
             return;
         };
+        let refusal = flight.refusal(refusal);
+        let refusal = self.spread(refusal);
         self.count_refusal(flight, refusal.reason);
         let detail = format!("{} run={}", refusal.reason, refusal.run);
         out.push(Output::Event(
@@ -429,10 +459,22 @@
             retry_after_ms: None,
         };
         self.refuse_caller(&mut flight, refusal.after(COME_BACK), out);
-        match (&flight.stage, flight.class.idempotent) {
-            // A non-idempotent request that may run is seen to its end.
-            (Stage::Running { .. }, false) => self.land(flight),
-            _ => self.cancel(now, &flight, out),
+        match flight.class.idempotent {
+            true => self.cancel(&flight, out),
+            false => self.linger(now, flight, out),
+        }
+    }
+
+    /// Spreads when refused callers come back, so that they don't all come at once.
+    fn spread(&mut self, refusal: Refusal) -> Refusal {
+        let Some(wait_ms) = refusal.retry_after_ms else {
+            return refusal;
+        };
+        let most = wait_ms / 2 + SPREAD_MS;
+        let later = self.rng.random_range(0..=most);
+        Refusal {
+            retry_after_ms: Some(wait_ms.saturating_add(later)),
+            ..refusal
         }
     }
 }
--- a/crates/entry/src/flight.rs
+++ b/crates/entry/src/flight.rs
@@ -7,6 +7,7 @@
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::claim::{Holder, Name};
 use eelgrassdyke_core::wire::dispatch::Head;
+use eelgrassdyke_core::wire::refusal::{Refusal, Run};
 
 use crate::classify::Class;
 use crate::io::Call;
@@ -66,8 +67,12 @@
     pub deadline: Instant,
     /// What it waits for.
     pub stage: Stage,
-    /// When the present question is asked again.
+    /// When the present question is asked again, or a flight without a caller is given up.
     pub ask_again: Instant,
+    /// When the present claim was first asked for.
+    pub claiming_since: Instant,
+    /// Whether anything may have run so far under this call, or under its key.
+    pub ran: Run,
     /// Attempts made.
     pub attempts: u32,
     /// Servers that failed it.
@@ -78,8 +83,12 @@
     pub body: Vec<u8>,
     /// Events of a streamed answer passed on to the caller.
     pub passed: u64,
+    /// Bytes of a streamed answer passed on to the caller.
+    pub passed_bytes: usize,
     /// Whether a streamed answer has begun to leave.
     pub begun: bool,
+    /// Whether the event that ends a whole stream was passed on.
+    pub done: bool,
 }
 
 impl Flight {
@@ -92,6 +101,16 @@
         })
     }
 
+    /// A refusal that doesn't say more than is known of the whole flight.
+    pub fn refusal(&self, refusal: Refusal) -> Refusal {
+        let run = match (refusal.run, self.ran) {
+            (Run::Yes, _) | (_, Run::Yes) => Run::Yes,
+            (Run::Unknown, _) | (_, Run::Unknown) => Run::Unknown,
+            (Run::No, Run::No) => Run::No,
+        };
+        Refusal { run, ..refusal }
+    }
+
     /// When the flight needs a look.
     pub fn next_deadline(&self) -> Instant {
         match self.ticket {
--- a/crates/entry/src/io.rs
+++ b/crates/entry/src/io.rs
@@ -153,6 +153,8 @@
     pub key_window: Duration,
     /// Attempts at a request at most.
     pub attempts: u32,
+    /// Largest answer that is not streamed, in bytes.
+    pub body_max: usize,
 }
 
 impl Default for Options {
@@ -166,6 +168,7 @@
             claim_timeout: Duration::from_secs(2),
             key_window: Duration::from_secs(24 * 3600),
             attempts: 3,
+            body_max: 8 << 20,
         }
     }
 }
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -25,11 +25,15 @@
 const ASK_AGAIN: Duration = Duration::from_millis(200);
 
 /// Largest answer kept for a key's window, in bytes.
-const OUTCOME_BYTES_MAX: usize = 16 << 10;
+pub(crate) const OUTCOME_BYTES_MAX: usize = 16 << 10;
 
-/// When a caller that met a request still running may come back.
+/// When a caller may come back whose key could not be claimed.
 const RUNNING_AGAIN: Duration = Duration::from_secs(1);
 
+/// Time after its deadline for which a claimed attempt without a caller is followed; longer than an
+/// agent lets it run.
+const LINGER: Duration = Duration::from_secs(40);
+
 impl Entry {
     /// Claims the key of a flight for a server that is free.
     pub(crate) fn claim(
@@ -51,6 +55,9 @@
             address: row.address,
         };
         flight.stage = Stage::Claiming { holder, replaces };
+        flight.claiming_since = now;
+        // Until control answers, another call under the key may have run or be running.
+        flight.ran = Run::Unknown;
         self.ask_control(now, flight, out);
     }
 
@@ -85,20 +92,29 @@
         let Some(flight) = self.lift(answer.request.number) else {
             return;
         };
-        let Stage::Claiming { replaces, .. } = flight.stage.clone() else {
+        let Stage::Claiming { replaces, .. } = flight.stage else {
             self.land(flight);
             return;
         };
         match answer.finding {
             // A late answer to an earlier question grants a claim that has been replaced.
             Finding::Granted { claim, .. } if replaces >= Some(claim) => self.land(flight),
+            Finding::Granted { claim, .. } if flight.ticket.is_none() => {
+                // Nobody waits any more, and nothing was dispatched under this claim.
+                self.settle(&flight, claim, Outcome::NotRun, out);
+            }
             Finding::Granted { claim, holder } => {
+                let mut flight = flight;
+                flight.ran = Run::No;
                 out.push(key_event(Code::KeyClaimed, &flight));
                 self.dispatch_claimed(now, flight, holder, claim, out);
             }
             Finding::Held { claim, holder } => self.probe(now, flight, claim, holder, out),
             Finding::Settled(outcome) => self.conclude(now, flight, outcome, out),
             Finding::Other => {
+                // The key belongs to another call; this one ran nowhere.
+                let mut flight = flight;
+                flight.ran = Run::No;
                 self.refuse(now, flight, Refusal::not_run(Reason::KeyReused), out);
             }
             Finding::Expired => {
@@ -129,6 +145,7 @@
         let to = holder.address;
         let question = probe_question(&flight, claim, &holder);
         flight.stage = Stage::Probing { claim, holder };
+        flight.ran = Run::Unknown;
         flight.ask_again = now + ASK_AGAIN;
         self.land(flight);
         if let Some(probe) = question {
@@ -147,11 +164,17 @@
         let Some(flight) = self.lift(answer.request.number) else {
             return;
         };
-        let Stage::Probing { claim, .. } = flight.stage else {
-            self.land(flight);
-            return;
+        // A late answer about an earlier claim says nothing about the present one.
+        let claim = match flight.stage {
+            Stage::Probing { claim, .. } if claim == answer.claim => claim,
+            _ => {
+                self.land(flight);
+                return;
+            }
         };
         match answer.status {
+            // Nobody waits for another try.
+            Status::Sealed if flight.ticket.is_none() => {}
             Status::Sealed => {
                 out.push(key_event(Code::KeySealed, &flight));
                 self.claim(now, flight, Some(claim), out);
@@ -176,22 +199,37 @@
         out: &mut Vec<Output>,
     ) {
         match outcome {
+            Outcome::Answered { body, .. } if flight.begun => {
+                self.complete_stream(now, &mut flight, &body, out);
+            }
             Outcome::Answered { head, body } => self.deliver(now, &mut flight, head, body, out),
             Outcome::Lost => {
-                let refusal = Refusal {
-                    reason: Reason::OutcomeUnknown,
-                    run: Run::Yes,
-                    retry_after_ms: None,
-                };
-                self.refuse(now, flight, refusal, out);
+                self.refuse(now, flight, Refusal::maybe_run(Reason::OutcomeUnknown), out);
             }
             Outcome::NotRun => {
+                flight.ran = Run::No;
                 let refusal = Refusal::not_run(Reason::ServerFailed).after(RUNNING_AGAIN);
                 self.refuse(now, flight, refusal, out);
             }
         }
     }
 
+    /// Passes on what the kept answer holds beyond what the caller of a broken stream has.
+    fn complete_stream(
+        &mut self,
+        now: Instant,
+        flight: &mut Flight,
+        body: &[u8],
+        out: &mut Vec<Output>,
+    ) {
+        let rest = body.get(flight.passed_bytes..).unwrap_or_default();
+        if let (Some(ticket), false) = (flight.ticket, rest.is_empty()) {
+            let data = rest.to_vec();
+            out.push(Output::Data { ticket, data });
+        }
+        self.finish_stream(now, flight, out);
+    }
+
     /// Stores the outcome of a claim with control.
     pub(crate) fn settle(
         &mut self,
@@ -226,29 +264,44 @@
         }
     }
 
+    /// Keeps a claimed flight that its caller has left or been refused, as far as needed.
+    pub(crate) fn linger(&mut self, now: Instant, mut flight: Flight, out: &mut Vec<Output>) {
+        match &flight.stage {
+            // The answer to a claim that won't be used is awaited, to give the claim back.
+            Stage::Claiming { .. } => self.land(flight),
+            // What may run is seen to its end, so that its outcome is kept for a resend.
+            Stage::Running { .. } => {
+                flight.ask_again = flight.deadline.max(now) + LINGER;
+                self.land(flight);
+            }
+            Stage::Queued | Stage::Probing { .. } => self.cancel(&flight, out),
+        }
+    }
+
     /// Asks the present question of a flight again, or gives up on it.
     pub(crate) fn ask_again(&mut self, now: Instant, mut flight: Flight, out: &mut Vec<Output>) {
-        if flight.ticket.is_none() && now >= flight.deadline {
-            return;
-        }
         match flight.stage.clone() {
-            Stage::Claiming { .. } => {
-                if now.since(flight.since) >= self.options.claim_timeout {
-                    let refusal = Refusal::not_run(Reason::NoControl).after(RUNNING_AGAIN);
-                    self.refuse(now, flight, refusal, out);
-                    return;
-                }
-                // No answer: another replica may know more.
-                self.leader += 1;
-                self.ask_control(now, flight, out);
-            }
+            Stage::Claiming { .. } => self.claim_again(now, flight, out),
+            Stage::Probing { .. } if flight.ticket.is_none() && now >= flight.deadline => {}
             Stage::Probing { claim, holder } => self.probe(now, flight, claim, holder, out),
+            Stage::Running { .. } if flight.ticket.is_none() => self.cancel(&flight, out),
             Stage::Queued | Stage::Running { .. } => {
                 flight.ask_again = Instant::NEVER;
                 self.land(flight);
             }
         }
     }
+
+    fn claim_again(&mut self, now: Instant, flight: Flight, out: &mut Vec<Output>) {
+        if now.since(flight.claiming_since) >= self.options.claim_timeout {
+            let refusal = Refusal::not_run(Reason::NoControl).after(RUNNING_AGAIN);
+            self.refuse(now, flight, refusal, out);
+            return;
+        }
+        // No answer: another replica may know more.
+        self.leader += 1;
+        self.ask_control(now, flight, out);
+    }
 }
 
 fn claim_question(flight: &Flight, window: Duration) -> Option<Ask> {
--- a/crates/entry/src/retry.rs
+++ b/crates/entry/src/retry.rs
@@ -37,9 +37,14 @@
         self.saved = (self.saved + self.share.0).min(SAVED_MAX);
     }
 
+    /// Whether the earnings allow a retry.
+    pub fn is_open(&self) -> bool {
+        self.saved >= RETRY_COST
+    }
+
     /// Spends one retry, if the earnings allow it.
     pub fn spend(&mut self) -> bool {
-        if self.saved < RETRY_COST {
+        if !self.is_open() {
             return false;
         }
         self.saved -= RETRY_COST;
