--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -180,6 +180,13 @@
         if known {
             return self.lift(attempt.request.number);
         }
+        let account = match self.owns(&attempt.request) {
+            true => self.accounts.get(&attempt.request.number).cloned(),
+            false => None,
+        };
+        if let Some((team, service)) = account {
+            self.books.row(&team, &service).dropped += 1;
+        }
         let event = Event::new(Code::AnswerDropped, attempt.to_string());
         out.push(Output::Event(event.request(&attempt.request)));
         None
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -9,7 +9,7 @@
 use eelgrassdyke_core::digest::Sha256;
 use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::follow::Follower;
-use eelgrassdyke_core::id::{Request, Service, Ticket, Version};
+use eelgrassdyke_core::id::{Request, Service, Team, Ticket, Version};
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::dispatch::Head;
 use eelgrassdyke_core::wire::refusal::{Reason, Refusal, Run};
@@ -34,6 +34,9 @@
 /// Least spread of the instants at which refused callers come back, in milliseconds.
 const SPREAD_MS: u64 = 500;
 
+/// Requests whose team and service are remembered, to account for answers that come late.
+const ACCOUNTS_MAX: usize = 4096;
+
 /// The state machine of the entry role.
 pub struct Entry {
     pub(crate) options: Options,
@@ -47,6 +50,8 @@
     pub(crate) timers: BTreeSet<(Instant, u64)>,
     pub(crate) books: Books,
     pub(crate) rng: ChaCha8Rng,
+    /// Accounts of the latest requests, for answers that come late.
+    pub(crate) accounts: BTreeMap<u64, (Team, Service)>,
     /// Position in `options.control` of the replica that last led.
     pub(crate) leader: usize,
     next_number: u64,
@@ -70,6 +75,7 @@
             tickets: BTreeMap::new(),
             timers: BTreeSet::new(),
             rng,
+            accounts: BTreeMap::new(),
             leader: first,
             next_number: 1,
             next_report: Instant(0),
@@ -195,6 +201,11 @@
             done: false,
         };
         self.tickets.insert(ticket, number);
+        let account = (flight.team.clone(), flight.class.service.clone());
+        self.accounts.insert(number, account);
+        if self.accounts.len() > ACCOUNTS_MAX {
+            self.accounts.pop_first();
+        }
         self.launch(now, flight, out);
     }
 
