Routing by indexed servers, cache affinity, ejection; admission by credits

Cause: a choice gathered all servers of the directory; nothing kept a failing server from being chosen, nothing used the engines' prompt caches, and the entry sent on whatever came in. Ruled out: cache affinity by consistent hashing, which follows neither load nor the cache; credits for each server, which at 2,900 servers and 38,000 teams would be too many; they are smoothed for each team and service.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -1,11 +1,12 @@
 //! Leads attempts: dispatch, the agent's answer, retry and resumption.
 
 use eelgrassdyke_core::event::{Code, Event};
-use eelgrassdyke_core::id::{Attempt, Request, Server};
+use eelgrassdyke_core::id::{Attempt, Request};
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::claim::Holder;
+use eelgrassdyke_core::wire::directory::Load;
 use eelgrassdyke_core::wire::dispatch;
-use eelgrassdyke_core::wire::dispatch::{Dispatch, Frame, Head};
+use eelgrassdyke_core::wire::dispatch::{Credit, Dispatch, Frame, Head};
 use eelgrassdyke_core::wire::refusal::{Reason, Refusal, Run};
 use eelgrassdyke_core::wire::report::Counts;
 
@@ -14,6 +15,7 @@
 use crate::io::Output;
 use crate::once::OUTCOME_BYTES_MAX;
 use crate::retry::Budget;
+use crate::route::{Query, Verdict};
 
 /// When a caller may come back after servers failed its request.
 const COME_BACK_MS: u64 = 1000;
@@ -39,14 +41,19 @@
     }
 
     /// Chooses a server for the next attempt of a flight.
-    pub(crate) fn choose(&mut self, flight: &Flight) -> Option<Server> {
-        self.router.choose(
-            self.follower.servers(),
-            &flight.class.service,
-            &self.options.data_centre,
-            &flight.tried,
-            &mut self.rng,
-        )
+    pub(crate) fn choose(&mut self, now: Instant, flight: &Flight) -> Option<Holder> {
+        let query = Query {
+            service: &flight.class.service,
+            tried: &flight.tried,
+            blocks: &flight.class.blocks,
+        };
+        let server = self.router.choose(now, query, &mut self.rng)?;
+        let row = &self.follower.servers().get(&server)?.row;
+        Some(Holder {
+            server,
+            incarnation: row.incarnation,
+            address: row.address,
+        })
     }
 
     /// Dispatches an idempotent flight to a server that it has not tried.
@@ -57,19 +64,13 @@
         failure: Option<Refusal>,
         out: &mut Vec<Output>,
     ) {
-        let Some(server) = self.choose(&flight) else {
+        let Some(holder) = self.choose(now, &flight) else {
             let none = Refusal::not_run(Reason::NoServer);
             let mut refusal = failure.unwrap_or(none);
             refusal.retry_after_ms.get_or_insert(COME_BACK_MS);
             self.refuse(now, flight, refusal, out);
             return;
         };
-        let row = &self.follower.servers()[&server].row;
-        let holder = Holder {
-            server,
-            incarnation: row.incarnation,
-            address: row.address,
-        };
         self.start_attempt(now, flight, holder, None, out);
     }
 
@@ -111,7 +112,9 @@
             call: passed_call(&flight),
             resume_after: flight.passed,
         };
-        self.router.started(&holder.server);
+        let blocks = &flight.class.blocks;
+        self.router.started(now, &holder.server, blocks);
+        self.credits.open(&flight.account(), flight.class.tokens);
         out.push(Output::Event(
             Event::new(Code::RequestDispatched, attempt.number.to_string())
                 .request(&flight.request)
@@ -147,10 +150,29 @@
         match frame {
             Frame::Head(head) => self.take_head(now, flight, head, out),
             Frame::Data(data) => self.take_data(now, flight, data, out),
-            Frame::End { tokens, .. } => self.finish(now, flight, tokens, out),
-            Frame::Refused { refusal, .. } => self.take_refusal(now, flight, refusal, out),
+            Frame::End {
+                tokens,
+                load,
+                credit,
+                cached,
+                ..
+            } => {
+                self.take_load(now, &flight, load, credit);
+                if let (Stage::Running { server, .. }, Some(cached)) = (&flight.stage, cached) {
+                    self.router.verify(server, &flight.class.blocks, cached);
+                }
+                self.finish(now, flight, tokens, out);
+            }
+            Frame::Refused {
+                refusal,
+                load,
+                credit,
+            } => {
+                self.take_load(now, &flight, load, credit);
+                self.take_refusal(now, flight, refusal, out);
+            }
             Frame::Broken { .. } => {
-                self.end_attempt(&flight);
+                self.end_attempt(now, &flight, Verdict::Failed);
                 self.recover(now, flight, true, out);
             }
         }
@@ -167,10 +189,19 @@
         let Some(flight) = self.lift_attempt(attempt, out) else {
             return;
         };
-        self.end_attempt(&flight);
+        self.end_attempt(now, &flight, Verdict::Failed);
         self.recover(now, flight, sent, out);
     }
 
+    /// Takes in what an agent's last frame says of its load and of the team's credit.
+    fn take_load(&mut self, now: Instant, flight: &Flight, load: Load, credit: Credit) {
+        if let Stage::Running { server, .. } = &flight.stage {
+            self.router.report(server, load, now);
+        }
+        let servers = self.router.servers(&flight.class.service);
+        self.credits.grant(now, &flight.account(), servers, credit);
+    }
+
     /// Lifts the flight that an answer belongs to; a late or foreign answer is counted and dropped.
     fn lift_attempt(&mut self, attempt: &Attempt, out: &mut Vec<Output>) -> Option<Flight> {
         let known = self.owns(&attempt.request)
@@ -200,7 +231,7 @@
             false => head.status >= 500 && flight.class.idempotent && self.may_retry(now, &flight),
         };
         if unfit {
-            self.cancel(&flight, out);
+            self.break_off(now, &flight, Verdict::Failed, out);
             self.recover(now, flight, true, out);
             return;
         }
@@ -235,7 +266,7 @@
             self.land(flight);
             return;
         }
-        self.cancel(&flight, out);
+        self.cancel(now, &flight, out);
         let refusal = Refusal {
             reason: Reason::ServerFailed,
             run: Run::Yes,
@@ -272,7 +303,7 @@
 
     /// Ends a flight whose answer is whole.
     fn finish(&mut self, now: Instant, mut flight: Flight, tokens: u64, out: &mut Vec<Output>) {
-        self.end_attempt(&flight);
+        self.end_attempt(now, &flight, Verdict::Answered);
         let body = std::mem::take(&mut flight.body);
         let head = flight.head.clone().unwrap_or(Head {
             status: 502,
@@ -302,7 +333,11 @@
         refusal: Refusal,
         out: &mut Vec<Output>,
     ) {
-        self.end_attempt(&flight);
+        let verdict = match refusal.reason {
+            Reason::ServerFailed => Verdict::Failed,
+            _ => Verdict::Unknown,
+        };
+        self.end_attempt(now, &flight, verdict);
         if refusal.run != Run::No {
             self.recover(now, flight, true, out);
             return;
@@ -398,19 +433,31 @@
     }
 
     /// Counts the present attempt as ended.
-    fn end_attempt(&mut self, flight: &Flight) {
+    fn end_attempt(&mut self, now: Instant, flight: &Flight, verdict: Verdict) {
         if let Stage::Running { server, .. } = &flight.stage {
-            self.router.ended(server);
+            self.router.ended(now, server, verdict);
+            let tokens = flight.class.tokens;
+            self.credits.close(now, &flight.account(), tokens);
         }
     }
 
     /// Breaks off what a flight that is given up still has running.
-    pub(crate) fn cancel(&mut self, flight: &Flight, out: &mut Vec<Output>) {
+    pub(crate) fn cancel(&mut self, now: Instant, flight: &Flight, out: &mut Vec<Output>) {
+        self.break_off(now, flight, Verdict::Unknown, out);
+    }
+
+    fn break_off(
+        &mut self,
+        now: Instant,
+        flight: &Flight,
+        verdict: Verdict,
+        out: &mut Vec<Output>,
+    ) {
         if let Stage::Running { attempt, .. } = &flight.stage {
             out.push(Output::Cancel {
                 attempt: attempt.clone(),
             });
-            self.end_attempt(flight);
+            self.end_attempt(now, flight, verdict);
         }
     }
 }
--- a/crates/entry/src/classify.rs
+++ b/crates/entry/src/classify.rs
@@ -11,6 +11,7 @@
 use eelgrassdyke_core::wire::refusal::Reason;
 use serde::Deserialize;
 
+use crate::affinity::blocks;
 use crate::io::Call;
 
 /// Paths of the completions format.
@@ -48,6 +49,8 @@
     pub tokens: u64,
     /// Which of the caller's own tries this is, from 1.
     pub attempt: u32,
+    /// Blocks of the prompt, for cache affinity.
+    pub blocks: Vec<u64>,
 }
 
 /// The fields of a completions call that matter here.
@@ -57,6 +60,18 @@
     model: String,
     stream: bool,
     max_tokens: Option<u64>,
+    prompt: serde_json::Value,
+    messages: serde_json::Value,
+}
+
+impl Completion {
+    fn blocks(&self) -> Vec<u64> {
+        if let Some(prompt) = self.prompt.as_str() {
+            return blocks(prompt.as_bytes());
+        }
+        let text = format!("{}{}", self.prompt, self.messages);
+        blocks(text.as_bytes())
+    }
 }
 
 /// Finds out what a call asks for.
@@ -87,6 +102,7 @@
         key: key(call)?,
         timeout: timeout(call, spec)?,
         priority: priority(call)?,
+        blocks: completion.blocks(),
         tokens: completion.max_tokens.unwrap_or(TOKENS_DEFAULT).max(1),
         attempt: attempt(call)?,
         service,
@@ -119,6 +135,7 @@
         timeout: timeout(call, spec)?,
         priority: priority(call)?,
         tokens: 1,
+        blocks: Vec::new(),
         attempt: attempt(call)?,
         service,
     })
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -9,9 +9,10 @@
 use eelgrassdyke_core::digest::Sha256;
 use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::follow::Follower;
-use eelgrassdyke_core::id::{Request, Service, Team, Ticket, Version};
+use eelgrassdyke_core::id::{Request, Server, Service, Team, Ticket, Version};
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::dispatch::Head;
+use eelgrassdyke_core::wire::follow::Directory;
 use eelgrassdyke_core::wire::refusal::{Reason, Refusal, Run};
 use eelgrassdyke_core::wire::report::{Counts, Side};
 use eelgrassdyke_core::wire::{Message, Sender};
@@ -20,6 +21,7 @@
 
 use crate::authenticate::Tokens;
 use crate::classify::{Class, attempt, classify};
+use crate::credit::Credits;
 use crate::flight::{Flight, Stage};
 use crate::io::{Call, Input, Options, Output};
 use crate::retry::Budget;
@@ -44,6 +46,7 @@
     pub(crate) follower: Follower,
     pub(crate) tokens: Tokens,
     pub(crate) router: Router,
+    pub(crate) credits: Credits,
     pub(crate) budgets: BTreeMap<Service, Budget>,
     pub(crate) flights: BTreeMap<u64, Flight>,
     pub(crate) tickets: BTreeMap<Ticket, u64>,
@@ -70,6 +73,7 @@
             me,
             tokens: Tokens::default(),
             router: Router::default(),
+            credits: Credits::default(),
             budgets: BTreeMap::new(),
             flights: BTreeMap::new(),
             tickets: BTreeMap::new(),
@@ -98,6 +102,9 @@
             Input::Drain => self.draining = true,
         }
         self.run_timers(now, out);
+        for event in self.router.take_events() {
+            out.push(Output::Event(event));
+        }
         self.follow(now, out);
         self.report(now, out);
     }
@@ -228,6 +235,13 @@
             self.refuse(now, flight, refusal, out);
             return;
         }
+        let servers = self.router.servers(&flight.class.service);
+        let tokens = flight.class.tokens;
+        if !self.credits.admits(now, &flight.account(), servers, tokens) {
+            let refusal = Refusal::not_run(Reason::Share).after(COME_BACK);
+            self.refuse(now, flight, refusal, out);
+            return;
+        }
         if flight.class.idempotent {
             self.dispatch(now, flight, None, out);
             return;
@@ -275,7 +289,7 @@
         self.count_refusal(&flight, Reason::CallerGone);
 
         match flight.class.idempotent {
-            true => self.cancel(&flight, out),
+            true => self.cancel(now, &flight, out),
             false => self.linger(now, flight, out),
         }
     }
@@ -283,10 +297,14 @@
     fn take_mail(&mut self, now: Instant, from: &Sender, message: Message, out: &mut Vec<Output>) {
         match message {
             Message::Update(update) => {
+                let named = update.directory.as_ref().map(named);
                 let change = self.follower.apply(now, &from.process, update);
                 if change.config {
                     self.apply_config(out);
                 }
+                if let (true, Some(named)) = (change.directory, named) {
+                    self.apply_directory(now, named);
+                }
             }
             Message::Claimed(answer) => self.take_claimed(now, answer, out),
             Message::Probed(answer) => self.take_probed(now, answer, out),
@@ -301,6 +319,21 @@
         out.push(Output::Event(Event::new(Code::ConfigApplied, detail)));
     }
 
+    /// Tells the router of the servers that a directory names, or of all.
+    fn apply_directory(&mut self, now: Instant, named: Option<Vec<Server>>) {
+        let servers = self.follower.servers();
+        let named = named.unwrap_or_else(|| {
+            let mut all = self.router.names();
+            all.extend(servers.keys().cloned());
+            all
+        });
+        for server in named {
+            let seen = servers.get(&server);
+            let home = &self.options.data_centre;
+            self.router.learn(now, &server, seen, home);
+        }
+    }
+
     fn run_timers(&mut self, now: Instant, out: &mut Vec<Output>) {
         while let Some((at, number)) = self.timers.first().copied() {
             if at > now {
@@ -471,7 +504,7 @@
         };
         self.refuse_caller(&mut flight, refusal.after(COME_BACK), out);
         match flight.class.idempotent {
-            true => self.cancel(&flight, out),
+            true => self.cancel(now, &flight, out),
             false => self.linger(now, flight, out),
         }
     }
@@ -490,6 +523,19 @@
     }
 }
 
+/// The servers that a directory has news of; none when it is everything.
+fn named(directory: &Directory) -> Option<Vec<Server>> {
+    directory.since?;
+    let mut named: Vec<Server> = directory.gone.clone();
+    for row in &directory.rows {
+        named.push(row.server.clone());
+    }
+    for (server, ..) in &directory.loads {
+        named.push(server.clone());
+    }
+    Some(named)
+}
+
 /// Digest of what makes two calls under one key the same call.
 fn call_digest(call: &Call, class: &Class) -> Sha256 {
     let mut text = format!("{} {} {}\n", class.service, call.method, class.path).into_bytes();
--- a/crates/entry/src/flight.rs
+++ b/crates/entry/src/flight.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use eelgrassdyke_core::digest::Sha256;
-use eelgrassdyke_core::id::{Attempt, Incarnation, Request, Server, Team, Ticket};
+use eelgrassdyke_core::id::{Attempt, Incarnation, Request, Server, Service, Team, Ticket};
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::claim::{Holder, Name};
 use eelgrassdyke_core::wire::dispatch::Head;
@@ -101,6 +101,11 @@
         })
     }
 
+    /// The account that it is charged to.
+    pub fn account(&self) -> (Team, Service) {
+        (self.team.clone(), self.class.service.clone())
+    }
+
     /// A refusal that doesn't say more than is known of the whole flight.
     pub fn refusal(&self, refusal: Refusal) -> Refusal {
         let run = match (refusal.run, self.ran) {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,9 +7,11 @@
 #![forbid(unsafe_code)]
 #![warn(rust_2018_idioms)]
 
+mod affinity;
 mod attempt;
 mod authenticate;
 mod classify;
+mod credit;
 mod entry;
 mod flight;
 mod io;
@@ -17,9 +19,11 @@
 mod retry;
 mod route;
 
+pub use affinity::{Affinity, blocks};
 pub use authenticate::Tokens;
 pub use classify::{Class, classify};
+pub use credit::Credits;
 pub use entry::Entry;
 pub use io::{Call, Input, Options, Output};
 pub use retry::Budget;
-pub use route::Router;
+pub use route::{Query, Router, Verdict};
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -43,17 +43,11 @@
         replaces: Option<u32>,
         out: &mut Vec<Output>,
     ) {
-        let Some(server) = self.choose(&flight) else {
+        let Some(holder) = self.choose(now, &flight) else {
             let refusal = Refusal::not_run(Reason::NoServer).after(RUNNING_AGAIN);
             self.refuse(now, flight, refusal, out);
             return;
         };
-        let row = &self.follower.servers()[&server].row;
-        let holder = Holder {
-            server,
-            incarnation: row.incarnation,
-            address: row.address,
-        };
         flight.stage = Stage::Claiming { holder, replaces };
         flight.claiming_since = now;
         // Until control answers, another call under the key may have run or be running.
@@ -274,7 +268,7 @@
                 flight.ask_again = flight.deadline.max(now) + LINGER;
                 self.land(flight);
             }
-            Stage::Queued | Stage::Probing { .. } => self.cancel(&flight, out),
+            Stage::Queued | Stage::Probing { .. } => self.cancel(now, &flight, out),
         }
     }
 
@@ -284,7 +278,7 @@
             Stage::Claiming { .. } => self.claim_again(now, flight, out),
             Stage::Probing { .. } if flight.ticket.is_none() && now >= flight.deadline => {}
             Stage::Probing { claim, holder } => self.probe(now, flight, claim, holder, out),
-            Stage::Running { .. } if flight.ticket.is_none() => self.cancel(&flight, out),
+            Stage::Running { .. } if flight.ticket.is_none() => self.cancel(now, &flight, out),
             Stage::Queued | Stage::Running { .. } => {
                 flight.ask_again = Instant::NEVER;
                 self.land(flight);
