--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -276,7 +276,8 @@
         }
     }
 
-    pub(crate) fn load(&self) -> Load {
+    /// The back end's present load.
+    pub fn load(&self) -> Load {
         Load {
             running: self.running,
             queued: self.queue.len() as u32,
