--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -58,7 +58,7 @@
         let first = me.address.port() as usize;
         Self {
             follower: Follower::new(options.control.clone(), false, first),
-            keys: Keys::new(options.keys, options.key_window),
+            keys: Keys::new(options.keys),
             queue: Queue::new(options.queue, options.slots),
             pace: Pace::new(options.slots, options.token_rate),
             works: BTreeMap::new(),
@@ -177,7 +177,7 @@
             }
             Message::Probe(probe) => {
                 let status = match probe.incarnation == self.me.incarnation {
-                    true => self.keys.probe(now, &probe.name, probe.claim),
+                    true => self.keys.probe(&probe.name, probe.claim),
                     false => Status::Gone,
                 };
                 let message = Message::Probed(Probed {
--- a/crates/agent/src/answer.rs
+++ b/crates/agent/src/answer.rs
@@ -104,7 +104,7 @@
         let queued_us = started.since(work.since).as_micros() as u64;
         let whole_us = now.since(work.since).as_micros() as u64;
         if let Some((name, _)) = work.claim() {
-            self.keys.finish(now, &name, work.outcome());
+            self.keys.finish(&name, work.outcome());
         }
         if let Some(reading) = work.reading(now, usage.tokens) {
             self.pace.observe(&reading);
@@ -140,8 +140,8 @@
         out.push(self.event(Code::BackendFailed, work, &detail));
         if let Some((name, claim)) = work.claim() {
             match sent {
-                true => self.keys.finish(now, &name, Outcome::Lost),
-                false => self.keys.release(now, &name, claim),
+                true => self.keys.finish(&name, Outcome::Lost),
+                false => self.keys.release(&name, claim),
             }
         }
         let tokens = work.events;
--- a/crates/agent/src/gate.rs
+++ b/crates/agent/src/gate.rs
@@ -35,7 +35,6 @@
         let share = self.share(&dispatch.team);
         self.books.row(&dispatch.team, &dispatch.service).asked += 1;
         if let Err(refusal) = self.admit(now, &work, &share) {
-            let refusal = self.prove(now, &work, refusal);
             self.refuse(ticket, &work, refusal, out);
             return;
         }
@@ -47,7 +46,7 @@
         if let Some(shed) = self.queue.push(item, share) {
             let wait = self.pace.work_off(self.queue.cost());
             let refusal = Refusal::not_run(Reason::Share).after(wait.max(COME_BACK));
-            self.drop_queued(now, shed.ticket, refusal, out);
+            self.drop_queued(shed.ticket, refusal, out);
         }
     }
 
@@ -65,19 +64,23 @@
         if other || dispatch.incarnation != self.me.incarnation {
             return Err(Refusal::not_run(Reason::Incarnation));
         }
-        if self.state() != State::Up {
-            return Err(Refusal::not_run(Reason::Draining).after(COME_BACK));
+        // A second copy of a dispatch that runs must not be refused as not run.
+        let key = work.claim();
+        if let Some((name, claim)) = &key {
+            match self.keys.admit(name, *claim) {
+                Admission::Granted => {}
+                Admission::Sealed => return Err(Refusal::not_run(Reason::Sealed)),
+                Admission::Taken => return Err(Refusal::maybe_run(Reason::StillRunning)),
+            }
         }
-        self.foresee(now, work, share)?;
-        let Some((name, claim)) = work.claim() else {
-            return Ok(());
+        let fits = match self.state() {
+            State::Up => self.foresee(now, work, share),
+            _ => Err(Refusal::not_run(Reason::Draining).after(COME_BACK)),
         };
-        match self.keys.admit(now, &name, claim) {
-            Admission::Granted => Ok(()),
-            Admission::Sealed => Err(Refusal::not_run(Reason::Sealed)),
-            Admission::Taken => Err(Refusal::maybe_run(Reason::StillRunning)),
-            Admission::Full => Err(Refusal::not_run(Reason::Overload).after(COME_BACK)),
+        if let (Err(_), Some((name, claim))) = (&fits, &key) {
+            self.keys.release(name, *claim);
         }
+        fits
     }
 
     /// Refuses what can't meet its deadline with the queue as it is.
@@ -104,22 +107,6 @@
         Err(Refusal::not_run(reason).after(wait))
     }
 
-    /// Seals the key of a refused dispatch, so that `run: no` stays true.
-    fn prove(&mut self, now: Instant, work: &Work, refusal: Refusal) -> Refusal {
-        let meant = work.dispatch.incarnation == self.me.incarnation;
-        let Some((name, claim)) = work.claim().filter(|_| meant) else {
-            return refusal;
-        };
-        if refusal.reason == Reason::StillRunning || self.keys.seal(now, &name, claim) {
-            return refusal;
-        }
-        match refusal.reason {
-            // The key was never here and can't be remembered; its one dispatch ends here.
-            Reason::Overload => refusal,
-            _ => Refusal::maybe_run(Reason::StillRunning),
-        }
-    }
-
     /// Sends a refusal and counts it.
     pub(crate) fn refuse(
         &mut self,
@@ -158,7 +145,7 @@
     pub(crate) fn expire(&mut self, now: Instant, out: &mut Vec<Output>) {
         for item in self.queue.expired(now) {
             let refusal = Refusal::not_run(Reason::Deadline);
-            self.drop_queued(now, item.ticket, refusal, out);
+            self.drop_queued(item.ticket, refusal, out);
         }
         while let Some((limit, ticket)) = self.limits.first().copied() {
             if limit > now {
@@ -171,19 +158,13 @@
     }
 
     /// Refuses an attempt that was taken out of the queue; its key never ran.
-    pub(crate) fn drop_queued(
-        &mut self,
-        now: Instant,
-        ticket: Ticket,
-        refusal: Refusal,
-        out: &mut Vec<Output>,
-    ) {
+    pub(crate) fn drop_queued(&mut self, ticket: Ticket, refusal: Refusal, out: &mut Vec<Output>) {
         let Some(work) = self.works.remove(&ticket) else {
             return;
         };
         self.close_entry(&work);
         if let Some((name, claim)) = work.claim() {
-            self.keys.release(now, &name, claim);
+            self.keys.release(&name, claim);
         }
         self.refuse(ticket, &work, refusal, out);
     }
@@ -201,7 +182,7 @@
                 self.queue.finish(&turn, 0);
                 let wait = self.pace.work_off(self.queue.cost());
                 let refusal = Refusal::not_run(Reason::Deadline).after(wait.max(COME_BACK));
-                self.drop_queued(now, ticket, refusal, out);
+                self.drop_queued(ticket, refusal, out);
                 continue;
             }
             self.start(now, ticket, turn, out);
@@ -243,7 +224,7 @@
         let claimed = work.dispatch.claim.is_some();
         if self.queue.remove(ticket).is_some() {
             let refusal = Refusal::not_run(Reason::CallerGone);
-            self.drop_queued(now, ticket, refusal, out);
+            self.drop_queued(ticket, refusal, out);
             return;
         }
         if claimed {
--- a/crates/agent/src/keys.rs
+++ b/crates/agent/src/keys.rs
@@ -4,27 +4,22 @@
 //! request ran. A key that is asked about before its dispatch arrived is sealed: a dispatch under
 //! that claim, or an earlier one, is refused from then on.
 //!
-//! Outcomes take room, so only the latest are kept. Of an older key a digest stays until its window
-//! has closed: such a key neither runs again nor is it said not to have run.
+//! Memory is bounded, and what was forgotten proves nothing: of a key that may have been forgotten
+//! the answer is never that it did not run. Sealed keys are never forgotten; when no more fit, a key
+//! that never arrived is left open and its state unknown.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::time::Duration;
+use std::collections::{BTreeMap, VecDeque};
 
-use eelgrassdyke_core::digest::Sha256;
-use eelgrassdyke_core::time::Instant;
+use eelgrassdyke_core::time::Wall;
 use eelgrassdyke_core::wire::claim::{Name, Outcome, Status};
 
-/// Hexadecimal digits of a digest that are kept.
-const MARK_DIGITS: usize = 16;
-
-/// Keys of which a digest is kept for each one whose outcome is kept.
-const MARKS_PER_KEY: usize = 10;
-
 /// What is remembered of a key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum State {
-    /// Claims up to this one are refused.
+    /// Claims up to this one are refused, as promised to an entry.
     Sealed(u32),
+    /// Claims up to this one were refused before they ran.
+    Released(u32),
     /// Waits or runs.
     Running,
     /// Ran.
@@ -38,10 +33,8 @@
     Granted,
     /// Its claim was sealed; it never ran and never will.
     Sealed,
-    /// The key runs, ran, or may have run.
+    /// The key runs or ran.
     Taken,
-    /// No more keys can be remembered, so none can be admitted.
-    Full,
 }
 
 /// Keys of one agent life.
@@ -49,115 +42,115 @@
 pub struct Keys {
     states: BTreeMap<Name, State>,
     finished: VecDeque<Name>,
+    sealed: usize,
     most: usize,
-    window: Duration,
-    marks: BTreeSet<u64>,
-    mark_ends: VecDeque<(Instant, u64)>,
+    /// Latest date of a forgotten key that carries one.
+    floor: Option<Wall>,
+    /// Whether a key without a date was forgotten.
+    undated_forgotten: bool,
 }
 
 impl Keys {
-    /// Remembers at most `most` finished keys, oldest forgotten first, and that they were there for
-    /// `window`.
-    pub fn new(most: usize, window: Duration) -> Self {
+    /// Remembers at most `most` finished keys, oldest forgotten first, and `most` sealed ones.
+    pub fn new(most: usize) -> Self {
         Self {
             states: BTreeMap::new(),
             finished: VecDeque::new(),
+            sealed: 0,
             most,
-            window,
-            marks: BTreeSet::new(),
-            mark_ends: VecDeque::new(),
+            floor: None,
+            undated_forgotten: false,
         }
     }
 
     /// Takes in a dispatch under `claim`.
-    pub fn admit(&mut self, now: Instant, name: &Name, claim: u32) -> Admission {
-        self.drop_marks(now);
+    pub fn admit(&mut self, name: &Name, claim: u32) -> Admission {
         match self.states.get(name) {
-            Some(State::Sealed(sealed)) if claim <= *sealed => return Admission::Sealed,
+            Some(State::Sealed(refused) | State::Released(refused)) if claim <= *refused => {
+                return Admission::Sealed;
+            }
             Some(State::Running | State::Done(_)) => return Admission::Taken,
-            Some(State::Sealed(_)) => {}
-            None if self.marks.contains(&mark(name)) => return Admission::Taken,
-            None if self.is_full() => return Admission::Full,
+            Some(State::Sealed(_)) => self.sealed -= 1,
+            Some(State::Released(_)) => {}
+            // A dated key that may have been forgotten may be a second copy of one that ran.
+            None if name.key.date().is_some() && self.may_have_forgotten(name) => {
+                return Admission::Taken;
+            }
             None => {}
         }
         self.states.insert(name.clone(), State::Running);
         Admission::Granted
     }
 
-    /// Seals a key against a dispatch that is refused on arrival; tells whether that proves that
-    /// it won't run.
-    pub fn seal(&mut self, now: Instant, name: &Name, claim: u32) -> bool {
-        self.probe(now, name, claim) == Status::Sealed
-    }
-
-    /// Notes that an admitted dispatch was not passed on and won't be.
-    pub fn release(&mut self, now: Instant, name: &Name, claim: u32) {
-        self.states.insert(name.clone(), State::Sealed(claim));
-        self.forget(now, name);
+    /// Notes that a dispatch was not passed on and won't be.
+    ///
+    /// A key that runs or ran under an earlier dispatch stays as it is.
+    pub fn release(&mut self, name: &Name, claim: u32) {
+        match self.states.get_mut(name) {
+            Some(State::Sealed(refused) | State::Released(refused)) => {
+                *refused = claim.max(*refused);
+            }
+            Some(State::Done(_)) => {}
+            Some(State::Running) | None => {
+                self.states.insert(name.clone(), State::Released(claim));
+                self.forget_oldest(name);
+            }
+        }
     }
 
     /// Notes how an admitted dispatch ended.
-    pub fn finish(&mut self, now: Instant, name: &Name, outcome: Outcome) {
+    pub fn finish(&mut self, name: &Name, outcome: Outcome) {
         self.states.insert(name.clone(), State::Done(outcome));
-        self.forget(now, name);
+        self.forget_oldest(name);
     }
 
     /// Answers what became of a key, and seals it if its dispatch never arrived.
-    pub fn probe(&mut self, now: Instant, name: &Name, claim: u32) -> Status {
-        self.drop_marks(now);
-        let unsure = self.is_full() || self.marks.contains(&mark(name));
-        match self.states.get_mut(name) {
-            Some(State::Running) => Status::Running,
-            Some(State::Done(outcome)) => Status::Done(outcome.clone()),
-            Some(State::Sealed(sealed)) => {
-                *sealed = claim.max(*sealed);
-                Status::Sealed
-            }
-            None if unsure => Status::Gone,
-            None => {
-                self.states.insert(name.clone(), State::Sealed(claim));
-                self.forget(now, name);
-                Status::Sealed
+    pub fn probe(&mut self, name: &Name, claim: u32) -> Status {
+        let refused = match self.states.get(name) {
+            Some(State::Running) => return Status::Running,
+            Some(State::Done(outcome)) => return Status::Done(outcome.clone()),
+            Some(State::Sealed(refused)) => {
+                let refused = claim.max(*refused);
+                self.states.insert(name.clone(), State::Sealed(refused));
+                return Status::Sealed;
             }
+            Some(State::Released(refused)) => *refused,
+            None if self.may_have_forgotten(name) => return Status::Gone,
+            None => 0,
+        };
+        if self.sealed >= self.most {
+            return Status::Gone;
         }
+        self.sealed += 1;
+        self.states
+            .insert(name.clone(), State::Sealed(claim.max(refused)));
+        Status::Sealed
     }
 
-    fn is_full(&self) -> bool {
-        self.marks.len() >= self.most.saturating_mul(MARKS_PER_KEY)
+    /// Whether a key without a state may have had one.
+    fn may_have_forgotten(&self, name: &Name) -> bool {
+        match name.key.date() {
+            Some(date) => Some(date) <= self.floor,
+            None => self.undated_forgotten,
+        }
     }
 
-    /// Puts a finished key last in the order of forgetting.
-    fn forget(&mut self, now: Instant, name: &Name) {
+    /// Puts a finished key last in the order of forgetting, and forgets the first if too many.
+    fn forget_oldest(&mut self, name: &Name) {
         self.finished.push_back(name.clone());
         while self.finished.len() > self.most {
             let Some(oldest) = self.finished.pop_front() else {
                 return;
             };
-            if matches!(self.states.get(&oldest), None | Some(State::Running)) {
+            let state = self.states.get(&oldest);
+            if !matches!(state, Some(State::Done(_) | State::Released(_))) {
                 continue;
             }
             self.states.remove(&oldest);
-            let mark = mark(&oldest);
-            if self.marks.insert(mark) {
-                self.mark_ends.push_back((now + self.window, mark));
-            }
-        }
-    }
-
-    /// Forgets keys whose window has closed.
-    fn drop_marks(&mut self, now: Instant) {
-        while let Some((ends, mark)) = self.mark_ends.front().copied() {
-            if ends > now {
-                return;
+            match oldest.key.date() {
+                Some(date) => self.floor = self.floor.max(Some(date)),
+                None => self.undated_forgotten = true,
             }
-            self.mark_ends.pop_front();
-            self.marks.remove(&mark);
         }
     }
 }
-
-/// The first bits of a key's digest; two keys that share them are both taken for seen.
-fn mark(name: &Name) -> u64 {
-    let digest = Sha256::of(format!("{}\n{}", name.team, name.key).as_bytes()).to_string();
-    u64::from_str_radix(&digest[..MARK_DIGITS], 16).unwrap_or_default()
-}
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -58,7 +58,7 @@
     /// Sends the present claim to the replica that is thought to lead.
     fn ask_control(&mut self, now: Instant, mut flight: Flight, out: &mut Vec<Output>) {
         flight.ask_again = now + ASK_AGAIN;
-        let question = claim_question(&flight, self.options.key_window);
+        let question = claim_question(&flight);
         let address = self.leader_address();
         self.land(flight);
         if let (Some(to), Some(ask)) = (address, question) {
@@ -105,20 +105,37 @@
             }
             Finding::Held { claim, holder } => self.probe(now, flight, claim, holder, out),
             Finding::Settled(outcome) => self.conclude(now, flight, outcome, out),
-            Finding::Other => {
-                // The key belongs to another call; this one ran nowhere.
-                let mut flight = flight;
-                flight.ran = Run::No;
-                self.refuse(now, flight, Refusal::not_run(Reason::KeyReused), out);
-            }
+            // The key belongs to another call, and this one ran nowhere.
+            Finding::Other => self.refuse_unclaimed(now, flight, Reason::KeyReused, out),
             Finding::Expired => {
                 self.refuse(now, flight, Refusal::maybe_run(Reason::KeyExpired), out);
             }
+            Finding::Full => self.refuse_unclaimed(now, flight, Reason::Overload, out),
+            // The caller must send another kind of key.
+            Finding::Ahead | Finding::Undated => {
+                self.refuse_unclaimed(now, flight, Reason::Malformed, out);
+            }
             Finding::NotLeader { leader: Some(_) } => self.ask_control(now, flight, out),
             Finding::NotLeader { leader: None } => self.land(flight),
         }
     }
 
+    /// Refuses a call whose key control has never granted to it.
+    fn refuse_unclaimed(
+        &mut self,
+        now: Instant,
+        mut flight: Flight,
+        reason: Reason,
+        out: &mut Vec<Output>,
+    ) {
+        flight.ran = Run::No;
+        let refusal = match reason {
+            Reason::Overload => Refusal::not_run(reason).after(RUNNING_AGAIN),
+            _ => Refusal::not_run(reason),
+        };
+        self.refuse(now, flight, refusal, out);
+    }
+
     fn learn_leader(&mut self, leader: Option<SocketAddr>) {
         let known = leader.and_then(|a| self.options.control.iter().position(|c| *c == a));
         match known {
@@ -158,7 +175,7 @@
         let Some(flight) = self.lift(answer.request.number) else {
             return;
         };
-        // A late answer about an earlier claim says nothing about the present one.
+        // A late answer about an earlier claim must not let the present one be replaced.
         let claim = match flight.stage {
             Stage::Probing { claim, .. } if claim == answer.claim => claim,
             _ => {
@@ -298,7 +315,7 @@
     }
 }
 
-fn claim_question(flight: &Flight, window: Duration) -> Option<Ask> {
+fn claim_question(flight: &Flight) -> Option<Ask> {
     let Stage::Claiming { holder, replaces } = &flight.stage else {
         return None;
     };
@@ -306,7 +323,6 @@
         call: flight.digest,
         holder: holder.clone(),
         replaces: *replaces,
-        window_ms: window.as_millis() as u64,
     };
     Some(Ask {
         request: flight.request.clone(),
--- a/crates/entry/tests/once.rs
+++ b/crates/entry/tests/once.rs
@@ -614,7 +614,6 @@
         token_rate: TokenRate(0),
         queue: 8,
         keys: 100_000,
-        key_window: Duration::from_secs(25 * 3600),
     };
     let mut agent = Agent::new(me.clone(), options);
     agent.handle(Instant(0), AgentInput::Health(true), &mut Vec::new());
--- a/crates/testkit/src/model/world.rs
+++ b/crates/testkit/src/model/world.rs
@@ -202,7 +202,6 @@
             token_rate: row.token_rate,
             queue: 1024,
             keys: 1000,
-            key_window: Duration::from_secs(3600),
         }
     }
 
