--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -1,17 +1,21 @@
 //! Leads attempts: dispatch, the agent's answer, retry and resumption.
 
 use eelgrassdyke_core::event::{Code, Event};
-use eelgrassdyke_core::id::{Attempt, Request, Server};
+use eelgrassdyke_core::id::{Attempt, Request};
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::claim::Holder;
+use eelgrassdyke_core::wire::directory::Load;
 use eelgrassdyke_core::wire::dispatch;
-use eelgrassdyke_core::wire::dispatch::{Dispatch, Frame, Head};
+use eelgrassdyke_core::wire::dispatch::{Credit, Dispatch, Frame, Head};
 use eelgrassdyke_core::wire::refusal::{Reason, Refusal, Run};
 use eelgrassdyke_core::wire::report::Counts;
 
 use crate::entry::Entry;
 use crate::flight::{Flight, Stage};
 use crate::io::Output;
+use crate::once::OUTCOME_BYTES_MAX;
+use crate::retry::Budget;
+use crate::route::{Query, Verdict};
 
 /// When a caller may come back after servers failed its request.
 const COME_BACK_MS: u64 = 1000;
@@ -37,14 +41,19 @@
     }
 
     /// Chooses a server for the next attempt of a flight.
-    pub(crate) fn choose(&mut self, flight: &Flight) -> Option<Server> {
-        self.router.choose(
-            self.follower.servers(),
-            &flight.class.service,
-            &self.options.data_centre,
-            &flight.tried,
-            &mut self.rng,
-        )
+    pub(crate) fn choose(&mut self, now: Instant, flight: &Flight) -> Option<Holder> {
+        let query = Query {
+            service: &flight.class.service,
+            tried: &flight.tried,
+            blocks: &flight.class.blocks,
+        };
+        let server = self.router.choose(now, query, &mut self.rng)?;
+        let row = &self.follower.servers().get(&server)?.row;
+        Some(Holder {
+            server,
+            incarnation: row.incarnation,
+            address: row.address,
+        })
     }
 
     /// Dispatches an idempotent flight to a server that it has not tried.
@@ -55,19 +64,13 @@
         failure: Option<Refusal>,
         out: &mut Vec<Output>,
     ) {
-        let Some(server) = self.choose(&flight) else {
+        let Some(holder) = self.choose(now, &flight) else {
             let none = Refusal::not_run(Reason::NoServer);
             let mut refusal = failure.unwrap_or(none);
             refusal.retry_after_ms.get_or_insert(COME_BACK_MS);
             self.refuse(now, flight, refusal, out);
             return;
         };
-        let row = &self.follower.servers()[&server].row;
-        let holder = Holder {
-            server,
-            incarnation: row.incarnation,
-            address: row.address,
-        };
         self.start_attempt(now, flight, holder, None, out);
     }
 
@@ -109,7 +112,9 @@
             call: passed_call(&flight),
             resume_after: flight.passed,
         };
-        self.router.started(&holder.server);
+        let blocks = &flight.class.blocks;
+        self.router.started(now, &holder.server, blocks);
+        self.credits.open(&flight.account(), flight.class.tokens);
         out.push(Output::Event(
             Event::new(Code::RequestDispatched, attempt.number.to_string())
                 .request(&flight.request)
@@ -139,22 +144,35 @@
         frame: Frame,
         out: &mut Vec<Output>,
     ) {
-        let Some(mut flight) = self.lift_attempt(attempt, out) else {
+        let Some(flight) = self.lift_attempt(attempt, out) else {
             return;
         };
         match frame {
-            Frame::Head(head) => {
-                self.take_head(&mut flight, head, out);
-                self.land(flight);
+            Frame::Head(head) => self.take_head(now, flight, head, out),
+            Frame::Data(data) => self.take_data(now, flight, data, out),
+            Frame::End {
+                tokens,
+                load,
+                credit,
+                cached,
+                ..
+            } => {
+                self.take_load(now, &flight, load, credit);
+                if let (Stage::Running { server, .. }, Some(cached)) = (&flight.stage, cached) {
+                    self.router.verify(server, &flight.class.blocks, cached);
+                }
+                self.finish(now, flight, tokens, out);
             }
-            Frame::Data(data) => {
-                self.take_data(now, &mut flight, data, out);
-                self.land(flight);
+            Frame::Refused {
+                refusal,
+                load,
+                credit,
+            } => {
+                self.take_load(now, &flight, load, credit);
+                self.take_refusal(now, flight, refusal, out);
             }
-            Frame::End { tokens, .. } => self.finish(now, flight, tokens, out),
-            Frame::Refused { refusal, .. } => self.take_refusal(now, flight, refusal, out),
             Frame::Broken { .. } => {
-                self.end_attempt(&flight);
+                self.end_attempt(now, &flight, Verdict::Failed);
                 self.recover(now, flight, true, out);
             }
         }
@@ -171,10 +189,19 @@
         let Some(flight) = self.lift_attempt(attempt, out) else {
             return;
         };
-        self.end_attempt(&flight);
+        self.end_attempt(now, &flight, Verdict::Failed);
         self.recover(now, flight, sent, out);
     }
 
+    /// Takes in what an agent's last frame says of its load and of the team's credit.
+    fn take_load(&mut self, now: Instant, flight: &Flight, load: Load, credit: Credit) {
+        if let Stage::Running { server, .. } = &flight.stage {
+            self.router.report(server, load, now);
+        }
+        let servers = self.router.servers(&flight.class.service);
+        self.credits.grant(now, &flight.account(), servers, credit);
+    }
+
     /// Lifts the flight that an answer belongs to; a late or foreign answer is counted and dropped.
     fn lift_attempt(&mut self, attempt: &Attempt, out: &mut Vec<Output>) -> Option<Flight> {
         let known = self.owns(&attempt.request)
@@ -184,56 +211,99 @@
         if known {
             return self.lift(attempt.request.number);
         }
+        let account = match self.owns(&attempt.request) {
+            true => self.accounts.get(&attempt.request.number).cloned(),
+            false => None,
+        };
+        if let Some((team, service)) = account {
+            self.books.row(&team, &service).dropped += 1;
+        }
         let event = Event::new(Code::AnswerDropped, attempt.to_string());
         out.push(Output::Event(event.request(&attempt.request)));
         None
     }
 
-    fn take_head(&mut self, flight: &mut Flight, head: Head, out: &mut Vec<Output>) {
-        flight.head = Some(head.clone());
-        if !flight.class.stream || flight.begun || head.status != 200 {
+    fn take_head(&mut self, now: Instant, mut flight: Flight, head: Head, out: &mut Vec<Output>) {
+        let streams = head.status == 200 && is_event_stream(&head);
+        let unfit = match flight.begun {
+            // A stream goes on only with more of the stream.
+            true => !streams,
+            false => head.status >= 500 && flight.class.idempotent && self.may_retry(now, &flight),
+        };
+        if unfit {
+            self.break_off(now, &flight, Verdict::Failed, out);
+            self.recover(now, flight, true, out);
             return;
         }
-        let Some(ticket) = flight.ticket else {
-            return;
-        };
-        flight.begun = true;
-        out.push(Output::Head { ticket, head });
+        flight.head = Some(head.clone());
+        if flight.class.stream && streams && !flight.begun {
+            flight.begun = true;
+            if let Some(ticket) = flight.ticket {
+                out.push(Output::Head { ticket, head });
+            }
+        }
+        self.land(flight);
     }
 
     fn take_data(
         &mut self,
         now: Instant,
-        flight: &mut Flight,
+        mut flight: Flight,
         data: Vec<u8>,
         out: &mut Vec<Output>,
     ) {
-        if !flight.begun {
+        if flight.begun {
+            // A claimed stream is kept as its outcome too, up to what is kept at all.
+            if !flight.class.idempotent && flight.body.len() <= OUTCOME_BYTES_MAX {
+                flight.body.extend_from_slice(&data);
+            }
+            self.pass_event(now, &mut flight, data, out);
+            self.land(flight);
+            return;
+        }
+        if flight.body.len() + data.len() <= self.options.body_max {
             flight.body.extend_from_slice(&data);
+            self.land(flight);
             return;
         }
+        self.cancel(now, &flight, out);
+        let refusal = Refusal {
+            reason: Reason::ServerFailed,
+            run: Run::Yes,
+            retry_after_ms: None,
+        };
+        self.refuse(now, flight, refusal, out);
+    }
+
+    /// Passes an event of a stream on to the caller.
+    fn pass_event(
+        &mut self,
+        now: Instant,
+        flight: &mut Flight,
+        data: Vec<u8>,
+        out: &mut Vec<Output>,
+    ) {
         let Some(ticket) = flight.ticket else {
             return;
         };
-        let row = self.books.row(&flight.team, &flight.class.service);
-        row.tokens += 1;
-        if flight.passed == 0 {
-            Counts::observe(
-                &mut row.first_us,
-                now.since(flight.since).as_micros() as u64,
-            );
+        flight.passed_bytes += data.len();
+        flight.done |= is_done(&data);
+        if !flight.done {
+            let row = self.books.row(&flight.team, &flight.class.service);
+            row.tokens += 1;
+            if flight.passed == 0 {
+                let micros = now.since(flight.since).as_micros() as u64;
+                Counts::observe(&mut row.first_us, micros);
+            }
+            flight.passed += 1;
+            flight.ran = Run::Yes;
         }
-        flight.passed += 1;
         out.push(Output::Data { ticket, data });
     }
 
     /// Ends a flight whose answer is whole.
     fn finish(&mut self, now: Instant, mut flight: Flight, tokens: u64, out: &mut Vec<Output>) {
-        self.end_attempt(&flight);
-        if flight.begun {
-            self.finish_stream(now, &mut flight, out);
-            return;
-        }
+        self.end_attempt(now, &flight, Verdict::Answered);
         let body = std::mem::take(&mut flight.body);
         let head = flight.head.clone().unwrap_or(Head {
             status: 502,
@@ -245,6 +315,10 @@
         {
             self.settle(&flight, claim, Self::outcome(&head, &body), out);
         }
+        if flight.begun {
+            self.finish_stream(now, &mut flight, out);
+            return;
+        }
         if flight.ticket.is_some() {
             self.books.row(&flight.team, &flight.class.service).tokens += tokens;
         }
@@ -259,7 +333,11 @@
         refusal: Refusal,
         out: &mut Vec<Output>,
     ) {
-        self.end_attempt(&flight);
+        let verdict = match refusal.reason {
+            Reason::ServerFailed => Verdict::Failed,
+            _ => Verdict::Unknown,
+        };
+        self.end_attempt(now, &flight, verdict);
         if refusal.run != Run::No {
             self.recover(now, flight, true, out);
             return;
@@ -268,7 +346,8 @@
             return;
         };
         flight.tried.push(server);
-        if !self.may_retry(now, &flight, &refusal) {
+        let hopeless = matches!(refusal.reason, Reason::Deadline | Reason::Share);
+        if hopeless || !self.may_retry(now, &flight) || !self.spend_retry(&flight) {
             self.refuse(now, flight, refusal, out);
             return;
         }
@@ -307,17 +386,25 @@
             self.probe(now, flight, claim, holder, out);
             return;
         }
+        if flight.done {
+            // Nothing is missing but the end.
+            self.finish_stream(now, &mut flight, out);
+            return;
+        }
         flight.tried.push(server);
         let run = match sent {
             true => Run::Unknown,
             false => Run::No,
         };
+        if sent && flight.ran == Run::No {
+            flight.ran = Run::Unknown;
+        }
         let refusal = Refusal {
             reason: Reason::ServerFailed,
             run,
             retry_after_ms: Some(COME_BACK_MS),
         };
-        if flight.ticket.is_none() || !self.may_retry(now, &flight, &refusal) {
+        if flight.ticket.is_none() || !self.may_retry(now, &flight) || !self.spend_retry(&flight) {
             self.refuse(now, flight, refusal, out);
             return;
         }
@@ -330,39 +417,62 @@
         self.dispatch(now, flight, Some(refusal), out);
     }
 
-    /// Whether another attempt is worth its cost.
-    fn may_retry(&mut self, now: Instant, flight: &Flight, refusal: &Refusal) -> bool {
+    /// Whether another attempt may still bring an answer.
+    fn may_retry(&self, now: Instant, flight: &Flight) -> bool {
         if now >= flight.deadline || flight.attempts >= self.options.attempts {
             return false;
         }
-        if matches!(
-            refusal.reason,
-            Reason::Deadline | Reason::Share | Reason::KeyReused
-        ) {
-            return false;
-        }
+        let budget = self.budgets.get(&flight.class.service);
+        budget.is_some_and(Budget::is_open)
+    }
+
+    /// Takes a retry out of the service's budget.
+    fn spend_retry(&mut self, flight: &Flight) -> bool {
         let budget = self.budgets.get_mut(&flight.class.service);
-        budget.is_some_and(|budget| budget.spend())
+        budget.is_some_and(Budget::spend)
     }
 
     /// Counts the present attempt as ended.
-    fn end_attempt(&mut self, flight: &Flight) {
+    fn end_attempt(&mut self, now: Instant, flight: &Flight, verdict: Verdict) {
         if let Stage::Running { server, .. } = &flight.stage {
-            self.router.ended(server);
+            self.router.ended(now, server, verdict);
+            let tokens = flight.class.tokens;
+            self.credits.close(now, &flight.account(), tokens);
         }
     }
 
     /// Breaks off what a flight that is given up still has running.
-    pub(crate) fn cancel(&mut self, _now: Instant, flight: &Flight, out: &mut Vec<Output>) {
+    pub(crate) fn cancel(&mut self, now: Instant, flight: &Flight, out: &mut Vec<Output>) {
+        self.break_off(now, flight, Verdict::Unknown, out);
+    }
+
+    fn break_off(
+        &mut self,
+        now: Instant,
+        flight: &Flight,
+        verdict: Verdict,
+        out: &mut Vec<Output>,
+    ) {
         if let Stage::Running { attempt, .. } = &flight.stage {
             out.push(Output::Cancel {
                 attempt: attempt.clone(),
             });
-            self.end_attempt(flight);
+            self.end_attempt(now, flight, verdict);
         }
     }
 }
 
+fn is_event_stream(head: &Head) -> bool {
+    let kind = head.headers.iter().find(|(name, _)| name == "content-type");
+    kind.is_some_and(|(_, value)| value.starts_with("text/event-stream"))
+}
+
+/// Whether an event is the one that ends a whole stream.
+fn is_done(event: &[u8]) -> bool {
+    let data = event.strip_prefix(b"data:").unwrap_or_default();
+    data.trim_ascii() == b"[DONE]"
+}
+
 fn claim_of(flight: &Flight, number: Option<u32>) -> Option<dispatch::Claim> {
     let key = flight.class.key.clone()?;
     Some(dispatch::Claim {
--- a/crates/entry/src/io.rs
+++ b/crates/entry/src/io.rs
@@ -151,6 +151,8 @@
     pub claim_timeout: Duration,
     /// Attempts at a request at most.
     pub attempts: u32,
+    /// Largest answer that is not streamed, in bytes.
+    pub body_max: usize,
 }
 
 impl Default for Options {
@@ -163,6 +165,7 @@
             freshness: Duration::from_secs(10),
             claim_timeout: Duration::from_secs(2),
             attempts: 3,
+            body_max: 8 << 20,
         }
     }
 }
