Hostile callers: what they found, mended; stamps on dispatches

A header name over 64 KiB behind a body, read ahead with it, panicked in the decoder and took the process's only thread down; transfer-encoding: identity hid a body that was then served as a second request; an answer with status 204 that was streamed, and any answer to HEAD, put a body on the wire; the client waited for the body of a HEAD answer and took an answer without length as empty; a caller that asked for a close was closed only after the idle time; Expect was answered whatever it said. Ruled out: closing after every chunked body (costs keep-alive); reading with a bound alone (what is read ahead is not counted against the next head). Each read is bounded to 16 KiB instead, so that what is read ahead and the next head stay below 64 KiB together. Conclusion: bad input gets a 4xx with run: no, or a close.

--- a/crates/core/src/wire/dispatch.rs
+++ b/crates/core/src/wire/dispatch.rs
@@ -1,7 +1,7 @@
 //! The exchange between an entry and an agent that serves one attempt.
 //!
-//! The entry sends `POST /peer/dispatch` with a [`Dispatch`]; the agent streams [`Frame`]s back, one
-//! after another in MessagePack, until [`Frame::End`], [`Frame::Refused`] or [`Frame::Broken`]. The
+//! The entry sends `POST /peer/dispatch` with a [`Dispatch`]; the agent streams lists of [`Frame`]s
+//! back, one list in each chunk and both [`Stamped`](super::Stamped), until [`Frame::End`], [`Frame::Refused`] or [`Frame::Broken`]. The
 //! entry closes the connection to cancel.
 
 use crate::data;
--- a/crates/core/src/wire/mod.rs
+++ b/crates/core/src/wire/mod.rs
@@ -52,6 +52,14 @@
         pub address: SocketAddr,
     }
 
+    /// A value of the exchange between an entry and an agent, and when it was sent.
+    pub struct Stamped<T> {
+        /// When it was sent, for the time line.
+        pub stamp: Stamp,
+        /// What is sent.
+        pub value: T,
+    }
+
     /// Messages from one process to another, oldest first.
     pub struct Batch {
         /// Who sends them.
--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -6,16 +6,22 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Method, StatusCode, Version, header};
+use monoio::io::AsyncReadRent;
 use monoio::io::sink::SinkExt;
 use monoio::io::stream::Stream;
 use monoio::net::TcpStream;
 use monoio_http::common::body::Body;
+use monoio_http::h1::BorrowFramedRead;
 use monoio_http::h1::codec::ClientCodec;
 use monoio_http::h1::codec::decoder::{ChunkedBodyDecoder, FixedBodyDecoder, PayloadDecoder};
 use monoio_http::h1::payload::{FixedPayload, FramedPayload, Payload};
 
-use super::{Error, Result};
+use super::guard::check_length;
+use super::{Error, Result, has_no_body};
+
+/// Bytes read at once of a body that ends with its connection.
+const READ_BYTES: usize = 16 << 10;
 
 /// Longest wait for a connection to open.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -58,6 +64,8 @@
 pub struct Connection {
     codec: ClientCodec<TcpStream>,
     host: HeaderValue,
+    /// Whether the last call was made with `HEAD`, whose answer has no body.
+    is_head: bool,
 }
 
 /// The head of an answer, and how its body is read.
@@ -66,7 +74,18 @@
     pub status: StatusCode,
     /// Header fields.
     pub headers: HeaderMap,
-    body: FramedPayload<&'a mut ClientCodec<TcpStream>>,
+    body: AnswerBody<'a>,
+    keeps_alive: bool,
+}
+
+/// How the body of an answer is read.
+enum AnswerBody<'a> {
+    /// There is none.
+    Absent,
+    /// By its length or its chunks.
+    Framed(FramedPayload<&'a mut ClientCodec<TcpStream>>),
+    /// Until the peer closes the connection.
+    UntilClose(&'a mut ClientCodec<TcpStream>),
 }
 
 impl Connection {
@@ -82,6 +101,7 @@
         Ok(Self {
             codec: ClientCodec::new(stream),
             host,
+            is_head: false,
         })
     }
 
@@ -96,6 +116,12 @@
         *call.uri_mut() = request.path.parse().map_err(Error::protocol)?;
         *call.headers_mut() = request.headers;
         call.headers_mut().insert(header::HOST, self.host.clone());
+        if matches!(*call.method(), Method::POST | Method::PUT | Method::PATCH) {
+            // The encoder puts the right length in its place, also when it is zero.
+            let length = HeaderValue::from_static("0");
+            call.headers_mut().insert(header::CONTENT_LENGTH, length);
+        }
+        self.is_head = call.method() == Method::HEAD;
         self.codec
             .send_and_flush(call)
             .await
@@ -104,16 +130,37 @@
 
     /// Waits for the head of the answer.
     pub async fn answer(&mut self) -> Result<Answer<'_>> {
-        let response = match self.codec.next().await {
-            Some(response) => response.map_err(Error::protocol)?,
-            None => return Err(Error::Closed),
+        let (head, decoder) = loop {
+            let response = match self.codec.next().await {
+                Some(response) => response.map_err(Error::protocol)?,
+                None => return Err(Error::Closed),
+            };
+            let (head, decoder): (_, PayloadDecoder<FixedBodyDecoder, ChunkedBodyDecoder>) =
+                response.into_parts();
+            if head.status == StatusCode::SWITCHING_PROTOCOLS {
+                return Err(Error::protocol("the peer switches protocols unasked"));
+            }
+            // An interim answer only announces the real one.
+            if !head.status.is_informational() {
+                break (head, decoder);
+            }
+        };
+        check_length(&head.headers).map_err(Error::protocol)?;
+        let framed = head.headers.contains_key(header::CONTENT_LENGTH)
+            || head.headers.contains_key(header::TRANSFER_ENCODING);
+        let body = match framed {
+            _ if self.is_head || has_no_body(head.status) => AnswerBody::Absent,
+            true => AnswerBody::Framed(decoder.with_io(&mut self.codec)),
+            false => AnswerBody::UntilClose(&mut self.codec),
         };
-        let (head, decoder): (_, PayloadDecoder<FixedBodyDecoder, ChunkedBodyDecoder>) =
-            response.into_parts();
+        let keeps_alive = head.version == Version::HTTP_11
+            && !matches!(body, AnswerBody::UntilClose(_))
+            && !says_close(&head.headers);
         Ok(Answer {
             status: head.status,
             headers: head.headers,
-            body: decoder.with_io(&mut self.codec),
+            body,
+            keeps_alive,
         })
     }
 }
@@ -121,10 +168,19 @@
 impl Answer<'_> {
     /// Waits for the next part of the body; none once it is whole.
     pub async fn part(&mut self) -> Result<Option<Bytes>> {
-        match self.body.next_data().await {
-            Some(part) => part.map(Some).map_err(Error::protocol),
-            None => Ok(None),
-        }
+        let part = match &mut self.body {
+            AnswerBody::Absent => None,
+            AnswerBody::Framed(payload) => payload.next_data().await,
+            AnswerBody::UntilClose(codec) => {
+                let buffer = Vec::with_capacity(READ_BYTES);
+                let (count, buffer) = codec.framed_mut().read(buffer).await;
+                return match count? {
+                    0 => Ok(None),
+                    _ => Ok(Some(buffer.into())),
+                };
+            }
+        };
+        part.transpose().map_err(Error::protocol)
     }
 
     /// Reads the rest of the body.
@@ -138,10 +194,13 @@
 
     /// Whether the connection may carry another call once the body is whole.
     pub fn keeps_alive(&self) -> bool {
-        let value = self
-            .headers
-            .get(header::CONNECTION)
-            .and_then(|v| v.to_str().ok());
-        !value.is_some_and(|text| text.eq_ignore_ascii_case("close"))
+        self.keeps_alive
     }
 }
+
+fn says_close(headers: &HeaderMap) -> bool {
+    let value = headers
+        .get(header::CONNECTION)
+        .and_then(|v| v.to_str().ok());
+    value.is_some_and(|text| text.eq_ignore_ascii_case("close"))
+}
--- a/crates/node/src/http/guard.rs
+++ b/crates/node/src/http/guard.rs
@@ -11,13 +11,21 @@
 use http::HeaderMap;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use monoio::BufResult;
-use monoio::buf::{IoBufMut, IoVecBufMut};
+use monoio::buf::{IoBufMut, IoVecBufMut, IoVecWrapperMut};
 use monoio::io::AsyncReadRent;
 
+/// Most bytes taken in one read.
+///
+/// What is read beyond the end of one request waits for the next head and is not counted against
+/// that head's allowance. Together they must stay below 64 KiB, where the decoder panics on the
+/// length of a header name.
+const READ_BYTES_MAX: usize = 16 << 10;
+
 /// Bytes that may still be read, shared between a connection and its [`Guard`].
 #[derive(Clone, Debug, Default)]
 pub struct Allowance {
     left: Rc<Cell<usize>>,
+    discards: Rc<Cell<bool>>,
 }
 
 impl Allowance {
@@ -26,6 +34,17 @@
         self.left.set(bytes);
     }
 
+    /// Has the reader drop up to `bytes` of what still comes, and then report the end.
+    pub fn discard(&self, bytes: usize) {
+        self.left.set(bytes);
+        self.discards.set(true);
+    }
+
+    /// What may still be read, in bytes.
+    pub fn left(&self) -> usize {
+        self.left.get()
+    }
+
     /// Whether nothing more may be read.
     pub fn is_spent(&self) -> bool {
         self.left.get() == 0
@@ -61,27 +80,49 @@
     }
 }
 
-impl<R: AsyncReadRent> AsyncReadRent for Guard<R> {
-    async fn read<T: IoBufMut>(&mut self, buf: T) -> BufResult<usize, T> {
-        if self.allowance.is_spent() {
-            return (Err(Self::spent()), buf);
+impl<R: AsyncReadRent> Guard<R> {
+    /// Reads at most `room` bytes, within the allowance.
+    async fn read_part(&mut self, room: usize) -> io::Result<Vec<u8>> {
+        loop {
+            let discards = self.allowance.discards.get();
+            if self.allowance.is_spent() {
+                return match discards {
+                    true => Ok(Vec::new()),
+                    false => Err(Self::spent()),
+                };
+            }
+            let part = self.read_once(room).await?;
+            if part.is_empty() || !discards {
+                return Ok(part);
+            }
         }
-        let (result, buf) = self.inner.read(buf).await;
-        if let Ok(count) = result {
-            self.allowance.take(count);
+    }
+
+    async fn read_once(&mut self, room: usize) -> io::Result<Vec<u8>> {
+        let most = self.allowance.left().min(READ_BYTES_MAX);
+        let (result, part) = self.inner.read(Vec::with_capacity(most.min(room))).await;
+        result?;
+        self.allowance.take(part.len());
+        Ok(part)
+    }
+}
+
+impl<R: AsyncReadRent> AsyncReadRent for Guard<R> {
+    async fn read<T: IoBufMut>(&mut self, mut buf: T) -> BufResult<usize, T> {
+        match self.read_part(buf.bytes_total()).await {
+            Ok(part) => part.as_slice().read(buf).await,
+            Err(error) => (Err(error), buf),
         }
-        (result, buf)
     }
 
     async fn readv<T: IoVecBufMut>(&mut self, buf: T) -> BufResult<usize, T> {
-        if self.allowance.is_spent() {
-            return (Err(Self::spent()), buf);
+        match IoVecWrapperMut::new(buf) {
+            Ok(slice) => {
+                let (result, slice) = self.read(slice).await;
+                (result, slice.into_inner())
+            }
+            Err(buf) => (Ok(0), buf),
         }
-        let (result, buf) = self.inner.readv(buf).await;
-        if let Ok(count) = result {
-            self.allowance.take(count);
-        }
-        (result, buf)
     }
 }
 
@@ -95,6 +136,10 @@
     if lengths + encodings > 1 {
         return Err("more than one of content-length and transfer-encoding");
     }
+    let encoding = headers.get(TRANSFER_ENCODING).map(|value| value.as_bytes());
+    if encoding.is_some_and(|value| !value.eq_ignore_ascii_case(b"chunked")) {
+        return Err("the transfer-encoding is not chunked");
+    }
     let Some(length) = headers.get(CONTENT_LENGTH) else {
         return Ok(None);
     };
--- a/crates/node/src/http/mod.rs
+++ b/crates/node/src/http/mod.rs
@@ -6,6 +6,7 @@
 
 use std::io;
 
+use http::StatusCode;
 use thiserror::Error;
 
 pub mod client;
@@ -43,3 +44,8 @@
         Self::Protocol(error.to_string())
     }
 }
+
+/// Whether an answer with this status never has a body.
+fn has_no_body(status: StatusCode) -> bool {
+    status.is_informational() || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
+}
--- a/crates/node/src/http/server.rs
+++ b/crates/node/src/http/server.rs
@@ -24,11 +24,18 @@
 use monoio_http::h1::codec::decoder::{FillPayload, RequestDecoder};
 
 use super::guard::{Allowance, Guard, check_length};
-use super::{HEAD_BYTES_MAX, write};
+use super::write::Framing;
+use super::{HEAD_BYTES_MAX, has_no_body, write};
 
 /// Bytes that may wait for a slow reader before its answer is cut off.
 const UNSENT_BYTES_MAX: usize = 4 << 20;
 
+/// Bytes of a refused peer that are read and dropped.
+const DRAIN_BYTES_MAX: usize = 256 << 10;
+
+/// Longest time for which they are.
+const DRAIN_MAX: Duration = Duration::from_millis(500);
+
 /// Bounds on one port.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
@@ -178,6 +185,14 @@
 type Decoder = RequestDecoder<Guard<OwnedReadHalf<TcpStream>>>;
 type Decoded = Option<Result<monoio_http::common::request::Request, HttpError>>;
 
+/// What follows an answer on its connection.
+enum Next {
+    /// The head of the next request, or the end of them.
+    Read(Decoded),
+    /// Nothing: the connection is closed.
+    Close,
+}
+
 /// What a request came to.
 enum Intake {
     Request(Request),
@@ -215,6 +230,7 @@
                 Intake::Closed => return,
             };
             let close = wants_close(&request.headers);
+            let is_head = request.method == Method::HEAD;
             let (parts, rest) = unbounded();
             let exchange = Rc::new(Exchange::default());
             handler(
@@ -224,9 +240,9 @@
                     exchange: exchange.clone(),
                 },
             );
-            match self.respond(rest, &exchange).await {
-                Some(next) if !close => early = next,
-                Some(_) => return,
+            match self.respond(rest, &exchange, is_head, close).await {
+                Some(Next::Read(decoded)) => early = Some(decoded),
+                Some(Next::Close) => return,
                 None => {
                     exchange.set_gone();
                     return;
@@ -243,7 +259,13 @@
                 self.allowance.set(HEAD_BYTES_MAX);
                 match monoio::time::timeout(self.options.idle, self.decoder.next()).await {
                     Ok(decoded) => decoded,
-                    Err(_) => return Intake::Closed,
+                    Err(_) if self.allowance.left() == HEAD_BYTES_MAX => return Intake::Closed,
+                    Err(_) => {
+                        return Intake::Bad(
+                            StatusCode::REQUEST_TIMEOUT,
+                            "the head came too slowly",
+                        );
+                    }
                 }
             }
         };
@@ -273,8 +295,19 @@
         if request.method() == Method::CONNECT || request.version() != Version::HTTP_11 {
             return Intake::Bad(StatusCode::BAD_REQUEST, "only HTTP/1.1 calls are served");
         }
-        if request.headers().contains_key(EXPECT) && write::go_on(&mut self.writer).await.is_err() {
-            return Intake::Closed;
+        match request.headers().get(EXPECT) {
+            None => {}
+            Some(expected) if expected.as_bytes().eq_ignore_ascii_case(b"100-continue") => {
+                if write::go_on(&mut self.writer).await.is_err() {
+                    return Intake::Closed;
+                }
+            }
+            Some(_) => {
+                return Intake::Bad(
+                    StatusCode::EXPECTATION_FAILED,
+                    "only 100-continue can be expected",
+                );
+            }
         }
 
         // The bound covers the framing of a chunked body as well.
@@ -306,15 +339,18 @@
 
     /// Writes the answer while it watches for the peer to go.
     ///
-    /// Gives none when the connection is of no more use; otherwise what the watch read early.
+    /// Gives none when the peer is gone before the answer is whole.
     async fn respond(
         &mut self,
         mut parts: UnboundedReceiver<Part>,
         exchange: &Exchange,
-    ) -> Option<Option<Decoded>> {
+        is_head: bool,
+        close: bool,
+    ) -> Option<Next> {
         self.allowance.set(HEAD_BYTES_MAX);
         let mut watch = pin!(self.decoder.next().fuse());
         let mut early = None;
+        let mut bodiless = is_head;
         loop {
             let next = match early.is_none() {
                 false => parts.next().await,
@@ -332,37 +368,25 @@
             if exchange.overrun.get() {
                 return None;
             }
-            let written = match next? {
-                Part::Fixed(status, headers, body) => {
-                    write::fixed(&mut self.writer, status, headers, body)
-                        .await
-                        .ok()?;
-                    break;
-                }
-                Part::Head(status, headers) => {
-                    write::head(&mut self.writer, status, &headers).await
-                }
-                Part::Data(data) => {
-                    exchange
-                        .unsent
-                        .set(exchange.unsent.get().saturating_sub(data.len()));
-                    write::part(&mut self.writer, &data).await
-                }
-                Part::End => {
-                    write::end(&mut self.writer).await.ok()?;
-                    break;
-                }
-            };
-            written.ok()?;
+            if let Flow::Whole =
+                write_part(&mut self.writer, next?, exchange, is_head, &mut bodiless)
+                    .await
+                    .ok()?
+            {
+                break;
+            }
         }
 
         // The answer is whole. The watch must run to its end: what it has read belongs to the
         // next request.
-        if early.is_none() {
-            let idle = monoio::time::timeout(self.options.idle, watch.as_mut()).await;
-            early = Some(idle.ok()?);
+        match early {
+            _ if close => Some(Next::Close),
+            Some(decoded) => Some(Next::Read(decoded)),
+            None => match monoio::time::timeout(self.options.idle, watch.as_mut()).await {
+                Ok(decoded) => Some(Next::Read(decoded)),
+                Err(_) => Some(Next::Close),
+            },
         }
-        Some(early)
     }
 
     async fn refuse(&mut self, status: StatusCode, problem: &'static str) {
@@ -380,18 +404,66 @@
         use monoio::io::AsyncWriteRent as _;
 
         let _ = self.writer.shutdown().await;
-        self.allowance.set(HEAD_BYTES_MAX * 8);
-        let _ = monoio::time::timeout(Duration::from_millis(500), async {
-            while let Some(Ok(_)) = self.decoder.next().await {
-                if self.decoder.fill_payload().await.is_err() {
-                    break;
-                }
+        self.allowance.discard(DRAIN_BYTES_MAX);
+        let _ = monoio::time::timeout(DRAIN_MAX, async {
+            // After an error the decoder first says that nothing more comes, and reads after that.
+            for _ in 0..3 {
+                let _ = self.decoder.next().await;
             }
         })
         .await;
     }
 }
 
+/// Whether more of an answer is to come.
+enum Flow {
+    More,
+    Whole,
+}
+
+/// Writes a part of an answer; `bodiless` says that the answer has no body on the wire.
+async fn write_part(
+    writer: &mut OwnedWriteHalf<TcpStream>,
+    part: Part,
+    exchange: &Exchange,
+    is_head: bool,
+    bodiless: &mut bool,
+) -> super::Result<Flow> {
+    match part {
+        Part::Fixed(status, headers, body) if is_head || has_no_body(status) => {
+            let length = is_head.then_some(body.len());
+            write::head(writer, status, &headers, Framing::Absent(length)).await?;
+            return Ok(Flow::Whole);
+        }
+        Part::Fixed(status, headers, body) => {
+            write::fixed(writer, status, headers, body).await?;
+            return Ok(Flow::Whole);
+        }
+        Part::Head(status, headers) => {
+            *bodiless |= has_no_body(status);
+            let framing = match *bodiless {
+                true => Framing::Absent(None),
+                false => Framing::Chunked,
+            };
+            write::head(writer, status, &headers, framing).await?;
+        }
+        Part::Data(data) => {
+            let unsent = exchange.unsent.get().saturating_sub(data.len());
+            exchange.unsent.set(unsent);
+            if !*bodiless {
+                write::part(writer, &data).await?;
+            }
+        }
+        Part::End => {
+            if !*bodiless {
+                write::end(writer).await?;
+            }
+            return Ok(Flow::Whole);
+        }
+    }
+    Ok(Flow::More)
+}
+
 fn wants_close(headers: &HeaderMap) -> bool {
     let value = headers.get(CONNECTION).and_then(|v| v.to_str().ok());
     value.is_some_and(|text| text.eq_ignore_ascii_case("close"))
--- a/crates/node/src/http/write.rs
+++ b/crates/node/src/http/write.rs
@@ -1,4 +1,4 @@
-//! Frames streamed answers.
+//! Frames streamed answers and answers without a body.
 //!
 //! Each part leaves at once in one write: the library's encoder holds parts back until 8 KiB have
 //! gathered, which would hold up a model's first tokens.
@@ -43,11 +43,21 @@
         .map_err(Error::protocol)
 }
 
-/// Writes the head of a streamed answer.
+/// How the body that follows a head is delimited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// By chunks.
+    Chunked,
+    /// No body follows; one of this length would follow the same call made with `GET`.
+    Absent(Option<usize>),
+}
+
+/// Writes the head of a streamed answer, or of one without a body.
 pub async fn head<W: AsyncWriteRent>(
     io: &mut W,
     status: StatusCode,
     headers: &HeaderMap,
+    framing: Framing,
 ) -> Result<()> {
     let mut text = Vec::with_capacity(256);
     // Writing to memory can't fail.
@@ -58,7 +68,14 @@
         text.extend_from_slice(value.as_bytes());
         text.extend_from_slice(b"\r\n");
     }
-    text.extend_from_slice(b"transfer-encoding: chunked\r\n\r\n");
+    match framing {
+        Framing::Chunked => text.extend_from_slice(b"transfer-encoding: chunked\r\n"),
+        Framing::Absent(Some(length)) => {
+            let _ = write!(text, "content-length: {length}\r\n");
+        }
+        Framing::Absent(None) => {}
+    }
+    text.extend_from_slice(b"\r\n");
     all(io, text).await
 }
 
--- a/crates/node/src/role/agent.rs
+++ b/crates/node/src/role/agent.rs
@@ -8,8 +8,8 @@
 
 use eelgrassdyke_agent::{Agent, Input, Output, Reply};
 use eelgrassdyke_core::id::Ticket;
-use eelgrassdyke_core::wire;
 use eelgrassdyke_core::wire::dispatch::{Call, Dispatch, Frame, Head};
+use eelgrassdyke_core::wire::{self, Stamped};
 use futures_channel::oneshot;
 use futures_util::future::{Either, select};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
@@ -97,7 +97,11 @@
 
     fn send_frame(&self, ticket: Ticket, frame: Frame) {
         let last = !matches!(frame, Frame::Head(_) | Frame::Data(_));
-        let bytes = match wire::encode(&vec![frame]) {
+        let part = Stamped {
+            stamp: self.context.timeline.stamp(),
+            value: vec![frame],
+        };
+        let bytes = match wire::encode(&part) {
             Ok(bytes) => bytes,
             Err(error) => {
                 log::error!("{error}");
--- a/crates/node/src/role/entry.rs
+++ b/crates/node/src/role/entry.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 use eelgrassdyke_core::id::{Attempt, Ticket};
-use eelgrassdyke_core::wire;
 use eelgrassdyke_core::wire::dispatch::{Dispatch, Frame, Head};
 use eelgrassdyke_core::wire::refusal::Refusal;
+use eelgrassdyke_core::wire::{self, Stamped};
 use eelgrassdyke_entry::{Call, Entry, Input, Output};
 use futures_channel::oneshot;
 use futures_util::future::{Either, select};
@@ -150,7 +150,11 @@
         sent: &Cell<bool>,
     ) -> crate::http::Result<()> {
         let attempt = dispatch.attempt.clone();
-        let body = wire::encode(&dispatch)
+        let stamped = Stamped {
+            stamp: self.context.timeline.stamp(),
+            value: dispatch,
+        };
+        let body = wire::encode(&stamped)
             .map_err(|error| crate::http::Error::Protocol(error.to_string()))?;
         let mut request = client::Request::post("/peer/dispatch", body);
         request
@@ -165,9 +169,10 @@
         }
         let mut ended = false;
         while let Some(part) = answer.part().await? {
-            let frames: Vec<Frame> = wire::decode(&part)
+            let part: Stamped<Vec<Frame>> = wire::decode(&part)
                 .map_err(|error| crate::http::Error::Protocol(error.to_string()))?;
-            for frame in frames {
+            self.context.timeline.hear(part.stamp);
+            for frame in part.value {
                 ended |= !matches!(frame, Frame::Head(_) | Frame::Data(_));
                 self.feed(Input::Frame {
                     attempt: attempt.clone(),
