--- a/crates/control/src/log/leader.rs
+++ b/crates/control/src/log/leader.rs
@@ -273,7 +273,9 @@
                     true => peer.advance(index),
                     false => peer.go_back(index),
                 }
-                if peer.next > base {
+                let matched = peer.matched;
+                let done = |install: &Install| install.snapshot.index <= matched;
+                if peer.next > base || peer.install.as_ref().is_some_and(done) {
                     peer.install = None;
                 }
             }
--- a/crates/control/src/log/members.rs
+++ b/crates/control/src/log/members.rs
@@ -64,8 +64,10 @@
                 let Some(address) = members.learners.remove(&id) else {
                     return Err(refuse(format!("no learner {id}"), "add it first"));
                 };
-                let lag = self.log.last() - leader.match_of(id);
-                if lag > Index(PROMOTION_LAG_MAX) {
+                let matched = leader.match_of(id);
+                let lag = self.log.last() - matched;
+                // A learner that holds nothing durably yet couldn't vote, however short the log is.
+                if lag > Index(PROMOTION_LAG_MAX) || matched < leader.first {
                     return Err(refuse(
                         format!("learner {id} still lacks {lag} records"),
                         "try again when the status of control shows that it has caught up",
