--- a/crates/control/tests/claims.rs
+++ b/crates/control/tests/claims.rs
@@ -58,6 +58,11 @@
     claims.apply(clock, &ask)
 }
 
+fn granted_to(claim: u32, server: &str) -> Finding {
+    let holder = holder(server);
+    Finding::Granted { claim, holder }
+}
+
 fn settle(claims: &mut Claims, clock: Wall, key: &str, claim: u32, outcome: Outcome) -> Finding {
     let ask = Ask {
         request: request(1),
@@ -91,10 +96,7 @@
 fn a_resend_after_its_window_is_too_old_and_not_run_as_new() {
     for key in [dated(NOW, 1), "order-1".to_owned()] {
         let mut claims = Claims::default();
-        assert_eq!(
-            claim(&mut claims, NOW, 1, &key),
-            Finding::Granted { claim: 1 }
-        );
+        assert_eq!(claim(&mut claims, NOW, 1, &key), granted_to(1, "orders-1"));
         settle(&mut claims, NOW, &key, 1, answered(2));
         let later = Wall(NOW.0 + DAY_MS - 1);
         assert_eq!(
@@ -129,7 +131,7 @@
     assert_eq!(claim(&mut Claims::default(), NOW, 1, &key), Finding::Ahead);
     let key = dated(Wall(NOW.0 + 1000), 1);
     let finding = claim(&mut Claims::default(), NOW, 1, &key);
-    assert_eq!(finding, Finding::Granted { claim: 1 });
+    assert_eq!(finding, granted_to(1, "orders-1"));
 }
 
 #[test]
@@ -166,7 +168,7 @@
         };
         claims.apply(NOW, &ask)
     };
-    let second = Finding::Granted { claim: 2 };
+    let second = granted_to(2, "orders-2");
     assert_eq!(replace(&mut claims, 2, "orders-2", 1), second);
     assert_eq!(replace(&mut claims, 2, "orders-2", 1), second, "resent");
     let held = Finding::Held {
@@ -177,7 +179,7 @@
     assert_eq!(claim(&mut claims, NOW, 1, "order-1"), held);
     assert_eq!(settle(&mut claims, NOW, "order-1", 1, answered(1)), held);
     settle(&mut claims, NOW, "order-1", 2, Outcome::NotRun);
-    let third = Finding::Granted { claim: 3 };
+    let third = granted_to(3, "orders-1");
     assert_eq!(claim(&mut claims, NOW, 4, "order-1"), third);
 }
 
@@ -198,7 +200,7 @@
     // All are younger than the least window, so none gives way; later the oldest do.
     let later = Wall(NOW.0 + HOUR_MS);
     let finding = claim(&mut claims, later, 1, &dated(later, 1));
-    assert_eq!(finding, Finding::Granted { claim: 1 });
+    assert_eq!(finding, granted_to(1, "orders-1"));
     assert_eq!(
         claim(&mut claims, later, 2, &dated(NOW, 0)),
         Finding::Expired
@@ -218,7 +220,7 @@
     let mut claims = Claims::with_limits(limits);
     for number in 0..10 {
         let finding = claim(&mut claims, NOW, number, &format!("order-{number}"));
-        assert_eq!(finding, Finding::Granted { claim: 1 });
+        assert_eq!(finding, granted_to(1, "orders-1"));
     }
     assert_eq!(claim(&mut claims, NOW, 10, "order-10"), Finding::Undated);
     let later = Wall(NOW.0 + 2 * DAY_MS);
@@ -227,7 +229,7 @@
     assert_eq!(claim(&mut claims, later, 10, "order-10"), Finding::Undated);
     assert_eq!(claim(&mut claims, later, 10, "order-3"), Finding::Expired);
     let finding = claim(&mut claims, later, 11, &dated(later, 1));
-    assert_eq!(finding, Finding::Granted { claim: 1 });
+    assert_eq!(finding, granted_to(1, "orders-1"));
 }
 
 #[test]
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -9,9 +9,10 @@
 use eelgrassdyke_core::digest::Sha256;
 use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::follow::Follower;
-use eelgrassdyke_core::id::{Request, Service, Ticket, Version};
+use eelgrassdyke_core::id::{Request, Server, Service, Team, Ticket, Version};
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::dispatch::Head;
+use eelgrassdyke_core::wire::follow::Directory;
 use eelgrassdyke_core::wire::refusal::{Reason, Refusal, Run};
 use eelgrassdyke_core::wire::report::{Counts, Side};
 use eelgrassdyke_core::wire::{Message, Sender};
@@ -19,7 +20,8 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::authenticate::Tokens;
-use crate::classify::{Class, classify};
+use crate::classify::{Class, attempt, classify};
+use crate::credit::Credits;
 use crate::flight::{Flight, Stage};
 use crate::io::{Call, Input, Options, Output};
 use crate::retry::Budget;
@@ -31,6 +33,12 @@
 /// When a caller that was refused for a passing reason may come back.
 const COME_BACK: Duration = Duration::from_secs(1);
 
+/// Least spread of the instants at which refused callers come back, in milliseconds.
+const SPREAD_MS: u64 = 500;
+
+/// Requests whose team and service are remembered, to account for answers that come late.
+const ACCOUNTS_MAX: usize = 4096;
+
 /// The state machine of the entry role.
 pub struct Entry {
     pub(crate) options: Options,
@@ -38,12 +46,15 @@
     pub(crate) follower: Follower,
     pub(crate) tokens: Tokens,
     pub(crate) router: Router,
+    pub(crate) credits: Credits,
     pub(crate) budgets: BTreeMap<Service, Budget>,
     pub(crate) flights: BTreeMap<u64, Flight>,
     pub(crate) tickets: BTreeMap<Ticket, u64>,
     pub(crate) timers: BTreeSet<(Instant, u64)>,
     pub(crate) books: Books,
     pub(crate) rng: ChaCha8Rng,
+    /// Accounts of the latest requests, for answers that come late.
+    pub(crate) accounts: BTreeMap<u64, (Team, Service)>,
     /// Position in `options.control` of the replica that last led.
     pub(crate) leader: usize,
     next_number: u64,
@@ -62,11 +73,13 @@
             me,
             tokens: Tokens::default(),
             router: Router::default(),
+            credits: Credits::default(),
             budgets: BTreeMap::new(),
             flights: BTreeMap::new(),
             tickets: BTreeMap::new(),
             timers: BTreeSet::new(),
             rng,
+            accounts: BTreeMap::new(),
             leader: first,
             next_number: 1,
             next_report: Instant(0),
@@ -77,6 +90,8 @@
 
     /// Takes in what happened at `now` and adds what is to be done to `out`.
     pub fn handle(&mut self, now: Instant, input: Input, out: &mut Vec<Output>) {
+        // What is overdue is given up first, so that no answer is passed on after its deadline.
+        self.run_timers(now, out);
         match input {
             Input::Call { ticket, call } => self.take_call(now, ticket, call, out),
             Input::Gone { ticket } => self.drop_caller(now, ticket, out),
@@ -87,6 +102,9 @@
             Input::Drain => self.draining = true,
         }
         self.run_timers(now, out);
+        for event in self.router.take_events() {
+            out.push(Output::Event(event));
+        }
         self.follow(now, out);
         self.report(now, out);
     }
@@ -125,7 +143,12 @@
     }
 
     fn take_call(&mut self, now: Instant, ticket: Ticket, call: Call, out: &mut Vec<Output>) {
-        if let Err(refusal) = self.admit_process(now) {
+        if let Err(mut refusal) = self.admit_process(now) {
+            // An earlier try under the key may have run.
+            if call.header("idempotency-key").is_some() && !matches!(attempt(&call), Ok(1)) {
+                refusal.run = Run::Unknown;
+            }
+            let refusal = self.spread(refusal);
             out.push(Output::Refuse { ticket, refusal });
             return;
         }
@@ -157,7 +180,11 @@
                 .team(&team),
         ));
         self.books.row(&team, &class.service).asked += 1;
-        self.earn_retry(&class.service);
+        // An earlier call of a caller that says it sends again may have run.
+        let ran = match class.attempt > 1 {
+            true => Run::Unknown,
+            false => Run::No,
+        };
         let flight = Flight {
             request,
             ticket: Some(ticket),
@@ -169,14 +196,23 @@
             since: now,
             stage: Stage::Queued,
             ask_again: Instant::NEVER,
+            claiming_since: now,
+            ran,
             attempts: 0,
             tried: Vec::new(),
             head: None,
             body: Vec::new(),
             passed: 0,
+            passed_bytes: 0,
             begun: false,
+            done: false,
         };
         self.tickets.insert(ticket, number);
+        let account = (flight.team.clone(), flight.class.service.clone());
+        self.accounts.insert(number, account);
+        if self.accounts.len() > ACCOUNTS_MAX {
+            self.accounts.pop_first();
+        }
         self.launch(now, flight, out);
     }
 
@@ -194,6 +230,18 @@
 
     /// Starts a flight: claims its key, or dispatches it.
     fn launch(&mut self, now: Instant, flight: Flight, out: &mut Vec<Output>) {
+        if !self.account_try(&flight.class) {
+            let refusal = Refusal::not_run(Reason::Overload).after(COME_BACK);
+            self.refuse(now, flight, refusal, out);
+            return;
+        }
+        let servers = self.router.servers(&flight.class.service);
+        let tokens = flight.class.tokens;
+        if !self.credits.admits(now, &flight.account(), servers, tokens) {
+            let refusal = Refusal::not_run(Reason::Share).after(COME_BACK);
+            self.refuse(now, flight, refusal, out);
+            return;
+        }
         if flight.class.idempotent {
             self.dispatch(now, flight, None, out);
             return;
@@ -205,17 +253,24 @@
         self.claim(now, flight, None, out);
     }
 
-    fn earn_retry(&mut self, service: &Service) {
-        let Some(spec) = self.follower.document().services.get(service) else {
-            return;
+    /// Earns a part of a retry for a first try, or spends one for a caller's own retry.
+    ///
+    /// A retry under a key is always let through: its outcome may be kept already.
+    fn account_try(&mut self, class: &Class) -> bool {
+        let Some(spec) = self.follower.document().services.get(&class.service) else {
+            return true;
         };
         let share = spec.retry_budget;
         let budget = self
             .budgets
-            .entry(service.clone())
+            .entry(class.service.clone())
             .or_insert_with(|| Budget::new(share));
         budget.set_share(share);
-        budget.earn();
+        if class.attempt <= 1 {
+            budget.earn();
+            return true;
+        }
+        budget.spend() || !class.idempotent
     }
 
     fn drop_caller(&mut self, now: Instant, ticket: Ticket, out: &mut Vec<Output>) {
@@ -233,21 +288,23 @@
         ));
         self.count_refusal(&flight, Reason::CallerGone);
 
-        // A non-idempotent request runs to its end, so that its outcome is kept for a resend.
-        if !flight.class.idempotent {
-            self.land(flight);
-            return;
+        match flight.class.idempotent {
+            true => self.cancel(now, &flight, out),
+            false => self.linger(now, flight, out),
         }
-        self.cancel(now, &flight, out);
     }
 
     fn take_mail(&mut self, now: Instant, from: &Sender, message: Message, out: &mut Vec<Output>) {
         match message {
             Message::Update(update) => {
+                let named = update.directory.as_ref().map(named);
                 let change = self.follower.apply(now, &from.process, update);
                 if change.config {
                     self.apply_config(out);
                 }
+                if let (true, Some(named)) = (change.directory, named) {
+                    self.apply_directory(now, named);
+                }
             }
             Message::Claimed(answer) => self.take_claimed(now, answer, out),
             Message::Probed(answer) => self.take_probed(now, answer, out),
@@ -262,6 +319,21 @@
         out.push(Output::Event(Event::new(Code::ConfigApplied, detail)));
     }
 
+    /// Tells the router of the servers that a directory names, or of all.
+    fn apply_directory(&mut self, now: Instant, named: Option<Vec<Server>>) {
+        let servers = self.follower.servers();
+        let named = named.unwrap_or_else(|| {
+            let mut all = self.router.names();
+            all.extend(servers.keys().cloned());
+            all
+        });
+        for server in named {
+            let seen = servers.get(&server);
+            let home = &self.options.data_centre;
+            self.router.learn(now, &server, seen, home);
+        }
+    }
+
     fn run_timers(&mut self, now: Instant, out: &mut Vec<Output>) {
         while let Some((at, number)) = self.timers.first().copied() {
             if at > now {
@@ -352,6 +424,8 @@
         let Some(ticket) = self.take_ticket(flight) else {
             return;
         };
+        let refusal = flight.refusal(refusal);
+        let refusal = self.spread(refusal);
         self.count_refusal(flight, refusal.reason);
         let detail = format!("{} run={}", refusal.reason, refusal.run);
         out.push(Output::Event(
@@ -429,12 +503,37 @@
             retry_after_ms: None,
         };
         self.refuse_caller(&mut flight, refusal.after(COME_BACK), out);
-        match (&flight.stage, flight.class.idempotent) {
-            // A non-idempotent request that may run is seen to its end.
-            (Stage::Running { .. }, false) => self.land(flight),
-            _ => self.cancel(now, &flight, out),
+        match flight.class.idempotent {
+            true => self.cancel(now, &flight, out),
+            false => self.linger(now, flight, out),
         }
     }
+
+    /// Spreads when refused callers come back, so that they don't all come at once.
+    fn spread(&mut self, refusal: Refusal) -> Refusal {
+        let Some(wait_ms) = refusal.retry_after_ms else {
+            return refusal;
+        };
+        let most = wait_ms / 2 + SPREAD_MS;
+        let later = self.rng.random_range(0..=most);
+        Refusal {
+            retry_after_ms: Some(wait_ms.saturating_add(later)),
+            ..refusal
+        }
+    }
+}
+
+/// The servers that a directory has news of; none when it is everything.
+fn named(directory: &Directory) -> Option<Vec<Server>> {
+    directory.since?;
+    let mut named: Vec<Server> = directory.gone.clone();
+    for row in &directory.rows {
+        named.push(row.server.clone());
+    }
+    for (server, ..) in &directory.loads {
+        named.push(server.clone());
+    }
+    Some(named)
 }
 
 /// Digest of what makes two calls under one key the same call.
