Followers ask twice as often until they may serve

Cause: a restarted process whose first answer is lost on a connection that its former life had open waited a second, and two and a half until it asked another control process. Until confirmed it now asks each half second, and another process each time.

--- a/crates/core/src/follow.rs
+++ b/crates/core/src/follow.rs
@@ -20,7 +20,10 @@
 /// Time between two questions to the same control process.
 pub const ASK_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Most by which a question comes early or late, in parts of [`ASK_INTERVAL`].
+/// Time between two questions of a process that can't serve yet.
+const START_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Most by which a question comes early or late, in parts of the interval.
 const JITTER_PART: u32 = 8;
 
 /// Time without an answer after which another control process is asked.
@@ -74,8 +77,7 @@
 impl Follower {
     /// A follower that holds nothing; the life of its process decides whom it asks first.
     pub fn new(me: &Sender, control: Vec<SocketAddr>, wants_directory: bool) -> Self {
-        let life = format!("{}/{}", me.process, me.incarnation);
-        let (seed, _) = Sha256::of(life.as_bytes()).short();
+        let seed = seed(me);
         Self {
             control,
             wants_directory,
@@ -133,15 +135,23 @@
         let last = self.heard.unwrap_or_default().max(self.waiting_since);
         self.question = self.question.wrapping_add(1);
         let random = mix(self.seed ^ self.question);
-        if now.since(last) >= ANSWER_TIMEOUT {
+        let patience = match self.confirmed {
+            true => ANSWER_TIMEOUT,
+            false => START_INTERVAL,
+        };
+        if now.since(last) >= patience {
             // Any of the others, so that the followers of a dead one don't all go to the next.
             let others = self.control.len().max(2) - 1;
             self.asked = (self.asked % self.control.len()) + 1 + random as usize % others;
             self.waiting_since = now;
         }
-        let spread = 2 * ASK_INTERVAL.as_micros() as u64 / u64::from(JITTER_PART);
+        let interval = match self.confirmed {
+            true => ASK_INTERVAL,
+            false => START_INTERVAL,
+        };
+        let spread = 2 * interval.as_micros() as u64 / u64::from(JITTER_PART);
         let jitter = Duration::from_micros(random % spread);
-        self.next_ask = now + (ASK_INTERVAL - ASK_INTERVAL / JITTER_PART) + jitter;
+        self.next_ask = now + (interval - interval / JITTER_PART) + jitter;
         // A digest that no document has makes control send a snapshot.
         let digest = match self.wants_snapshot {
             true => Sha256::of(b"snapshot"),
@@ -286,6 +296,17 @@
     }
 }
 
+/// Number from which the questions of one life of a process count on.
+pub fn first_question(me: &Sender) -> u64 {
+    mix(seed(me))
+}
+
+/// A number that no other life of a process is likely to have.
+fn seed(me: &Sender) -> u64 {
+    let life = format!("{}/{}", me.process, me.incarnation);
+    Sha256::of(life.as_bytes()).short().0
+}
+
 /// Mixes the bits of a number, so that neighbours lie far apart (SplitMix64).
 fn mix(number: u64) -> u64 {
     let mut mixed = number.wrapping_add(0x9E37_79B9_7F4A_7C15);
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -527,11 +527,11 @@
 fn named(directory: &Directory) -> Option<Vec<Server>> {
     directory.since?;
     let mut named: Vec<Server> = directory.gone.clone();
-    for row in &directory.rows {
+    for (row, _) in &directory.rows {
         named.push(row.server.clone());
     }
-    for (server, ..) in &directory.loads {
-        named.push(server.clone());
+    for reading in &directory.loads {
+        named.push(reading.server.clone());
     }
     Some(named)
 }
--- a/crates/testkit/src/model/world.rs
+++ b/crates/testkit/src/model/world.rs
@@ -7,12 +7,13 @@
 use eelgrassdyke_agent::{Agent, Input as AgentInput, Output as AgentOutput, Reply};
 use eelgrassdyke_core::config::{Document, Kind, ServiceSpec, TeamSpec};
 use eelgrassdyke_core::digest::Sha256;
+use eelgrassdyke_core::follow::first_question;
 use eelgrassdyke_core::id::{Attempt, Incarnation, Server, Ticket, Version};
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::unit::{Bytes, Permille, TokenRate};
 use eelgrassdyke_core::wire::directory::{Load, Row, State};
 use eelgrassdyke_core::wire::dispatch::{Dispatch, Frame, Head};
-use eelgrassdyke_core::wire::follow::{Config, Directory, Revision, Update};
+use eelgrassdyke_core::wire::follow::{Config, Directory, Reading, Revision, Update};
 use eelgrassdyke_core::wire::{Message, Sender};
 use eelgrassdyke_entry::{Call, Entry, Input, Output};
 use rand::{RngExt as _, SeedableRng as _};
@@ -182,7 +183,7 @@
             let mut agent = Agent::new(sender("agent", at, 2000), world.agent_options(at));
             agent.handle(Instant(0), AgentInput::Health(true), &mut Vec::new());
             let from = control.clone();
-            let message = Message::Update(world.update(false));
+            let message = Message::Update(world.update(&sender("agent", at, 2000), false));
             let mail = AgentInput::Mail { from, message };
             agent.handle(Instant(0), mail, &mut Vec::new());
             world.agents.push(agent);
@@ -225,29 +226,37 @@
     }
 
     /// What control tells a follower: all rows at first, then loads.
-    fn update(&self, directory: bool) -> Update {
+    fn update(&self, to: &Sender, directory: bool) -> Update {
         let mut loads = Vec::new();
         for (at, load) in self.loads.iter().enumerate() {
-            loads.push((server(at), *load, 0));
+            loads.push(Reading {
+                server: server(at),
+                load: *load,
+                age_ms: 0,
+            });
         }
         let listed = (0..self.options.servers).filter(|at| self.is_listed(*at));
         let directory = directory.then(|| Directory {
             revision: Revision {
                 of: (sender("control", 0, 1).process, Incarnation(1)),
                 number: self.revision,
+                loads: self.revision,
             },
             since: None,
-            rows: listed.map(|at| self.row(at)).collect(),
+            settled: true,
+            rows: listed.map(|at| (self.row(at), self.revision)).collect(),
             gone: Vec::new(),
             loads,
+            loads_complete: true,
         });
         let config = Config::Snapshot {
             version: Version(1),
-            document: self.document.clone(),
+            document: self.document.clone().into(),
         };
         Update {
             present: Version(1),
             confirmed: true,
+            question: first_question(to),
             config: Some(config),
             directory,
         }
@@ -510,7 +519,7 @@
         self.revision += 1;
         for at in 0..self.entries.len() {
             let from = sender("control", 0, 1);
-            let message = Message::Update(self.update(true));
+            let message = Message::Update(self.update(&sender("entry", at, 1000), true));
             self.entry(at, Input::Mail { from, message });
         }
         for at in 0..self.agents.len() {
