An agent takes no work before its configuration is confirmed

Cause: a restarted agent announced itself as up on its first passed health check, so it served with version 0, the empty configuration, until its first update: scenarios agent-killed and away-for-long saw "agent_version went back from version 1 to 0". Ruled out: a fault of the scenario (the process did say it was ready), and the loss of servers while control is out: without control nobody would learn of the new life anyway. An agent is up only once a quorum has confirmed its version.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -138,12 +138,15 @@
         self.books.is_settled()
     }
 
+    /// Whether new work is taken: from a healthy back end, under a configuration that a quorum has
+    /// confirmed since this life began.
     pub(crate) fn state(&self) -> State {
-        match (self.draining, self.failures < FAILURES_MAX) {
-            (true, _) if self.works.is_empty() => State::Left,
-            (true, _) => State::Draining,
-            (false, true) => State::Up,
-            (false, false) => State::Draining,
+        let serves = self.failures < FAILURES_MAX && self.follower.is_confirmed();
+        match self.draining {
+            true if self.works.is_empty() => State::Left,
+            true => State::Draining,
+            false if serves => State::Up,
+            false => State::Draining,
         }
     }
 
@@ -153,6 +156,11 @@
             true => 0,
             false => self.failures.saturating_add(1),
         };
+        self.announce_change(now, before, "health", out);
+    }
+
+    /// Announces at once that the back end takes new work, or takes none any more.
+    fn announce_change(&mut self, now: Instant, before: State, cause: &str, out: &mut Vec<Output>) {
         if self.state() == before {
             return;
         }
@@ -161,7 +169,7 @@
             _ => Code::ServerDraining,
         };
         out.push(Output::Event(
-            Event::new(code, "health").server(&self.options.server),
+            Event::new(code, cause).server(&self.options.server),
         ));
         self.next_beat = now;
     }
@@ -169,11 +177,13 @@
     fn take_mail(&mut self, now: Instant, from: &Sender, message: Message, out: &mut Vec<Output>) {
         match message {
             Message::Update(update) => {
+                let before = self.state();
                 if self.follower.apply(now, &from.process, update).config {
                     let detail = format!("version {}", self.follower.version());
                     out.push(Output::Event(Event::new(Code::ConfigApplied, detail)));
                     self.reshare();
                 }
+                self.announce_change(now, before, "configuration", out);
             }
             Message::Probe(probe) => {
                 let status = match probe.incarnation == self.me.incarnation {
