--- a/crates/entry/tests/once.rs
+++ b/crates/entry/tests/once.rs
@@ -629,6 +629,7 @@
     let update = Update {
         present: Version(0),
         confirmed: true,
+        question: first_question(&me),
         config: None,
         directory: None,
     };
