Orders to engines, fenced by the agent with a majority's word

Cause: there was no way to order an engine, and a highest fence kept by the agent alone would let a deposed leader that comes first, or one that meets a restarted agent, through to engines that don't check.

Now: POST /v1/orders puts an order into the log, idempotent by operation; the leader gives each engine one at a time while it holds its lease; the agent carries it out once a majority of voters, the giver among them, knows no newer term and the giver no later order that ended. Progress and failure stand in the status. The stand-in engine takes orders, notes their fence and can check.

Ruled out: relying on the engine (some ignore the number); asking all replicas (one lost one stops orders).

Left: eelgrassctl has no `order` yet; the stand-in's check has no flag on the command line, and no test runs it; no scenario kills a leader amid an order.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -5,7 +5,7 @@
 
 use eelgrassdyke_core::books::Books;
 use eelgrassdyke_core::event::{Code, Event};
-use eelgrassdyke_core::follow::Follower;
+use eelgrassdyke_core::follow::{Follower, first_question};
 use eelgrassdyke_core::id::{Process, Server, Ticket, Version};
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::claim::{Probed, Status};
@@ -15,6 +15,7 @@
 
 use crate::io::{Input, Options, Output};
 use crate::keys::Keys;
+use crate::orders::{ORDER_TICKET, Orders};
 use crate::pace::Pace;
 use crate::queue::Queue;
 use crate::work::Work;
@@ -33,6 +34,7 @@
     pub(crate) options: Options,
     pub(crate) me: Sender,
     pub(crate) follower: Follower,
+    orders: Orders,
     pub(crate) keys: Keys,
     pub(crate) queue: Queue,
     pub(crate) pace: Pace,
@@ -57,6 +59,11 @@
     pub fn new(me: Sender, options: Options) -> Self {
         Self {
             follower: Follower::new(&me, options.control.clone(), false),
+            orders: Orders::new(
+                options.server.clone(),
+                options.control.clone(),
+                first_question(&me),
+            ),
             keys: Keys::new(options.keys),
             queue: Queue::new(options.queue, options.slots),
             pace: Pace::new(options.slots, options.token_rate),
@@ -84,12 +91,17 @@
                 self.take_dispatch(now, ticket, *dispatch, out);
             }
             Input::Gone { ticket } => self.drop_entry(now, ticket, out),
+            Input::Reply {
+                ticket: ORDER_TICKET,
+                reply,
+            } => self.orders.take_reply(reply, out),
             Input::Reply { ticket, reply } => self.take_reply(now, ticket, reply, out),
             Input::Health(passed) => self.take_health(now, passed, out),
             Input::Mail { from, message } => self.take_mail(now, &from, message, out),
             Input::Tick => {}
             Input::Drain => self.drain(now, out),
         }
+        self.orders.tick(now, out);
         self.expire(now, out);
         self.start_queued(now, out);
         self.announce(now, out);
@@ -104,6 +116,7 @@
             .min(limit)
             .min(self.next_beat)
             .min(self.next_report)
+            .min(self.orders.next_deadline())
             .min(self.follower.next_deadline())
     }
 
@@ -200,6 +213,7 @@
                     message,
                 });
             }
+            Message::Fence(message) => self.orders.hear(now, from.address, message, out),
             Message::ReportKept(kept) => self.books.kept(&kept),
             _ => {}
         }
@@ -281,7 +295,7 @@
             state: self.state(),
             slots: self.options.slots,
             token_rate: self.options.token_rate,
-            holds: Vec::new(),
+            holds: self.orders.holds().to_vec(),
         }
     }
 
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -4,9 +4,10 @@
 
 use eelgrassdyke_core::config::Submission;
 use eelgrassdyke_core::event::{Code, Event};
-use eelgrassdyke_core::id::{Process, Ticket, Version};
+use eelgrassdyke_core::id::{Process, Server, Ticket, Version};
 use eelgrassdyke_core::time::{Instant, Wall};
 use eelgrassdyke_core::wire::claim::Ask;
+use eelgrassdyke_core::wire::fence;
 use eelgrassdyke_core::wire::follow::{Follow, Update};
 use eelgrassdyke_core::wire::log::{Payload, Record};
 use eelgrassdyke_core::wire::report::Kept;
@@ -14,6 +15,7 @@
 
 use crate::confirm::Confirmations;
 use crate::directory::Directory;
+use crate::fence::Giver;
 use crate::followers::{Follower, Followers};
 use crate::io::{Answer, FollowerStatus, Input, Options, Output, Query, Status};
 use crate::log::{self, Recovered, Replica};
@@ -27,6 +29,9 @@
 /// Least time between two pushes of the directory; the next sweep makes up for one that waits.
 const PUSH_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Orders that the status shows at most.
+const ORDERS_SHOWN: usize = 100;
+
 /// Why a follower is sent an update.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Occasion {
@@ -49,6 +54,7 @@
     directory: Directory,
     followers: Followers,
     ledger: Ledger,
+    giver: Giver,
     pushed: (Version, u64),
     next_push: Instant,
     next_sweep: Instant,
@@ -73,6 +79,7 @@
             state: State::default(),
             followers: Followers::default(),
             ledger: Ledger::default(),
+            giver: Giver::default(),
             pushed: (Version(0), 0),
             next_push: now,
             next_sweep: now,
@@ -92,6 +99,20 @@
                 let answer = self.query(now, query);
                 out.push(Output::Answer { ticket, answer });
             }
+            Input::Order {
+                ticket,
+                operation,
+                server,
+                order,
+            } => {
+                let action = Action::Order {
+                    operation,
+                    server,
+                    order,
+                };
+                self.propose(now, action, Waiting::Order { ticket }, out);
+                self.giver.hurry();
+            }
             Input::Members { ticket, change } => {
                 let token = self.proposals.add(Waiting::Member { ticket });
                 self.drive(now, log::Input::Change { token, change }, out);
@@ -135,6 +156,7 @@
             Message::Beat(beat) => out.extend(self.directory.hear(now, beat).map(Output::Event)),
             Message::Follow(follow) => self.take_follow(now, from, follow, out),
             Message::Claim(ask) => self.take_claim(now, from, ask, out),
+            Message::Fence(message) => self.take_fence(now, from, message, out),
             Message::Report(page) => {
                 self.ledger.hear(now, &page);
                 let kept = Kept {
@@ -150,6 +172,67 @@
         }
     }
 
+    /// Answers an agent that asks for the term, or takes in how an order went.
+    fn take_fence(
+        &mut self,
+        now: Instant,
+        from: &Sender,
+        message: fence::Message,
+        out: &mut Vec<Output>,
+    ) {
+        match message {
+            fence::Message::Confirm { question, server } => {
+                let voters = &self.replica.members().voters;
+                if !voters.contains_key(&self.replica.id()) {
+                    return;
+                }
+                let (replica, term) = (self.replica.id(), self.replica.term());
+                let orders = &self.state.orders;
+                let message =
+                    crate::fence::answer(question, &server, replica, term, voters.len(), orders);
+                out.push(Output::Send {
+                    to: from.address,
+                    message,
+                });
+            }
+            fence::Message::Given {
+                operation, result, ..
+            } if result != fence::Outcome::Running && self.replica.leads() => {
+                let open = self.state.orders.due();
+                if open.iter().all(|standing| standing.operation != operation) {
+                    return;
+                }
+                let action = Action::OrderEnded {
+                    operation,
+                    outcome: result,
+                };
+                self.propose(now, action, Waiting::Nobody, out);
+                self.giver.hurry();
+            }
+            _ => {}
+        }
+    }
+
+    /// Gives agents the orders that are due, while this replica surely leads.
+    fn give_orders(&mut self, now: Instant, out: &mut Vec<Output>) {
+        if !self.replica.leads() || !self.replica.holds_lease(now) {
+            return;
+        }
+        let (term, directory) = (self.replica.term(), &self.directory);
+        let address_of = |server: &Server| directory.row(server).map(|row| row.address);
+        let given = self.giver.give(now, term, &self.state.orders, address_of);
+        for (to, message) in given {
+            if let Message::Fence(fence::Message::Give {
+                operation, server, ..
+            }) = &message
+            {
+                let event = Event::new(Code::OrderGiven, format!("term {term}"));
+                out.push(Output::Event(event.operation(operation).server(server)));
+            }
+            out.push(Output::Send { to, message });
+        }
+    }
+
     fn submit(
         &mut self,
         now: Instant,
@@ -349,6 +432,7 @@
             log: self.replica.standing(now),
             version: self.version(),
             followers,
+            orders: self.state.orders.recent(ORDERS_SHOWN),
             servers: self.directory.servers(),
         }
     }
@@ -358,6 +442,7 @@
             return;
         }
         self.next_sweep = now + SWEEP_INTERVAL;
+        self.give_orders(now, out);
         self.followers.expire(now);
         out.extend(self.directory.expire(now).into_iter().map(Output::Event));
     }
--- a/crates/control/src/directory.rs
+++ b/crates/control/src/directory.rs
@@ -317,6 +317,11 @@
         held.number + 1 >= oldest
     }
 
+    /// The row of a back end.
+    pub fn row(&self, server: &Server) -> Option<&Row> {
+        self.servers.get(server).map(|known| &known.row)
+    }
+
     /// Back ends and their loads.
     pub fn servers(&self) -> Vec<(Row, Load)> {
         self.servers
--- a/crates/control/src/io.rs
+++ b/crates/control/src/io.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use eelgrassdyke_core::config::{Document, Submission, Verdict};
+use eelgrassdyke_core::config::{Document, Order, Submission, Verdict};
 use eelgrassdyke_core::data;
 use eelgrassdyke_core::event::Event;
-use eelgrassdyke_core::id::{Process, Term, Ticket, Version};
+use eelgrassdyke_core::id::{Operation, Process, Server, Term, Ticket, Version};
 use eelgrassdyke_core::time::Wall;
 use eelgrassdyke_core::wire::directory::{Load, Row};
 use eelgrassdyke_core::wire::log::Members;
@@ -14,6 +14,7 @@
 
 use crate::log::{Change, Job, Standing};
 use crate::report::Line;
+use crate::state::order;
 
 /// Something that happened.
 #[derive(Clone, Debug)]
@@ -32,6 +33,17 @@
         /// The change.
         submission: Submission,
     },
+    /// An operator gives an engine an order.
+    Order {
+        /// The waiting operator.
+        ticket: Ticket,
+        /// Names the order.
+        operation: Operation,
+        /// The engine.
+        server: Server,
+        /// What to do.
+        order: Order,
+    },
     /// An operator changes the members of the log.
     Members {
         /// The waiting operator.
@@ -125,6 +137,8 @@
         },
         /// The state of control.
         Status(Status),
+        /// What became of an order.
+        Order(order::Taken),
         /// Who got what, a line for each team and service.
         Report(Vec<Line>),
     }
@@ -147,6 +161,8 @@
         pub version: Version,
         /// Processes that follow it, by name.
         pub followers: BTreeMap<Process, FollowerStatus>,
+        /// Orders that are open and those that ended last.
+        pub orders: Vec<order::Standing>,
         /// Back ends, with their load.
         pub servers: Vec<(Row, Load)>,
     }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -14,6 +14,7 @@
 mod proposals;
 
 pub mod directory;
+pub mod fence;
 pub mod followers;
 pub mod log;
 pub mod report;
--- a/crates/control/src/proposals.rs
+++ b/crates/control/src/proposals.rs
@@ -29,6 +29,13 @@
         /// The operator.
         ticket: Ticket,
     },
+    /// An operator who gives an engine an order.
+    Order {
+        /// The operator.
+        ticket: Ticket,
+    },
+    /// Nobody.
+    Nobody,
     /// An entry that asks about a key.
     Entry {
         /// Where it takes messages.
@@ -67,6 +74,9 @@
                 out.push(Output::Event(event.operation(&operation)));
                 out.push(answer(ticket, Answer::Verdict(verdict)));
             }
+            (Some(Waiting::Order { ticket }), Effect::Order(taken)) => {
+                out.push(answer(ticket, Answer::Order(taken)));
+            }
             (Some(waiting), Effect::Claim(finding)) => find(waiting, finding, out),
             _ => {}
         }
@@ -102,9 +112,13 @@
             },
         };
         match waiting {
-            Waiting::Operator { ticket, .. } | Waiting::Member { ticket } => {
+            Waiting::Operator { ticket, .. }
+            | Waiting::Member { ticket }
+            | Waiting::Order { ticket } => {
                 out.push(answer(ticket, refused));
             }
+            // How an order ended is told again by the next leader's agent.
+            Waiting::Nobody => {}
             // An entry that hears nothing asks again later, which relieves this leader.
             Waiting::Entry { .. } if matches!(refused, Answer::Refused { .. }) => {}
             Waiting::Entry { .. } => find(waiting, Finding::NotLeader { leader }, out),
@@ -114,7 +128,11 @@
     /// Answers that the fate of a proposal is not known.
     pub fn lose(&mut self, token: u64, out: &mut Vec<Output>) {
         match self.waiting.remove(&token) {
-            Some(Waiting::Operator { ticket, .. } | Waiting::Member { ticket }) => {
+            Some(
+                Waiting::Operator { ticket, .. }
+                | Waiting::Member { ticket }
+                | Waiting::Order { ticket },
+            ) => {
                 out.push(answer(ticket, Answer::Unknown));
             }
             // The entry asks the next leader the same, and gets the same answer if this one stood.
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -3,13 +3,16 @@
 //! [`State`] is changed by committed [`Command`]s only, in log order, so that it is the same on every
 //! replica. It reads no clock: time comes with the commands, as the leader stamped them.
 
-use eelgrassdyke_core::config::{Submission, Verdict};
+use eelgrassdyke_core::config::{Order, Submission, Verdict};
 use eelgrassdyke_core::data;
+use eelgrassdyke_core::id::{Operation, Server};
 use eelgrassdyke_core::time::Wall;
 use eelgrassdyke_core::wire::claim::{Ask, Finding};
+use eelgrassdyke_core::wire::fence::Outcome;
 
 pub mod claim;
 pub mod config;
+pub mod order;
 pub mod validate;
 
 data! {
@@ -27,6 +30,22 @@
         Submit(Submission),
         /// Claims or settles a key.
         Claim(Ask),
+        /// Gives an engine an order.
+        Order {
+            /// Names the order.
+            operation: Operation,
+            /// The engine.
+            server: Server,
+            /// What to do.
+            order: Order,
+        },
+        /// Notes how an order ended.
+        OrderEnded {
+            /// The order.
+            operation: Operation,
+            /// How it went.
+            outcome: Outcome,
+        },
     }
 
     /// What a command came to.
@@ -35,6 +54,10 @@
         Verdict(Verdict),
         /// What became of a claim.
         Claim(Finding),
+        /// What became of an operator's order.
+        Order(order::Taken),
+        /// Nothing that anybody waits for.
+        Noted,
     }
 
     /// The replicated state.
@@ -45,6 +68,8 @@
         pub config: config::Config,
         /// The claims.
         pub claims: claim::Claims,
+        /// The orders.
+        pub orders: order::Orders,
         /// The latest stamp of a command; never goes back.
         pub clock: Wall,
     }
@@ -58,6 +83,15 @@
         match &command.action {
             Action::Submit(submission) => Effect::Verdict(self.config.submit(submission)),
             Action::Claim(ask) => Effect::Claim(self.claims.apply(self.clock, ask)),
+            Action::Order {
+                operation,
+                server,
+                order,
+            } => Effect::Order(self.orders.give(operation, server, order)),
+            Action::OrderEnded { operation, outcome } => {
+                self.orders.end(operation, outcome);
+                Effect::Noted
+            }
         }
     }
 }
--- a/crates/core/src/wire/fence.rs
+++ b/crates/core/src/wire/fence.rs
@@ -36,12 +36,12 @@
             /// How it went.
             result: Outcome,
         },
-        /// From an agent to every control replica: is this term still the newest you know?
+        /// From an agent to every control replica: which term is the newest you know?
         Confirm {
             /// The agent's question number.
             question: u64,
-            /// The term in doubt.
-            term: Term,
+            /// The engine that the order is for.
+            server: Server,
         },
         /// From a control replica that votes.
         Confirmed {
@@ -53,8 +53,8 @@
             term: Term,
             /// Voters by its knowledge, to count a majority.
             voters: u32,
-            /// Highest fence known to be given, once learned from the log.
-            fence: Fence,
+            /// Sequence of the last order to the engine that is known to have ended.
+            ended: u64,
         },
     }
 
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -1,8 +1,10 @@
 //! What operators ask over HTTP, as JSON.
 
 use eelgrassdyke_control::log::Change;
+use eelgrassdyke_control::state::order::Taken;
 use eelgrassdyke_control::{Answer, Query};
-use eelgrassdyke_core::config::{Submission, Verdict};
+use eelgrassdyke_core::config::{self, Submission, Verdict};
+use eelgrassdyke_core::id::{Operation, Server};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 
 use crate::http::server::{Request, Responder};
@@ -24,6 +26,7 @@
     match (&request.method, path.as_str()) {
         (&Method::POST, "/v1/config") => submit(node, &request, responder),
         (&Method::POST, "/v1/members") => change_members(node, &request, responder),
+        (&Method::POST, "/v1/orders") => order(node, &request, responder),
         (&Method::GET, "/v1/config") => ask(node, Query::Config, responder),
         (&Method::GET, "/v1/status") => ask(node, Query::Status, responder),
         (&Method::GET, "/v1/report") => ask(node, Query::Report, responder),
@@ -90,6 +93,34 @@
     }
 }
 
+/// An operator's order to an engine.
+#[derive(Debug, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Order {
+    /// Names the order.
+    pub operation: Operation,
+    /// The engine.
+    pub server: Server,
+    /// What to do.
+    pub order: config::Order,
+}
+
+fn order(node: &Node, request: &Request, responder: Responder) {
+    let Some(control) = node.control() else {
+        no_control(responder);
+        return;
+    };
+    match serde_json::from_slice::<Order>(&request.body) {
+        Ok(order) => control.order(order, responder),
+        Err(error) => fail(
+            responder,
+            StatusCode::BAD_REQUEST,
+            &format!("the order does not read: {error}"),
+            "correct it; see docs/operators/orders.md",
+        ),
+    }
+}
+
 fn ask(node: &Node, query: Query, responder: Responder) {
     match node.control() {
         Some(control) => control.ask(query, responder),
@@ -132,6 +163,9 @@
         Answer::Verdict(Verdict::Accepted { .. }) => StatusCode::OK,
         Answer::Verdict(Verdict::Conflict { .. } | Verdict::Reused) => StatusCode::CONFLICT,
         Answer::Verdict(Verdict::Invalid { .. }) => StatusCode::UNPROCESSABLE_ENTITY,
+        Answer::Order(Taken::Standing(_)) => StatusCode::ACCEPTED,
+        Answer::Order(Taken::Reused) => StatusCode::CONFLICT,
+        Answer::Order(Taken::Full) => StatusCode::SERVICE_UNAVAILABLE,
         Answer::NotLeader { .. } => StatusCode::MISDIRECTED_REQUEST,
         Answer::Unknown => StatusCode::GATEWAY_TIMEOUT,
         Answer::Refused { .. } => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/node/src/role/control.rs
+++ b/crates/node/src/role/control.rs
@@ -90,6 +90,17 @@
         self.feed(Input::Submit { ticket, submission });
     }
 
+    /// Passes an operator's order to an engine on.
+    pub fn order(self: &Rc<Self>, request: operator::Order, responder: Responder) {
+        let ticket = self.wait(responder);
+        self.feed(Input::Order {
+            ticket,
+            operation: request.operation,
+            server: request.server,
+            order: request.order,
+        });
+    }
+
     /// Passes an operator's change of the members on.
     pub fn change_members(self: &Rc<Self>, change: Change, responder: Responder) {
         let ticket = self.wait(responder);
--- a/crates/standin/src/book.rs
+++ b/crates/standin/src/book.rs
@@ -16,6 +16,10 @@
     pub cancelled: u64,
     /// Tokens generated.
     pub tokens: u64,
+    /// Orders carried out, with their fence.
+    pub orders: Vec<(String, String)>,
+    /// Orders refused for their fence.
+    pub fenced: u64,
     /// How often each idempotency key ran.
     pub keys: BTreeMap<String, u64>,
 }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -33,6 +33,8 @@
     pub token: Duration,
     /// Tokens of an answer when the call names no bound.
     pub tokens: u64,
+    /// Whether an order with a lower fence than an earlier one is refused.
+    pub checks_fence: bool,
 }
 
 impl Default for Options {
@@ -41,6 +43,7 @@
             first_token: Duration::from_millis(40),
             token: Duration::from_millis(20),
             tokens: 16,
+            checks_fence: false,
         }
     }
 }
@@ -49,6 +52,8 @@
 pub struct Engine {
     options: Options,
     book: Shared,
+    /// The highest fence seen: term and sequence.
+    fence: Cell<(u64, u64)>,
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -81,6 +86,7 @@
     let engine = Rc::new(Engine {
         options,
         book: Shared::default(),
+        fence: Cell::default(),
     });
     let handler = Rc::new(move |request, responder| engine.clone().handle(request, responder));
     crate::serve(listener, handler)
@@ -94,10 +100,31 @@
             (&Method::POST, "/v1/completions" | "/v1/chat/completions") => {
                 monoio::spawn(self.complete(request, responder));
             }
+            (&Method::POST, "/v1/orders") => self.take_order(&request, responder),
             _ => answer(responder, StatusCode::NOT_FOUND, "{}".to_owned()),
         }
     }
 
+    /// Carries out an order, unless this engine checks fences and this one is old.
+    fn take_order(&self, request: &Request, responder: Responder) {
+        let order: serde_json::Value = match serde_json::from_slice(&request.body) {
+            Ok(order) => order,
+            Err(_) => return answer(responder, StatusCode::BAD_REQUEST, "{}".to_owned()),
+        };
+        let fence = request.headers.get("x-eelgrassdyke-fence");
+        let fence = fence.and_then(|value| value.to_str().ok()).unwrap_or("0.0");
+        let (term, sequence) = fence.split_once('.').unwrap_or((fence, "0"));
+        let number = (term.parse().unwrap_or(0), sequence.parse().unwrap_or(0));
+        if self.options.checks_fence && number < self.fence.get() {
+            self.book.write(|book| book.fenced += 1);
+            return answer(responder, StatusCode::CONFLICT, "{}".to_owned());
+        }
+        self.fence.set(number.max(self.fence.get()));
+        let told = (order["order"].to_string(), fence.to_owned());
+        self.book.write(|book| book.orders.push(told));
+        answer(responder, StatusCode::OK, "{}".to_owned());
+    }
+
     async fn complete(self: Rc<Self>, request: Request, responder: Responder) {
         let Ok(completion) = serde_json::from_slice::<Completion>(&request.body) else {
             answer(responder, StatusCode::BAD_REQUEST, "{}".to_owned());
