--- a/crates/eelgrassdyke/tests/scenarios.rs
+++ b/crates/eelgrassdyke/tests/scenarios.rs
@@ -3,17 +3,27 @@
 //! Each file says in its first lines what it shows. A failed scenario keeps its folder of logs.
 
 use std::path::Path;
-use std::sync::Mutex;
+use std::sync::{Mutex, MutexGuard};
 
 use eelgrassdyke_testkit::scenario::Scenario;
 use eelgrassdyke_testkit::site::Options;
 use test_case::test_case;
 
-/// One site at a time: a scenario starts a dozen processes.
-static TURN: Mutex<()> = Mutex::new(());
+/// Sites at a time: a scenario starts a dozen processes.
+const SITES: usize = 3;
+
+static TURNS: [Mutex<()>; SITES] = [const { Mutex::new(()) }; SITES];
+
+/// Waits for the turn of the scenario's file name.
+fn turn(name: &str) -> MutexGuard<'static, ()> {
+    let place = name.bytes().map(usize::from).sum::<usize>() % SITES;
+    TURNS[place]
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner())
+}
 
 fn run(name: &str) {
-    let _turn = TURN.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    let _turn = turn(name);
     let path = Path::new(env!("CARGO_MANIFEST_DIR"))
         .join("tests/scenarios")
         .join(name);
--- a/crates/testkit/src/caller.rs
+++ b/crates/testkit/src/caller.rs
@@ -7,6 +7,7 @@
 use eelgrassdyke_core::wire::refusal::Run;
 use eelgrassdyke_node::http;
 use eelgrassdyke_node::http::client::{Connection, Request};
+use eelgrassdyke_node::http::pool::Pool;
 
 /// A request of a scripted caller.
 #[derive(Clone, Debug, PartialEq)]
@@ -76,7 +77,7 @@
 /// Sends a request on a connection of its own and gives what was told.
 pub async fn ask(ask: &Ask, due: Instant) -> (Told, Timing) {
     let mut timing = Timing::default();
-    let told = match exchange(ask, due, &mut timing).await {
+    let told = match alone(ask, due, &mut timing).await {
         Ok(told) => told,
         Err(error) => Told::Nothing(error.to_string()),
     };
@@ -84,8 +85,35 @@
     (told, timing)
 }
 
-async fn exchange(ask: &Ask, due: Instant, timing: &mut Timing) -> http::Result<Told> {
+async fn alone(ask: &Ask, due: Instant, timing: &mut Timing) -> http::Result<Told> {
     let mut connection = Connection::open(ask.entry).await?;
+    exchange(&mut connection, ask, due, timing).await
+}
+
+/// Sends a request on a connection of a pool and gives what was told.
+pub async fn ask_pooled(pool: &Pool, ask: &Ask, due: Instant) -> (Told, Timing) {
+    let mut timing = Timing::default();
+    let told = match pooled(pool, ask, due, &mut timing).await {
+        Ok(told) => told,
+        Err(error) => Told::Nothing(error.to_string()),
+    };
+    timing.whole = due.elapsed();
+    (told, timing)
+}
+
+async fn pooled(pool: &Pool, ask: &Ask, due: Instant, timing: &mut Timing) -> http::Result<Told> {
+    let mut connection = pool.take(ask.entry).await?;
+    let told = exchange(&mut connection, ask, due, timing).await?;
+    pool.put(ask.entry, connection);
+    Ok(told)
+}
+
+async fn exchange(
+    connection: &mut Connection,
+    ask: &Ask,
+    due: Instant,
+    timing: &mut Timing,
+) -> http::Result<Told> {
     connection.send(request(ask)).await?;
     let mut answer = connection.answer().await?;
     let status = answer.status.as_u16();
--- a/crates/testkit/src/scenario/run.rs
+++ b/crates/testkit/src/scenario/run.rs
@@ -66,6 +66,11 @@
         Ok(runner)
     }
 
+    /// The site.
+    pub fn site(&self) -> &Site {
+        &self.site
+    }
+
     /// Runs one step.
     pub async fn step(&mut self, step: &Step) -> Result<()> {
         log::info!("{step:?}");
--- a/crates/testkit/src/site.rs
+++ b/crates/testkit/src/site.rs
@@ -36,6 +36,9 @@
 /// Pause between two looks at a condition.
 pub const POLL: Duration = Duration::from_millis(50);
 
+/// Length of the kernel's clock tick, in milliseconds.
+const MS_PER_TICK: u64 = 10;
+
 /// Longest wait for an operator's question.
 const ASK_MAX: Duration = Duration::from_secs(5);
 
@@ -329,6 +332,43 @@
             .ok_or_else(|| Error::Unknown(format!("running entry {name}")))
     }
 
+    /// Where the back ends listen whose name begins with `prefix`.
+    pub fn backends(&self, prefix: &str) -> Vec<SocketAddr> {
+        let ours = self
+            .members
+            .iter()
+            .filter(|(name, _)| name.starts_with(prefix));
+        ours.filter_map(|(_, member)| member.target.get()).collect()
+    }
+
+    /// Processor time and resident memory of each running process, as the kernel counts them.
+    pub fn processor_time(&self) -> Vec<(String, Duration, String)> {
+        let mut rows = Vec::new();
+        for name in self.members.keys() {
+            let Some(pid) = self.pid(name) else {
+                continue;
+            };
+            let stat = fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+            let fields: Vec<&str> = stat.rsplit(") ").next().unwrap_or("").split(' ').collect();
+            let ticks = |at: usize| {
+                fields
+                    .get(at)
+                    .and_then(|t| t.parse::<u64>().ok())
+                    .unwrap_or(0)
+            };
+            let spent = Duration::from_millis((ticks(11) + ticks(12)) * MS_PER_TICK);
+            let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+            let line = status.lines().find(|line| line.starts_with("VmRSS"));
+            let memory = line
+                .unwrap_or_default()
+                .split_whitespace()
+                .collect::<Vec<_>>()
+                .join(" ");
+            rows.push((name.clone(), spent, memory));
+        }
+        rows
+    }
+
     /// Asks a process as an operator, past all relays.
     pub async fn operate(
         &self,
