The data folder under a crash after every byte, and a first start that crashed

Cause: the disk format had no test of its own.

Before: a process whose very first start crashed between writing and renaming its log could not start again, as it tried to remove a file that it had just renamed (found with everything unsynced kept). Ruled out: the rename itself, the folder held one whole log.

Conclusion: leftovers are removed before the first log is made.

--- a/crates/control/src/store/folder.rs
+++ b/crates/control/src/store/folder.rs
@@ -87,8 +87,8 @@
             next: 0,
             failed: false,
         };
-        store.rotate(None, &[])?;
         store.clean(names)?;
+        store.rotate(None, &[])?;
         Ok((store, Recovered::blank(drawn)))
     }
 
