--- a/crates/control/src/log/replica.rs
+++ b/crates/control/src/log/replica.rs
@@ -100,7 +100,10 @@
             out.push(Output::Event(Event::new(Code::LogCut, detail)));
         }
         out.extend(recovered.snapshot.map(Output::Restore));
-        let seed = options.seed ^ recovered.replica.0;
+        // Replicas with one seed between them still draw different timeouts.
+        let mut seed = [0; 32];
+        seed[..8].copy_from_slice(&options.seed.to_le_bytes());
+        seed[8..16].copy_from_slice(&recovered.replica.0.to_le_bytes());
         let mut replica = Self {
             id: recovered.replica,
             address,
@@ -131,7 +134,7 @@
             marks: VecDeque::new(),
             held: VecDeque::new(),
             stopped: None,
-            rng: ChaCha8Rng::seed_from_u64(seed),
+            rng: ChaCha8Rng::from_seed(seed),
             options,
         };
         replica.delay_election(now);
--- a/crates/control/tests/store_crash.rs
+++ b/crates/control/tests/store_crash.rs
@@ -105,7 +105,10 @@
     let mut confirmed = 0;
     for job in jobs {
         if store.write(std::slice::from_ref(job)).is_err() {
-            assert!(store.write(std::slice::from_ref(job)).is_err(), "it stops for good");
+            assert!(
+                store.write(std::slice::from_ref(job)).is_err(),
+                "it stops for good"
+            );
             break;
         }
         confirmed += 1;
@@ -201,7 +204,10 @@
         disk.damage(&name, at);
         let error = open(&disk).err().expect("the damage is seen");
         assert!(matches!(error, Error::Damaged { .. }), "{error}");
-        assert!(error.to_string().contains("add it as a new replica"), "{error}");
+        assert!(
+            error.to_string().contains("add it as a new replica"),
+            "{error}"
+        );
         disk.damage(&name, at);
     }
     let (_, found) = open(&disk).expect("undamaged it opens");
@@ -227,7 +233,8 @@
     write(&disk, &jobs());
     let names = disk.list().expect("it lists");
     let name = names.iter().find(|name| name.starts_with("snapshot-"));
-    disk.remove(name.expect("there is a snapshot")).expect("it goes");
+    disk.remove(name.expect("there is a snapshot"))
+        .expect("it goes");
     assert!(open(&disk).is_err());
 }
 
