A candidate that lost forgets how far the old leader's log matched

Cause: standing for election raised the term without dropping the position up to which the log was known to match the last leader's. When another candidate won that term, its commit position was taken as covering records of the old leader that were never committed: two records at one position, history 743 of the log against one Vec, seen once the election timeouts were drawn anew.

Before: history 743 fails, and so does the new step on the earlier code. A term is now entered in one place, which drops all of it.

--- a/crates/control/src/log/election.rs
+++ b/crates/control/src/log/election.rs
@@ -26,9 +26,7 @@
 
     /// Starts a term and asks for votes in it.
     fn stand(&mut self, now: Instant, out: &mut Vec<Output>) {
-        self.hard.term = self.hard.term.next();
-        self.hard.vote = Some(self.id);
-        self.write_hard();
+        self.enter_term(self.hard.term.next(), Some(self.id));
         self.delay_election(now);
         self.role = Role::Candidate {
             pre: false,
--- a/crates/control/src/log/replica.rs
+++ b/crates/control/src/log/replica.rs
@@ -359,13 +359,7 @@
         out: &mut Vec<Output>,
     ) {
         if term > self.hard.term {
-            self.hard.term = term;
-            self.hard.vote = None;
-            self.write_hard();
-            self.leader = None;
-            self.verified = Index(0);
-            self.round = 0;
-            self.incoming = None;
+            self.enter_term(term, None);
         }
         if let Role::Leader(_) = self.role {
             let detail = format!("term {}", self.hard.term);
@@ -381,6 +375,17 @@
         self.role = Role::Follower;
     }
 
+    /// Goes over to a newer term, in which nothing of an earlier leader's word holds.
+    pub(super) fn enter_term(&mut self, term: Term, vote: Option<Id>) {
+        self.hard.term = term;
+        self.hard.vote = vote;
+        self.write_hard();
+        self.leader = None;
+        self.verified = Index(0);
+        self.round = 0;
+        self.incoming = None;
+    }
+
     /// Draws the time of the next election.
     pub(super) fn delay_election(&mut self, now: Instant) {
         let least = self.options.election_min.as_micros() as u64;
--- a/crates/control/tests/log_steps.rs
+++ b/crates/control/tests/log_steps.rs
@@ -331,6 +331,19 @@
     assert_eq!(sent(&out)[0].body, expected);
 }
 
+/// A candidate that lost holds records of the old leader, which the new one never said match.
+#[test]
+fn a_candidate_that_lost_commits_nothing_on_an_old_leaders_word() {
+    let mut one = One::start(recovered(3, None, Vec::new()));
+    one.hear(1, 3, append((1, 0), vec![record(3, 2, Payload::Blank)], 1));
+    one.wait(2500);
+    one.feed(Input::Tick);
+    one.hear(2, 4, voted(true));
+    assert_eq!(one.replica.term(), Term(4), "it stands");
+    // Replica 2 won that term without record 2, and committed two of its own.
+    assert!(applied(&one.hear(2, 4, append((1, 0), Vec::new(), 3))).is_empty());
+}
+
 #[test]
 fn a_copied_data_folder_elsewhere_is_not_listened_to() {
     let mut one = One::start(recovered(3, None, Vec::new()));
