--- a/crates/control/src/log/replica.rs
+++ b/crates/control/src/log/replica.rs
@@ -100,7 +100,10 @@
             out.push(Output::Event(Event::new(Code::LogCut, detail)));
         }
         out.extend(recovered.snapshot.map(Output::Restore));
-        let seed = options.seed ^ recovered.replica.0;
+        // Replicas with one seed between them still draw different timeouts.
+        let mut seed = [0; 32];
+        seed[..8].copy_from_slice(&options.seed.to_le_bytes());
+        seed[8..16].copy_from_slice(&recovered.replica.0.to_le_bytes());
         let mut replica = Self {
             id: recovered.replica,
             address,
@@ -131,7 +134,7 @@
             marks: VecDeque::new(),
             held: VecDeque::new(),
             stopped: None,
-            rng: ChaCha8Rng::seed_from_u64(seed),
+            rng: ChaCha8Rng::from_seed(seed),
             options,
         };
         replica.delay_election(now);
@@ -356,13 +359,7 @@
         out: &mut Vec<Output>,
     ) {
         if term > self.hard.term {
-            self.hard.term = term;
-            self.hard.vote = None;
-            self.write_hard();
-            self.leader = None;
-            self.verified = Index(0);
-            self.round = 0;
-            self.incoming = None;
+            self.enter_term(term, None);
         }
         if let Role::Leader(_) = self.role {
             let detail = format!("term {}", self.hard.term);
@@ -378,6 +375,17 @@
         self.role = Role::Follower;
     }
 
+    /// Goes over to a newer term, in which nothing of an earlier leader's word holds.
+    pub(super) fn enter_term(&mut self, term: Term, vote: Option<Id>) {
+        self.hard.term = term;
+        self.hard.vote = vote;
+        self.write_hard();
+        self.leader = None;
+        self.verified = Index(0);
+        self.round = 0;
+        self.incoming = None;
+    }
+
     /// Draws the time of the next election.
     pub(super) fn delay_election(&mut self, now: Instant) {
         let least = self.options.election_min.as_micros() as u64;
