--- a/crates/group/src/gate.rs
+++ b/crates/group/src/gate.rs
@@ -497,7 +497,6 @@
                 return;
             }
             self.granted = until;
-            self.ran = self.ran.max(Step(from.0.saturating_sub(1)));
             out.push(Output::Grant {
                 generation: self.generation,
                 version,
