--- a/crates/eelgrassctl/src/client.rs
+++ b/crates/eelgrassctl/src/client.rs
@@ -27,6 +27,12 @@
 /// Shortest pause between two tries; up to twice as long, at random.
 const PAUSE_MS: u64 = 100;
 
+/// What control processes say of themselves, by the address that was asked.
+pub type Statuses = Vec<(SocketAddr, Status)>;
+
+/// Why control processes did not answer, by the address that was asked.
+pub type Problems = Vec<(SocketAddr, Error)>;
+
 /// A way to the control processes.
 pub struct Client {
     control: Vec<SocketAddr>,
@@ -119,7 +125,7 @@
     }
 
     /// The status of every control process that answers, and why the others did not.
-    pub async fn statuses(&self) -> (Vec<(SocketAddr, Status)>, Vec<(SocketAddr, Error)>) {
+    pub async fn statuses(&self) -> (Statuses, Problems) {
         let (mut statuses, mut errors) = (Vec::new(), Vec::new());
         for (address, answer) in self.ask_all("/v1/status").await {
             match answer {
@@ -131,6 +137,18 @@
         (statuses, errors)
     }
 
+    /// The status of every control process that answers; an error when none does.
+    pub async fn some_statuses(&self) -> Result<(Statuses, Problems)> {
+        let (statuses, mut errors) = self.statuses().await;
+        if !statuses.is_empty() {
+            return Ok((statuses, errors));
+        }
+        let refusal = errors
+            .iter()
+            .position(|(_, error)| matches!(error, Error::Refused { .. }));
+        Err(errors.swap_remove(refusal.unwrap_or(0)).1)
+    }
+
     /// Puts a change or question to the leader, resending it until it is decided or time is up.
     pub async fn decide(&self, request: &Request) -> Result<Answer> {
         let deadline = self.deadline();
@@ -153,6 +171,12 @@
                 Ok(Answer::Unknown) => {
                     last = Error::Unreachable(format!("{to} does not know what became of it"));
                 }
+                Ok(Answer::Refused { problem, remedy }) => {
+                    return Err(Error::Refused {
+                        process: to.to_string(),
+                        problem: format!("{problem}; {remedy}"),
+                    });
+                }
                 Ok(answer) => return Ok(answer),
                 Err(error @ Error::Unreachable(_)) => last = error,
                 Err(error) => return Err(error),
@@ -221,7 +245,6 @@
     let text = |name: &str| body["error"][name].as_str().unwrap_or_default().to_owned();
     Error::Refused {
         process: to.to_string(),
-        status: status.as_u16(),
-        problem: format!("{}; {}", text("message"), text("remedy")),
+        problem: format!("{status}: {}; {}", text("message"), text("remedy")),
     }
 }
--- a/crates/eelgrassctl/src/command.rs
+++ b/crates/eelgrassctl/src/command.rs
@@ -78,7 +78,8 @@
 /// Options of `apply`.
 #[derive(Clone, Debug, Args)]
 pub struct Apply {
-    /// JSON with comments: a whole document, {"whole": ...}, {"patch": ...} or a submission.
+    /// JSON with comments: a whole document, {"whole": ...}, {"patch": ...} or a submission; - reads
+    /// standard input.
     pub file: PathBuf,
     /// Take a bare document as a patch: what it doesn't name stays, null removes.
     #[arg(long)]
--- a/crates/eelgrassctl/src/drain.rs
+++ b/crates/eelgrassctl/src/drain.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 
 use eelgrassdyke_core::id::Process;
-use eelgrassdyke_node::http::client::Request;
+use eelgrassdyke_node::http;
+use eelgrassdyke_node::http::client::{Connection, Request};
 use monoio::time::Instant;
 use serde_json::json;
 
@@ -18,7 +19,7 @@
     let deadline = client.deadline();
     let address = find(client, &options.process).await?;
     let _: serde_json::Value = client.read(address, Request::post("/v1/drain", "")).await?;
-    let stopped = options.wait && has_stopped(client, address, deadline).await;
+    let stopped = options.wait && has_stopped(address, deadline).await;
     match json {
         true => output::json(&json!({
             "process": options.process, "address": address, "stopped": stopped,
@@ -34,7 +35,7 @@
 
 /// Where a process listens.
 pub async fn find(client: &Client, process: &Process) -> Result<SocketAddr> {
-    let (statuses, errors) = client.statuses().await;
+    let (statuses, _) = client.some_statuses().await?;
     let control = statuses
         .iter()
         .find(|(_, status)| status.process == *process);
@@ -45,18 +46,15 @@
     if let Some(follower) = newest(&all).get(process) {
         return Ok(follower.address);
     }
-    match errors.into_iter().next() {
-        Some((_, error)) if all.is_empty() => Err(error),
-        _ => Err(Error::Usage(format!(
-            "no process is named {process}; see `eelgrassctl status`"
-        ))),
-    }
+    Err(Error::Usage(format!(
+        "no process is named {process}; see `eelgrassctl status`"
+    )))
 }
 
-/// Waits until nothing listens at `address` any more.
-async fn has_stopped(client: &Client, address: SocketAddr, deadline: Instant) -> bool {
+/// Waits until nothing listens at `address` any more; a process that hangs has not stopped.
+async fn has_stopped(address: SocketAddr, deadline: Instant) -> bool {
     while Instant::now() < deadline {
-        if let Err(Error::Unreachable(_)) = client.call(address, Request::get("/health")).await {
+        if let Err(http::Error::Io(_)) = Connection::open(address).await {
             return true;
         }
         pause().await;
--- a/crates/eelgrassctl/src/errors.rs
+++ b/crates/eelgrassctl/src/errors.rs
@@ -50,12 +50,10 @@
     #[error("{0}")]
     Usage(String),
     /// A process refused.
-    #[error("{process} answered {status}: {problem}")]
+    #[error("{process} refused: {problem}")]
     Refused {
         /// Who refused, by address.
         process: String,
-        /// The HTTP status.
-        status: u16,
         /// Why, and what to do about it.
         problem: String,
     },
--- a/crates/eelgrassctl/src/status.rs
+++ b/crates/eelgrassctl/src/status.rs
@@ -14,11 +14,7 @@
 
 /// Prints what all control processes say together.
 pub async fn print(client: &Client, json: bool) -> Result<Code> {
-    let (statuses, errors) = client.statuses().await;
-    if statuses.is_empty() {
-        let problems: Vec<String> = errors.into_iter().map(|(_, e)| e.to_string()).collect();
-        return Err(Error::Unreachable(problems.join("; ")));
-    }
+    let (statuses, errors) = client.some_statuses().await?;
     let quorum = statuses
         .iter()
         .any(|(_, status)| status.leads && status.quorum);
--- a/crates/eelgrassctl/src/submission.rs
+++ b/crates/eelgrassctl/src/submission.rs
@@ -22,9 +22,13 @@
 }
 
 impl Content {
-    /// Reads the file at `path`; `patch` takes a bare document as a patch.
+    /// Reads the file at `path`, or standard input for `-`; `patch` takes a bare document as a patch.
     pub fn read(path: &Path, patch: bool) -> Result<Self> {
-        let text = std::fs::read_to_string(path).map_err(|error| Error::file(path, error))?;
+        let text = match path == Path::new("-") {
+            true => std::io::read_to_string(std::io::stdin()),
+            false => std::fs::read_to_string(path),
+        };
+        let text = text.map_err(|error| Error::file(path, error))?;
         Self::parse(&text, path, patch)
     }
 
--- a/crates/eelgrassctl/src/timeline/mod.rs
+++ b/crates/eelgrassctl/src/timeline/mod.rs
@@ -60,14 +60,11 @@
 
 /// Reads what is newer than `marks` from every process; tells which could not be read.
 async fn gather(client: &Client, marks: &Marks) -> Result<(Vec<Record>, Vec<String>)> {
-    let (statuses, errors) = client.statuses().await;
+    let (statuses, errors) = client.some_statuses().await?;
     let mut missing: Vec<String> = errors
         .iter()
         .map(|(address, error)| format!("{address}: {error}"))
         .collect();
-    if statuses.is_empty() {
-        return Err(Error::Unreachable(missing.join("; ")));
-    }
     let mut addresses: BTreeMap<Process, SocketAddr> = BTreeMap::new();
     let all: Vec<_> = statuses.iter().map(|(_, status)| status.clone()).collect();
     for (process, follower) in newest(&all) {
--- /dev/null
+++ b/sdk/python/eelgrassdyke/__init__.py
@@ -0,0 +1,35 @@
+"""Writes configurations of the eelgrassdyke load balancer.
+
+An operator's program builds a :class:`Document` of teams, services and rank groups and prints it as
+a :class:`Submission` for ``eelgrassctl apply``. A value that control would refuse raises
+:class:`InvalidError` where it is written, and names the path, the problem and the remedy.
+"""
+
+from eelgrassdyke.faults import Fault, InvalidError
+from eelgrassdyke.model import (
+    Document,
+    Group,
+    Kind,
+    Patch,
+    Route,
+    Service,
+    Share,
+    Submission,
+    Team,
+    token_digest,
+)
+
+__all__ = [
+    "Document",
+    "Fault",
+    "Group",
+    "InvalidError",
+    "Kind",
+    "Patch",
+    "Route",
+    "Service",
+    "Share",
+    "Submission",
+    "Team",
+    "token_digest",
+]
