--- a/crates/control/src/state/claim.rs
+++ b/crates/control/src/state/claim.rs
@@ -23,7 +23,7 @@
 const AHEAD_MAX_MS: u64 = 60 * 1000;
 
 /// Memory of one claim without its texts and outcome, in bytes.
-const CLAIM_BYTES: u64 = 600;
+const CLAIM_BYTES: u64 = 760;
 
 impl Default for Limits {
     fn default() -> Self {
@@ -140,7 +140,10 @@
         self.bytes += fixed_cost(name);
         self.by_date.insert((claim.date, name.clone()));
         self.keys.insert(name.clone(), claim);
-        Finding::Granted { claim: 1 }
+        Finding::Granted {
+            claim: 1,
+            holder: holder.clone(),
+        }
     }
 
     /// Why a key without an open claim can't be claimed.
@@ -178,7 +181,10 @@
             None if replaces == Some(held.number) => {}
             // A resend of the question that was granted gets the same answer.
             None if held.request == ask.request && held.holder == *holder => {
-                return Finding::Granted { claim: held.number };
+                return Finding::Granted {
+                    claim: held.number,
+                    holder: holder.clone(),
+                };
             }
             None => {
                 let (claim, holder) = (held.number, held.holder.clone());
@@ -189,7 +195,10 @@
         held.request = ask.request.clone();
         held.holder = holder.clone();
         held.outcome = None;
-        Finding::Granted { claim: held.number }
+        Finding::Granted {
+            claim: held.number,
+            holder: holder.clone(),
+        }
     }
 
     fn settle(&mut self, clock: Wall, name: &Name, claim: u32, outcome: &Outcome) -> Finding {
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod caller;
 pub mod errors;
 pub mod load;
+pub mod model;
 pub mod relay;
 pub mod scenario;
 pub mod site;
