--- a/crates/eelgrassctl/src/command.rs
+++ b/crates/eelgrassctl/src/command.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
-use eelgrassdyke_core::id::{Group, Operation, Process, Request, Server, Team, Version};
+use eelgrassdyke_core::id::{Group, Operation, Process, Replica, Request, Server, Team, Version};
 
 const EXIT_CODES: &str = "\
 Exit codes:
@@ -71,6 +71,9 @@
     Timeline(Timeline),
     /// Ask a process for a graceful shutdown.
     Drain(Drain),
+    /// Change the members of the control log.
+    #[command(subcommand)]
+    Control(Control),
     /// Print the SHA-256 digest of a token, as configurations and settings hold it.
     Token(Token),
 }
@@ -173,6 +176,26 @@
     pub wait: bool,
 }
 
+/// A change of the members of the control log; `status` prints the replicas.
+#[derive(Clone, Copy, Debug, Subcommand)]
+pub enum Control {
+    /// Let a waiting replica follow the log without a vote.
+    Add {
+        /// The replica, 16 hexadecimal digits.
+        replica: Replica,
+    },
+    /// Give a learner that has caught up a vote.
+    Promote {
+        /// The replica, 16 hexadecimal digits.
+        replica: Replica,
+    },
+    /// Take a replica out for good.
+    Remove {
+        /// The replica, 16 hexadecimal digits.
+        replica: Replica,
+    },
+}
+
 /// Options of `token`.
 #[derive(Clone, Debug, Args)]
 pub struct Token {
--- a/crates/eelgrassctl/src/lib.rs
+++ b/crates/eelgrassctl/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod client;
 pub mod command;
 pub mod config;
+pub mod control;
 pub mod drain;
 pub mod errors;
 pub mod output;
@@ -39,6 +40,7 @@
             Command::Report(options) => report::print(&client, &options, json).await,
             Command::Timeline(options) => timeline::print(&client, &options, json).await,
             Command::Drain(options) => drain::drain(&client, &options, json).await,
+            Command::Control(change) => control::change(&client, change, json).await,
             Command::Token(_) => Ok(Code::Done),
         }
     };
--- a/crates/eelgrassctl/src/status.rs
+++ b/crates/eelgrassctl/src/status.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use eelgrassdyke_control::log::Standing;
 use eelgrassdyke_control::{FollowerStatus, Status};
 use eelgrassdyke_core::id::Server;
 use eelgrassdyke_core::wire::directory::{Load, Row};
@@ -60,6 +61,7 @@
     errors: &[(std::net::SocketAddr, Error)],
 ) {
     let rows = statuses.iter().map(|(address, status)| {
+        let log = &status.log;
         let role = match (status.leads, status.quorum) {
             (true, true) => "leader",
             (false, true) => "follower",
@@ -69,7 +71,10 @@
             status.process.to_string(),
             address.to_string(),
             role.to_owned(),
+            log.replica.to_string(),
+            member(log).to_owned(),
             status.term.to_string(),
+            log.commit.to_string(),
             status.version.to_string(),
         ]
     });
@@ -77,15 +82,43 @@
         ("control", false),
         ("address", false),
         ("role", false),
+        ("replica", false),
+        ("member", false),
         ("term", true),
+        ("commit", true),
         ("version", true),
     ];
     table::print(&columns, rows);
+    for (_, status) in statuses {
+        if let Some(problem) = &status.log.stopped {
+            output::line(format_args!("{} has stopped: {problem}", status.process));
+        }
+    }
+    let waiting: BTreeMap<_, _> = statuses
+        .iter()
+        .flat_map(|(_, status)| &status.log.waiting)
+        .collect();
+    for (replica, address) in waiting {
+        output::line(format_args!(
+            "replica {replica} at {address} waits to be added"
+        ));
+    }
     for (address, error) in errors {
         output::line(format_args!("{address}: {error}"));
     }
 }
 
+/// What a replica is to the cluster, as it sees it.
+fn member(log: &Standing) -> &'static str {
+    if log.members.voters.contains_key(&log.replica) {
+        return "voter";
+    }
+    match log.members.learners.contains_key(&log.replica) {
+        true => "learner",
+        false => "none",
+    }
+}
+
 fn print_followers(followers: &BTreeMap<eelgrassdyke_core::id::Process, FollowerStatus>) {
     output::line("");
     let rows = followers.iter().map(|(process, follower)| {
--- a/crates/eelgrassctl/tests/operate.rs
+++ b/crates/eelgrassctl/tests/operate.rs
@@ -9,6 +9,8 @@
 use eelgrassdyke_core::digest::Sha256;
 use eelgrassdyke_core::settings::Settings;
 use eelgrassdyke_node::Node;
+use eelgrassdyke_node::http::client::Request;
+use eelgrassdyke_node::http::pool::Pool;
 use eelgrassdyke_node::node::Ports;
 use eelgrassdyke_node::runtime::block_on;
 use serde_json::{Value, json};
@@ -56,6 +58,17 @@
         ctl(&self.folder.path().join("token"), self.control, arguments)
     }
 
+    /// Submits a text as it is and gives the answer.
+    fn post(&self, body: &str) -> String {
+        let mut request = Request::post("/v1/config", body.to_owned());
+        let bearer = format!("Bearer {TOKEN}").parse().unwrap();
+        request.headers.insert("authorization", bearer);
+        let limit = Duration::from_secs(20);
+        let call = async { Pool::default().call(self.control, request, limit).await };
+        let (_, answer) = block_on(call).unwrap().unwrap();
+        String::from_utf8(answer.to_vec()).unwrap()
+    }
+
     /// Runs a command that must end with `code` and print JSON.
     fn json(&self, code: i32, arguments: &[&str]) -> Value {
         let output = self.run(&[&["--json"], arguments].concat());
@@ -168,6 +181,11 @@
     let fault = &invalid["verdict"]["invalid"]["faults"][0];
     assert_eq!(fault["path"], "teams.x.shares.nix");
 
+    // Control refuses a field that stands twice, whichever client sends it.
+    let doubled = r#"{ "operation": "x", "base": 1, "author": "x",
+        "change": { "patch": { "teams": { "x": null, "x": { "tokens": [] } } } } }"#;
+    assert!(site.post(doubled).contains("stands twice"));
+
     let difference = site.json(1, &["diff", empty]);
     assert_eq!(difference["base"], 1);
     assert_code(&site.run(&["diff", empty]), 1);
--- a/crates/eelgrassdyke/src/demo.rs
+++ b/crates/eelgrassdyke/src/demo.rs
@@ -275,10 +275,10 @@
             "  {:<20} {:<8} {:>6} {:>6} {:>10} {:>7}",
             line["team"].as_str().unwrap_or_default(),
             line["service"].as_str().unwrap_or_default(),
-            line["delivered"]["asked"],
-            line["ran"]["run"],
-            line["delivered"]["delivered"],
-            line["ran"]["tokens"],
+            line["delivered"]["asked"].to_string(),
+            line["ran"]["run"].to_string(),
+            line["delivered"]["delivered"].to_string(),
+            line["ran"]["tokens"].to_string(),
         );
     }
 }
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -3,6 +3,7 @@
 use eelgrassdyke_control::log::Change;
 use eelgrassdyke_control::{Answer, Query};
 use eelgrassdyke_core::config::{Submission, Verdict};
+use eelgrassdyke_core::jsonc;
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 
 use crate::http::server::{Request, Responder};
@@ -60,20 +61,31 @@
         no_control(responder);
         return;
     };
-    match serde_json::from_slice::<Submission>(&request.body) {
+    match read_strictly::<Submission>(&request.body) {
         Ok(submission) => control.submit(submission, responder),
-        Err(error) => {
-            let problem = format!("the submission does not read: {error}");
+        Err(problem) => {
+            let problem = format!("the submission does not read: {problem}");
             fail(
                 responder,
                 StatusCode::BAD_REQUEST,
                 &problem,
-                "correct it; see docs/OPERATORS.md",
+                "correct it; see docs/operators/config.md",
             );
         }
     }
 }
 
+/// Reads JSON in which no field may stand twice; the fault names its place.
+fn read_strictly<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, String> {
+    let text = std::str::from_utf8(body).map_err(|error| error.to_string())?;
+    let tree = jsonc::read(text).map_err(|faults| {
+        let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        lines.join("; ")
+    })?;
+    serde_path_to_error::deserialize(tree.value)
+        .map_err(|error| format!("at {}: {}", error.path(), error.inner()))
+}
+
 fn change_members(node: &Node, request: &Request, responder: Responder) {
     let Some(control) = node.control() else {
         no_control(responder);
