--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -123,6 +123,11 @@
         self.follower.version()
     }
 
+    /// Time since control was last heard, or since the start before the first time.
+    pub fn control_silence(&self, now: Instant) -> Duration {
+        self.follower.silence(now).unwrap_or(now.since(Instant(0)))
+    }
+
     /// Attempts queued or running.
     pub fn open_attempts(&self) -> usize {
         self.works.len()
--- a/crates/eelgrassdyke/tests/process.rs
+++ b/crates/eelgrassdyke/tests/process.rs
@@ -106,6 +106,38 @@
     );
 }
 
+#[test]
+fn the_scrape_page_has_every_metric_of_the_operators_page() {
+    let process = Process::start();
+    let address = process.control;
+    let page = eelgrassdyke_node::runtime::block_on(async move {
+        let limit = std::time::Duration::from_secs(20);
+        let request = eelgrassdyke_node::http::client::Request::get("/metrics");
+        let pool = eelgrassdyke_node::http::pool::Pool::default();
+        pool.call(address, request, limit).await.unwrap().1
+    });
+    let page = String::from_utf8(page.unwrap().to_vec()).unwrap();
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/OPERATORS.md");
+    let documented = fs::read_to_string(path).unwrap();
+    let mut seen = 0;
+    for line in documented.lines() {
+        let Some(name) = line.strip_prefix("| `eelgrassdyke_") else {
+            continue;
+        };
+        let (name, _) = name.split_once(['`', '{']).unwrap();
+        assert!(
+            page.contains(&format!("eelgrassdyke_{name}")),
+            "{name}\n{page}"
+        );
+        seen += 1;
+    }
+    let served = page
+        .lines()
+        .filter(|line| line.starts_with("# TYPE"))
+        .count();
+    assert_eq!(seen, served, "{page}");
+}
+
 #[test]
 fn a_signal_is_a_graceful_shutdown() {
     let mut process = Process::start();
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -127,6 +127,11 @@
         self.follower.version()
     }
 
+    /// Time since control was last heard, or since the start before the first time.
+    pub fn control_silence(&self, now: Instant) -> Duration {
+        self.follower.silence(now).unwrap_or(now.since(Instant(0)))
+    }
+
     /// Requests taken in and not yet done with.
     pub fn open_requests(&self) -> usize {
         self.flights.len()
--- a/crates/entry/tests/once.rs
+++ b/crates/entry/tests/once.rs
@@ -244,7 +244,7 @@
     fn inform(&mut self, at: usize) {
         let config = Config::Snapshot {
             version: Version(1),
-            document: document(),
+            document: document().into(),
         };
         self.sequence += 1;
         let directory = Directory {
--- a/crates/entry/tests/whole.rs
+++ b/crates/entry/tests/whole.rs
@@ -105,7 +105,7 @@
             confirmed: true,
             config: Some(Config::Snapshot {
                 version: Version(1),
-                document: document(),
+                document: document().into(),
             }),
             directory: Some(directory),
         };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod disk;
 pub mod driver;
 pub mod errors;
+pub mod gauges;
 pub mod http;
 pub mod mail;
 pub mod node;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -10,6 +10,7 @@
 use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::id::{Incarnation, Process, Version};
 use eelgrassdyke_core::settings::Settings;
+use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::{BATCH_BYTES_MAX, Sender};
 use eelgrassdyke_entry::Entry;
 use http::{HeaderMap, StatusCode};
@@ -25,7 +26,7 @@
 use crate::role::{self, Context};
 use crate::secret::{Operators, Peer};
 use crate::timeline::TimeLine;
-use crate::{operator, peer};
+use crate::{gauges, operator, peer};
 
 /// Largest body that an entry reads; services may set lower limits.
 const CALL_BYTES_MAX: usize = 16 << 20;
@@ -219,6 +220,7 @@
                 );
             }
             "/metrics" => {
+                gauges::set(self);
                 let page = self.metrics.as_ref().map(PrometheusHandle::render);
                 text(responder, StatusCode::OK, page.unwrap_or_default());
             }
@@ -375,6 +377,11 @@
         }
     }
 
+    /// Time on the process's monotonic clock.
+    pub fn now(&self) -> Instant {
+        self.context.clock.now()
+    }
+
     /// The present life of the process.
     pub fn incarnation(&self) -> Incarnation {
         self.context.me.incarnation
--- a/crates/testkit/src/model/world.rs
+++ b/crates/testkit/src/model/world.rs
@@ -243,7 +243,7 @@
         });
         let config = Config::Snapshot {
             version: Version(1),
-            document: self.document.clone(),
+            document: self.document.clone().into(),
         };
         Update {
             present: Version(1),
