Reports from the leader, and waiting for followers that move

Cause: a run of README over three control processes printed a report in which nothing was delivered: entries send their books to the leader only, and eelgrassctl asked the first control process. It asks the leader now. Known: agents send their books to every control process and entries to the leader; after a change of leader, entries' rows that don't change are not sent again (read in the code, not run).

--- a/crates/eelgrassctl/src/client.rs
+++ b/crates/eelgrassctl/src/client.rs
@@ -188,18 +188,35 @@
         }
     }
 
+    /// The control process that leads and reaches a quorum, as far as any answers.
+    async fn leader(&self) -> Option<SocketAddr> {
+        let (statuses, _) = self.statuses().await;
+        let leads = |(_, status): &&(SocketAddr, Status)| status.leads && status.quorum;
+        let newest = statuses
+            .iter()
+            .filter(leads)
+            .max_by_key(|(_, status)| status.term);
+        newest.map(|(address, _)| *address)
+    }
+
+    /// The report as the leader holds it, to whom entries send their books.
+    pub async fn report(&self) -> Result<Answer> {
+        match self.leader().await {
+            Some(leader) => self.ask(leader, "/v1/report").await,
+            None => {
+                let problem = "no control process leads with a quorum, so nobody holds all books";
+                Err(Error::Unreachable(problem.to_owned()))
+            }
+        }
+    }
+
     /// The newest configuration that any control process holds.
     ///
     /// The leader's is preferred: it has applied everything that was ever accepted, so that an
     /// operator who applied a change sees it.
     pub async fn config(&self) -> Result<Config> {
-        let (statuses, _) = self.statuses().await;
-        let leader = statuses
-            .iter()
-            .filter(|(_, status)| status.leads && status.quorum)
-            .max_by_key(|(_, status)| status.term);
-        if let Some((address, _)) = leader
-            && let Ok(Answer::Config { version, document }) = self.ask(*address, "/v1/config").await
+        if let Some(leader) = self.leader().await
+            && let Ok(Answer::Config { version, document }) = self.ask(leader, "/v1/config").await
         {
             return Ok(Config {
                 version,
--- a/crates/eelgrassctl/src/errors.rs
+++ b/crates/eelgrassctl/src/errors.rs
@@ -57,8 +57,8 @@
         /// Why, and what to do about it.
         problem: String,
     },
-    /// No process answered.
-    #[error("no control process answered ({0}); check --control and that the processes run")]
+    /// A process did not answer, or does not know.
+    #[error("{0}; see --control, and whether the processes run")]
     Unreachable(String),
     /// An answer doesn't read.
     #[error("an answer does not read ({0}); run the same release on both sides")]
--- a/crates/eelgrassctl/src/report/mod.rs
+++ b/crates/eelgrassctl/src/report/mod.rs
@@ -9,7 +9,6 @@
 use eelgrassdyke_core::id::{Service, Team};
 use eelgrassdyke_core::unit::Permille;
 use eelgrassdyke_core::wire::report::BUCKETS_US;
-use eelgrassdyke_node::http::client::Request;
 
 use crate::client::{Client, unexpected};
 use crate::command::{Format, Report};
@@ -47,7 +46,7 @@
 
 /// Prints the report.
 pub async fn print(client: &Client, options: &Report, json: bool) -> Result<Code> {
-    let lines = match client.decide(&Request::get("/v1/report")).await? {
+    let lines = match client.report().await? {
         Answer::Report(lines) => lines,
         answer => return Err(unexpected(&answer)),
     };
--- a/crates/eelgrassctl/src/status.rs
+++ b/crates/eelgrassctl/src/status.rs
@@ -94,17 +94,22 @@
             output::line(format_args!("{} has stopped: {problem}", status.process));
         }
     }
+    let is_member = |replica| {
+        let mut members = statuses.iter().map(|(_, status)| &status.log.members);
+        members.any(|held| held.voters.contains_key(replica) || held.learners.contains_key(replica))
+    };
     let waiting: BTreeMap<_, _> = statuses
         .iter()
         .flat_map(|(_, status)| &status.log.waiting)
+        .filter(|(replica, _)| !is_member(replica))
         .collect();
     for (replica, address) in waiting {
         output::line(format_args!(
             "replica {replica} at {address} waits to be added"
         ));
     }
-    for (address, error) in errors {
-        output::line(format_args!("{address}: {error}"));
+    for (_, error) in errors {
+        output::line(error);
     }
 }
 
--- a/crates/eelgrassctl/src/timeline/mod.rs
+++ b/crates/eelgrassctl/src/timeline/mod.rs
@@ -61,10 +61,7 @@
 /// Reads what is newer than `marks` from every process; tells which could not be read.
 async fn gather(client: &Client, marks: &Marks) -> Result<(Vec<Record>, Vec<String>)> {
     let (statuses, errors) = client.some_statuses().await?;
-    let mut missing: Vec<String> = errors
-        .iter()
-        .map(|(address, error)| format!("{address}: {error}"))
-        .collect();
+    let mut missing: Vec<String> = errors.iter().map(|(_, error)| error.to_string()).collect();
     let mut addresses: BTreeMap<Process, SocketAddr> = BTreeMap::new();
     let all: Vec<_> = statuses.iter().map(|(_, status)| status.clone()).collect();
     for (process, follower) in newest(&all) {
--- a/crates/eelgrassctl/src/wait.rs
+++ b/crates/eelgrassctl/src/wait.rs
@@ -1,6 +1,7 @@
 //! Waits until a version is in force in every live process.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use eelgrassdyke_control::{FollowerStatus, Status};
 use eelgrassdyke_core::data;
@@ -14,6 +15,9 @@
 /// Followers ask about once a second and go to another control process after 2.5 s.
 pub const LIVE_MS: u64 = 5_000;
 
+/// Time in which a follower of a lost control process has asked another one.
+pub const MOVE_MAX: Duration = Duration::from_millis(LIVE_MS);
+
 data! {
     /// Which processes have a version in force, and which have not.
     #[derive(Default, Eq)]
@@ -45,11 +49,27 @@
             let live = follower.heard_ms < LIVE_MS;
             force.sort(&process, follower.version, version, live);
         }
+        let unheard = statuses
+            .iter()
+            .flat_map(|status| &status.servers)
+            .map(|(row, _)| &row.agent);
+        for agent in unheard {
+            // The directory has it, but no control process has heard which version it has.
+            if !force.knows(agent) {
+                force.lack.insert(agent.clone(), Version(0));
+            }
+        }
         force.have.sort();
         force.have.dedup();
         force
     }
 
+    fn knows(&self, process: &Process) -> bool {
+        self.have.contains(process)
+            || self.lack.contains_key(process)
+            || self.silent.contains_key(process)
+    }
+
     fn sort(&mut self, process: &Process, held: Version, wanted: Version, live: bool) {
         match (held >= wanted, live) {
             (true, true) => self.have.push(process.clone()),
@@ -76,15 +96,16 @@
 
 /// Asks until every live process has `version` or time is up.
 pub async fn until_in_force(client: &Client, version: Version, deadline: Instant) -> Force {
+    let begun = Instant::now();
     loop {
         let (statuses, errors) = client.statuses().await;
         let statuses: Vec<Status> = statuses.into_iter().map(|(_, status)| status).collect();
         let mut force = Force::of(&statuses, version);
-        force.unreachable = errors
-            .iter()
-            .map(|(address, error)| format!("{address}: {error}"))
-            .collect();
-        if force.is_complete() || Instant::now() >= deadline {
+        force.unreachable = errors.iter().map(|(_, error)| error.to_string()).collect();
+
+        // Who followed a control process that does not answer goes to another one before long.
+        let settled = force.unreachable.is_empty() || begun.elapsed() >= MOVE_MAX;
+        if settled && force.is_complete() || Instant::now() >= deadline {
             return force;
         }
         pause().await;
--- a/crates/entry/src/classify.rs
+++ b/crates/entry/src/classify.rs
@@ -152,7 +152,7 @@
             return route.idempotent;
         }
     }
-    matches!(method, "GET" | "PUT" | "DELETE" | "OPTIONS")
+    matches!(method, "GET" | "HEAD" | "PUT" | "DELETE" | "OPTIONS")
 }
 
 fn header_idempotent(call: &Call) -> Result<Option<bool>, Reason> {
