--- a/crates/control/src/state/validate.rs
+++ b/crates/control/src/state/validate.rs
@@ -16,7 +16,7 @@
 /// Faults that are named; the rest is counted.
 const FAULTS_MAX: usize = 100;
 
-/// Every fault of `document`, at most [`FAULTS_MAX`] of them named; empty when it is valid.
+/// Every fault of `document`, at most `FAULTS_MAX` of them named; empty when it is valid.
 pub fn validate(document: &Document) -> Vec<Fault> {
     let mut check = Check {
         document,
--- a/crates/eelgrassctl/src/timeline/html.rs
+++ b/crates/eelgrassctl/src/timeline/html.rs
@@ -92,12 +92,17 @@
     add("group", subject.group.as_ref().map(ToString::to_string));
     let operation = subject.operation.as_ref().map(ToString::to_string);
     add("operation", operation);
-    format!(
-        "<td><div class=\"event\" title=\"{}\"><b>{} {}</b><br><i>{}</i><br>{}</div></td>",
+    let mut cell = format!(
+        "<td><div class=\"event\" title=\"{}\"><b>{} {}</b>",
         escape(event.code.meaning()),
         event.code as u16,
-        event.code.as_str(),
-        escape(&about.join(", ")),
-        escape(&event.detail)
-    )
+        event.code.as_str()
+    );
+    for (tag, text) in [("i", about.join(", ")), ("span", event.detail.clone())] {
+        if !text.is_empty() {
+            let _ = write!(cell, "<br><{tag}>{}</{tag}>", escape(&text));
+        }
+    }
+    cell.push_str("</div></td>");
+    cell
 }
