--- a/crates/control/src/io.rs
+++ b/crates/control/src/io.rs
@@ -162,6 +162,7 @@
         /// Processes that follow it, by name.
         pub followers: BTreeMap<Process, FollowerStatus>,
         /// Orders that are open and those that ended last.
+        #[serde(default)]
         pub orders: Vec<order::Standing>,
         /// Back ends, with their load.
         pub servers: Vec<(Row, Load)>,
