--- a/crates/testkit/src/scenario/operate.rs
+++ b/crates/testkit/src/scenario/operate.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use eelgrassdyke_core::digest::Sha256;
 use futures_util::future::join_all;
 use serde_json::{Value, json};
 
@@ -33,6 +34,29 @@
         Ok(())
     }
 
+    /// Puts the teams numbered from `first` up to, not including, `end` with one change.
+    pub async fn put_teams(&mut self, first: u64, end: u64) -> Result<()> {
+        let mut teams = serde_json::Map::new();
+        for at in first..end {
+            let spec = json!({
+                "tokens": [Sha256::of(format!("many-{at}").as_bytes()).to_string()],
+                "shares": {"draft": {"weight": 2, "cap": 500}},
+            });
+            teams.insert(format!("many-{at}"), spec);
+        }
+        let base = self.ledger.borrow().accepted;
+        let change = json!({"patch": {"teams": teams}});
+        self.submit(&format!("many-{first}"), "control-1", base, change, false)
+            .await
+    }
+
+    /// Submits one change and waits until it is in force in every process.
+    pub async fn change_everywhere(&mut self) -> Result<()> {
+        self.churn(1).await?;
+        let version = self.ledger.borrow().accepted;
+        self.wait_in_force(version).await
+    }
+
     /// Submits changes of one team all at once; exactly one may be accepted.
     pub(super) async fn race(&mut self, team: &str, base: u64, count: u64) -> Result<()> {
         let controls = self.controls();
--- a/crates/testkit/src/scenario/run.rs
+++ b/crates/testkit/src/scenario/run.rs
@@ -403,7 +403,7 @@
         Ok(())
     }
 
-    async fn wait_in_force(&mut self, version: u64) -> Result<()> {
+    pub(super) async fn wait_in_force(&mut self, version: u64) -> Result<()> {
         for name in self.site.processes() {
             if !self.site.runs(&name) {
                 continue;
--- a/crates/testkit/src/site.rs
+++ b/crates/testkit/src/site.rs
@@ -324,6 +324,15 @@
             .ok_or_else(|| Error::Unknown(format!("control process {name}")))
     }
 
+    /// Where a running process itself listens, past its relay.
+    pub fn process_address(&self, name: &str) -> Result<SocketAddr> {
+        let target = self
+            .members
+            .get(name)
+            .and_then(|member| member.target.get());
+        target.ok_or_else(|| Error::Unknown(format!("running process {name}")))
+    }
+
     /// Where an entry takes callers.
     pub fn callers(&self, name: &str) -> Result<SocketAddr> {
         let member = self.members.get(name);
