--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -55,9 +55,8 @@
 impl Agent {
     /// An agent that has taken in nothing yet.
     pub fn new(me: Sender, options: Options) -> Self {
-        let first = me.address.port() as usize;
         Self {
-            follower: Follower::new(options.control.clone(), false, first),
+            follower: Follower::new(&me, options.control.clone(), false),
             keys: Keys::new(options.keys),
             queue: Queue::new(options.queue, options.slots),
             pace: Pace::new(options.slots, options.token_rate),
@@ -123,6 +122,11 @@
         self.follower.version()
     }
 
+    /// Time since control was last heard, or since the start before the first time.
+    pub fn control_silence(&self, now: Instant) -> Duration {
+        self.follower.silence(now).unwrap_or(now.since(Instant(0)))
+    }
+
     /// Attempts queued or running.
     pub fn open_attempts(&self) -> usize {
         self.works.len()
@@ -138,12 +142,15 @@
         self.books.is_settled()
     }
 
+    /// Whether new work is taken: from a healthy back end, under a configuration that a quorum has
+    /// confirmed since this life began.
     pub(crate) fn state(&self) -> State {
-        match (self.draining, self.failures < FAILURES_MAX) {
-            (true, _) if self.works.is_empty() => State::Left,
-            (true, _) => State::Draining,
-            (false, true) => State::Up,
-            (false, false) => State::Draining,
+        let serves = self.failures < FAILURES_MAX && self.follower.is_confirmed();
+        match self.draining {
+            true if self.works.is_empty() => State::Left,
+            true => State::Draining,
+            false if serves => State::Up,
+            false => State::Draining,
         }
     }
 
@@ -153,6 +160,11 @@
             true => 0,
             false => self.failures.saturating_add(1),
         };
+        self.announce_change(now, before, "health", out);
+    }
+
+    /// Announces at once that the back end takes new work, or takes none any more.
+    fn announce_change(&mut self, now: Instant, before: State, cause: &str, out: &mut Vec<Output>) {
         if self.state() == before {
             return;
         }
@@ -161,7 +173,7 @@
             _ => Code::ServerDraining,
         };
         out.push(Output::Event(
-            Event::new(code, "health").server(&self.options.server),
+            Event::new(code, cause).server(&self.options.server),
         ));
         self.next_beat = now;
     }
@@ -169,11 +181,13 @@
     fn take_mail(&mut self, now: Instant, from: &Sender, message: Message, out: &mut Vec<Output>) {
         match message {
             Message::Update(update) => {
+                let before = self.state();
                 if self.follower.apply(now, &from.process, update).config {
                     let detail = format!("version {}", self.follower.version());
                     out.push(Output::Event(Event::new(Code::ConfigApplied, detail)));
                     self.reshare();
                 }
+                self.announce_change(now, before, "configuration", out);
             }
             Message::Probe(probe) => {
                 let status = match probe.incarnation == self.me.incarnation {
