--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -42,8 +42,6 @@
     /// Open attempts by entry.
     pub(crate) entries: BTreeMap<Process, u32>,
     pub(crate) running: u32,
-    /// Teams with a guaranteed part of this service.
-    pub(crate) guaranteed_teams: usize,
     /// Tokens expected of started attempts that have not come yet.
     pub(crate) backlog: u64,
     pub(crate) books: Books,
@@ -66,7 +64,6 @@
             limits: BTreeSet::new(),
             entries: BTreeMap::new(),
             running: 0,
-            guaranteed_teams: 0,
             backlog: 0,
             books: Books::new(me.process.clone(), me.incarnation, Side::Ran),
             beat: 0,
@@ -217,8 +214,6 @@
     fn reshare(&mut self) {
         let teams = &self.follower.document().teams;
         let service = &self.options.service;
-        let shares = teams.values().filter_map(|spec| spec.shares.get(service));
-        self.guaranteed_teams = shares.filter(|share| share.guaranteed.0 > 0).count();
         self.queue.reshare(|team| {
             let share = teams.get(team).and_then(|spec| spec.shares.get(service));
             share.cloned().unwrap_or_default()
--- a/crates/agent/src/gate.rs
+++ b/crates/agent/src/gate.rs
@@ -18,9 +18,6 @@
 /// When an entry may come back to a full or draining agent.
 const COME_BACK: Duration = Duration::from_millis(500);
 
-/// Slots of which one is kept for teams with a guaranteed part and nothing running.
-const SLOTS_PER_RESERVED: u32 = 16;
-
 /// Time in the queue that credits allow for, beyond the time of service.
 const CREDIT_QUEUE: Duration = Duration::from_secs(1);
 
@@ -172,22 +169,10 @@
         self.refuse(ticket, &work, refusal, out);
     }
 
-    /// Slots that only teams take which have a guaranteed part and nothing running.
-    fn reserve(&self) -> u32 {
-        match self.guaranteed_teams {
-            0 | 1 => 0,
-            _ => self.options.slots / SLOTS_PER_RESERVED,
-        }
-    }
-
     /// Passes queued attempts on while slots are free.
     pub(crate) fn start_queued(&mut self, now: Instant, out: &mut Vec<Output>) {
         while self.running < self.options.slots {
-            let next = match self.options.slots - self.running > self.reserve() {
-                true => self.queue.pop(),
-                false => self.queue.pop_waiting(),
-            };
-            let Some(turn) = next else {
+            let Some(turn) = self.queue.pop() else {
                 return;
             };
             let ticket = turn.item.ticket;
--- a/crates/agent/src/queue.rs
+++ b/crates/agent/src/queue.rs
@@ -94,8 +94,6 @@
     by_due: BTreeSet<(u64, Team)>,
     by_start: BTreeSet<(u64, Team)>,
     by_excess: BTreeSet<(u64, Team)>,
-    /// Lines with a guaranteed part and nothing running.
-    waiting: BTreeSet<(u64, Team)>,
     /// Lines with nothing queued or running whose tags are still ahead.
     resting: BTreeSet<(u64, Team)>,
     places: BTreeMap<Ticket, (Team, Place)>,
@@ -215,16 +213,6 @@
         if !guaranteed {
             self.time = self.time.max(tag);
         }
-        self.take(team, guaranteed)
-    }
-
-    /// Takes the next attempt of the teams that have a guaranteed part and nothing running.
-    pub fn pop_waiting(&mut self) -> Option<Turn> {
-        let (due, team) = self.waiting.first().cloned()?;
-        self.take(team, due <= self.work)
-    }
-
-    fn take(&mut self, team: Team, guaranteed: bool) -> Option<Turn> {
         let place = *self.lines.get(&team)?.items.keys().next()?;
         self.lift(&team);
         let item = self.unqueue(&team, place)?;
@@ -332,7 +320,6 @@
         self.by_due.remove(&(line.due, team.clone()));
         self.by_start.remove(&(line.start, team.clone()));
         self.by_excess.remove(&(line.excess, team.clone()));
-        self.waiting.remove(&(line.due, team.clone()));
     }
 
     /// Puts a line back into the indices.
@@ -362,9 +349,6 @@
         self.by_start.insert((line.start, team.clone()));
         if line.share.guaranteed.0 > 0 {
             self.by_due.insert((line.due, team.clone()));
-            if line.running == 0 {
-                self.waiting.insert((line.due, team.clone()));
-            }
         }
     }
 
