--- /dev/null
+++ b/crates/group/src/load.rs
@@ -0,0 +1,92 @@
+//! What the ranks of a group saw, smoothed.
+//!
+//! Reports come late, doubled, out of order and with gaps. Each is counted once and by the steps it
+//! covers, so that a missing one thins the sample without lowering the load.
+
+use std::collections::BTreeMap;
+
+use eelgrassdyke_core::id::{Rank, Step};
+use eelgrassdyke_core::wire::group::Seen;
+
+/// Weight of the newest interval in the smoothed load.
+const LOAD_GAIN: f64 = 0.5;
+
+/// Weight of the newest report in a rank's smoothed time per token.
+const COST_GAIN: f64 = 0.3;
+
+/// Smoothed load of the experts and speed of the ranks.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Loads {
+    smoothed: Vec<Vec<f64>>,
+    gathered: Vec<Vec<f64>>,
+    rank_steps: f64,
+    costs: BTreeMap<Rank, f64>,
+    heard: BTreeMap<Rank, Step>,
+}
+
+impl Loads {
+    /// Counts a report; one that covers steps already counted is dropped.
+    pub fn hear(&mut self, rank: Rank, seen: &Seen) {
+        let (first, last) = seen.steps;
+        let heard = self.heard.get(&rank).copied().unwrap_or_default();
+        if first <= heard || last < first {
+            return;
+        }
+        self.heard.insert(rank, last);
+        self.rank_steps += (last - first).0 as f64 + 1.0;
+        self.gathered.resize(seen.tokens.len(), Vec::new());
+        for (sums, tokens) in self.gathered.iter_mut().zip(&seen.tokens) {
+            sums.resize(tokens.len(), 0.0);
+            for (sum, count) in sums.iter_mut().zip(tokens) {
+                *sum += *count as f64;
+            }
+        }
+        if seen.worked == 0 {
+            return;
+        }
+        let steps = (last - first).0 as f64 + 1.0;
+        let cost = seen.busy_us as f64 * steps / seen.worked as f64;
+        let smoothed = self.costs.entry(rank).or_insert(cost);
+        *smoothed += (cost - *smoothed) * COST_GAIN;
+    }
+
+    /// Closes an interval: blends what was gathered into the smoothed load.
+    pub fn roll(&mut self) {
+        if self.rank_steps == 0.0 {
+            return;
+        }
+        let gain = match self.smoothed.is_empty() {
+            true => 1.0,
+            false => LOAD_GAIN,
+        };
+        self.smoothed.resize(self.gathered.len(), Vec::new());
+        for (smoothed, sums) in self.smoothed.iter_mut().zip(&self.gathered) {
+            smoothed.resize(sums.len(), 0.0);
+            for (load, sum) in smoothed.iter_mut().zip(sums) {
+                *load += (sum / self.rank_steps - *load) * gain;
+            }
+        }
+        self.gathered.clear();
+        self.rank_steps = 0.0;
+    }
+
+    /// Tokens a step and sending rank for each expert, by layer.
+    pub fn experts(&self) -> &[Vec<f64>] {
+        &self.smoothed
+    }
+
+    /// Time per token of a rank, relative to the mean of all; 1 when it never reported.
+    pub fn cost(&self, rank: Rank) -> f64 {
+        let mean = self.costs.values().sum::<f64>() / self.costs.len().max(1) as f64;
+        match self.costs.get(&rank) {
+            Some(cost) if mean > 0.0 => cost / mean,
+            _ => 1.0,
+        }
+    }
+
+    /// Forgets a rank that was lost or replaced.
+    pub fn forget(&mut self, rank: Rank) {
+        self.costs.remove(&rank);
+        self.heard.remove(&rank);
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod book;
 pub mod engine;
+pub mod group;
 pub mod plain;
 
 use std::net::{SocketAddr, TcpListener as StdListener};
