--- a/crates/control/src/log/found.rs
+++ b/crates/control/src/log/found.rs
@@ -27,7 +27,7 @@
 const WAITING_COUNT_MAX: usize = 32;
 
 /// What is known of replicas that belong to no cluster.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Founding {
     /// When this replica next looks for others.
     pub next_hello: Instant,
@@ -36,7 +36,7 @@
     told: BTreeSet<String>,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Founder {
     id: Id,
     stage: Stage,
--- a/crates/control/src/log/leader.rs
+++ b/crates/control/src/log/leader.rs
@@ -17,6 +17,7 @@
 const QUESTIONS_MAX: usize = 4096;
 
 /// A leader's books.
+#[derive(Clone, Debug)]
 pub struct Leader {
     /// Position of the first record of its term.
     pub first: Index,
@@ -31,6 +32,7 @@
 }
 
 /// What the leader knows of another member.
+#[derive(Clone, Debug)]
 pub struct Peer {
     /// Position of the next record to send.
     pub next: Index,
@@ -49,6 +51,7 @@
 }
 
 /// A snapshot under way to a member.
+#[derive(Clone, Debug)]
 pub struct Install {
     /// The snapshot.
     pub snapshot: Snapshot,
@@ -58,6 +61,7 @@
     pub sent: Option<u64>,
 }
 
+#[derive(Clone, Debug)]
 struct Question {
     question: u64,
     origin: Id,
--- a/crates/control/src/log/replica.rs
+++ b/crates/control/src/log/replica.rs
@@ -18,6 +18,7 @@
 use super::replication::Incoming;
 
 /// One replica of the log.
+#[derive(Clone, Debug)]
 pub struct Replica {
     pub(super) options: Options,
     pub(super) id: Id,
@@ -56,6 +57,7 @@
 }
 
 /// What a replica does at present.
+#[derive(Clone, Debug)]
 pub(super) enum Role {
     /// Belongs to no cluster.
     Blank,
@@ -68,6 +70,7 @@
 }
 
 /// The end of the log that a job makes durable.
+#[derive(Clone, Debug)]
 struct Mark {
     job: u64,
     index: Index,
--- a/crates/control/src/log/replication.rs
+++ b/crates/control/src/log/replication.rs
@@ -16,6 +16,7 @@
 const SNAPSHOT_BYTES_MAX: usize = 1 << 30;
 
 /// A snapshot that arrives in parts.
+#[derive(Clone, Debug)]
 pub struct Incoming {
     index: Index,
     term: Term,
