--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -55,9 +55,8 @@
 impl Agent {
     /// An agent that has taken in nothing yet.
     pub fn new(me: Sender, options: Options) -> Self {
-        let first = me.address.port() as usize;
         Self {
-            follower: Follower::new(options.control.clone(), false, first),
+            follower: Follower::new(&me, options.control.clone(), false),
             keys: Keys::new(options.keys),
             queue: Queue::new(options.queue, options.slots),
             pace: Pace::new(options.slots, options.token_rate),
@@ -123,6 +122,11 @@
         self.follower.version()
     }
 
+    /// Time since control was last heard, or since the start before the first time.
+    pub fn control_silence(&self, now: Instant) -> Duration {
+        self.follower.silence(now).unwrap_or(now.since(Instant(0)))
+    }
+
     /// Attempts queued or running.
     pub fn open_attempts(&self) -> usize {
         self.works.len()
