Narrower signatures in the log and the store

Cause: four steps took a time that they never read, and the store gave out more than its users need. Conclusion: read as a newcomer would, these were questions without an answer.

--- a/crates/control/src/log/leader.rs
+++ b/crates/control/src/log/leader.rs
@@ -194,17 +194,11 @@
     }
 
     /// Appends a command, if this replica leads.
-    pub(super) fn propose(
-        &mut self,
-        now: Instant,
-        token: u64,
-        command: Vec<u8>,
-        out: &mut Vec<Output>,
-    ) {
+    pub(super) fn propose(&mut self, token: u64, command: Vec<u8>, out: &mut Vec<Output>) {
         let waiting = (self.log.last() - self.commit).0 as usize;
         let refusal = match self.role {
             Role::Leader(_) if waiting < self.options.uncommitted_max => {
-                self.append_own(now, token, Payload::Command(command));
+                self.append_own(token, Payload::Command(command));
                 return;
             }
             Role::Leader(_) => Refusal::Overload,
@@ -214,7 +208,7 @@
     }
 
     /// Appends a record of the present term.
-    pub(super) fn append_own(&mut self, _now: Instant, token: u64, payload: Payload) {
+    pub(super) fn append_own(&mut self, token: u64, payload: Payload) {
         let (term, index) = (self.hard.term, self.log.last().next());
         self.tokens.insert(index, (term, token));
         self.append(vec![Record {
@@ -225,9 +219,9 @@
     }
 
     /// Asks the leader which position is committed now.
-    pub(super) fn ask_confirm(&mut self, now: Instant, question: u64, out: &mut Vec<Output>) {
+    pub(super) fn ask_confirm(&mut self, question: u64, out: &mut Vec<Output>) {
         match (&self.role, self.leader) {
-            (Role::Leader(_), _) => self.take_confirm(now, self.id, question),
+            (Role::Leader(_), _) => self.take_confirm(self.id, question),
             (Role::Follower, Some(leader)) => {
                 self.send(leader, Body::Confirm { question }, out);
             }
@@ -236,7 +230,7 @@
     }
 
     /// Keeps a question until a round that starts after it has reached a majority.
-    pub(super) fn take_confirm(&mut self, _now: Instant, origin: Id, question: u64) {
+    pub(super) fn take_confirm(&mut self, origin: Id, question: u64) {
         let commit = self.commit;
         let Role::Leader(leader) = &mut self.role else {
             return;
--- a/crates/control/src/log/members.rs
+++ b/crates/control/src/log/members.rs
@@ -20,7 +20,7 @@
         out: &mut Vec<Output>,
     ) {
         match self.next_members(now, change) {
-            Ok(members) => self.append_own(now, token, Payload::Members(members)),
+            Ok(members) => self.append_own(token, Payload::Members(members)),
             Err(refusal) => out.push(Output::Refused { token, refusal }),
         }
     }
--- a/crates/control/src/log/replica.rs
+++ b/crates/control/src/log/replica.rs
@@ -153,9 +153,9 @@
                 self.stop(problem, out);
                 return;
             }
-            Input::Propose { token, command } => self.propose(now, token, command, out),
+            Input::Propose { token, command } => self.propose(token, command, out),
             Input::Change { token, change } => self.change_members(now, token, change, out),
-            Input::Confirm { question } => self.ask_confirm(now, question, out),
+            Input::Confirm { question } => self.ask_confirm(question, out),
             Input::Snapshot { data } => self.take_snapshot(data, out),
             Input::Tick => {}
         }
@@ -278,7 +278,7 @@
             Body::Appended { .. } | Body::Installing { .. } => {
                 self.take_follower(now, &message, out);
             }
-            Body::Confirm { question } => self.take_confirm(now, message.from, question),
+            Body::Confirm { question } => self.take_confirm(message.from, question),
             Body::Confirmed { question, index } => {
                 out.push(Output::Confirmed { question, index });
             }
--- a/crates/control/src/store/folder.rs
+++ b/crates/control/src/store/folder.rs
@@ -102,11 +102,6 @@
         result
     }
 
-    /// Gives back the disk.
-    pub fn into_disk(self) -> D {
-        self.disk
-    }
-
     fn write_all(&mut self, jobs: &[Job]) -> Result<()> {
         let mut entries = Vec::new();
         for write in jobs.iter().flat_map(|job| &job.writes) {
--- a/crates/control/src/store/mod.rs
+++ b/crates/control/src/store/mod.rs
@@ -15,6 +15,5 @@
 
 pub use disk::Disk;
 pub use errors::{Error, Result};
-pub use file::{Entry, Head, read_log, read_snapshot, write_log, write_snapshot};
+pub use file::{Entry, Head, Log, read_log, read_snapshot};
 pub use folder::Store;
-pub use frame::Reader;
