--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -66,18 +66,32 @@
     };
     match read_strictly::<Submission>(&request.body) {
         Ok(submission) => control.submit(submission, responder),
-        Err(problem) => {
-            let problem = format!("the submission does not read: {problem}");
-            fail(
-                responder,
-                StatusCode::BAD_REQUEST,
-                &problem,
-                "correct it; see docs/operators/config.md",
-            );
-        }
+        Err(problem) => unreadable(
+            responder,
+            &problem,
+            "correct it; see docs/operators/config.md",
+        ),
+    }
+}
+
+fn change_members(node: &Node, request: &Request, responder: Responder) {
+    let Some(control) = node.control() else {
+        no_control(responder);
+        return;
+    };
+    let remedy = "send {\"add\": \"REPLICA\"}, {\"promote\": \"REPLICA\"} or \
+                  {\"remove\": \"REPLICA\"}; see docs/operators/control.md";
+    match read_strictly::<Change>(&request.body) {
+        Ok(change) => control.change_members(change, responder),
+        Err(problem) => unreadable(responder, &problem, remedy),
     }
 }
 
+fn unreadable(responder: Responder, problem: &str, remedy: &str) {
+    let problem = format!("the body does not read: {problem}");
+    fail(responder, StatusCode::BAD_REQUEST, &problem, remedy);
+}
+
 /// Reads JSON in which no field may stand twice; the fault names its place.
 fn read_strictly<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, String> {
     let text = std::str::from_utf8(body).map_err(|error| error.to_string())?;
@@ -89,22 +103,6 @@
         .map_err(|error| format!("at {}: {}", error.path(), error.inner()))
 }
 
-fn change_members(node: &Node, request: &Request, responder: Responder) {
-    let Some(control) = node.control() else {
-        no_control(responder);
-        return;
-    };
-    match serde_json::from_slice::<Change>(&request.body) {
-        Ok(change) => control.change_members(change, responder),
-        Err(error) => {
-            let problem = format!("the change does not read: {error}");
-            let remedy = "send {\"add\": \"REPLICA\"}, {\"promote\": \"REPLICA\"} or \
-                          {\"remove\": \"REPLICA\"}; see docs/operators/control.md";
-            fail(responder, StatusCode::BAD_REQUEST, &problem, remedy);
-        }
-    }
-}
-
 /// An operator's order to an engine.
 #[derive(Debug, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -124,10 +122,9 @@
     };
     match read_strictly::<Order>(&request.body) {
         Ok(order) => control.order(order, responder),
-        Err(problem) => fail(
+        Err(problem) => unreadable(
             responder,
-            StatusCode::BAD_REQUEST,
-            &format!("the order does not read: {problem}"),
+            &problem,
             "correct it; see docs/operators/orders.md",
         ),
     }
