--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -68,7 +68,7 @@
         let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
         let first = rng.random_range(0..options.control.len().max(1));
         Self {
-            follower: Follower::new(options.control.clone(), true, first),
+            follower: Follower::new(&me, options.control.clone(), true),
             books: Books::new(me.process.clone(), me.incarnation, Side::Delivered),
             me,
             tokens: Tokens::default(),
@@ -532,11 +532,11 @@
 fn named(directory: &Directory) -> Option<Vec<Server>> {
     directory.since?;
     let mut named: Vec<Server> = directory.gone.clone();
-    for row in &directory.rows {
+    for (row, _) in &directory.rows {
         named.push(row.server.clone());
     }
-    for (server, ..) in &directory.loads {
-        named.push(server.clone());
+    for reading in &directory.loads {
+        named.push(reading.server.clone());
     }
     Some(named)
 }
