Log files rotate; decoders and links under test

Cause: a log file grew without bound; peer messages and submissions had no property tests. Measured: 5 tests of tests/decode.rs (3000 cases each where random) pass; two runs of an entry with a log folder appended to one file.

--- /dev/null
+++ b/crates/core/tests/decode.rs
@@ -0,0 +1,124 @@
+//! Bytes from outside decode or are refused; nothing panics.
+
+use eelgrassdyke_core::config::Submission;
+use eelgrassdyke_core::id::Incarnation;
+use eelgrassdyke_core::jsonc;
+use eelgrassdyke_core::time::Stamp;
+use eelgrassdyke_core::wire::claim::{Name, Probe};
+use eelgrassdyke_core::wire::dispatch::{Dispatch, Frame};
+use eelgrassdyke_core::wire::follow::Follow;
+use eelgrassdyke_core::wire::{self, Batch, Message, Sender, Stamped};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+fn runner() -> TestRunner {
+    let config = Config {
+        cases: 3000,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &[9; 32]))
+}
+
+/// Decodes bytes as everything that a peer may send.
+fn decode_all(bytes: &[u8]) {
+    let _ = wire::decode::<Batch>(bytes);
+    let _ = wire::decode::<Stamped<Dispatch>>(bytes);
+    let _ = wire::decode::<Stamped<Vec<Frame>>>(bytes);
+}
+
+fn batch() -> Batch {
+    let name = Name {
+        team: "hobart".parse().unwrap(),
+        key: "order-1".parse().unwrap(),
+    };
+    let probe = Probe {
+        request: "entry-1/2/3".parse().unwrap(),
+        name,
+        incarnation: Incarnation(4),
+        claim: 5,
+    };
+    let follow = Follow {
+        version: Default::default(),
+        digest: eelgrassdyke_core::digest::Sha256::of(b""),
+        directory: None,
+        wants_directory: true,
+        confirm: true,
+        question: 1,
+    };
+    Batch {
+        from: Sender {
+            process: "entry-1".parse().unwrap(),
+            incarnation: Incarnation(2),
+            address: "127.0.0.1:1".parse().unwrap(),
+        },
+        stamp: Stamp::default(),
+        messages: vec![Message::Probe(probe), Message::Follow(follow)],
+    }
+}
+
+#[test]
+fn a_batch_reads_back() {
+    let batch = batch();
+    let bytes = wire::encode(&batch).unwrap();
+    assert_eq!(wire::decode::<Batch>(&bytes).unwrap(), batch);
+}
+
+#[test]
+fn arbitrary_messages_never_panic() {
+    let bytes = proptest::collection::vec(any::<u8>(), 0..512);
+    let outcome = runner().run(&bytes, |bytes| {
+        decode_all(&bytes);
+        Ok(())
+    });
+    outcome.unwrap();
+}
+
+#[test]
+fn mutated_messages_never_panic() {
+    let good = wire::encode(&batch()).unwrap();
+    let edit = (0..good.len(), any::<u8>());
+    let cut = 0..=good.len();
+    let edits = (proptest::collection::vec(edit, 1..6), cut);
+    let outcome = runner().run(&edits, |(edits, cut)| {
+        let mut bytes = good.clone();
+        for (at, byte) in edits {
+            bytes[at] = byte;
+        }
+        decode_all(&bytes);
+        decode_all(&bytes[..cut]);
+        Ok(())
+    });
+    outcome.unwrap();
+}
+
+#[test]
+fn deep_nesting_is_refused() {
+    // MessagePack lists of one item, and JSON lists, far deeper than any message.
+    decode_all(&[0x91; 200_000]);
+    assert!(jsonc::read(&"[".repeat(200_000)).is_err());
+    assert!(jsonc::read(&"{\"a\":".repeat(200_000)).is_err());
+}
+
+#[test]
+fn mutated_submissions_never_panic() {
+    let good = r#"{ "operation": "op-1", "base": 4, "author": "me", "change": { "patch": {
+        "teams": { "hobart": { "tokens": [], "shares": { "draft": { "weight": 2 } } } },
+        "services": { "draft": null } } } }"#;
+    let edit = (0..good.len(), 0..6usize, "[ -~]{0,3}");
+    let edits = proptest::collection::vec(edit, 1..4);
+    let outcome = runner().run(&edits, |edits| {
+        let mut bytes = good.as_bytes().to_vec();
+        for (at, cut, put) in edits {
+            let at = at.min(bytes.len());
+            let end = (at + cut).min(bytes.len());
+            bytes.splice(at..end, put.bytes());
+        }
+        match jsonc::read(&String::from_utf8_lossy(&bytes)) {
+            Ok(tree) => drop(serde_json::from_value::<Submission>(tree.value)),
+            Err(faults) => prop_assert!(!faults.is_empty()),
+        }
+        Ok(())
+    });
+    outcome.unwrap();
+}
--- a/crates/eelgrassdyke/src/run.rs
+++ b/crates/eelgrassdyke/src/run.rs
@@ -8,8 +8,15 @@
 
 use eelgrassdyke_core::settings::Settings;
 use eelgrassdyke_node::Node;
+use flexi_logger::{Cleanup, Criterion, FileSpec, Naming};
 use metrics_exporter_prometheus::PrometheusBuilder;
 
+/// Size at which a log file is closed and the next one begun, in bytes.
+const LOG_BYTES_MAX: u64 = 64 << 20;
+
+/// Closed log files that are kept.
+const LOG_FILES_MAX: usize = 7;
+
 /// Result of a command.
 pub type Result<T> = std::result::Result<T, Box<dyn std::error::Error>>;
 
@@ -87,12 +94,18 @@
     let logger = flexi_logger::Logger::try_with_str(&settings.log.level)?;
     let logger = match &settings.log.folder {
         None => logger.log_to_stderr(),
-        Some(folder) => logger.log_to_file(
-            flexi_logger::FileSpec::default()
-                .directory(folder)
-                .basename(settings.process.as_str())
-                .suppress_timestamp(),
-        ),
+        Some(folder) => logger
+            .log_to_file(
+                FileSpec::default()
+                    .directory(folder)
+                    .basename(settings.process.as_str()),
+            )
+            .rotate(
+                Criterion::Size(LOG_BYTES_MAX),
+                Naming::Numbers,
+                Cleanup::KeepLogFiles(LOG_FILES_MAX),
+            )
+            .append(),
     };
     Ok(logger.format(flexi_logger::detailed_format).start()?)
 }
