Strangers may send 16 KiB to the port of peers and operators, not 64 MiB

Cause: a body was read whole, up to 64 MiB, before the peers' secret or the operator's token was looked at, so that 4096 strangers could fill the memory. Callers' port took 16 MiB where a service may be configured for 32 MiB. Ruled out for now: one budget of bytes for a whole port (a sender of declared lengths could lock others out; counting read bytes needs more).

--- a/crates/node/src/http/server.rs
+++ b/crates/node/src/http/server.rs
@@ -155,8 +155,22 @@
     }
 }
 
+/// The largest body that a request with these header fields may have, in bytes.
+pub type BodyLimit = Rc<dyn Fn(&HeaderMap) -> usize>;
+
 /// Accepts connections on `listener` until the runtime ends.
 pub async fn serve(listener: TcpListener, options: Options, handler: Handler) {
+    let limit = Rc::new(move |_: &HeaderMap| options.body_max);
+    serve_limited(listener, options, limit, handler).await;
+}
+
+/// Accepts connections until the runtime ends; `limit` bounds each body once its head is read.
+pub async fn serve_limited(
+    listener: TcpListener,
+    options: Options,
+    limit: BodyLimit,
+    handler: Handler,
+) {
     let open = Rc::new(Cell::new(0));
     loop {
         let (stream, peer) = match listener.accept().await {
@@ -173,10 +187,13 @@
         }
         open.set(open.get() + 1);
         let handler = handler.clone();
+        let limit = limit.clone();
         let open = open.clone();
         monoio::spawn(async move {
             let _ = stream.set_nodelay(true);
-            Connection::new(stream, peer, options).run(handler).await;
+            Connection::new(stream, peer, options, limit)
+                .run(handler)
+                .await;
             open.set(open.get() - 1);
         });
     }
@@ -206,10 +223,11 @@
     allowance: Allowance,
     peer: SocketAddr,
     options: Options,
+    limit: BodyLimit,
 }
 
 impl Connection {
-    fn new(stream: TcpStream, peer: SocketAddr, options: Options) -> Self {
+    fn new(stream: TcpStream, peer: SocketAddr, options: Options, limit: BodyLimit) -> Self {
         let (reader, writer) = stream.into_split();
         let (guard, allowance) = Guard::new(reader);
         Self {
@@ -218,6 +236,7 @@
             allowance,
             peer,
             options,
+            limit,
         }
     }
 
@@ -289,7 +308,8 @@
             Ok(length) => length.unwrap_or(0),
             Err(problem) => return Intake::Bad(StatusCode::BAD_REQUEST, problem),
         };
-        if length > self.options.body_max {
+        let body_max = (self.limit)(request.headers());
+        if length > body_max {
             return Intake::Bad(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
         }
         if request.method() == Method::CONNECT || request.version() != Version::HTTP_11 {
@@ -311,7 +331,7 @@
         }
 
         // The bound covers the framing of a chunked body as well.
-        self.allowance.set(self.options.body_max + HEAD_BYTES_MAX);
+        self.allowance.set(body_max + HEAD_BYTES_MAX);
         let filled = monoio::time::timeout(self.options.idle, self.decoder.fill_payload()).await;
         match filled {
             Err(_) => return Intake::Bad(StatusCode::REQUEST_TIMEOUT, "the body came too slowly"),
@@ -325,7 +345,7 @@
         let Ok(body) = payload.bytes().await else {
             return Intake::Bad(StatusCode::BAD_REQUEST, "the body is malformed");
         };
-        if body.len() > self.options.body_max {
+        if body.len() > body_max {
             return Intake::Bad(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
         }
         Intake::Request(Request {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -29,7 +29,10 @@
 use crate::{gauges, operator, peer};
 
 /// Largest body that an entry reads; services may set lower limits.
-const CALL_BYTES_MAX: usize = 16 << 20;
+const CALL_BYTES_MAX: usize = 32 << 20;
+
+/// Largest body that is read of a caller that is neither a peer nor an operator.
+const STRANGER_BYTES_MAX: usize = 16 << 10;
 
 /// Time between two looks at whether a shutdown has come to its end.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
@@ -175,7 +178,12 @@
         };
         let node = self.clone();
         let handler = Rc::new(move |request, responder| node.handle(request, responder));
-        monoio::spawn(server::serve(listener, options, handler));
+        let node = self.clone();
+        let limit = Rc::new(move |headers: &HeaderMap| match node.is_known(headers) {
+            true => BATCH_BYTES_MAX,
+            false => STRANGER_BYTES_MAX,
+        });
+        monoio::spawn(server::serve_limited(listener, options, limit, handler));
 
         let (Some(entry), Some(callers)) = (&self.entry, ports.callers) else {
             return Ok(());
@@ -198,6 +206,11 @@
         Ok(())
     }
 
+    /// Whether a request on the port for peers and operators comes from one of them.
+    fn is_known(&self, headers: &HeaderMap) -> bool {
+        peer::is_peer(self, headers) || operator::is_operator(self, headers)
+    }
+
     /// Answers a request on the port for peers and operators.
     fn handle(&self, request: Request, responder: Responder) {
         let path = request.uri.path();
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -11,7 +11,7 @@
 
 /// Answers a request below `/v1/`.
 pub fn handle(node: &Node, request: Request, responder: Responder) {
-    if !is_operator(node, &request) {
+    if !is_operator(node, &request.headers) {
         let remedy = "send an operator's token as `Authorization: Bearer TOKEN`";
         fail(
             responder,
@@ -47,9 +47,9 @@
     }
 }
 
-fn is_operator(node: &Node, request: &Request) -> bool {
-    let bearer = request
-        .headers
+/// Whether a request carries an operator's token.
+pub fn is_operator(node: &Node, headers: &HeaderMap) -> bool {
+    let bearer = headers
         .get(header::AUTHORIZATION)
         .and_then(|v| v.to_str().ok());
     let token = bearer.and_then(|text| text.strip_prefix("Bearer "));
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -11,11 +11,7 @@
 
 /// Answers a request below `/peer/`.
 pub fn handle(node: &Node, request: Request, responder: Responder) {
-    let secret = request
-        .headers
-        .get(SECRET_FIELD)
-        .and_then(|value| value.to_str().ok());
-    if !secret.is_some_and(|text| node.secret().matches(text)) {
+    if !is_peer(node, &request.headers) {
         node.timeline().note(Event::new(
             Code::InputRefused,
             format!("{}: secret", request.peer),
@@ -30,6 +26,14 @@
     }
 }
 
+/// Whether a request carries the peers' secret.
+pub fn is_peer(node: &Node, headers: &HeaderMap) -> bool {
+    let secret = headers
+        .get(SECRET_FIELD)
+        .and_then(|value| value.to_str().ok());
+    secret.is_some_and(|text| node.secret().matches(text))
+}
+
 fn take_batch(node: &Node, request: &Request, responder: Responder) {
     let batch: Batch = match wire::decode(&request.body) {
         Ok(batch) => batch,
--- a/crates/node/tests/stream.rs
+++ b/crates/node/tests/stream.rs
@@ -1,4 +1,4 @@
-//! A drafting answer passes the whole path token by token.
+//! A drafting answer passes the whole path token by token; strangers can't fill the memory.
 //!
 //! A process with every role serves an engine that makes its second token only when it is told to,
 //! after the caller has read the first. No verdict depends on time.
@@ -14,6 +14,7 @@
 use eelgrassdyke_core::settings::Settings;
 use eelgrassdyke_node::Node;
 use eelgrassdyke_node::http::client::{self, Answer, Connection};
+use eelgrassdyke_node::http::pool::Pool;
 use eelgrassdyke_node::http::server::{self, Options, Request, Responder};
 use eelgrassdyke_node::node::Ports;
 use eelgrassdyke_node::runtime::block_on;
@@ -118,6 +119,26 @@
     opened.answer().await.unwrap()
 }
 
+#[test]
+fn a_stranger_may_send_little_to_the_port_of_peers_and_operators() {
+    let folder = tempfile::tempdir().unwrap();
+    let statuses = block_on(async {
+        let (_listener, backend) = listen();
+        let (control, _) = start(folder.path(), backend);
+        let pool = Pool::default();
+        let mut statuses = Vec::new();
+        for path in ["/peer/mail", "/v1/config"] {
+            let large = client::Request::post(path, vec![b' '; 20_000]);
+            statuses.push(pool.call(control, large, HANG).await.unwrap().0.as_u16());
+        }
+        let mut known = post("/v1/config", json!({}));
+        known.body = vec![b' '; 2 << 20].into();
+        statuses.push(pool.call(control, known, HANG).await.unwrap().0.as_u16());
+        statuses
+    });
+    assert_eq!(statuses.unwrap(), [413, 413, 400]);
+}
+
 #[test]
 fn the_first_token_arrives_before_the_second_is_made() {
     let folder = tempfile::tempdir().unwrap();
