--- a/crates/control/tests/log_control.rs
+++ b/crates/control/tests/log_control.rs
@@ -190,6 +190,7 @@
         directory: None,
         wants_directory: false,
         confirm: true,
+        question: 1,
     }
 }
 
