--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -3,8 +3,8 @@
 //! The ranks of a group run in lock-step, and in every step all of them must use one and the same
 //! expert map. [`standing`] is the durable state of a group, changed by decisions of the replicated
 //! log only. [`switch`] runs in the control leader and brings a group from one map to the next;
-//! [`gate`] runs in the agent of each rank and grants its engine steps in short runs. [`plan`]
-//! decides which map comes next, and [`steward`] joins planner and switch for one group.
+//! [`gate`] runs in the agent of each rank and grants its engine steps in short runs. `plan`
+//! decides which map comes next, and `steward` joins planner and switch for one group.
 //!
 //! Nothing here performs I/O or reads a clock: inputs and instants come in, outputs go out.
 #![forbid(unsafe_code)]
