--- a/crates/testkit/src/model/world.rs
+++ b/crates/testkit/src/model/world.rs
@@ -194,7 +194,7 @@
     fn agent_options(&self, at: usize) -> eelgrassdyke_agent::Options {
         let row = self.row(at);
         eelgrassdyke_agent::Options {
-            control: Vec::new(),
+            control: vec![sender("control", 0, 1).address],
             server: row.server,
             service: row.service,
             host: row.host,
@@ -232,7 +232,7 @@
             loads.push(Reading {
                 server: server(at),
                 load: *load,
-                age_ms: 0,
+                age_ms: DIRECTORY_INTERVAL.as_millis() as u32,
             });
         }
         let listed = (0..self.options.servers).filter(|at| self.is_listed(*at));
