Reports: every control process holds the books, also after a restart

Cause: an entry sent its books to the presumed leader only, and an agent took the answer of any one control process for all, so a report lost what the answering process lacked after a restart or a change of leader; in a process with both roles each took the other's answers for its own.

Change: rows carry revisions; each control process is sent what changed after the revision that it holds, and everything again when it comes back as a new life; a control process that starts asks the others for all books, so that those of dead lives are kept; answers name the side.

Pages now say where they begin. Left: all control processes restarting at once lose the books of dead lives.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -23,9 +23,6 @@
 /// Time between two announcements.
 const BEAT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Time between two pages of the books.
-const REPORT_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Health checks in a row that must fail before the back end counts as down.
 const FAILURES_MAX: u32 = 2;
 
@@ -49,7 +46,6 @@
     pub(crate) books: Books,
     beat: u64,
     next_beat: Instant,
-    next_report: Instant,
     failures: u32,
     draining: bool,
 }
@@ -72,10 +68,9 @@
             entries: BTreeMap::new(),
             running: 0,
             backlog: 0,
-            books: Books::new(me.process.clone(), me.incarnation, Side::Ran),
+            books: Books::new(&me, Side::Ran, &options.control),
             beat: 0,
             next_beat: Instant(0),
-            next_report: Instant(0),
             // The back end counts as down until its first health check passes.
             failures: FAILURES_MAX,
             draining: false,
@@ -115,7 +110,7 @@
             .next_deadline()
             .min(limit)
             .min(self.next_beat)
-            .min(self.next_report)
+            .min(self.books.next_deadline())
             .min(self.orders.next_deadline())
             .min(self.follower.next_deadline())
     }
@@ -219,7 +214,7 @@
                 });
             }
             Message::Fence(message) => self.orders.hear(now, from.address, message, out),
-            Message::ReportKept(kept) => self.books.kept(&kept),
+            Message::ReportKept(kept) => self.books.kept(from, &kept),
             _ => {}
         }
     }
@@ -272,19 +267,10 @@
     }
 
     fn report(&mut self, now: Instant, out: &mut Vec<Output>) {
-        if now < self.next_report {
-            return;
-        }
-        self.next_report = now + REPORT_INTERVAL;
         let closed = self.is_done();
-        let Some(page) = self.books.page(closed) else {
-            return;
-        };
-        for to in &self.options.control {
-            out.push(Output::Send {
-                to: *to,
-                message: Message::Report(page.clone()),
-            });
+        for (to, page) in self.books.pages(now, closed) {
+            let message = Message::Report(page);
+            out.push(Output::Send { to, message });
         }
     }
 
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -10,7 +10,7 @@
 use eelgrassdyke_core::wire::fence;
 use eelgrassdyke_core::wire::follow::{Follow, Update};
 use eelgrassdyke_core::wire::log::{Payload, Record};
-use eelgrassdyke_core::wire::report::Kept;
+use eelgrassdyke_core::wire::report::{Kept, Page};
 use eelgrassdyke_core::wire::{self, Message, Sender};
 
 use crate::confirm::Confirmations;
@@ -54,6 +54,7 @@
     directory: Directory,
     followers: Followers,
     ledger: Ledger,
+    asked_books: bool,
     giver: Giver,
     pushed: (Version, u64),
     next_push: Instant,
@@ -79,6 +80,7 @@
             state: State::default(),
             followers: Followers::default(),
             ledger: Ledger::default(),
+            asked_books: false,
             giver: Giver::default(),
             pushed: (Version(0), 0),
             next_push: now,
@@ -157,21 +159,51 @@
             Message::Follow(follow) => self.take_follow(now, from, follow, out),
             Message::Claim(ask) => self.take_claim(now, from, ask, out),
             Message::Fence(message) => self.take_fence(now, from, message, out),
-            Message::Report(page) => {
-                self.ledger.hear(now, &page);
-                let kept = Kept {
-                    incarnation: page.incarnation,
-                    sequence: page.sequence,
-                };
-                out.push(Output::Send {
-                    to: from.address,
-                    message: Message::ReportKept(kept),
-                });
-            }
+            Message::Report(page) => self.take_page(now, from, &page, out),
+            Message::ReportAsk => self.send_books(from, out),
             _ => {}
         }
     }
 
+    fn take_page(&mut self, now: Instant, from: &Sender, page: &Page, out: &mut Vec<Output>) {
+        self.ledger.hear(now, page);
+        let kept = Kept {
+            incarnation: page.incarnation,
+            side: page.side,
+            after: page.after,
+            sequence: page.sequence,
+        };
+        out.push(Output::Send {
+            to: from.address,
+            message: Message::ReportKept(kept),
+        });
+    }
+
+    /// Sends all books held to a control process that has started.
+    fn send_books(&self, from: &Sender, out: &mut Vec<Output>) {
+        for page in self.ledger.pages() {
+            out.push(Output::Send {
+                to: from.address,
+                message: Message::Report(page),
+            });
+        }
+    }
+
+    /// Asks the other control processes once for the books that they hold.
+    fn ask_books(&mut self, out: &mut Vec<Output>) {
+        if self.asked_books {
+            return;
+        }
+        self.asked_books = true;
+        for to in &self.options.control {
+            if *to == self.me.address {
+                continue;
+            }
+            let message = Message::ReportAsk;
+            out.push(Output::Send { to: *to, message });
+        }
+    }
+
     /// Answers an agent that asks for the term, or takes in how an order went.
     fn take_fence(
         &mut self,
@@ -442,6 +474,7 @@
             return;
         }
         self.next_sweep = now + SWEEP_INTERVAL;
+        self.ask_books(out);
         self.give_orders(now, out);
         self.followers.expire(now);
         out.extend(self.directory.expire(now).into_iter().map(Output::Event));
--- a/crates/control/src/report.rs
+++ b/crates/control/src/report.rs
@@ -10,10 +10,13 @@
 use eelgrassdyke_core::data;
 use eelgrassdyke_core::id::{Incarnation, Process, Service, Team};
 use eelgrassdyke_core::time::Instant;
-use eelgrassdyke_core::wire::report::{Counts, Page, Side};
+use eelgrassdyke_core::wire::report::{Counts, Page, Row, Side};
 
 /// Silence after which a life that did not close its books counts as dead.
-const DEAD: Duration = Duration::from_secs(10);
+const DEAD: Duration = Duration::from_secs(15);
+
+/// Rows in one page at most.
+const PAGE_ROWS_MAX: usize = 512;
 
 type Life = (Process, Incarnation, Side);
 
@@ -62,6 +65,37 @@
         }
     }
 
+    /// Everything held, as pages that another control process can take in.
+    ///
+    /// A page says that its life is closed only where it is the last one.
+    pub fn pages(&self) -> Vec<Page> {
+        let mut pages = Vec::new();
+        for ((process, incarnation, side), held) in &self.lives {
+            let rows: Vec<Row> = held
+                .rows
+                .iter()
+                .map(|((team, service), counts)| Row {
+                    team: team.clone(),
+                    service: service.clone(),
+                    counts: counts.clone(),
+                })
+                .collect();
+            let count = rows.len().div_ceil(PAGE_ROWS_MAX);
+            for (at, rows) in rows.chunks(PAGE_ROWS_MAX).enumerate() {
+                pages.push(Page {
+                    process: process.clone(),
+                    incarnation: *incarnation,
+                    side: *side,
+                    after: 0,
+                    sequence: held.sequence,
+                    rows: rows.to_vec(),
+                    closed: held.closed && at + 1 == count,
+                });
+            }
+        }
+        pages
+    }
+
     /// The report, a line for each team and service.
     pub fn lines(&self, now: Instant) -> Vec<Line> {
         let mut lines: BTreeMap<(Team, Service), Line> = BTreeMap::new();
--- /dev/null
+++ b/crates/control/tests/report.rs
@@ -0,0 +1,216 @@
+//! The report equals what was counted, whatever becomes of pages and control processes.
+//!
+//! Books of several processes are driven against the ledgers of three control processes while pages
+//! and answers are lost, doubled and reordered, control processes restart empty and counting processes
+//! die. The naive version is one map that every count goes to.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use eelgrassdyke_control::report::Ledger;
+use eelgrassdyke_core::books::Books;
+use eelgrassdyke_core::id::Incarnation;
+use eelgrassdyke_core::time::Instant;
+use eelgrassdyke_core::wire::Sender;
+use eelgrassdyke_core::wire::report::{Kept, Page, Side};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+
+const CONTROLS: usize = 3;
+const TEAMS: usize = 40;
+const SEEDS: u64 = 40;
+
+fn sender(name: &str, life: u64, port: u16) -> Sender {
+    Sender {
+        process: name.parse().unwrap(),
+        incarnation: Incarnation(life),
+        address: SocketAddr::from(([127, 0, 0, 1], port)),
+    }
+}
+
+struct World {
+    rng: ChaCha8Rng,
+    now: Instant,
+    ledgers: Vec<Ledger>,
+    lives: Vec<u64>,
+    books: Vec<Books>,
+    pages: Vec<(usize, usize, Page)>,
+    counted: BTreeMap<String, u64>,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let mut world = Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now: Instant(0),
+            ledgers: vec![Ledger::default(); CONTROLS],
+            lives: vec![1; CONTROLS],
+            books: Vec::new(),
+            pages: Vec::new(),
+            counted: BTreeMap::new(),
+        };
+        for at in 0..3 {
+            world.books.push(world.empty_books(at, 1));
+        }
+        world
+    }
+
+    fn control(&self, at: usize) -> Sender {
+        sender(&format!("control-{at}"), self.lives[at], 9000 + at as u16)
+    }
+
+    fn empty_books(&self, at: usize, life: u64) -> Books {
+        let controls: Vec<_> = (0..CONTROLS).map(|c| self.control(c).address).collect();
+        Books::new(
+            &sender(&format!("entry-{at}"), life, 8000),
+            Side::Delivered,
+            &controls,
+        )
+    }
+
+    fn count(&mut self, at: usize) {
+        let team = format!("team-{}", self.rng.random_range(0..TEAMS));
+        let name = team.parse().unwrap();
+        let row = self.books[at].row(&name, &"draft".parse().unwrap());
+        row.asked += 1;
+        row.delivered += 1;
+        *self.counted.entry(team).or_default() += 1;
+    }
+
+    fn send(&mut self) {
+        self.now = self.now + Duration::from_millis(1100);
+        for at in 0..self.books.len() {
+            for (address, page) in self.books[at].pages(self.now, false) {
+                self.pages
+                    .push((at, usize::from(address.port() - 9000), page));
+            }
+        }
+    }
+
+    /// Delivers one page in flight and its answer, as chance has it.
+    fn deliver(&mut self, faults: bool) {
+        if self.pages.is_empty() {
+            return;
+        }
+        let which = self.rng.random_range(0..self.pages.len());
+        let doubled = faults && self.rng.random_bool(0.2);
+        let (at, control, page) = match doubled {
+            true => self.pages[which].clone(),
+            false => self.pages.swap_remove(which),
+        };
+        if faults && self.rng.random_bool(0.2) {
+            return;
+        }
+        self.ledgers[control].hear(self.now, &page);
+        if faults && self.rng.random_bool(0.2) {
+            return;
+        }
+        let kept = Kept {
+            incarnation: page.incarnation,
+            side: page.side,
+            after: page.after,
+            sequence: page.sequence,
+        };
+        let from = self.control(control);
+        self.books[at].kept(&from, &kept);
+    }
+
+    /// Restarts a control process, which asks the others for their books.
+    fn restart(&mut self, control: usize) {
+        self.pages.retain(|(_, to, _)| *to != control);
+        self.lives[control] += 1;
+        self.ledgers[control] = Ledger::default();
+        for other in 0..CONTROLS {
+            if other == control {
+                continue;
+            }
+            for page in self.ledgers[other].pages() {
+                self.ledgers[control].hear(self.now, &page);
+            }
+        }
+    }
+
+    fn settle(&mut self) {
+        for _ in 0..40 {
+            self.send();
+            while !self.pages.is_empty() {
+                self.deliver(false);
+            }
+        }
+    }
+
+    fn check(&self, seed: u64) {
+        for (control, ledger) in self.ledgers.iter().enumerate() {
+            let mut held = BTreeMap::new();
+            for line in ledger.lines(self.now) {
+                assert_eq!(line.delivered.asked, line.delivered.delivered);
+                held.insert(line.team.to_string(), line.delivered.delivered);
+            }
+            assert_eq!(held, self.counted, "seed {seed}, control process {control}");
+        }
+    }
+}
+
+#[test]
+fn every_control_process_reports_what_was_counted() {
+    for seed in 0..SEEDS {
+        let mut world = World::new(seed);
+        for step in 0..600 {
+            let at = world.rng.random_range(0..world.books.len());
+            match world.rng.random_range(0..100) {
+                0..50 => world.count(at),
+                50..70 => world.send(),
+                70..98 => world.deliver(true),
+                _ => {
+                    let control = world.rng.random_range(0..CONTROLS);
+                    world.restart(control);
+                }
+            }
+
+            // A process ends after all its books are held, and comes back as a new life.
+            if step % 200 == 199 {
+                world.settle();
+                world.books[at] = world.empty_books(at, step + 2);
+            }
+        }
+        world.settle();
+        world.check(seed);
+    }
+}
+
+#[test]
+fn what_a_dead_life_had_open_is_uncertain() {
+    let mut ledger = Ledger::default();
+    let control = sender("control-0", 1, 9000);
+    let mut books = Books::new(
+        &sender("entry-1", 1, 8000),
+        Side::Delivered,
+        &[control.address],
+    );
+    books
+        .row(&"salons".parse().unwrap(), &"draft".parse().unwrap())
+        .asked += 3;
+    for (_, page) in books.pages(Instant(0), false) {
+        ledger.hear(Instant(0), &page);
+    }
+    let later = Instant(0) + Duration::from_secs(3600);
+    assert_eq!(ledger.lines(later)[0].uncertain, 3);
+}
+
+#[test]
+fn a_page_of_the_other_side_is_no_answer() {
+    let control = sender("control-0", 1, 9000);
+    let mut books = Books::new(&sender("both-1", 1, 8000), Side::Ran, &[control.address]);
+    books
+        .row(&"salons".parse().unwrap(), &"draft".parse().unwrap())
+        .asked += 1;
+    let kept = Kept {
+        incarnation: Incarnation(1),
+        side: Side::Delivered,
+        after: 0,
+        sequence: 9,
+    };
+    books.kept(&control, &kept);
+    assert!(!books.is_settled());
+}
--- a/crates/core/src/books.rs
+++ b/crates/core/src/books.rs
@@ -1,94 +1,183 @@
 //! The books of one process: what it counted for each team and service.
 //!
-//! Only rows that changed since the last page that control kept are sent, so that an idle team
-//! costs nothing; a page that is lost is covered by the next one.
+//! Every control process is to hold them, so that the loss of one loses no report. Each change of a
+//! row gets a revision, and a control process is sent, in order of revision, what changed after the
+//! revision that it holds; so an idle team costs nothing and a lost page is covered by the next one.
+//! A control process that comes back as a new life is sent everything again.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
 
 use crate::id::{Incarnation, Process, Service, Team};
+use crate::time::Instant;
+use crate::wire::Sender;
 use crate::wire::report::{Counts, Kept, Page, Row, Side};
 
 /// Rows in one page at most.
 const PAGE_ROWS_MAX: usize = 512;
 
+/// Time between two pages to one control process.
+pub const PAGE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time after which a control process that lacks nothing is sent a page without rows, so that it
+/// knows the process to live.
+const IDLE_INTERVAL: Duration = Duration::from_secs(5);
+
 type Account = (Team, Service);
 
+/// What one control process holds of the books.
+#[derive(Clone, Debug, Default)]
+struct Holder {
+    life: Option<Incarnation>,
+    kept: u64,
+    last_page: Option<Instant>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Line {
+    revision: u64,
+    counts: Counts,
+}
+
 /// Counters of one life of a process.
 #[derive(Clone, Debug)]
 pub struct Books {
     process: Process,
     incarnation: Incarnation,
     side: Side,
-    sequence: u64,
-    rows: BTreeMap<Account, Counts>,
-    changed: BTreeSet<Account>,
-    sent: BTreeMap<u64, Vec<Account>>,
+    revision: u64,
+    closed: bool,
+    lines: BTreeMap<Account, Line>,
+    order: BTreeMap<u64, Account>,
+    holders: BTreeMap<SocketAddr, Holder>,
+    next_page: Instant,
 }
 
 impl Books {
-    /// Empty books.
-    pub fn new(process: Process, incarnation: Incarnation, side: Side) -> Self {
+    /// Empty books, to be held by the control processes at `control`.
+    pub fn new(me: &Sender, side: Side, control: &[SocketAddr]) -> Self {
+        let holders = control.iter().map(|address| (*address, Holder::default()));
         Self {
-            process,
-            incarnation,
+            process: me.process.clone(),
+            incarnation: me.incarnation,
             side,
-            sequence: 0,
-            rows: BTreeMap::new(),
-            changed: BTreeSet::new(),
-            sent: BTreeMap::new(),
+            revision: 0,
+            closed: false,
+            lines: BTreeMap::new(),
+            order: BTreeMap::new(),
+            holders: holders.collect(),
+            next_page: Instant(0),
         }
     }
 
     /// The counters of one team on one service, to be changed.
     pub fn row(&mut self, team: &Team, service: &Service) -> &mut Counts {
         let account = (team.clone(), service.clone());
-        self.changed.insert(account.clone());
-        self.rows.entry(account).or_default()
+        self.revision += 1;
+        let line = self.lines.entry(account.clone()).or_default();
+        self.order.remove(&line.revision);
+        self.order.insert(self.revision, account);
+        line.revision = self.revision;
+        &mut line.counts
+    }
+
+    /// When [`Books::pages`] next has something to give.
+    pub fn next_deadline(&self) -> Instant {
+        self.next_page
     }
 
-    /// The page of what changed, if anything did; an unanswered page is covered again.
-    pub fn page(&mut self, closed: bool) -> Option<Page> {
-        for accounts in std::mem::take(&mut self.sent).into_values() {
-            self.changed.extend(accounts);
+    /// The pages that are due, each with the control process it goes to; `closed` says that nothing
+    /// will be counted any more.
+    pub fn pages(&mut self, now: Instant, closed: bool) -> Vec<(SocketAddr, Page)> {
+        if now < self.next_page {
+            return Vec::new();
         }
-        if self.changed.is_empty() && !closed {
+        self.next_page = now + PAGE_INTERVAL;
+        if closed && !self.closed {
+            // Closing is a change of its own, which must be kept too.
+            self.closed = true;
+            self.revision += 1;
+        }
+        let addresses: Vec<SocketAddr> = self.holders.keys().copied().collect();
+        let mut pages = Vec::new();
+        for address in addresses {
+            if let Some(page) = self.page(now, address) {
+                pages.push((address, page));
+            }
+        }
+        pages
+    }
+
+    /// The page that is due to one control process.
+    fn page(&mut self, now: Instant, address: SocketAddr) -> Option<Page> {
+        let holder = self.holders.get_mut(&address)?;
+        let quiet = holder.last_page.map_or(Duration::MAX, |at| now.since(at));
+        if holder.kept >= self.revision && quiet < IDLE_INTERVAL {
             return None;
         }
-        self.sequence += 1;
-        let mut accounts = Vec::new();
+        holder.last_page = Some(now);
         let mut rows = Vec::new();
-        for _ in 0..PAGE_ROWS_MAX {
-            let Some(account) = self.changed.pop_first() else {
+        let mut sequence = self.revision;
+        for (revision, account) in self.order.range(holder.kept + 1..) {
+            if rows.len() == PAGE_ROWS_MAX {
                 break;
+            }
+            let Some(line) = self.lines.get(account) else {
+                continue;
             };
-            let counts = self.rows.get(&account).cloned().unwrap_or_default();
+            let (team, service) = account.clone();
             rows.push(Row {
-                team: account.0.clone(),
-                service: account.1.clone(),
-                counts,
+                team,
+                service,
+                counts: line.counts.clone(),
             });
-            accounts.push(account);
+            sequence = *revision;
+        }
+        if rows.len() < PAGE_ROWS_MAX {
+            sequence = self.revision;
         }
-        self.sent.insert(self.sequence, accounts);
         Some(Page {
             process: self.process.clone(),
             incarnation: self.incarnation,
             side: self.side,
-            sequence: self.sequence,
+            after: holder.kept,
+            sequence,
             rows,
-            closed: closed && self.changed.is_empty(),
+            closed: self.closed && sequence == self.revision,
         })
     }
 
-    /// Notes that control holds a page.
-    pub fn kept(&mut self, kept: &Kept) {
-        if kept.incarnation == self.incarnation {
-            self.sent.remove(&kept.sequence);
+    /// Notes that a control process holds the books up to a page.
+    pub fn kept(&mut self, from: &Sender, kept: &Kept) {
+        if kept.incarnation != self.incarnation || kept.side != self.side {
+            return;
+        }
+        let Some(holder) = self.holders.get_mut(&from.address) else {
+            return;
+        };
+        match holder.life {
+            Some(life) if life > from.incarnation => return,
+            Some(life) if life < from.incarnation => {
+                // A new life holds only what this one page brought.
+                holder.kept = 0;
+                holder.life = Some(from.incarnation);
+                return;
+            }
+            _ => holder.life = Some(from.incarnation),
+        }
+        // A second copy of a page that an earlier life held the beginning of proves nothing.
+        if kept.after <= holder.kept {
+            holder.kept = holder.kept.max(kept.sequence.min(self.revision));
         }
     }
 
-    /// Whether control holds everything counted so far.
+    /// Whether a majority of the control processes holds everything counted so far.
     pub fn is_settled(&self) -> bool {
-        self.changed.is_empty() && self.sent.is_empty()
+        let whole = self
+            .holders
+            .values()
+            .filter(|holder| holder.kept >= self.revision);
+        whole.count() * 2 > self.holders.len() || self.holders.is_empty()
     }
 }
--- a/crates/core/src/wire/mod.rs
+++ b/crates/core/src/wire/mod.rs
@@ -96,6 +96,8 @@
         Report(report::Page),
         /// From control to the process whose page it holds.
         ReportKept(report::Kept),
+        /// From a control process that has started to the others: send all books that you hold.
+        ReportAsk,
     }
 }
 
--- a/crates/core/src/wire/report.rs
+++ b/crates/core/src/wire/report.rs
@@ -27,7 +27,9 @@
         pub incarnation: Incarnation,
         /// Entry or agent.
         pub side: Side,
-        /// Rises with each page of one life.
+        /// Revision of the books after which the page begins.
+        pub after: u64,
+        /// Revision that a holder of everything up to `after` reaches with this page.
         pub sequence: u64,
         /// The rows.
         pub rows: Vec<Row>,
@@ -35,12 +37,16 @@
         pub closed: bool,
     }
 
-    /// Control holds every page of this life up to `sequence`.
+    /// Control holds a page of this life.
     #[derive(Eq)]
     pub struct Kept {
         /// The life.
         pub incarnation: Incarnation,
-        /// The last page held.
+        /// Entry or agent.
+        pub side: Side,
+        /// Where the page began.
+        pub after: u64,
+        /// Where it ended.
         pub sequence: u64,
     }
 
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -27,9 +27,6 @@
 use crate::retry::Budget;
 use crate::route::Router;
 
-/// Time between two pages of the books.
-const REPORT_INTERVAL: Duration = Duration::from_secs(1);
-
 /// When a caller that was refused for a passing reason may come back.
 const COME_BACK: Duration = Duration::from_secs(1);
 
@@ -58,7 +55,6 @@
     /// Position in `options.control` of the replica that last led.
     pub(crate) leader: usize,
     next_number: u64,
-    next_report: Instant,
     draining: bool,
 }
 
@@ -69,7 +65,7 @@
         let first = rng.random_range(0..options.control.len().max(1));
         Self {
             follower: Follower::new(&me, options.control.clone(), true),
-            books: Books::new(me.process.clone(), me.incarnation, Side::Delivered),
+            books: Books::new(&me, Side::Delivered, &options.control),
             me,
             tokens: Tokens::default(),
             router: Router::default(),
@@ -82,7 +78,6 @@
             accounts: BTreeMap::new(),
             leader: first,
             next_number: 1,
-            next_report: Instant(0),
             draining: false,
             options,
         }
@@ -114,7 +109,7 @@
         let flight = self.timers.first().map_or(Instant::NEVER, |(at, _)| *at);
         flight
             .min(self.follower.next_deadline())
-            .min(self.next_report)
+            .min(self.books.next_deadline())
     }
 
     /// Whether the entry may serve: it holds a configuration that a quorum confirmed.
@@ -313,7 +308,7 @@
             }
             Message::Claimed(answer) => self.take_claimed(now, answer, out),
             Message::Probed(answer) => self.take_probed(now, answer, out),
-            Message::ReportKept(kept) => self.books.kept(&kept),
+            Message::ReportKept(kept) => self.books.kept(from, &kept),
             _ => {}
         }
     }
@@ -371,19 +366,10 @@
     }
 
     fn report(&mut self, now: Instant, out: &mut Vec<Output>) {
-        if now < self.next_report {
-            return;
-        }
-        self.next_report = now + REPORT_INTERVAL;
         let closed = self.is_done();
-        let Some(to) = self.leader_address() else {
-            return;
-        };
-        if let Some(page) = self.books.page(closed) {
-            out.push(Output::Send {
-                to,
-                message: Message::Report(page),
-            });
+        for (to, page) in self.books.pages(now, closed) {
+            let message = Message::Report(page);
+            out.push(Output::Send { to, message });
         }
     }
 
