--- a/crates/eelgrassctl/tests/wait.rs
+++ b/crates/eelgrassctl/tests/wait.rs
@@ -26,7 +26,7 @@
             "replica": "00000000000000aa", "cluster": 1, "commit": 1, "last": 1, "snapshot": 0,
             "members": {"voters": {}, "learners": {}}, "matched": {}, "waiting": {}, "stopped": null,
         },
-        "version": version, "followers": listed, "servers": servers,
+        "version": version, "followers": listed, "servers": servers, "orders": [],
     });
     serde_json::from_value(status).unwrap()
 }
