Planner against brute force, lost hosts, freeze and force

Cause: the first placement was a local optimum, up to 13.5% above brute force on small cases (4 experts on 3 ranks with 2 slots: 1.254 against 1.140). Ruled out: more greedy changes (no single one helps there). Change: improve again from disturbed placements, in rounds that a large group does not get. The test compares at equal speeds: at unequal ones a placement that overloads slow ranks raises the mean and so lowers the skew while the step gets longer.

--- a/crates/group/src/layer.rs
+++ b/crates/group/src/layer.rs
@@ -4,14 +4,17 @@
 //! tokens of its copies times its time per token; the slowest rank decides.
 
 /// Changes tried in a row without a better result.
-const IDLE_CHANGES_MAX: u32 = 12;
+const IDLE_CHANGES_MAX: u32 = 8;
 
 /// Ranks, the least busy ones, that a change may involve beside the slowest.
-const PARTNERS_MAX: usize = 12;
+const PARTNERS_MAX: usize = 8;
 
 /// Least gain of a change, as a part of the slowest rank's time.
 const LEAST_GAIN: f64 = 1e-9;
 
+/// Changes that disturb a placement before it is improved again.
+const DISTURBANCES: usize = 3;
+
 /// What a placement is judged by.
 #[derive(Clone, Copy, Debug)]
 pub struct Setting<'a> {
@@ -154,6 +157,45 @@
         best.1
     }
 
+    /// Improves again from `rounds` disturbed placements and keeps the best.
+    pub fn search(&mut self, setting: &Setting<'_>, rounds: u64) {
+        let mut state = 0;
+        for _ in 0..rounds {
+            let mut trial = self.clone();
+            for _ in 0..DISTURBANCES {
+                trial.disturb(setting, &mut state);
+            }
+            trial.improve(setting, 0.0, u64::MAX);
+            if trial.slowest() < self.slowest() {
+                *self = trial;
+            }
+        }
+    }
+
+    /// Makes a change drawn from `state`, if it is allowed.
+    fn disturb(&mut self, setting: &Setting<'_>, state: &mut u64) {
+        let (a, b) = (draw(state, self.ranks.len()), draw(state, self.ranks.len()));
+        if a == b || self.ranks[a].is_empty() || self.ranks[b].is_empty() {
+            return;
+        }
+        let (i, j) = (
+            draw(state, self.ranks[a].len()),
+            draw(state, self.ranks[b].len()),
+        );
+        let (first, second) = (self.ranks[a][i], self.ranks[b][j]);
+        if self.ranks[b].contains(&first) {
+            return;
+        }
+        let change = match self.copies[second as usize].len() > 1 && draw(state, 2) == 0 {
+            true => Change::Load(b, j, first),
+            false if self.ranks[a].contains(&second) => return,
+            false => Change::Swap(a, i, b, j),
+        };
+        if self.is_spread_after(setting, change) {
+            self.apply(change, setting);
+        }
+    }
+
     /// The change of the slowest rank's experts that evens the times most for each expert loaded.
     fn next_change(&self, setting: &Setting<'_>, budget: u64) -> Option<Candidate> {
         let slowest = self.slowest();
@@ -401,3 +443,11 @@
         false => 1,
     }
 }
+
+/// The next number below `bound` of a fixed sequence.
+fn draw(state: &mut u64, bound: usize) -> usize {
+    *state = state.wrapping_add(0x9E37_79B9_7F4A_7C15);
+    let mixed = (*state ^ (*state >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    ((mixed ^ (mixed >> 31)) % bound.max(1) as u64) as usize
+}
--- a/crates/group/src/plan.rs
+++ b/crates/group/src/plan.rs
@@ -19,6 +19,9 @@
 /// Part of the step time that moving all experts once is worth at equal weights.
 const WHOLE_MOVE_PRICE: f64 = 0.25;
 
+/// Rounds of search for a first placement, shared by all slots of the group.
+const SEARCH_ROUNDS: u64 = 4096;
+
 /// Hosts that should hold each expert.
 const HOST_SPREAD: usize = 2;
 
@@ -203,6 +206,7 @@
             };
             if present.is_none() {
                 layer.improve(&setting, 0.0, u64::MAX);
+                layer.search(&setting, ground.search_rounds());
             }
             placed.push(layer);
         }
@@ -303,6 +307,12 @@
 }
 
 impl Ground {
+    /// Rounds of search for each layer; a large group gets none.
+    fn search_rounds(&self) -> u64 {
+        let slots = self.costs.len() * self.slots * self.loads.len();
+        SEARCH_ROUNDS / slots.max(1) as u64
+    }
+
     fn setting(&self, at: usize) -> Setting<'_> {
         Setting {
             loads: &self.loads[at],
--- /dev/null
+++ b/crates/group/tests/plan.rs
@@ -0,0 +1,225 @@
+//! The planner beside brute force, its price on moves, and what a lost host leaves.
+
+use std::collections::BTreeSet;
+
+use eelgrassdyke_core::config::GroupSpec;
+use eelgrassdyke_core::id::{Rank, Step};
+use eelgrassdyke_core::unit::{ByteRate, Bytes};
+use eelgrassdyke_core::wire::group::{Layers, Seen};
+use eelgrassdyke_group::load::Loads;
+use eelgrassdyke_group::plan::{Options, Planner, Reason, Site, loaded};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use test_case::test_case;
+
+/// Largest skew above the optimum of a small case, from the issue.
+const OPTIMUM_EXCESS_MAX: f64 = 0.05;
+
+fn spec(experts: u32, layers: u32, slots: u32) -> GroupSpec {
+    GroupSpec {
+        service: "draft".parse().unwrap(),
+        ranks: Default::default(),
+        experts,
+        layers,
+        slots,
+        expert_bytes: Bytes(1 << 20),
+        store_rate: ByteRate(1 << 30),
+        skew_weight: 4,
+        move_weight: 1,
+        frozen: false,
+    }
+}
+
+fn sites(ranks: usize, ranks_per_host: usize) -> Vec<Site> {
+    let site = |rank: usize| Site {
+        data_centre: "hobart".parse().unwrap(),
+        host: format!("host-{}", rank / ranks_per_host).parse().unwrap(),
+    };
+    (0..ranks).map(site).collect()
+}
+
+fn members(ranks: usize) -> Vec<Rank> {
+    (0..ranks as u64).map(Rank).collect()
+}
+
+fn loads(tokens: &[Vec<u64>], costs: &[u64]) -> Loads {
+    let mut loads = Loads::default();
+    for (rank, cost) in costs.iter().enumerate() {
+        let seen = Seen {
+            steps: (Step(1), Step(1)),
+            tokens: tokens.to_vec(),
+            worked: 100,
+            busy_us: 100 * cost,
+            ..Seen::default()
+        };
+        loads.hear(Rank(rank as u64), &seen);
+    }
+    loads.roll();
+    loads
+}
+
+/// Least skew over every placement of one layer that holds all experts.
+fn optimum(planner: &Planner, loads: &Loads, experts: u32, slots: usize, ranks: usize) -> f64 {
+    let sets: Vec<Vec<u32>> = (0_u32..1 << experts)
+        .filter(|set| set.count_ones() as usize == slots)
+        .map(|set| (0..experts).filter(|e| set >> e & 1 == 1).collect())
+        .collect();
+    let mut least = f64::INFINITY;
+    let mut at = vec![0; ranks];
+    loop {
+        let layer: Vec<Vec<u32>> = at.iter().map(|set| sets[*set].clone()).collect();
+        let held: BTreeSet<u32> = layer.iter().flatten().copied().collect();
+        if held.len() == experts as usize {
+            least = least.min(planner.skew(loads, &vec![layer], &members(ranks)));
+        }
+        let Some(rank) = (0..ranks).find(|rank| at[*rank] + 1 < sets.len()) else {
+            return least;
+        };
+        at[..rank].fill(0);
+        at[rank] += 1;
+    }
+}
+
+#[test_case(4, 3, 2)]
+#[test_case(5, 3, 2)]
+#[test_case(6, 3, 3)]
+#[test_case(5, 4, 2)]
+fn a_small_placement_is_near_the_optimum(experts: u32, ranks: usize, slots: usize) {
+    let mut rng = ChaCha8Rng::seed_from_u64(u64::from(experts));
+    // All ranks on one host, so that no placement is ruled out for the loss of a host.
+    let planner = Planner::new(
+        spec(experts, 1, slots as u32),
+        sites(ranks, ranks),
+        Options::default(),
+    );
+    for _ in 0..12 {
+        let tokens = (0..experts).map(|_| rng.random_range(10..1000)).collect();
+        // With ranks of one speed, the least skew is the shortest step too.
+        let loads = loads(&[tokens], &vec![10; ranks]);
+        let plan = planner
+            .plan(&loads, None, &members(ranks), Reason::Ranks)
+            .unwrap();
+        let least = optimum(&planner, &loads, experts, slots, ranks);
+        assert!(
+            plan.skew.1 <= least * (1.0 + OPTIMUM_EXCESS_MAX),
+            "{} against {least}",
+            plan.skew.1
+        );
+    }
+}
+
+fn holds_all(layers: &Layers, experts: u32, without: &[usize]) -> bool {
+    layers.iter().all(|layer| {
+        let rest = layer.iter().enumerate();
+        let held: BTreeSet<u32> = rest
+            .filter(|(rank, _)| !without.contains(rank))
+            .flat_map(|(_, experts)| experts.iter().copied())
+            .collect();
+        held.len() == experts as usize
+    })
+}
+
+#[test]
+fn losing_one_host_leaves_each_expert_a_copy_where_memory_allows() {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let planner = Planner::new(spec(12, 4, 5), sites(8, 2), Options::default());
+    let mut present: Option<Layers> = None;
+    for round in 0..20 {
+        let mut draw = || (0..12).map(|_| rng.random_range(1..1000)).collect();
+        let tokens: Vec<Vec<u64>> = (0..4).map(|_| draw()).collect();
+        let loads = loads(&tokens, &[10; 8]);
+        let reason = match round {
+            0 => Reason::Ranks,
+            _ => Reason::Forced,
+        };
+        if let Some(plan) = planner.plan(&loads, present.as_ref(), &members(8), reason) {
+            assert_eq!(plan.shortfall, 0);
+            present = Some(plan.layers);
+        }
+        for host in 0..4 {
+            let gone = [2 * host, 2 * host + 1];
+            assert!(holds_all(present.as_ref().unwrap(), 12, &gone));
+        }
+    }
+}
+
+#[test]
+fn a_shortfall_of_copies_is_reported() {
+    let planner = Planner::new(spec(12, 4, 2), sites(8, 2), Options::default());
+    let loads = loads(&vec![vec![100; 12]; 4], &[10; 8]);
+    let plan = planner
+        .plan(&loads, None, &members(8), Reason::Ranks)
+        .unwrap();
+    assert!(plan.shortfall > 0);
+    assert!(
+        plan.event(&"draft".parse().unwrap())
+            .detail
+            .contains("on one host only")
+    );
+}
+
+#[test]
+fn a_lost_rank_moves_only_what_it_alone_held() {
+    let planner = Planner::new(spec(12, 4, 5), sites(8, 2), Options::default());
+    let loads = loads(&vec![(1..=12).map(|e| e * 10).collect(); 4], &[10; 8]);
+    let all = members(8);
+    let first = planner.plan(&loads, None, &all, Reason::Ranks).unwrap();
+    let rest: Vec<Rank> = all.into_iter().filter(|rank| *rank != Rank(3)).collect();
+    let next = planner
+        .plan(&loads, Some(&first.layers), &rest, Reason::Ranks)
+        .unwrap();
+    assert!(holds_all(&next.layers, 12, &[3]));
+    assert!(next.layers.iter().all(|layer| layer[3].is_empty()));
+    // Every expert had a second copy, so nothing needs loading.
+    assert_eq!(
+        loaded(Some(&first.layers), &next.layers)
+            .iter()
+            .sum::<u64>(),
+        0
+    );
+}
+
+#[test]
+fn a_frozen_group_moves_only_when_forced() {
+    let tokens: Vec<Vec<u64>> = vec![vec![100; 12]; 4];
+    let mut frozen = spec(12, 4, 5);
+    frozen.frozen = true;
+    let planner = Planner::new(frozen, sites(8, 2), Options::default());
+    let first = planner
+        .plan(&loads(&tokens, &[10; 8]), None, &members(8), Reason::Ranks)
+        .unwrap();
+    let hot: Vec<Vec<u64>> = vec![(0..12).map(|e| if e == 5 { 5000 } else { 100 }).collect(); 4];
+    let loads = loads(&hot, &[10; 8]);
+    let plan = |reason| planner.plan(&loads, Some(&first.layers), &members(8), reason);
+    assert_eq!(plan(Reason::Interval), None);
+    let forced = plan(Reason::Forced).unwrap();
+    assert!(forced.skew.1 < forced.skew.0);
+}
+
+#[test]
+fn late_doubled_and_missing_reports_leave_the_load_even() {
+    let seen = |first: u64, last: u64| Seen {
+        steps: (Step(first), Step(last)),
+        tokens: vec![vec![10 * (last - first + 1); 3]],
+        worked: 10,
+        busy_us: 10,
+        ..Seen::default()
+    };
+    let mut whole = Loads::default();
+    let mut gappy = Loads::default();
+    for rank in 0..4 {
+        for first in [1, 11, 21] {
+            whole.hear(Rank(rank), &seen(first, first + 9));
+        }
+        if rank == 2 {
+            continue;
+        }
+        gappy.hear(Rank(rank), &seen(1, 10));
+        gappy.hear(Rank(rank), &seen(21, 30));
+        gappy.hear(Rank(rank), &seen(11, 20));
+        gappy.hear(Rank(rank), &seen(21, 30));
+    }
+    whole.roll();
+    gappy.roll();
+    assert_eq!(whole.experts(), gappy.experts());
+}
