--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -2,49 +2,92 @@
 
 use std::time::Duration;
 
-use eelgrassdyke_core::config::{Submission, Verdict};
+use eelgrassdyke_core::config::Submission;
 use eelgrassdyke_core::event::{Code, Event};
-use eelgrassdyke_core::id::{Process, Term, Ticket, Version};
+use eelgrassdyke_core::id::{Process, Server, Ticket, Version};
 use eelgrassdyke_core::time::{Instant, Wall};
-use eelgrassdyke_core::wire::claim::{self, Ask};
+use eelgrassdyke_core::wire::claim::Ask;
+use eelgrassdyke_core::wire::fence;
 use eelgrassdyke_core::wire::follow::{Follow, Update};
+use eelgrassdyke_core::wire::log::{Payload, Record};
 use eelgrassdyke_core::wire::report::Kept;
-use eelgrassdyke_core::wire::{Message, Sender};
+use eelgrassdyke_core::wire::{self, Message, Sender};
 
+use crate::confirm::Confirmations;
 use crate::directory::Directory;
+use crate::fence::Giver;
 use crate::followers::{Follower, Followers};
 use crate::io::{Answer, FollowerStatus, Input, Options, Output, Query, Status};
+use crate::log::{self, Recovered, Replica};
+use crate::proposals::{Proposals, Waiting};
 use crate::report::Ledger;
-use crate::state::{Action, Command, Effect, State};
+use crate::state::{Action, Command, State};
 
 /// Time between two looks at leases and followers.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Least time between two pushes of the directory; the next sweep makes up for one that waits.
+const PUSH_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Orders that the status shows at most.
+const ORDERS_SHOWN: usize = 100;
+
+/// Why a follower is sent an update.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Occasion {
+    /// Something changed.
+    Push,
+    /// It asked.
+    Answer,
+    /// It asked, and a quorum has confirmed what it is told.
+    Confirmed,
+}
+
 /// The state machine of the control role.
 pub struct Control {
     options: Options,
     me: Sender,
+    replica: Replica,
+    proposals: Proposals,
+    confirmations: Confirmations,
     state: State,
     directory: Directory,
     followers: Followers,
     ledger: Ledger,
+    giver: Giver,
     pushed: (Version, u64),
+    next_push: Instant,
     next_sweep: Instant,
 }
 
 impl Control {
-    /// A control process that has heard nothing yet.
-    pub fn new(me: Sender, options: Options) -> Self {
-        Self {
+    /// A control process that continues from what its data folder holds.
+    pub fn new(
+        now: Instant,
+        me: Sender,
+        options: Options,
+        recovered: Recovered,
+        out: &mut Vec<Output>,
+    ) -> Self {
+        let mut begun = Vec::new();
+        let replica = Replica::new(now, me.address, recovered, options.log.clone(), &mut begun);
+        let mut control = Self {
             directory: Directory::new(me.process.clone(), me.incarnation),
+            replica,
+            proposals: Proposals::default(),
+            confirmations: Confirmations::default(),
             state: State::default(),
             followers: Followers::default(),
             ledger: Ledger::default(),
+            giver: Giver::default(),
             pushed: (Version(0), 0),
-            next_sweep: Instant(0),
+            next_push: now,
+            next_sweep: now,
             me,
             options,
-        }
+        };
+        control.carry_out(now, begun, out);
+        control
     }
 
     /// Takes in what happened at `now` and adds what is to be done to `out`.
@@ -56,20 +99,43 @@
                 let answer = self.query(now, query);
                 out.push(Output::Answer { ticket, answer });
             }
-            Input::Tick => {}
+            Input::Order {
+                ticket,
+                operation,
+                server,
+                order,
+            } => {
+                let action = Action::Order {
+                    operation,
+                    server,
+                    order,
+                };
+                self.propose(now, action, Waiting::Order { ticket }, out);
+                self.giver.hurry();
+            }
+            Input::Members { ticket, change } => {
+                let token = self.proposals.add(Waiting::Member { ticket });
+                self.drive(now, log::Input::Change { token, change }, out);
+            }
+            Input::Persisted { job } => self.drive(now, log::Input::Persisted { job }, out),
+            Input::DiskFailed { problem } => {
+                self.drive(now, log::Input::DiskFailed { problem }, out);
+            }
+            Input::Tick => self.drive(now, log::Input::Tick, out),
         }
+        self.confirm_followers(now, out);
         self.sweep(now, out);
         self.push_changes(now, out);
     }
 
     /// When control next needs [`Input::Tick`].
     pub fn next_deadline(&self) -> Instant {
-        self.next_sweep
+        self.next_sweep.min(self.replica.next_deadline())
     }
 
-    /// Whether this replica can reach a quorum.
-    pub fn is_ready(&self) -> bool {
-        true
+    /// Whether this replica leads or heard a leader lately, at `now`.
+    pub fn has_quorum(&self, now: Instant) -> bool {
+        self.replica.has_quorum(now)
     }
 
     /// Version of the configuration applied.
@@ -83,9 +149,14 @@
 
     fn take_mail(&mut self, now: Instant, from: &Sender, message: Message, out: &mut Vec<Output>) {
         match message {
+            Message::Log(message) => {
+                let from = from.address;
+                self.drive(now, log::Input::Message { from, message }, out);
+            }
             Message::Beat(beat) => out.extend(self.directory.hear(now, beat).map(Output::Event)),
             Message::Follow(follow) => self.take_follow(now, from, follow, out),
             Message::Claim(ask) => self.take_claim(now, from, ask, out),
+            Message::Fence(message) => self.take_fence(now, from, message, out),
             Message::Report(page) => {
                 self.ledger.hear(now, &page);
                 let kept = Kept {
@@ -101,6 +172,67 @@
         }
     }
 
+    /// Answers an agent that asks for the term, or takes in how an order went.
+    fn take_fence(
+        &mut self,
+        now: Instant,
+        from: &Sender,
+        message: fence::Message,
+        out: &mut Vec<Output>,
+    ) {
+        match message {
+            fence::Message::Confirm { question, server } => {
+                let voters = &self.replica.members().voters;
+                if !voters.contains_key(&self.replica.id()) {
+                    return;
+                }
+                let (replica, term) = (self.replica.id(), self.replica.term());
+                let orders = &self.state.orders;
+                let message =
+                    crate::fence::answer(question, &server, replica, term, voters.len(), orders);
+                out.push(Output::Send {
+                    to: from.address,
+                    message,
+                });
+            }
+            fence::Message::Given {
+                operation, result, ..
+            } if result != fence::Outcome::Running && self.replica.leads() => {
+                let open = self.state.orders.due();
+                if open.iter().all(|standing| standing.operation != operation) {
+                    return;
+                }
+                let action = Action::OrderEnded {
+                    operation,
+                    outcome: result,
+                };
+                self.propose(now, action, Waiting::Nobody, out);
+                self.giver.hurry();
+            }
+            _ => {}
+        }
+    }
+
+    /// Gives agents the orders that are due, while this replica surely leads.
+    fn give_orders(&mut self, now: Instant, out: &mut Vec<Output>) {
+        if !self.replica.leads() || !self.replica.holds_lease(now) {
+            return;
+        }
+        let (term, directory) = (self.replica.term(), &self.directory);
+        let address_of = |server: &Server| directory.row(server).map(|row| row.address);
+        let given = self.giver.give(now, term, &self.state.orders, address_of);
+        for (to, message) in given {
+            if let Message::Fence(fence::Message::Give {
+                operation, server, ..
+            }) = &message
+            {
+                let event = Event::new(Code::OrderGiven, format!("term {term}"));
+                out.push(Output::Event(event.operation(operation).server(server)));
+            }
+            out.push(Output::Send { to, message });
+        }
+    }
+
     fn submit(
         &mut self,
         now: Instant,
@@ -109,77 +241,158 @@
         out: &mut Vec<Output>,
     ) {
         let operation = submission.operation.clone();
-        let command = Command {
-            at: self.wall(now),
-            action: Action::Submit(submission),
-        };
-        let Effect::Verdict(verdict) = self.state.apply(&command) else {
-            return;
-        };
-        let code = match &verdict {
-            Verdict::Accepted { .. } => Code::ConfigAccepted,
-            _ => Code::ConfigRefused,
-        };
-        let detail = format!("version {}", self.version());
-        out.push(Output::Event(
-            Event::new(code, detail).operation(&operation),
-        ));
-        out.push(Output::Answer {
-            ticket,
-            answer: Answer::Verdict(verdict),
-        });
+        let waiting = Waiting::Operator { ticket, operation };
+        self.propose(now, Action::Submit(submission), waiting, out);
     }
 
     fn take_claim(&mut self, now: Instant, from: &Sender, ask: Ask, out: &mut Vec<Output>) {
-        let (request, name) = (ask.request.clone(), ask.name.clone());
-        let command = Command {
-            at: self.wall(now),
-            action: Action::Claim(ask),
-        };
-        let Effect::Claim(finding) = self.state.apply(&command) else {
-            return;
+        let waiting = Waiting::Entry {
+            address: from.address,
+            request: ask.request.clone(),
+            name: ask.name.clone(),
         };
-        let answer = claim::Answer {
-            request,
-            name,
-            finding,
+        self.propose(now, Action::Claim(ask), waiting, out);
+    }
+
+    /// Passes a command to the log; it takes effect once a quorum holds it.
+    fn propose(&mut self, now: Instant, action: Action, waiting: Waiting, out: &mut Vec<Output>) {
+        let at = self.wall(now);
+        let token = self.proposals.add(waiting);
+        match wire::encode(&Command { at, action }) {
+            Ok(command) => self.drive(now, log::Input::Propose { token, command }, out),
+            Err(error) => {
+                let detail = error.to_string();
+                out.push(Output::Event(Event::new(Code::InputRefused, detail)));
+                self.proposals.lose(token, out);
+            }
+        }
+    }
+
+    /// Hands an input to the log and carries out what it decides.
+    fn drive(&mut self, now: Instant, input: log::Input, out: &mut Vec<Output>) {
+        let mut decided = Vec::new();
+        self.replica.handle(now, input, &mut decided);
+        self.carry_out(now, decided, out);
+    }
+
+    fn carry_out(&mut self, now: Instant, decided: Vec<log::Output>, out: &mut Vec<Output>) {
+        let mut snapshot_wanted = false;
+        for output in decided {
+            match output {
+                log::Output::Send { to, message } => out.push(Output::Send {
+                    to,
+                    message: Message::Log(message),
+                }),
+                log::Output::Persist(job) => out.push(Output::Persist(job)),
+                log::Output::Apply { record, token } => self.apply(&record, token, out),
+                log::Output::Restore(snapshot) => self.restore(now, &snapshot.data, out),
+                log::Output::WantSnapshot => snapshot_wanted = true,
+                log::Output::Refused { token, refusal } => {
+                    let leader = self.replica.leader();
+                    self.proposals.refuse(token, refusal, leader, out);
+                }
+                log::Output::Unknown { token } => self.proposals.lose(token, out),
+                log::Output::Confirmed { question, index } => {
+                    self.confirmations.confirm(question, index);
+                }
+                log::Output::Event(event) => out.push(Output::Event(event)),
+            }
+        }
+        // Only now does the state hold everything that the log handed out.
+        if snapshot_wanted {
+            match wire::encode(&self.state) {
+                Ok(data) => self.drive(now, log::Input::Snapshot { data }, out),
+                Err(error) => self.fail(now, error.to_string(), out),
+            }
+        }
+    }
+
+    /// Applies a committed record and answers who waits for it.
+    fn apply(&mut self, record: &Record, token: Option<u64>, out: &mut Vec<Output>) {
+        let command = match &record.payload {
+            Payload::Blank => return,
+            Payload::Members(members) => {
+                if let Some(token) = token {
+                    self.proposals.settle_members(token, members, out);
+                }
+                return;
+            }
+            Payload::Command(command) => command,
         };
-        out.push(Output::Send {
-            to: from.address,
-            message: Message::Claimed(answer),
-        });
+        match wire::decode::<Command>(command) {
+            Ok(command) => {
+                let effect = self.state.apply(&command);
+                if let Some(token) = token {
+                    self.proposals.settle(token, effect, self.version(), out);
+                }
+            }
+            // Every replica skips it alike.
+            Err(error) => {
+                let detail = format!("record {}: {error}", record.index);
+                out.push(Output::Event(Event::new(Code::InputRefused, detail)));
+            }
+        }
+    }
+
+    fn restore(&mut self, now: Instant, data: &[u8], out: &mut Vec<Output>) {
+        match wire::decode(data) {
+            Ok(state) => self.state = state,
+            Err(error) => self.fail(now, error.to_string(), out),
+        }
+    }
+
+    /// Stops the log, since this replica can no longer keep the state.
+    fn fail(&mut self, now: Instant, problem: String, out: &mut Vec<Output>) {
+        self.drive(now, log::Input::DiskFailed { problem }, out);
     }
 
     fn take_follow(&mut self, now: Instant, from: &Sender, follow: Follow, out: &mut Vec<Output>) {
         self.followers.hear(now, from, follow.clone());
+        let confirm = follow.confirm && self.replica.has_quorum(now);
         let follower = Follower {
             address: from.address,
             follow,
             heard: now,
         };
-        self.update(now, &from.process, &follower, out);
+        if !confirm {
+            self.update(now, &from.process, &follower, Occasion::Answer, out);
+            return;
+        }
+        let question = self.confirmations.ask(from.process.clone(), follower);
+        self.drive(now, log::Input::Confirm { question }, out);
     }
 
-    /// Sends a follower what it lacks, and so confirms what it holds.
+    /// Answers the followers whose question a quorum has confirmed.
+    fn confirm_followers(&mut self, now: Instant, out: &mut Vec<Output>) {
+        for (process, follower) in self.confirmations.ready(self.replica.applied()) {
+            self.update(now, &process, &follower, Occasion::Confirmed, out);
+        }
+    }
+
+    /// Sends a follower what it lacks.
     fn update(
         &mut self,
         now: Instant,
         process: &Process,
         follower: &Follower,
+        occasion: Occasion,
         out: &mut Vec<Output>,
     ) {
         let follow = &follower.follow;
+        let answers = occasion != Occasion::Push;
         let config = self.state.config.since(follow.version, &follow.digest);
-        let directory = follow
-            .wants_directory
-            .then(|| self.directory.since(now, follow.directory.as_ref()));
+        let directory = follow.wants_directory.then(|| {
+            self.directory
+                .since(now, follow.directory.as_ref(), answers)
+        });
         if let Some(directory) = &directory {
             self.followers
                 .note_directory(process, directory.revision.clone());
         }
         let update = Update {
             present: self.version(),
-            confirmed: true,
+            confirmed: occasion == Occasion::Confirmed,
+            question: follow.question,
             config,
             directory,
         };
@@ -212,12 +425,14 @@
         }
         Status {
             process: self.me.process.clone(),
-            leads: true,
-            leader: Some(self.me.address),
-            term: Term(0),
-            quorum: true,
+            leads: self.replica.leads(),
+            leader: self.replica.leader(),
+            term: self.replica.term(),
+            quorum: self.replica.has_quorum(now),
+            log: self.replica.standing(now),
             version: self.version(),
             followers,
+            orders: self.state.orders.recent(ORDERS_SHOWN),
             servers: self.directory.servers(),
         }
     }
@@ -227,21 +442,27 @@
             return;
         }
         self.next_sweep = now + SWEEP_INTERVAL;
+        self.give_orders(now, out);
         self.followers.expire(now);
         out.extend(self.directory.expire(now).into_iter().map(Output::Event));
     }
 
-    /// Pushes a new configuration or directory to everybody who follows.
+    /// Pushes a new configuration at once, and a new directory once in a while, to everybody who
+    /// follows.
     fn push_changes(&mut self, now: Instant, out: &mut Vec<Output>) {
         let present = (self.version(), self.directory.revision());
         if present == self.pushed {
             return;
         }
         let config_changed = present.0 != self.pushed.0;
+        if !config_changed && now < self.next_push {
+            return;
+        }
         self.pushed = present;
+        self.next_push = now + PUSH_INTERVAL;
         for (process, follower) in self.followers.subscribed(now) {
             if config_changed || follower.follow.wants_directory {
-                self.update(now, &process, &follower, out);
+                self.update(now, &process, &follower, Occasion::Push, out);
             }
         }
     }
--- a/crates/control/src/io.rs
+++ b/crates/control/src/io.rs
@@ -3,15 +3,18 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use eelgrassdyke_core::config::{Document, Submission, Verdict};
+use eelgrassdyke_core::config::{Document, Order, Submission, Verdict};
 use eelgrassdyke_core::data;
 use eelgrassdyke_core::event::Event;
-use eelgrassdyke_core::id::{Process, Term, Ticket, Version};
+use eelgrassdyke_core::id::{Operation, Process, Server, Term, Ticket, Version};
 use eelgrassdyke_core::time::Wall;
 use eelgrassdyke_core::wire::directory::{Load, Row};
+use eelgrassdyke_core::wire::log::Members;
 use eelgrassdyke_core::wire::{Message, Sender};
 
+use crate::log::{Change, Job, Standing};
 use crate::report::Line;
+use crate::state::order;
 
 /// Something that happened.
 #[derive(Clone, Debug)]
@@ -30,6 +33,34 @@
         /// The change.
         submission: Submission,
     },
+    /// An operator gives an engine an order.
+    Order {
+        /// The waiting operator.
+        ticket: Ticket,
+        /// Names the order.
+        operation: Operation,
+        /// The engine.
+        server: Server,
+        /// What to do.
+        order: Order,
+    },
+    /// An operator changes the members of the log.
+    Members {
+        /// The waiting operator.
+        ticket: Ticket,
+        /// The change.
+        change: Change,
+    },
+    /// All jobs up to this one are durable.
+    Persisted {
+        /// The job.
+        job: u64,
+    },
+    /// The disk failed.
+    DiskFailed {
+        /// What went wrong and what to do about it.
+        problem: String,
+    },
     /// An operator asks.
     Query {
         /// The waiting operator.
@@ -69,6 +100,8 @@
         /// The answer.
         answer: Answer,
     },
+    /// Make this durable, after all jobs before it, and answer [`Input::Persisted`].
+    Persist(Job),
     /// Note an event.
     Event(Event),
 }
@@ -86,6 +119,15 @@
         },
         /// The change was passed to the log, but its fate is not known: resend it.
         Unknown,
+        /// It can't be done now; nothing was accepted.
+        Refused {
+            /// What is in the way.
+            problem: String,
+            /// What to do about it.
+            remedy: String,
+        },
+        /// The members after a change.
+        Members(Members),
         /// The configuration.
         Config {
             /// Its version.
@@ -95,6 +137,8 @@
         },
         /// The state of control.
         Status(Status),
+        /// What became of an order.
+        Order(order::Taken),
         /// Who got what, a line for each team and service.
         Report(Vec<Line>),
     }
@@ -111,10 +155,14 @@
         pub term: Term,
         /// Whether it can reach a quorum; what it says is stale when not.
         pub quorum: bool,
+        /// Its view of the log.
+        pub log: Standing,
         /// Version of the configuration it has applied.
         pub version: Version,
         /// Processes that follow it, by name.
         pub followers: BTreeMap<Process, FollowerStatus>,
+        /// Orders that are open and those that ended last.
+        pub orders: Vec<order::Standing>,
         /// Back ends, with their load.
         pub servers: Vec<(Row, Load)>,
     }
@@ -138,6 +186,6 @@
     pub control: Vec<SocketAddr>,
     /// The wall clock at instant zero.
     pub wall_at_zero: Wall,
-    /// Seed of random choices.
-    pub seed: u64,
+    /// Options of the replicated log.
+    pub log: crate::log::Options,
 }
--- a/crates/core/src/wire/dispatch.rs
+++ b/crates/core/src/wire/dispatch.rs
@@ -1,7 +1,7 @@
 //! The exchange between an entry and an agent that serves one attempt.
 //!
-//! The entry sends `POST /peer/dispatch` with a [`Dispatch`]; the agent streams [`Frame`]s back, one
-//! after another in MessagePack, until [`Frame::End`], [`Frame::Refused`] or [`Frame::Broken`]. The
+//! The entry sends `POST /peer/dispatch` with a [`Dispatch`]; the agent streams lists of [`Frame`]s
+//! back, one list in each chunk and both [`Stamped`](super::Stamped), until [`Frame::End`], [`Frame::Refused`] or [`Frame::Broken`]. The
 //! entry closes the connection to cancel.
 
 use crate::data;
@@ -69,6 +69,13 @@
         pub headers: Vec<(String, String)>,
     }
 
+    /// Tokens that an entry may have open for one team on one server.
+    #[derive(Copy, Default, Eq)]
+    pub struct Credit {
+        /// The bound; none while nothing queues.
+        pub tokens: Option<u64>,
+    }
+
     /// A part of an agent's answer.
     #[derive(Eq)]
     pub enum Frame {
@@ -84,6 +91,12 @@
             queued_us: u64,
             /// The back end's load after it.
             load: Load,
+            /// What the agent grants the team from now on.
+            #[serde(default)]
+            credit: Credit,
+            /// Tokens of the prompt that the back end found in its cache, when it said so.
+            #[serde(default)]
+            cached: Option<u64>,
         },
         /// Not passed on to the back end.
         Refused {
@@ -91,6 +104,9 @@
             refusal: Refusal,
             /// The back end's load.
             load: Load,
+            /// What the agent grants the team from now on.
+            #[serde(default)]
+            credit: Credit,
         },
         /// The back end failed in the middle.
         Broken {
--- a/crates/entry/src/classify.rs
+++ b/crates/entry/src/classify.rs
@@ -11,6 +11,7 @@
 use eelgrassdyke_core::wire::refusal::Reason;
 use serde::Deserialize;
 
+use crate::affinity::blocks;
 use crate::io::Call;
 
 /// Paths of the completions format.
@@ -46,6 +47,10 @@
     pub priority: u8,
     /// Tokens expected; 1 for a plain call.
     pub tokens: u64,
+    /// Which of the caller's own tries this is, from 1.
+    pub attempt: u32,
+    /// Blocks of the prompt, for cache affinity.
+    pub blocks: Vec<u64>,
 }
 
 /// The fields of a completions call that matter here.
@@ -55,6 +60,18 @@
     model: String,
     stream: bool,
     max_tokens: Option<u64>,
+    prompt: serde_json::Value,
+    messages: serde_json::Value,
+}
+
+impl Completion {
+    fn blocks(&self) -> Vec<u64> {
+        if let Some(prompt) = self.prompt.as_str() {
+            return blocks(prompt.as_bytes());
+        }
+        let text = format!("{}{}", self.prompt, self.messages);
+        blocks(text.as_bytes())
+    }
 }
 
 /// Finds out what a call asks for.
@@ -85,7 +102,9 @@
         key: key(call)?,
         timeout: timeout(call, spec)?,
         priority: priority(call)?,
+        blocks: completion.blocks(),
         tokens: completion.max_tokens.unwrap_or(TOKENS_DEFAULT).max(1),
+        attempt: attempt(call)?,
         service,
     })
 }
@@ -116,6 +135,8 @@
         timeout: timeout(call, spec)?,
         priority: priority(call)?,
         tokens: 1,
+        blocks: Vec::new(),
+        attempt: attempt(call)?,
         service,
     })
 }
@@ -131,7 +152,7 @@
             return route.idempotent;
         }
     }
-    matches!(method, "GET" | "PUT" | "DELETE" | "OPTIONS")
+    matches!(method, "GET" | "HEAD" | "PUT" | "DELETE" | "OPTIONS")
 }
 
 fn header_idempotent(call: &Call) -> Result<Option<bool>, Reason> {
@@ -165,6 +186,14 @@
     Ok(asked.min(most))
 }
 
+/// Which of its own tries the caller says this is.
+pub(crate) fn attempt(call: &Call) -> Result<u32, Reason> {
+    match call.header("x-eelgrassdyke-attempt") {
+        None => Ok(1),
+        Some(text) => text.trim().parse().map_err(|_| Reason::Malformed),
+    }
+}
+
 fn priority(call: &Call) -> Result<u8, Reason> {
     let Some(text) = call.header("x-eelgrassdyke-priority") else {
         return Ok(PRIORITY_DEFAULT);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,8 +7,10 @@
 #![warn(rust_2018_idioms)]
 
 pub mod clock;
+pub mod disk;
 pub mod driver;
 pub mod errors;
+pub mod gauges;
 pub mod http;
 pub mod mail;
 pub mod node;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -8,7 +8,9 @@
 use eelgrassdyke_agent::Agent;
 use eelgrassdyke_control::Control;
 use eelgrassdyke_core::event::{Code, Event};
+use eelgrassdyke_core::id::{Incarnation, Process, Version};
 use eelgrassdyke_core::settings::Settings;
+use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::{BATCH_BYTES_MAX, Sender};
 use eelgrassdyke_entry::Entry;
 use http::{HeaderMap, StatusCode};
@@ -24,7 +26,7 @@
 use crate::role::{self, Context};
 use crate::secret::{Operators, Peer};
 use crate::timeline::TimeLine;
-use crate::{operator, peer};
+use crate::{gauges, operator, peer};
 
 /// Largest body that an entry reads; services may set lower limits.
 const CALL_BYTES_MAX: usize = 16 << 20;
@@ -48,6 +50,27 @@
     draining: Cell<bool>,
 }
 
+eelgrassdyke_core::data! {
+    /// What a process says of itself.
+    #[derive(Eq)]
+    pub struct Report {
+        /// Its name.
+        pub process: Process,
+        /// Its present life.
+        pub incarnation: Incarnation,
+        /// Whether every role takes work.
+        pub ready: bool,
+        /// Requests and attempts in progress.
+        pub open: usize,
+        /// Configuration version in force in the entry role.
+        pub entry_version: Option<Version>,
+        /// Configuration version in force in the agent role.
+        pub agent_version: Option<Version>,
+        /// Configuration version that the control role has applied.
+        pub control_version: Option<Version>,
+    }
+}
+
 /// How a graceful shutdown ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Shutdown {
@@ -100,7 +123,7 @@
         let me = Sender {
             process: settings.process.clone(),
             incarnation: Clock::incarnation(),
-            address,
+            address: settings.advertise.unwrap_or(address),
         };
         let context = context(&settings, me, &secret);
         let seed = rand::rng().random();
@@ -108,14 +131,10 @@
             let options = eelgrassdyke_entry::Options::from_settings(&settings, entry, seed);
             role::entry::Role::start(Entry::new(context.me.clone(), options), context.clone())
         });
-        let control = settings.control_role.as_ref().map(|_| {
-            let options = eelgrassdyke_control::Options {
-                control: settings.control.clone(),
-                wall_at_zero: context.clock.wall_at_zero(),
-                seed,
-            };
-            role::control::Role::start(Control::new(context.me.clone(), options), context.clone())
+        let control = settings.control_role.as_ref().map(|control| {
+            role::control::Role::start(control, &settings.control, seed, context.clone())
         });
+        let control = control.transpose()?;
         let agent = settings.agent_role.as_ref().map(|agent| {
             let options = eelgrassdyke_agent::Options::from_settings(&settings, agent);
             let core = Agent::new(context.me.clone(), options);
@@ -133,8 +152,11 @@
             metrics,
             draining,
         });
+        let detail = match ports.callers()? {
+            Some(callers) => format!("peers {address} callers {callers}"),
+            None => format!("peers {address}"),
+        };
         node.clone().serve(ports)?;
-        let detail = format!("listens on {address}");
         node.context
             .timeline
             .note(Event::new(Code::ProcessStarted, detail));
@@ -198,6 +220,7 @@
                 );
             }
             "/metrics" => {
+                gauges::set(self);
                 let page = self.metrics.as_ref().map(PrometheusHandle::render);
                 text(responder, StatusCode::OK, page.unwrap_or_default());
             }
@@ -215,15 +238,18 @@
             .entry
             .as_ref()
             .is_none_or(|role| role.read(Entry::is_ready));
-        let control = self
-            .control
-            .as_ref()
-            .is_none_or(|role| role.read(Control::is_ready));
         let agent = self
             .agent
             .as_ref()
             .is_none_or(|role| role.read(Agent::is_ready));
-        entry && control && agent && !self.draining.get()
+        // The data path goes on without control, so a lost quorum counts only where nothing else runs.
+        let other = self.entry.is_some() || self.agent.is_some();
+        let now = self.context.clock.now();
+        let control = self
+            .control
+            .as_ref()
+            .is_none_or(|role| role.read(|control| control.has_quorum(now)));
+        entry && agent && (other || control) && !self.draining.get()
     }
 
     /// Begins a graceful shutdown; [`Node::drained`] waits for its end.
@@ -335,6 +361,32 @@
         self.agent.as_ref()
     }
 
+    /// What the process says of itself.
+    pub fn report(&self) -> Report {
+        Report {
+            process: self.context.me.process.clone(),
+            incarnation: self.context.me.incarnation,
+            ready: self.is_ready(),
+            open: self.open(),
+            entry_version: self.entry.as_ref().map(|role| role.read(Entry::version)),
+            agent_version: self.agent.as_ref().map(|role| role.read(Agent::version)),
+            control_version: self
+                .control
+                .as_ref()
+                .map(|role| role.read(Control::version)),
+        }
+    }
+
+    /// Time on the process's monotonic clock.
+    pub fn now(&self) -> Instant {
+        self.context.clock.now()
+    }
+
+    /// The present life of the process.
+    pub fn incarnation(&self) -> Incarnation {
+        self.context.me.incarnation
+    }
+
     /// Where the process takes messages.
     pub fn address(&self) -> SocketAddr {
         self.context.me.address
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -1,7 +1,11 @@
 //! What operators ask over HTTP, as JSON.
 
+use eelgrassdyke_control::log::Change;
+use eelgrassdyke_control::state::order::Taken;
 use eelgrassdyke_control::{Answer, Query};
-use eelgrassdyke_core::config::{Submission, Verdict};
+use eelgrassdyke_core::config::{self, Submission, Verdict};
+use eelgrassdyke_core::id::{Operation, Server};
+use eelgrassdyke_core::jsonc;
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 
 use crate::http::server::{Request, Responder};
@@ -22,9 +26,12 @@
     let path = request.uri.path().to_owned();
     match (&request.method, path.as_str()) {
         (&Method::POST, "/v1/config") => submit(node, &request, responder),
+        (&Method::POST, "/v1/members") => change_members(node, &request, responder),
+        (&Method::POST, "/v1/orders") => order(node, &request, responder),
         (&Method::GET, "/v1/config") => ask(node, Query::Config, responder),
         (&Method::GET, "/v1/status") => ask(node, Query::Status, responder),
         (&Method::GET, "/v1/report") => ask(node, Query::Report, responder),
+        (&Method::GET, "/v1/process") => json(responder, StatusCode::OK, &node.report()),
         (&Method::GET, "/v1/timeline") => timeline(node, &request, responder),
         (&Method::POST, "/v1/drain") => {
             node.drain();
@@ -57,17 +64,69 @@
         no_control(responder);
         return;
     };
-    match serde_json::from_slice::<Submission>(&request.body) {
+    match read_strictly::<Submission>(&request.body) {
         Ok(submission) => control.submit(submission, responder),
-        Err(error) => {
-            let problem = format!("the submission does not read: {error}");
-            fail(
-                responder,
-                StatusCode::BAD_REQUEST,
-                &problem,
-                "correct it; see docs/OPERATORS.md",
-            );
-        }
+        Err(problem) => unreadable(
+            responder,
+            &problem,
+            "correct it; see docs/operators/config.md",
+        ),
+    }
+}
+
+fn change_members(node: &Node, request: &Request, responder: Responder) {
+    let Some(control) = node.control() else {
+        no_control(responder);
+        return;
+    };
+    let remedy = "send {\"add\": \"REPLICA\"}, {\"promote\": \"REPLICA\"} or \
+                  {\"remove\": \"REPLICA\"}; see docs/operators/control.md";
+    match read_strictly::<Change>(&request.body) {
+        Ok(change) => control.change_members(change, responder),
+        Err(problem) => unreadable(responder, &problem, remedy),
+    }
+}
+
+fn unreadable(responder: Responder, problem: &str, remedy: &str) {
+    let problem = format!("the body does not read: {problem}");
+    fail(responder, StatusCode::BAD_REQUEST, &problem, remedy);
+}
+
+/// Reads JSON in which no field may stand twice; the fault names its place.
+fn read_strictly<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, String> {
+    let text = std::str::from_utf8(body).map_err(|error| error.to_string())?;
+    let tree = jsonc::read(text).map_err(|faults| {
+        let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        lines.join("; ")
+    })?;
+    serde_path_to_error::deserialize(tree.value)
+        .map_err(|error| format!("at {}: {}", error.path(), error.inner()))
+}
+
+/// An operator's order to an engine.
+#[derive(Debug, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Order {
+    /// Names the order.
+    pub operation: Operation,
+    /// The engine.
+    pub server: Server,
+    /// What to do.
+    pub order: config::Order,
+}
+
+fn order(node: &Node, request: &Request, responder: Responder) {
+    let Some(control) = node.control() else {
+        no_control(responder);
+        return;
+    };
+    match read_strictly::<Order>(&request.body) {
+        Ok(order) => control.order(order, responder),
+        Err(problem) => unreadable(
+            responder,
+            &problem,
+            "correct it; see docs/operators/orders.md",
+        ),
     }
 }
 
@@ -90,22 +149,38 @@
 
 fn timeline(node: &Node, request: &Request, responder: Responder) {
     let query = request.uri.query().unwrap_or_default();
-    let after = query
-        .strip_prefix("after=")
-        .and_then(|text| text.parse().ok());
-    let records = node.timeline().since(after.unwrap_or(0));
+    let after = number(query, "after").unwrap_or(0);
+    // Numbers begin again with each life, so those of another life say nothing.
+    let life = number(query, "life").unwrap_or(node.incarnation().0);
+    let records = match life == node.incarnation().0 {
+        true => node.timeline().since(after),
+        false => node.timeline().since(0),
+    };
     json(responder, StatusCode::OK, &records);
 }
 
+/// A number in the query of a request.
+fn number(query: &str, name: &str) -> Option<u64> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let (_, value) = pairs.find(|(held, _)| *held == name)?;
+    value.parse().ok()
+}
+
 /// Answers with what control decided.
 pub fn answer(responder: Responder, answer: &Answer) {
     let status = match answer {
         Answer::Verdict(Verdict::Accepted { .. }) => StatusCode::OK,
         Answer::Verdict(Verdict::Conflict { .. } | Verdict::Reused) => StatusCode::CONFLICT,
         Answer::Verdict(Verdict::Invalid { .. }) => StatusCode::UNPROCESSABLE_ENTITY,
+        Answer::Order(Taken::Standing(_)) => StatusCode::ACCEPTED,
+        Answer::Order(Taken::Reused) => StatusCode::CONFLICT,
+        Answer::Order(Taken::Full) => StatusCode::SERVICE_UNAVAILABLE,
         Answer::NotLeader { .. } => StatusCode::MISDIRECTED_REQUEST,
         Answer::Unknown => StatusCode::GATEWAY_TIMEOUT,
-        Answer::Config { .. } | Answer::Status(_) | Answer::Report(_) => StatusCode::OK,
+        Answer::Refused { .. } => StatusCode::SERVICE_UNAVAILABLE,
+        Answer::Config { .. } | Answer::Status(_) | Answer::Report(_) | Answer::Members(_) => {
+            StatusCode::OK
+        }
     };
     json(responder, status, answer);
 }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -21,6 +21,9 @@
     "rinse", "label", "stock",
 ];
 
+/// The event that ends a stream.
+const DONE: &str = "data: [DONE]\n\n";
+
 /// How a stand-in engine behaves.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
@@ -30,6 +33,8 @@
     pub token: Duration,
     /// Tokens of an answer when the call names no bound.
     pub tokens: u64,
+    /// Whether an order with a lower fence than an earlier one is refused.
+    pub checks_fence: bool,
 }
 
 impl Default for Options {
@@ -38,6 +43,7 @@
             first_token: Duration::from_millis(40),
             token: Duration::from_millis(20),
             tokens: 16,
+            checks_fence: false,
         }
     }
 }
@@ -46,6 +52,8 @@
 pub struct Engine {
     options: Options,
     book: Shared,
+    /// The highest fence seen: term and sequence.
+    fence: Cell<(u64, u64)>,
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -58,11 +66,27 @@
     max_tokens: Option<u64>,
 }
 
+/// The whole streamed answer to a completions call with this prompt, as every engine gives it.
+pub fn expected_stream(model: &str, prompt: &str, tokens: u64) -> String {
+    let completion = Completion {
+        prompt: prompt.into(),
+        ..Completion::default()
+    };
+    let seed = seed(&completion);
+    let mut stream = String::new();
+    for at in 0..tokens {
+        stream.push_str(&String::from_utf8_lossy(&event(model, seed, at)));
+    }
+    stream.push_str(DONE);
+    stream
+}
+
 /// Serves a stand-in engine on `listener`; gives its address.
 pub fn serve(listener: TcpListener, options: Options) -> std::io::Result<SocketAddr> {
     let engine = Rc::new(Engine {
         options,
         book: Shared::default(),
+        fence: Cell::default(),
     });
     let handler = Rc::new(move |request, responder| engine.clone().handle(request, responder));
     crate::serve(listener, handler)
@@ -76,10 +100,31 @@
             (&Method::POST, "/v1/completions" | "/v1/chat/completions") => {
                 monoio::spawn(self.complete(request, responder));
             }
+            (&Method::POST, "/v1/orders") => self.take_order(&request, responder),
             _ => answer(responder, StatusCode::NOT_FOUND, "{}".to_owned()),
         }
     }
 
+    /// Carries out an order, unless this engine checks fences and this one is old.
+    fn take_order(&self, request: &Request, responder: Responder) {
+        let order: serde_json::Value = match serde_json::from_slice(&request.body) {
+            Ok(order) => order,
+            Err(_) => return answer(responder, StatusCode::BAD_REQUEST, "{}".to_owned()),
+        };
+        let fence = request.headers.get("x-eelgrassdyke-fence");
+        let fence = fence.and_then(|value| value.to_str().ok()).unwrap_or("0.0");
+        let (term, sequence) = fence.split_once('.').unwrap_or((fence, "0"));
+        let number = (term.parse().unwrap_or(0), sequence.parse().unwrap_or(0));
+        if self.options.checks_fence && number < self.fence.get() {
+            self.book.write(|book| book.fenced += 1);
+            return answer(responder, StatusCode::CONFLICT, "{}".to_owned());
+        }
+        self.fence.set(number.max(self.fence.get()));
+        let told = (order["order"].to_string(), fence.to_owned());
+        self.book.write(|book| book.orders.push(told));
+        answer(responder, StatusCode::OK, "{}".to_owned());
+    }
+
     async fn complete(self: Rc<Self>, request: Request, responder: Responder) {
         let Ok(completion) = serde_json::from_slice::<Completion>(&request.body) else {
             answer(responder, StatusCode::BAD_REQUEST, "{}".to_owned());
@@ -111,7 +156,7 @@
         }
         self.book.write(|book| book.finished += 1);
         if completion.stream {
-            responder.data(Bytes::from_static(b"data: [DONE]\n\n"));
+            responder.data(Bytes::from_static(DONE.as_bytes()));
             responder.end();
             return;
         }
