--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -1,8 +1,10 @@
 //! What operators ask over HTTP, as JSON.
 
 use eelgrassdyke_control::log::Change;
+use eelgrassdyke_control::state::order::Taken;
 use eelgrassdyke_control::{Answer, Query};
-use eelgrassdyke_core::config::{Submission, Verdict};
+use eelgrassdyke_core::config::{self, Submission, Verdict};
+use eelgrassdyke_core::id::{Operation, Server};
 use eelgrassdyke_core::jsonc;
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 
@@ -11,7 +13,7 @@
 
 /// Answers a request below `/v1/`.
 pub fn handle(node: &Node, request: Request, responder: Responder) {
-    if !is_operator(node, &request) {
+    if !is_operator(node, &request.headers) {
         let remedy = "send an operator's token as `Authorization: Bearer TOKEN`";
         fail(
             responder,
@@ -25,6 +27,7 @@
     match (&request.method, path.as_str()) {
         (&Method::POST, "/v1/config") => submit(node, &request, responder),
         (&Method::POST, "/v1/members") => change_members(node, &request, responder),
+        (&Method::POST, "/v1/orders") => order(node, &request, responder),
         (&Method::GET, "/v1/config") => ask(node, Query::Config, responder),
         (&Method::GET, "/v1/status") => ask(node, Query::Status, responder),
         (&Method::GET, "/v1/report") => ask(node, Query::Report, responder),
@@ -47,9 +50,9 @@
     }
 }
 
-fn is_operator(node: &Node, request: &Request) -> bool {
-    let bearer = request
-        .headers
+/// Whether a request carries an operator's token.
+pub fn is_operator(node: &Node, headers: &HeaderMap) -> bool {
+    let bearer = headers
         .get(header::AUTHORIZATION)
         .and_then(|v| v.to_str().ok());
     let token = bearer.and_then(|text| text.strip_prefix("Bearer "));
@@ -100,6 +103,33 @@
         .map_err(|error| format!("at {}: {}", error.path(), error.inner()))
 }
 
+/// An operator's order to an engine.
+#[derive(Debug, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Order {
+    /// Names the order.
+    pub operation: Operation,
+    /// The engine.
+    pub server: Server,
+    /// What to do.
+    pub order: config::Order,
+}
+
+fn order(node: &Node, request: &Request, responder: Responder) {
+    let Some(control) = node.control() else {
+        no_control(responder);
+        return;
+    };
+    match read_strictly::<Order>(&request.body) {
+        Ok(order) => control.order(order, responder),
+        Err(problem) => unreadable(
+            responder,
+            &problem,
+            "correct it; see docs/operators/orders.md",
+        ),
+    }
+}
+
 fn ask(node: &Node, query: Query, responder: Responder) {
     match node.control() {
         Some(control) => control.ask(query, responder),
@@ -142,6 +172,9 @@
         Answer::Verdict(Verdict::Accepted { .. }) => StatusCode::OK,
         Answer::Verdict(Verdict::Conflict { .. } | Verdict::Reused) => StatusCode::CONFLICT,
         Answer::Verdict(Verdict::Invalid { .. }) => StatusCode::UNPROCESSABLE_ENTITY,
+        Answer::Order(Taken::Standing(_)) => StatusCode::ACCEPTED,
+        Answer::Order(Taken::Reused) => StatusCode::CONFLICT,
+        Answer::Order(Taken::Full) => StatusCode::SERVICE_UNAVAILABLE,
         Answer::NotLeader { .. } => StatusCode::MISDIRECTED_REQUEST,
         Answer::Unknown => StatusCode::GATEWAY_TIMEOUT,
         Answer::Refused { .. } => StatusCode::SERVICE_UNAVAILABLE,
