An entry in shutdown serves on for a grace time

Cause: an entry that began to shut down refused at once, while the platform's balancer still sent it requests. Ruled out: a wait in the shell, since the core decides. Conclusion: Options::drain_grace, 2 s; is_done only after it.

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -59,7 +59,10 @@
     pub(crate) leader: usize,
     next_number: u64,
     next_report: Instant,
-    draining: bool,
+    /// When a graceful shutdown began.
+    draining_since: Option<Instant>,
+    /// Whether new requests are refused, after the grace time of a shutdown.
+    closed: bool,
 }
 
 impl Entry {
@@ -83,7 +86,8 @@
             leader: first,
             next_number: 1,
             next_report: Instant(0),
-            draining: false,
+            draining_since: None,
+            closed: false,
             options,
         }
     }
@@ -99,8 +103,11 @@
             Input::Failed { attempt, sent } => self.fail_attempt(now, &attempt, sent, out),
             Input::Mail { from, message } => self.take_mail(now, &from, message, out),
             Input::Tick => {}
-            Input::Drain => self.draining = true,
+            Input::Drain => {
+                self.draining_since.get_or_insert(now);
+            }
         }
+        self.closed = now >= self.closes_at();
         self.run_timers(now, out);
         for event in self.router.take_events() {
             out.push(Output::Event(event));
@@ -112,14 +119,25 @@
     /// When the entry next needs [`Input::Tick`].
     pub fn next_deadline(&self) -> Instant {
         let flight = self.timers.first().map_or(Instant::NEVER, |(at, _)| *at);
+        let closes = match self.closed {
+            true => Instant::NEVER,
+            false => self.closes_at(),
+        };
         flight
+            .min(closes)
             .min(self.follower.next_deadline())
             .min(self.next_report)
     }
 
+    /// When a shutdown's grace time ends, in which the platform learns to send no more.
+    fn closes_at(&self) -> Instant {
+        let since = self.draining_since;
+        since.map_or(Instant::NEVER, |since| since + self.options.drain_grace)
+    }
+
     /// Whether the entry may serve: it holds a configuration that a quorum confirmed.
     pub fn is_ready(&self) -> bool {
-        self.follower.is_confirmed() && !self.draining
+        self.follower.is_confirmed() && self.draining_since.is_none()
     }
 
     /// The configuration version in force.
@@ -139,7 +157,7 @@
 
     /// Whether a graceful shutdown has nothing left to wait for.
     pub fn is_done(&self) -> bool {
-        self.draining && self.flights.is_empty()
+        self.closed && self.flights.is_empty()
     }
 
     /// Whether control holds everything that the books say.
@@ -223,7 +241,7 @@
 
     /// Whether this process takes requests at all.
     fn admit_process(&self, now: Instant) -> Result<(), Refusal> {
-        if self.draining || !self.follower.is_confirmed() {
+        if now >= self.closes_at() || !self.follower.is_confirmed() {
             return Err(Refusal::not_run(Reason::NotReady).after(COME_BACK));
         }
         let silence = self.follower.silence(now).unwrap_or(Duration::MAX);
--- a/crates/entry/src/io.rs
+++ b/crates/entry/src/io.rs
@@ -69,7 +69,7 @@
     },
     /// Nothing but time passed.
     Tick,
-    /// A graceful shutdown begins: take no new requests.
+    /// A graceful shutdown begins: count as not ready, and after a grace time take no requests.
     Drain,
 }
 
@@ -153,6 +153,8 @@
     pub attempts: u32,
     /// Largest answer that is not streamed, in bytes.
     pub body_max: usize,
+    /// Time after the start of a graceful shutdown in which new requests are still served.
+    pub drain_grace: Duration,
 }
 
 impl Default for Options {
@@ -166,6 +168,7 @@
             claim_timeout: Duration::from_secs(2),
             attempts: 3,
             body_max: 8 << 20,
+            drain_grace: Duration::from_secs(2),
         }
     }
 }
--- a/crates/entry/tests/whole.rs
+++ b/crates/entry/tests/whole.rs
@@ -377,3 +377,36 @@
     assert!(desk.cancelled(&first.attempt));
     assert_eq!(desk.refusal.unwrap().run, Run::Yes);
 }
+
+#[test]
+fn a_shutdown_serves_on_for_a_grace_time_and_cuts_nothing_off() {
+    let mut desk = Desk::new();
+    let first = desk.call(true);
+    desk.frame(1, &first.attempt, head(200, "text/event-stream"));
+    desk.feed(2, Input::Drain);
+    assert!(!desk.entry.is_ready());
+    desk.frame(3, &first.attempt, token(0));
+    let call = |ticket| Input::Call {
+        ticket: Ticket(ticket),
+        call: Call {
+            method: "POST".to_owned(),
+            path: "/v1/completions".to_owned(),
+            headers: vec![("authorization".to_owned(), "Bearer token".to_owned())],
+            body: b"{\"model\":\"draft\"}".to_vec(),
+        },
+    };
+    desk.feed(1500, call(2));
+    let second = desk.dispatch().expect("a late request is still served");
+    desk.frame(1600, &second.attempt, head(200, "application/json"));
+    assert!(desk.entry.next_deadline() <= Instant(2_002_000));
+    desk.feed(2002, Input::Tick);
+    assert!(!desk.entry.is_done());
+    desk.feed(2003, Input::Gone { ticket: Ticket(2) });
+    desk.frame(2100, &first.attempt, done());
+    desk.frame(2100, &first.attempt, end());
+    assert_eq!(desk.heard, unbroken(1));
+    assert!(desk.entry.is_done());
+    desk.ended = false;
+    desk.feed(2200, call(3));
+    assert_eq!(desk.refusal.unwrap().run, Run::No);
+}
