A restarted control replica is ready only once it holds what was accepted

It now has caught up only when a leader told it a commit position whose record is of the leader's own term and it has applied that far.

Ruled out: flakiness of the scenario (the new test reproduces it with injected time); the commit position alone, since a new leader's may lag behind what was accepted before.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -135,6 +135,12 @@
         self.next_sweep.min(self.replica.next_deadline())
     }
 
+    /// Whether this replica can reach a quorum and has applied, since it started, all that was
+    /// accepted before.
+    pub fn is_ready(&self, now: Instant) -> bool {
+        self.replica.has_quorum(now) && self.replica.has_caught_up()
+    }
+
     /// Whether this replica leads or heard a leader lately, at `now`.
     pub fn has_quorum(&self, now: Instant) -> bool {
         self.replica.has_quorum(now)
@@ -460,7 +466,7 @@
             leads: self.replica.leads(),
             leader: self.replica.leader(),
             term: self.replica.term(),
-            quorum: self.replica.has_quorum(now),
+            quorum: self.is_ready(now),
             log: self.replica.standing(now),
             version: self.version(),
             followers,
--- a/crates/control/src/io.rs
+++ b/crates/control/src/io.rs
@@ -153,7 +153,7 @@
         pub leader: Option<SocketAddr>,
         /// Its term.
         pub term: Term,
-        /// Whether it can reach a quorum; what it says is stale when not.
+        /// Whether it can reach a quorum and has caught up; what it says is stale when not.
         pub quorum: bool,
         /// Its view of the log.
         pub log: Standing,
--- a/crates/control/src/log/leader.rs
+++ b/crates/control/src/log/leader.rs
@@ -303,6 +303,8 @@
         }
         self.commit = index;
         self.apply(out);
+        self.caught_up = true;
+
         // A leader that was taken out goes once its successors hold the record that says so.
         if !self.is_voter() && self.log.members_index() <= self.commit {
             self.follow(now, self.hard.term, None, out);
--- a/crates/control/src/log/replica.rs
+++ b/crates/control/src/log/replica.rs
@@ -48,6 +48,7 @@
     addresses: BTreeMap<Id, SocketAddr>,
     impostors: BTreeSet<SocketAddr>,
     quorum_seen: bool,
+    pub(super) caught_up: bool,
     pub(super) writes: Vec<Write>,
     pub(super) issued: u64,
     pub(super) done: u64,
@@ -124,6 +125,7 @@
             addresses: BTreeMap::new(),
             impostors: BTreeSet::new(),
             quorum_seen: false,
+            caught_up: false,
             writes: Vec::new(),
             issued: 0,
             done: 0,
@@ -222,6 +224,15 @@
         }
     }
 
+    /// Whether everything committed before this replica started, or before it last was elected, has
+    /// been applied.
+    ///
+    /// A leader's commit position covers all earlier terms once it holds a record of its own term, so
+    /// nothing less from a leader shows how far a restarted replica is behind.
+    pub fn has_caught_up(&self) -> bool {
+        self.caught_up
+    }
+
     /// Whether no other replica can have been elected, if clocks drift no more than the options say
     /// and this process was not frozen since `now` was read.
     ///
--- a/crates/control/src/log/replication.rs
+++ b/crates/control/src/log/replication.rs
@@ -204,11 +204,13 @@
             self.append(records);
         }
         self.verified = self.verified.max(end);
-        let commit = commit.min(self.verified);
+        let told = commit;
+        let commit = told.min(self.verified);
         if commit > self.commit {
             self.commit = commit;
             self.apply(out);
         }
+        self.caught_up |= told == commit && self.log.term(told) == Some(self.hard.term);
         self.answer(from, round, out);
     }
 
--- a/crates/control/tests/log_control.rs
+++ b/crates/control/tests/log_control.rs
@@ -379,3 +379,28 @@
         updates.collect()
     }
 }
+
+#[test]
+fn a_restarted_replica_is_not_ready_before_it_holds_what_was_accepted() {
+    let mut site = Site::new();
+    let other = (site.leader() + 1) % 3;
+    for number in 1..=9 {
+        if number == 5 {
+            site.kill(other);
+        }
+        let leader = site.leader();
+        let submission = change(&format!("op-{number}"), number - 1);
+        assert_eq!(site.submit(leader, &submission), accepted(number));
+    }
+    site.start(other);
+    for _ in 0..1000 {
+        site.run(5);
+        let (control, _) = site.up[other].as_ref().unwrap();
+        if control.is_ready(site.now) {
+            assert_eq!(control.version(), Version(9));
+            return;
+        }
+        assert!(!site.status(other).quorum);
+    }
+    panic!("the replica never became ready");
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -261,7 +261,7 @@
         let control = self
             .control
             .as_ref()
-            .is_none_or(|role| role.read(|control| control.has_quorum(now)));
+            .is_none_or(|role| role.read(|control| control.is_ready(now)));
         entry && agent && (other || control) && !self.draining.get()
     }
 
