--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -13,3 +13,8 @@
 pub mod relay;
 pub mod scenario;
 pub mod site;
+
+/// The examples of docs/EMBEDDING.md, which the documentation tests compile and run.
+#[cfg(doctest)]
+#[doc = include_str!("../../../docs/EMBEDDING.md")]
+pub struct Embedding;
