eelgrassctl order

Cause: orders could be given by HTTP only. The command gives an order under an operation of its own, prints it first so that a lost answer can be asked for again, and can wait for the end. Ruled out: a separate endpoint for the standing; the same operation asked again answers it. Seen: cargo test -p eelgrassctl passes, among it an order taken once under its operation and refused under another order.

--- a/crates/eelgrassctl/src/command.rs
+++ b/crates/eelgrassctl/src/command.rs
@@ -4,7 +4,9 @@
 use std::path::PathBuf;
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
-use eelgrassdyke_core::id::{Group, Operation, Process, Replica, Request, Server, Team, Version};
+use eelgrassdyke_core::id::{
+    Group, Model, Operation, Process, Replica, Request, Server, Team, Version,
+};
 
 const EXIT_CODES: &str = "\
 Exit codes:
@@ -71,6 +73,9 @@
     Timeline(Timeline),
     /// Ask a process for a graceful shutdown.
     Drain(Drain),
+    /// Give an engine an order, such as to load a model.
+    #[command(after_help = EXIT_CODES)]
+    Order(Order),
     /// Change the members of the control log.
     #[command(subcommand)]
     Control(Control),
@@ -176,6 +181,42 @@
     pub wait: bool,
 }
 
+/// Options of `order`.
+#[derive(Clone, Debug, Args)]
+pub struct Order {
+    /// The engine, as `status` prints it.
+    pub server: Server,
+    /// What it is to do.
+    #[command(subcommand)]
+    pub what: What,
+    /// Name of the order; a resend under the same name is carried out once.
+    #[arg(long, value_name = "ID", global = true)]
+    pub operation: Option<Operation>,
+    /// Return once the order has ended; exit code 1 when it failed or is still open.
+    #[arg(long, global = true)]
+    pub wait: bool,
+}
+
+/// What an engine is ordered to do.
+#[derive(Clone, Debug, Subcommand)]
+pub enum What {
+    /// Load a model, adapter or version.
+    Load {
+        /// Its name.
+        model: Model,
+    },
+    /// Unload a model, adapter or version.
+    Unload {
+        /// Its name.
+        model: Model,
+    },
+    /// Take a role, such as prefill or decode.
+    Role {
+        /// The role.
+        name: String,
+    },
+}
+
 /// A change of the members of the control log; `status` prints the replicas.
 #[derive(Clone, Copy, Debug, Subcommand)]
 pub enum Control {
--- a/crates/eelgrassctl/src/config.rs
+++ b/crates/eelgrassctl/src/config.rs
@@ -88,7 +88,7 @@
 }
 
 /// A name that no other change has.
-fn fresh_operation() -> Operation {
+pub fn fresh_operation() -> Operation {
     let name = format!("ctl-{:016x}", rand::rng().random::<u64>());
     name.parse()
         .unwrap_or_else(|_| unreachable!("letters, digits and a hyphen make a name"))
--- a/crates/eelgrassctl/src/lib.rs
+++ b/crates/eelgrassctl/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod control;
 pub mod drain;
 pub mod errors;
+pub mod order;
 pub mod output;
 pub mod report;
 pub mod status;
@@ -40,6 +41,7 @@
             Command::Report(options) => report::print(&client, &options, json).await,
             Command::Timeline(options) => timeline::print(&client, &options, json).await,
             Command::Drain(options) => drain::drain(&client, &options, json).await,
+            Command::Order(options) => order::give(&client, &options, json).await,
             Command::Control(change) => control::change(&client, change, json).await,
             Command::Token(_) => Ok(Code::Done),
         }
--- a/crates/eelgrassctl/tests/operate.rs
+++ b/crates/eelgrassctl/tests/operate.rs
@@ -250,3 +250,34 @@
         Sha256::of(TOKEN.as_bytes()).to_string()
     );
 }
+
+#[test]
+fn an_order_is_taken_once_under_its_operation() {
+    let site = Site::start();
+    let load = [
+        "order",
+        "engine-9",
+        "load",
+        "model-a",
+        "--operation",
+        "load-1",
+    ];
+    let first = site.json(0, &load);
+    assert_eq!(first["operation"], "load-1");
+    assert_eq!(first["outcome"], json!(null));
+    assert_eq!(site.json(0, &load), first);
+
+    // The same name for another order is refused, and nothing is ordered.
+    let other = [
+        "order",
+        "engine-9",
+        "unload",
+        "model-a",
+        "--operation",
+        "load-1",
+    ];
+    assert_code(
+        &ctl(&site.folder.path().join("token"), site.control, &other),
+        1,
+    );
+}
