One place keeps the peers that wait for answers

Cause: entry, agent and control roles each kept tickets and responders by the same code (found by duplicates). Ruled out: a generic role over all cores, whose outputs differ too much. The scenario runner's list of entries stood twice as well.

--- a/crates/node/src/role/agent.rs
+++ b/crates/node/src/role/agent.rs
@@ -1,7 +1,6 @@
 //! The agent role.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,6 +13,7 @@
 use futures_util::future::{Either, select};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 
+use super::waiting::Waiting;
 use super::{Cancels, Context, HANG_GRACE};
 use crate::driver::Driver;
 use crate::http::client;
@@ -27,9 +27,8 @@
     driver: Rc<Driver<Agent>>,
     context: Context,
     backend: SocketAddr,
-    waiting: RefCell<HashMap<Ticket, Responder>>,
+    waiting: Waiting,
     cancels: Cancels<Ticket>,
-    next_ticket: Cell<u64>,
 }
 
 impl Role {
@@ -39,9 +38,8 @@
             driver: Rc::new(Driver::new(core, context.clock)),
             context,
             backend,
-            waiting: RefCell::default(),
+            waiting: Waiting::default(),
             cancels: RefCell::default(),
-            next_ticket: Cell::new(1),
         });
         let ticker = role.clone();
         monoio::spawn(role.driver.clone().run(move || ticker.feed(Input::Tick)));
@@ -62,14 +60,12 @@
 
     /// Takes in a dispatch.
     pub fn take_dispatch(self: &Rc<Self>, dispatch: Dispatch, responder: Responder) {
-        let ticket = Ticket(self.next_ticket.replace(self.next_ticket.get() + 1));
         let role = self.clone();
-        responder.on_gone(move || {
-            role.waiting.borrow_mut().remove(&ticket);
+        responder.head(StatusCode::OK, HeaderMap::new());
+        let ticket = self.waiting.add_watched(responder, move |ticket| {
+            role.waiting.take(ticket);
             role.feed(Input::Gone { ticket });
         });
-        responder.head(StatusCode::OK, HeaderMap::new());
-        self.waiting.borrow_mut().insert(ticket, responder);
         self.feed(Input::Dispatch {
             ticket,
             dispatch: Box::new(dispatch),
@@ -108,15 +104,9 @@
                 return;
             }
         };
-        let mut waiting = self.waiting.borrow_mut();
-        let Some(responder) = waiting.get(&ticket) else {
-            return;
-        };
-        responder.data(bytes.into());
-        if !last {
-            return;
-        }
-        if let Some(responder) = waiting.remove(&ticket) {
+        self.waiting
+            .with(ticket, |responder| responder.data(bytes.into()));
+        if last && let Some(responder) = self.waiting.take(ticket) {
             responder.end();
         }
     }
--- a/crates/node/src/role/control.rs
+++ b/crates/node/src/role/control.rs
@@ -1,7 +1,5 @@
 //! The control role.
 
-use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -14,6 +12,7 @@
 use futures_util::StreamExt as _;
 
 use super::Context;
+use super::waiting::Waiting;
 use crate::disk::{Done, Writer};
 use crate::driver::Driver;
 use crate::errors::Result;
@@ -25,8 +24,7 @@
     driver: Rc<Driver<Control>>,
     context: Context,
     disk: Writer,
-    waiting: RefCell<HashMap<Ticket, Responder>>,
-    next_ticket: Cell<u64>,
+    waiting: Waiting,
 }
 
 impl Role {
@@ -50,8 +48,7 @@
             driver: Rc::new(Driver::new(core, context.clock)),
             context,
             disk,
-            waiting: RefCell::default(),
-            next_ticket: Cell::new(1),
+            waiting: Waiting::default(),
         });
         for output in begun {
             role.carry_out(output);
@@ -86,13 +83,13 @@
 
     /// Passes an operator's change on.
     pub fn submit(self: &Rc<Self>, submission: Submission, responder: Responder) {
-        let ticket = self.wait(responder);
+        let ticket = self.waiting.add(responder);
         self.feed(Input::Submit { ticket, submission });
     }
 
     /// Passes an operator's order to an engine on.
     pub fn order(self: &Rc<Self>, request: operator::Order, responder: Responder) {
-        let ticket = self.wait(responder);
+        let ticket = self.waiting.add(responder);
         self.feed(Input::Order {
             ticket,
             operation: request.operation,
@@ -103,22 +100,16 @@
 
     /// Passes an operator's change of the members on.
     pub fn change_members(self: &Rc<Self>, change: Change, responder: Responder) {
-        let ticket = self.wait(responder);
+        let ticket = self.waiting.add(responder);
         self.feed(Input::Members { ticket, change });
     }
 
     /// Passes an operator's question on.
     pub fn ask(self: &Rc<Self>, query: Query, responder: Responder) {
-        let ticket = self.wait(responder);
+        let ticket = self.waiting.add(responder);
         self.feed(Input::Query { ticket, query });
     }
 
-    fn wait(&self, responder: Responder) -> Ticket {
-        let ticket = Ticket(self.next_ticket.replace(self.next_ticket.get() + 1));
-        self.waiting.borrow_mut().insert(ticket, responder);
-        ticket
-    }
-
     fn carry_out(self: &Rc<Self>, output: Output) {
         match output {
             Output::Send { to, message } => self.context.mail.send(to, message),
@@ -129,7 +120,7 @@
     }
 
     fn answer(&self, ticket: Ticket, answer: &Answer) {
-        if let Some(responder) = self.waiting.borrow_mut().remove(&ticket) {
+        if let Some(responder) = self.waiting.take(ticket) {
             operator::answer(responder, answer);
         }
     }
--- a/crates/node/src/role/entry.rs
+++ b/crates/node/src/role/entry.rs
@@ -1,12 +1,11 @@
 //! The entry role.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use eelgrassdyke_core::id::{Attempt, Ticket};
+use eelgrassdyke_core::id::Attempt;
 use eelgrassdyke_core::wire::dispatch::{Dispatch, Frame, Head};
 use eelgrassdyke_core::wire::refusal::Refusal;
 use eelgrassdyke_core::wire::{self, Stamped};
@@ -15,6 +14,7 @@
 use futures_util::future::{Either, select};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
+use super::waiting::Waiting;
 use super::{Cancels, Context, HANG_GRACE};
 use crate::driver::Driver;
 use crate::http::client;
@@ -25,9 +25,8 @@
 pub struct Role {
     driver: Rc<Driver<Entry>>,
     context: Context,
-    waiting: RefCell<HashMap<Ticket, Responder>>,
+    waiting: Waiting,
     cancels: Cancels<Attempt>,
-    next_ticket: Cell<u64>,
 }
 
 impl Role {
@@ -36,9 +35,8 @@
         let role = Rc::new(Self {
             driver: Rc::new(Driver::new(core, context.clock)),
             context,
-            waiting: RefCell::default(),
+            waiting: Waiting::default(),
             cancels: RefCell::default(),
-            next_ticket: Cell::new(1),
         });
         let ticker = role.clone();
         monoio::spawn(role.driver.clone().run(move || ticker.feed(Input::Tick)));
@@ -59,13 +57,11 @@
 
     /// Takes in a caller's request.
     pub fn take_call(self: &Rc<Self>, request: Request, responder: Responder) {
-        let ticket = Ticket(self.next_ticket.replace(self.next_ticket.get() + 1));
         let role = self.clone();
-        responder.on_gone(move || {
-            role.waiting.borrow_mut().remove(&ticket);
+        let ticket = self.waiting.add_watched(responder, move |ticket| {
+            role.waiting.take(ticket);
             role.feed(Input::Gone { ticket });
         });
-        self.waiting.borrow_mut().insert(ticket, responder);
         self.feed(Input::Call {
             ticket,
             call: call(request),
@@ -75,27 +71,26 @@
     fn carry_out(self: &Rc<Self>, output: Output) {
         match output {
             Output::Answer { ticket, head, body } => {
-                if let Some(responder) = self.waiting.borrow_mut().remove(&ticket) {
+                if let Some(responder) = self.waiting.take(ticket) {
                     responder.answer(status(&head), fields(&head), body);
                 }
             }
             Output::Head { ticket, head } => {
-                if let Some(responder) = self.waiting.borrow().get(&ticket) {
-                    responder.head(status(&head), fields(&head));
-                }
+                self.waiting.with(ticket, |responder| {
+                    responder.head(status(&head), fields(&head))
+                });
             }
             Output::Data { ticket, data } => {
-                if let Some(responder) = self.waiting.borrow().get(&ticket) {
-                    responder.data(data.into());
-                }
+                self.waiting
+                    .with(ticket, |responder| responder.data(data.into()));
             }
             Output::End { ticket } => {
-                if let Some(responder) = self.waiting.borrow_mut().remove(&ticket) {
+                if let Some(responder) = self.waiting.take(ticket) {
                     responder.end();
                 }
             }
             Output::Refuse { ticket, refusal } => {
-                if let Some(responder) = self.waiting.borrow_mut().remove(&ticket) {
+                if let Some(responder) = self.waiting.take(ticket) {
                     refuse(responder, &refusal);
                 }
             }
--- a/crates/node/src/role/mod.rs
+++ b/crates/node/src/role/mod.rs
@@ -15,6 +15,7 @@
 pub mod agent;
 pub mod control;
 pub mod entry;
+mod waiting;
 
 /// Time after its deadline at which an exchange counts as hung.
 const HANG_GRACE: Duration = Duration::from_secs(30);
--- a/crates/testkit/src/scenario/run.rs
+++ b/crates/testkit/src/scenario/run.rs
@@ -190,6 +190,11 @@
         Ok(())
     }
 
+    fn entries(&self) -> Vec<String> {
+        let names = self.site.processes().into_iter();
+        names.filter(|name| name.starts_with("entry")).collect()
+    }
+
     fn ask(
         &self,
         team: &str,
@@ -235,12 +240,7 @@
 
     /// Starts charges and drafts in the background.
     fn traffic(&mut self, count: u64, every_ms: u64) -> Result<()> {
-        let entries: Vec<String> = self
-            .site
-            .processes()
-            .into_iter()
-            .filter(|name| name.starts_with("entry"))
-            .collect();
+        let entries = self.entries();
         let mut doors = Vec::new();
         for entry in &entries {
             doors.push(self.site.callers(entry)?);
@@ -375,12 +375,7 @@
 
     /// Waits until every entry knows a server of each service.
     async fn wait_routes(&mut self) -> Result<()> {
-        let entries: Vec<String> = self
-            .site
-            .processes()
-            .into_iter()
-            .filter(|name| name.starts_with("entry"))
-            .collect();
+        let entries = self.entries();
         for name in entries.iter().filter(|name| self.site.runs(name)) {
             let begun = Instant::now();
             loop {
