Try: parts of an answer that are there together leave in one write

Cause sought: a plain call through entry and agent takes 0.66 to 0.91 ms more at p50 than a direct one, against a target of 0.5 ms; an agent's answer left in four writes (head, and three frames). Ruled out by this try: the number of writes.

--- a/crates/node/tests/hostile.rs
+++ b/crates/node/tests/hostile.rs
@@ -85,6 +85,7 @@
         idle: IDLE,
         body_max: BODY_MAX,
         close_cancels: false,
+        defer_head: false,
     }
 }
 
