--- a/crates/node/src/http/server.rs
+++ b/crates/node/src/http/server.rs
@@ -50,8 +50,6 @@
     /// Our own processes never half-close, so a close cancels at once. Callers may, so theirs
     /// counts only once a write fails.
     pub close_cancels: bool,
-    /// Whether the head of a streamed answer leaves with its first part, in one write.
-    pub defer_head: bool,
 }
 
 impl Default for Options {
@@ -61,7 +59,6 @@
             idle: Duration::from_secs(30),
             body_max: 1 << 20,
             close_cancels: false,
-            defer_head: false,
         }
     }
 }
@@ -81,9 +78,6 @@
     pub peer: SocketAddr,
 }
 
-/// Parts of an answer that leave in one write, in bytes.
-const GATHER_BYTES_MAX: usize = 64 << 10;
-
 /// What answers the requests of one port.
 pub type Handler = Rc<dyn Fn(Request, Responder)>;
 
@@ -377,9 +371,6 @@
         let mut watch = pin!(self.decoder.next().fuse());
         let mut early = None;
         let mut bodiless = is_head;
-        let mut lone_head;
-        // Framed, and not yet written.
-        let mut held = Vec::new();
         loop {
             let next = match early.is_none() {
                 false => parts.next().await,
@@ -397,32 +388,11 @@
             if exchange.overrun.get() {
                 return None;
             }
-            let mut part = next?;
-            let flow = loop {
-                lone_head = matches!(part, Part::Head(..));
-                if let Part::Fixed(status, headers, body) = part {
-                    write_fixed(&mut self.writer, status, headers, body, is_head)
-                        .await
-                        .ok()?;
-                    break Flow::Whole;
-                }
-                let flow = frame_part(&mut held, part, exchange, &mut bodiless);
-                if matches!(flow, Flow::Whole) || held.len() > GATHER_BYTES_MAX {
-                    break flow;
-                }
-                // What is there already leaves in the same write; nothing is waited for.
-                match parts.next().now_or_never() {
-                    Some(Some(more)) => part = more,
-                    _ => break Flow::More,
-                }
-            };
-            let defer = lone_head && self.options.defer_head && matches!(flow, Flow::More);
-            if !defer && !held.is_empty() {
-                write::all(&mut self.writer, std::mem::take(&mut held))
+            if let Flow::Whole =
+                write_part(&mut self.writer, next?, exchange, is_head, &mut bodiless)
                     .await
-                    .ok()?;
-            }
-            if matches!(flow, Flow::Whole) {
+                    .ok()?
+            {
                 break;
             }
         }
@@ -471,50 +441,47 @@
     Whole,
 }
 
-/// Writes a whole answer.
-async fn write_fixed(
+/// Writes a part of an answer; `bodiless` says that the answer has no body on the wire.
+async fn write_part(
     writer: &mut OwnedWriteHalf<TcpStream>,
-    status: StatusCode,
-    headers: HeaderMap,
-    body: Bytes,
+    part: Part,
+    exchange: &Exchange,
     is_head: bool,
-) -> super::Result<()> {
-    if !is_head && !has_no_body(status) {
-        return write::fixed(writer, status, headers, body).await;
-    }
-    let length = is_head.then_some(body.len());
-    let mut text = Vec::new();
-    write::head(&mut text, status, &headers, Framing::Absent(length));
-    write::all(writer, text).await
-}
-
-/// Adds a part of a streamed answer to `text`; `bodiless` says that the answer has no body on the
-/// wire.
-fn frame_part(text: &mut Vec<u8>, part: Part, exchange: &Exchange, bodiless: &mut bool) -> Flow {
+    bodiless: &mut bool,
+) -> super::Result<Flow> {
     match part {
+        Part::Fixed(status, headers, body) if is_head || has_no_body(status) => {
+            let length = is_head.then_some(body.len());
+            write::head(writer, status, &headers, Framing::Absent(length)).await?;
+            return Ok(Flow::Whole);
+        }
+        Part::Fixed(status, headers, body) => {
+            write::fixed(writer, status, headers, body).await?;
+            return Ok(Flow::Whole);
+        }
         Part::Head(status, headers) => {
             *bodiless |= has_no_body(status);
             let framing = match *bodiless {
                 true => Framing::Absent(None),
                 false => Framing::Chunked,
             };
-            write::head(text, status, &headers, framing);
+            write::head(writer, status, &headers, framing).await?;
         }
         Part::Data(data) => {
             let unsent = exchange.unsent.get().saturating_sub(data.len());
             exchange.unsent.set(unsent);
             if !*bodiless {
-                write::part(text, &data);
+                write::part(writer, &data).await?;
             }
         }
-        Part::End if *bodiless => return Flow::Whole,
         Part::End => {
-            write::end(text);
-            return Flow::Whole;
+            if !*bodiless {
+                write::end(writer).await?;
+            }
+            return Ok(Flow::Whole);
         }
-        Part::Fixed(..) => return Flow::Whole,
     }
-    Flow::More
+    Ok(Flow::More)
 }
 
 fn wants_close(headers: &HeaderMap) -> bool {
--- a/crates/node/src/http/write.rs
+++ b/crates/node/src/http/write.rs
@@ -1,6 +1,6 @@
 //! Frames streamed answers and answers without a body.
 //!
-//! Parts that are there together leave together, at once and in one write: the library's encoder holds parts back until 8 KiB have
+//! Each part leaves at once in one write: the library's encoder holds parts back until 8 KiB have
 //! gathered, which would hold up a model's first tokens.
 
 use std::io::Write as _;
@@ -52,8 +52,14 @@
     Absent(Option<usize>),
 }
 
-/// Adds to `text` the head of a streamed answer, or of one without a body.
-pub fn head(text: &mut Vec<u8>, status: StatusCode, headers: &HeaderMap, framing: Framing) {
+/// Writes the head of a streamed answer, or of one without a body.
+pub async fn head<W: AsyncWriteRent>(
+    io: &mut W,
+    status: StatusCode,
+    headers: &HeaderMap,
+    framing: Framing,
+) -> Result<()> {
+    let mut text = Vec::with_capacity(256);
     // Writing to memory can't fail.
     let _ = write!(text, "HTTP/1.1 {} {}\r\n", status.as_u16(), reason(status));
     for (name, value) in headers {
@@ -70,21 +76,24 @@
         Framing::Absent(None) => {}
     }
     text.extend_from_slice(b"\r\n");
+    all(io, text).await
 }
 
-/// Adds to `text` one part of a streamed body; an empty part adds nothing.
-pub fn part(text: &mut Vec<u8>, data: &[u8]) {
+/// Writes one part of a streamed body; an empty part writes nothing.
+pub async fn part<W: AsyncWriteRent>(io: &mut W, data: &[u8]) -> Result<()> {
     if data.is_empty() {
-        return;
+        return Ok(());
     }
+    let mut text = Vec::with_capacity(data.len() + 16);
     let _ = write!(text, "{:X}\r\n", data.len());
     text.extend_from_slice(data);
     text.extend_from_slice(b"\r\n");
+    all(io, text).await
 }
 
-/// Adds to `text` the end of a streamed body.
-pub fn end(text: &mut Vec<u8>) {
-    text.extend_from_slice(LAST_CHUNK);
+/// Ends a streamed body.
+pub async fn end<W: AsyncWriteRent>(io: &mut W) -> Result<()> {
+    all(io, LAST_CHUNK.to_vec()).await
 }
 
 /// Lets a caller that sent `Expect: 100-continue` go on.
@@ -92,8 +101,7 @@
     all(io, CONTINUE.to_vec()).await
 }
 
-/// Writes all of `bytes` at once.
-pub async fn all<W: AsyncWriteRent>(io: &mut W, bytes: Vec<u8>) -> Result<()> {
+async fn all<W: AsyncWriteRent>(io: &mut W, bytes: Vec<u8>) -> Result<()> {
     let (result, _) = io.write_all(bytes).await;
     result?;
     Ok(())
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -175,7 +175,6 @@
             idle: Duration::from_millis(limits.idle_ms),
             body_max: BATCH_BYTES_MAX,
             close_cancels: true,
-            defer_head: true,
         };
         let node = self.clone();
         let handler = Rc::new(move |request, responder| node.handle(request, responder));
@@ -193,7 +192,6 @@
         let options = server::Options {
             body_max: CALL_BYTES_MAX,
             close_cancels: false,
-            defer_head: false,
             ..options
         };
         let entry = entry.clone();
--- a/crates/node/tests/hostile.rs
+++ b/crates/node/tests/hostile.rs
@@ -85,7 +85,6 @@
         idle: IDLE,
         body_max: BODY_MAX,
         close_cancels: false,
-        defer_head: false,
     }
 }
 
