One page size, one way to start an attempt

Cause: the reread of the whole change found the books' page size stated twice (core::books and control::report) and dispatch_claimed, which only passed its arguments on to start_attempt. The size now stands beside the page's type, and claims start attempts directly. Behaviour is the same; no test changed.

--- a/crates/control/src/report.rs
+++ b/crates/control/src/report.rs
@@ -10,14 +10,11 @@
 use eelgrassdyke_core::data;
 use eelgrassdyke_core::id::{Incarnation, Process, Service, Team};
 use eelgrassdyke_core::time::Instant;
-use eelgrassdyke_core::wire::report::{Counts, Page, Row, Side};
+use eelgrassdyke_core::wire::report::{Counts, PAGE_ROWS_MAX, Page, Row, Side};
 
 /// Silence after which a life that did not close its books counts as dead.
 const DEAD: Duration = Duration::from_secs(15);
 
-/// Rows in one page at most.
-const PAGE_ROWS_MAX: usize = 512;
-
 type Life = (Process, Incarnation, Side);
 
 data! {
--- a/crates/core/src/books.rs
+++ b/crates/core/src/books.rs
@@ -12,10 +12,7 @@
 use crate::id::{Incarnation, Process, Service, Team};
 use crate::time::Instant;
 use crate::wire::Sender;
-use crate::wire::report::{Counts, Kept, Page, Row, Side};
-
-/// Rows in one page at most.
-const PAGE_ROWS_MAX: usize = 512;
+use crate::wire::report::{Counts, Kept, PAGE_ROWS_MAX, Page, Row, Side};
 
 /// Time between two pages to one control process.
 pub const PAGE_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/core/src/wire/report.rs
+++ b/crates/core/src/wire/report.rs
@@ -88,6 +88,9 @@
     }
 }
 
+/// Rows in one page at most.
+pub const PAGE_ROWS_MAX: usize = 512;
+
 /// Upper bounds of the latency buckets, in microseconds; one more bucket holds the rest.
 ///
 /// Each bound is a quarter above the one before, from 1 ms to over 60 s.
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -74,19 +74,8 @@
         self.start_attempt(now, flight, holder, None, out);
     }
 
-    /// Dispatches a claimed flight to the agent life that its claim names.
-    pub(crate) fn dispatch_claimed(
-        &mut self,
-        now: Instant,
-        flight: Flight,
-        holder: Holder,
-        claim: u32,
-        out: &mut Vec<Output>,
-    ) {
-        self.start_attempt(now, flight, holder, Some(claim), out);
-    }
-
-    fn start_attempt(
+    /// Dispatches a flight to one agent life, under the claim that names it if it has one.
+    pub(crate) fn start_attempt(
         &mut self,
         now: Instant,
         mut flight: Flight,
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -101,7 +101,7 @@
                 let mut flight = flight;
                 flight.ran = Run::No;
                 out.push(key_event(Code::KeyClaimed, &flight));
-                self.dispatch_claimed(now, flight, holder, claim, out);
+                self.start_attempt(now, flight, holder, Some(claim), out);
             }
             Finding::Held { claim, holder } => self.probe(now, flight, claim, holder, out),
             Finding::Settled(outcome) => self.conclude(now, flight, outcome, out),
