--- a/crates/control/src/confirm.rs
+++ b/crates/control/src/confirm.rs
@@ -26,8 +26,14 @@
         if self.asked.len() >= WAITING_MAX {
             self.asked.pop_first();
         }
+        let question = self.draw();
+        self.asked.insert(question, (process, follower));
+        question
+    }
+
+    /// The number of a new question to the log.
+    pub fn draw(&mut self) -> u64 {
         self.last += 1;
-        self.asked.insert(self.last, (process, follower));
         self.last
     }
 
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use eelgrassdyke_core::config::Submission;
+use eelgrassdyke_core::config::{Publication, Submission};
 use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::id::{Process, Server, Ticket, Version};
 use eelgrassdyke_core::time::{Instant, Wall};
@@ -17,9 +17,10 @@
 use crate::directory::Directory;
 use crate::fence::Giver;
 use crate::followers::{Follower, Followers};
-use crate::io::{Answer, FollowerStatus, Input, Options, Output, Query, Status};
+use crate::io::{Answer, FollowerStatus, Input, Notice, Options, Output, Query, Status};
 use crate::log::{self, Recovered, Replica};
 use crate::proposals::{Proposals, Waiting};
+use crate::reads::Reads;
 use crate::report::Ledger;
 use crate::state::{Action, Command, State};
 
@@ -50,6 +51,7 @@
     replica: Replica,
     proposals: Proposals,
     confirmations: Confirmations,
+    reads: Reads,
     state: State,
     directory: Directory,
     followers: Followers,
@@ -73,10 +75,11 @@
         let mut begun = Vec::new();
         let replica = Replica::new(now, me.address, recovered, options.log.clone(), &mut begun);
         let mut control = Self {
-            directory: Directory::new(me.process.clone(), me.incarnation),
+            directory: Directory::new(me.process.clone(), me.incarnation).with_lease(options.lease),
             replica,
             proposals: Proposals::default(),
             confirmations: Confirmations::default(),
+            reads: Reads::default(),
             state: State::default(),
             followers: Followers::default(),
             ledger: Ledger::default(),
@@ -101,6 +104,12 @@
                 let answer = self.query(now, query);
                 out.push(Output::Answer { ticket, answer });
             }
+            Input::Publish {
+                ticket,
+                publication,
+            } => self.publish(now, ticket, publication, out),
+            Input::ReadPublication { ticket } => self.read_publication(now, ticket, out),
+            Input::Announce { ticket, notice } => self.announce(now, ticket, notice, out),
             Input::Order {
                 ticket,
                 operation,
@@ -126,13 +135,15 @@
             Input::Tick => self.drive(now, log::Input::Tick, out),
         }
         self.confirm_followers(now, out);
+        self.answer_reads(now, out);
         self.sweep(now, out);
         self.push_changes(now, out);
     }
 
     /// When control next needs [`Input::Tick`].
     pub fn next_deadline(&self) -> Instant {
-        self.next_sweep.min(self.replica.next_deadline())
+        let reads = self.reads.next_deadline();
+        self.next_sweep.min(self.replica.next_deadline()).min(reads)
     }
 
     /// Whether this replica can reach a quorum and has applied, since it started, all that was
@@ -167,6 +178,10 @@
             Message::Fence(message) => self.take_fence(now, from, message, out),
             Message::Report(page) => self.take_page(now, from, &page, out),
             Message::ReportAsk => self.send_books(from, out),
+            Message::Dismiss(server) => {
+                out.extend(self.directory.dismiss(now, &server).map(Output::Event));
+            }
+            Message::Entries(entries) => self.followers.hear_entries(now, &from.process, entries),
             _ => {}
         }
     }
@@ -283,6 +298,70 @@
         self.propose(now, Action::Submit(submission), waiting, out);
     }
 
+    fn publish(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        publication: Publication,
+        out: &mut Vec<Output>,
+    ) {
+        let operation = format!("publication-{}", publication.number).parse();
+        let Ok(operation) = operation else {
+            return;
+        };
+        let waiting = Waiting::Operator { ticket, operation };
+        self.propose(now, Action::Publish(publication), waiting, out);
+    }
+
+    /// Asks a quorum which publication is the newest, on behalf of an operator.
+    fn read_publication(&mut self, now: Instant, ticket: Ticket, out: &mut Vec<Output>) {
+        if !self.replica.has_quorum(now) {
+            out.push(Reads::fail(ticket));
+            return;
+        }
+        let question = self.confirmations.draw();
+        self.reads.add(now, question, ticket);
+        self.drive(now, log::Input::Confirm { question }, out);
+    }
+
+    /// Answers the operators whose question a quorum has confirmed, and gives up the others in time.
+    fn answer_reads(&mut self, now: Instant, out: &mut Vec<Output>) {
+        if self.reads.is_empty() {
+            return;
+        }
+        let published = self.state.config.published();
+        let applied = self.replica.applied();
+        self.reads.answer(now, applied, published, out);
+    }
+
+    /// Takes in what a back end says of itself and passes it on to the other control processes.
+    ///
+    /// A replica without a quorum may be cut off from them, so it leaves the back end to another.
+    fn announce(&mut self, now: Instant, ticket: Ticket, notice: Notice, out: &mut Vec<Output>) {
+        if !self.replica.has_quorum(now) {
+            out.push(Reads::fail(ticket));
+            return;
+        }
+        let message = match &notice {
+            Notice::Beat(beat) => Message::Beat(beat.clone()),
+            Notice::Left(server) => Message::Dismiss(server.clone()),
+        };
+        for to in self.replica.others() {
+            let message = message.clone();
+            out.push(Output::Send { to, message });
+        }
+        let event = match notice {
+            Notice::Beat(beat) => self.directory.hear(now, beat),
+            Notice::Left(server) => self.directory.dismiss(now, &server),
+        };
+        if event.is_some() {
+            self.next_push = now;
+        }
+        out.extend(event.map(Output::Event));
+        let answer = Answer::Noted;
+        out.push(Output::Answer { ticket, answer });
+    }
+
     fn take_claim(&mut self, now: Instant, from: &Sender, ask: Ask, out: &mut Vec<Output>) {
         let waiting = Waiting::Entry {
             address: from.address,
@@ -332,6 +411,7 @@
                 log::Output::Unknown { token } => self.proposals.lose(token, out),
                 log::Output::Confirmed { question, index } => {
                     self.confirmations.confirm(question, index);
+                    self.reads.confirm(question, index);
                 }
                 log::Output::Event(event) => out.push(Output::Event(event)),
             }
@@ -433,6 +513,8 @@
             question: follow.question,
             config,
             directory,
+            control: self.replica.addresses(),
+            entries: self.followers.count_entries(now),
         };
         out.push(Output::Send {
             to: follower.address,
@@ -483,9 +565,21 @@
         self.ask_books(out);
         self.give_orders(now, out);
         self.followers.expire(now);
+        self.tell_entries(now, out);
         out.extend(self.directory.expire(now).into_iter().map(Output::Event));
     }
 
+    /// Tells the other control processes which entries follow this one.
+    fn tell_entries(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let Some(entries) = self.followers.entries_to_tell(now) else {
+            return;
+        };
+        for to in self.replica.others() {
+            let message = Message::Entries(entries.clone());
+            out.push(Output::Send { to, message });
+        }
+    }
+
     /// Pushes a new configuration at once, and a new directory once in a while, to everybody who
     /// follows.
     fn push_changes(&mut self, now: Instant, out: &mut Vec<Output>) {
--- a/crates/control/src/directory.rs
+++ b/crates/control/src/directory.rs
@@ -12,7 +12,7 @@
 use eelgrassdyke_core::wire::directory::{Beat, Load, Row, State};
 use eelgrassdyke_core::wire::follow;
 
-/// Time after the last announcement at which a back end counts as gone.
+/// Time after the last announcement at which a back end counts as gone, unless set otherwise.
 pub const LEASE: Duration = Duration::from_secs(3);
 
 /// Changes kept to bring followers up to date without sending everything.
@@ -62,6 +62,7 @@
     changes: VecDeque<(u64, Server)>,
     by_load: BTreeMap<u64, Server>,
     gone: BTreeMap<Server, Last>,
+    lease: Duration,
 }
 
 impl Directory {
@@ -77,9 +78,17 @@
             changes: VecDeque::new(),
             by_load: BTreeMap::new(),
             gone: BTreeMap::new(),
+            lease: LEASE,
         }
     }
 
+    /// Sets the time after the last announcement at which a back end counts as gone.
+    #[must_use]
+    pub fn with_lease(mut self, lease: Duration) -> Self {
+        self.lease = lease;
+        self
+    }
+
     /// The revision, from 1, which rises with each change.
     pub fn revision(&self) -> u64 {
         self.revision
@@ -170,6 +179,14 @@
         Some(Some(event.server(&beat.row.server)))
     }
 
+    /// Takes in that a back end has left, from a notice that names neither life nor number.
+    ///
+    /// Whatever the same life announced before and arrives after is old.
+    pub fn dismiss(&mut self, now: Instant, server: &Server) -> Option<Event> {
+        let life = self.servers.get(server)?.row.incarnation;
+        self.leave(now, server, (life, u64::MAX))
+    }
+
     fn leave(
         &mut self,
         now: Instant,
@@ -190,7 +207,7 @@
         self.skip_standstill(now);
         self.gone.retain(|_, last| now.since(last.at) < MEMORY);
         let mut events = Vec::new();
-        let lost = |known: &Known| now.since(known.heard) >= LEASE;
+        let lost = |known: &Known| now.since(known.heard) >= self.lease;
         let names: Vec<Server> = self
             .servers
             .iter()
@@ -225,7 +242,7 @@
     /// When the next lease runs out.
     pub fn next_deadline(&self) -> Instant {
         let first = self.servers.values().map(|known| known.heard).min();
-        first.map_or(Instant::NEVER, |heard| heard + LEASE)
+        first.map_or(Instant::NEVER, |heard| heard + self.lease)
     }
 
     /// What a follower that holds `held` lacks; `with_loads` of the loads as well.
@@ -302,7 +319,7 @@
     /// Whether every living back end has had time to announce itself.
     fn is_settled(&self, now: Instant) -> bool {
         self.started
-            .is_some_and(|started| now.since(started) >= LEASE)
+            .is_some_and(|started| now.since(started) >= self.lease)
     }
 
     /// Whether the changes kept lead from `held` to the present.
--- a/crates/control/src/io.rs
+++ b/crates/control/src/io.rs
@@ -3,12 +3,12 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use eelgrassdyke_core::config::{Document, Order, Submission, Verdict};
+use eelgrassdyke_core::config::{Document, Order, Publication, Submission, Verdict};
 use eelgrassdyke_core::data;
 use eelgrassdyke_core::event::Event;
 use eelgrassdyke_core::id::{Operation, Process, Server, Term, Ticket, Version};
 use eelgrassdyke_core::time::Wall;
-use eelgrassdyke_core::wire::directory::{Load, Row};
+use eelgrassdyke_core::wire::directory::{Beat, Load, Row};
 use eelgrassdyke_core::wire::log::Members;
 use eelgrassdyke_core::wire::{Message, Sender};
 
@@ -33,6 +33,25 @@
         /// The change.
         submission: Submission,
     },
+    /// An operator sends a whole configuration under a number of its own.
+    Publish {
+        /// The waiting operator.
+        ticket: Ticket,
+        /// The configuration.
+        publication: Publication,
+    },
+    /// An operator reads the last publication; it is answered once a quorum has confirmed it.
+    ReadPublication {
+        /// The waiting operator.
+        ticket: Ticket,
+    },
+    /// A back end that no agent stands beside says how it is.
+    Announce {
+        /// The waiting back end.
+        ticket: Ticket,
+        /// What it says.
+        notice: Notice,
+    },
     /// An operator gives an engine an order.
     Order {
         /// The waiting operator.
@@ -72,6 +91,15 @@
     Tick,
 }
 
+/// What a back end says of itself.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Notice {
+    /// It is there.
+    Beat(Beat),
+    /// It has left.
+    Left(Server),
+}
+
 /// What an operator asks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Query {
@@ -135,6 +163,10 @@
             /// The document.
             document: Document,
         },
+        /// The last publication, confirmed by a quorum; empty before the first.
+        Publication(Option<Published>),
+        /// A back end's notice was taken in.
+        Noted,
         /// The state of control.
         Status(Status),
         /// What became of an order.
@@ -143,6 +175,16 @@
         Report(Vec<Line>),
     }
 
+    /// A publication as its operator reads it back.
+    #[derive(Eq)]
+    pub struct Published {
+        /// The operator's number.
+        pub number: u64,
+        /// The text that was sent.
+        #[serde(with = "serde_bytes")]
+        pub source: Vec<u8>,
+    }
+
     /// The state of control as one replica sees it.
     pub struct Status {
         /// This process.
@@ -187,6 +229,8 @@
     pub control: Vec<SocketAddr>,
     /// The wall clock at instant zero.
     pub wall_at_zero: Wall,
+    /// Time after its last announcement at which a back end counts as gone.
+    pub lease: std::time::Duration,
     /// Options of the replicated log.
     pub log: crate::log::Options,
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -12,6 +12,7 @@
 mod control;
 mod io;
 mod proposals;
+mod reads;
 
 pub mod directory;
 pub mod fence;
@@ -22,4 +23,4 @@
 pub mod store;
 
 pub use control::Control;
-pub use io::{Answer, FollowerStatus, Input, Options, Output, Query, Status};
+pub use io::{Answer, FollowerStatus, Input, Notice, Options, Output, Published, Query, Status};
--- a/crates/control/src/log/found.rs
+++ b/crates/control/src/log/found.rs
@@ -23,6 +23,9 @@
 /// Time after which a replica without a cluster that is silent counts as gone.
 const WAITING_MAX: Duration = Duration::from_secs(5);
 
+/// Time without a leader after which a member may have been taken out.
+const UNHEARD_MAX: Duration = Duration::from_secs(2);
+
 /// Replicas without a cluster that are remembered.
 const WAITING_COUNT_MAX: usize = 32;
 
@@ -33,6 +36,8 @@
     pub next_hello: Instant,
     founders: BTreeMap<SocketAddr, Founder>,
     waiting: BTreeMap<Id, (SocketAddr, Instant)>,
+    /// Members of a cluster that exists, as heard from one of them.
+    members: BTreeSet<SocketAddr>,
     told: BTreeSet<String>,
 }
 
@@ -51,6 +56,12 @@
         live.map(|(id, (address, _))| (*id, *address)).collect()
     }
 
+    /// The replica that waits to be added at an address.
+    pub fn waits_at(&self, now: Instant, address: SocketAddr) -> Option<Id> {
+        let mut live = self.waiting(now).into_iter();
+        live.find(|(_, at)| *at == address).map(|(id, _)| id)
+    }
+
     /// Where a replica that waits to be added takes messages.
     pub fn address(&self, now: Instant, id: Id) -> Option<SocketAddr> {
         let (address, heard) = self.waiting.get(&id)?;
@@ -72,13 +83,7 @@
     pub(super) fn tick_founding(&mut self, now: Instant, out: &mut Vec<Output>) {
         if now >= self.founding.next_hello {
             self.founding.next_hello = now + self.options.hello;
-            let mut others: BTreeSet<SocketAddr> = BTreeSet::new();
-            others.extend(&self.options.founders);
-            others.extend(&self.options.contacts);
-            others.remove(&self.address);
-            for to in others {
-                self.send_hello(to, out);
-            }
+            self.greet(out);
         }
         if self.hard.promise.is_none() {
             self.try_promise(now, out);
@@ -86,6 +91,37 @@
         self.try_form(now);
     }
 
+    /// Sends a greeting to everybody who may know of a cluster.
+    fn greet(&self, out: &mut Vec<Output>) {
+        let mut others: BTreeSet<SocketAddr> = self.founding.members.clone();
+        others.extend(&self.options.founders);
+        others.extend(&self.options.contacts);
+        others.extend(self.addresses());
+        others.remove(&self.address);
+        for to in others {
+            self.send_hello(to, out);
+        }
+    }
+
+    /// When a member that hears no leader next greets the others.
+    ///
+    /// It may have been taken out while it was away. Nobody hears it then, so it greets the members,
+    /// as a new replica does, until a leader adds it again.
+    pub(super) fn next_greeting(&self) -> Instant {
+        match self.options.keeps_members {
+            true => self.founding.next_hello.max(self.heard + UNHEARD_MAX),
+            false => Instant::NEVER,
+        }
+    }
+
+    /// Greets the other members if it is time to.
+    pub(super) fn tick_unheard(&mut self, now: Instant, out: &mut Vec<Output>) {
+        if now >= self.next_greeting() {
+            self.founding.next_hello = now + self.options.hello;
+            self.greet(out);
+        }
+    }
+
     fn send_hello(&self, to: SocketAddr, out: &mut Vec<Output>) {
         let stage = match &self.hard.promise {
             _ if self.hard.cluster != 0 => Stage::Formed(self.log.members().clone()),
@@ -117,15 +153,21 @@
         else {
             return;
         };
-        let formed = matches!(stage, Stage::Formed(_));
         if self.hard.cluster != 0 {
+            let formed = matches!(stage, Stage::Formed(_));
+            let member = self.log.members().address(message.from).is_some();
             if !formed {
                 self.note_waiting(now, message.from, address);
                 self.send_hello(address, out);
+            } else if message.cluster == self.hard.cluster && !member {
+                // It was taken out while it was away; its disk still holds its promises.
+                self.note_waiting(now, message.from, address);
             }
             return;
         }
-        if formed {
+        if let Stage::Formed(members) = &stage {
+            let known = members.voters.values().chain(members.learners.values());
+            self.founding.members = known.copied().collect();
             self.take_formed(now, message.cluster, out);
             return;
         }
--- a/crates/control/src/log/io.rs
+++ b/crates/control/src/log/io.rs
@@ -273,6 +273,8 @@
     pub keep_records: u64,
     /// Part of a snapshot in one message, in bytes.
     pub part_bytes: usize,
+    /// Whether the leader adds, promotes and replaces members by itself.
+    pub keeps_members: bool,
     /// Seed of the election timeouts.
     pub seed: u64,
 }
@@ -294,6 +296,7 @@
             snapshot_bytes: 16 << 20,
             keep_records: 1000,
             part_bytes: 256 << 10,
+            keeps_members: false,
             seed: 0,
         }
     }
--- a/crates/control/src/log/leader.rs
+++ b/crates/control/src/log/leader.rs
@@ -118,6 +118,12 @@
         self.peers.get(&id).map_or(Index(0), |peer| peer.matched)
     }
 
+    /// Time since a member answered a round, or since this leader took office.
+    pub fn silence(&self, now: Instant, id: Id) -> std::time::Duration {
+        let heard = self.peers.get(&id).and_then(|peer| peer.heard);
+        now.since(heard.unwrap_or_default().max(self.since))
+    }
+
     /// The same for all members.
     pub fn matched(&self) -> BTreeMap<Id, Index> {
         let peers = self.peers.iter();
--- a/crates/control/src/log/members.rs
+++ b/crates/control/src/log/members.rs
@@ -1,6 +1,14 @@
 //! Members of the log and how they change, one at a time.
+//!
+//! An operator changes them, or the leader does by itself ([`super::Options::keeps_members`]). By
+//! itself it adds every replica that waits, gives a learner that holds everything a vote, and takes
+//! a voter out only when a learner is there to take its place, so that a cut never shrinks the
+//! voters. A voter whose address a new identity has taken over has lost its disk and is replaced at
+//! once; another one only after it was silent for a while.
 
-use eelgrassdyke_core::id::Index;
+use std::time::Duration;
+
+use eelgrassdyke_core::id::{Index, Replica as Id};
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::log::{Members, Payload};
 
@@ -10,7 +18,100 @@
 /// Records that a learner may lack when it is given a vote.
 const PROMOTION_LAG_MAX: u64 = 100;
 
+/// Voters that the leader aims at: two may be lost at once.
+const VOTERS: usize = 5;
+
+/// Members that the leader keeps at most, learners included.
+const MEMBERS_MAX: usize = 9;
+
+/// Silence after which a voter is replaced by a learner; restarts are over sooner.
+const SILENT_MAX: Duration = Duration::from_secs(5);
+
+/// Silence after which a learner is dropped.
+const LEARNER_SILENT_MAX: Duration = Duration::from_secs(20);
+
+/// Token of the changes that nobody waits for.
+const NOBODY: u64 = 0;
+
 impl Replica {
+    /// Brings the members one step nearer to what is there.
+    pub(super) fn keep_members(&mut self, now: Instant) {
+        if !self.options.keeps_members {
+            return;
+        }
+        let Some(change) = self.next_change(now) else {
+            return;
+        };
+        if let Ok(members) = self.next_members(now, change)
+            && members != *self.log.members()
+        {
+            self.append_own(NOBODY, Payload::Members(members));
+        }
+    }
+
+    /// The change of the members that is due, if any.
+    fn next_change(&self, now: Instant) -> Option<Change> {
+        let Role::Leader(leader) = &self.role else {
+            return None;
+        };
+        if self.commit < leader.first || self.log.members_index() > self.commit {
+            return None;
+        }
+        let members = self.log.members();
+        let count = members.voters.len() + members.learners.len();
+        for id in self.founding.waiting(now).into_keys() {
+            if members.address(id).is_none() && count < MEMBERS_MAX {
+                return Some(Change::Add(id));
+            }
+        }
+        let complete = |id: &&Id| {
+            let heard = leader.silence(now, **id) < self.options.election_max;
+            heard && leader.match_of(**id) >= self.commit
+        };
+        if let Some(learner) = members.learners.keys().find(complete) {
+            if members.voters.len() < VOTERS {
+                return Some(Change::Promote(*learner));
+            }
+            if let Some(voter) = self.replaceable(now, members) {
+                return Some(Change::Remove(voter));
+            }
+        }
+        let silent = |id: &&Id| leader.silence(now, **id) >= LEARNER_SILENT_MAX;
+        members
+            .learners
+            .keys()
+            .find(silent)
+            .copied()
+            .map(Change::Remove)
+    }
+
+    /// A voter that a learner may replace: its disk is lost, or it is silent for long.
+    fn replaceable(&self, now: Instant, members: &Members) -> Option<Id> {
+        let Role::Leader(leader) = &self.role else {
+            return None;
+        };
+        let others = || members.voters.iter().filter(|(id, _)| **id != self.id);
+        let heard = |id: Id| leader.silence(now, id) < self.options.election_max;
+        // The change itself must still find a majority.
+        let live = 1 + others().filter(|(id, _)| heard(**id)).count();
+        if live <= (members.voters.len() - 1) / 2 {
+            return None;
+        }
+        let wiped = others().find(|(id, address)| {
+            let taken = members
+                .learners
+                .iter()
+                .any(|(other, at)| other != *id && at == *address);
+            taken
+                || self
+                    .founding
+                    .waits_at(now, **address)
+                    .is_some_and(|other| other != **id)
+        });
+        let silent = || others().find(|(id, _)| leader.silence(now, **id) >= SILENT_MAX);
+        wiped.or_else(silent).map(|(id, _)| *id)
+    }
+
     /// Appends a change of the members.
     pub(super) fn change_members(
         &mut self,
--- a/crates/control/src/log/replica.rs
+++ b/crates/control/src/log/replica.rs
@@ -174,9 +174,9 @@
         match &self.role {
             Role::Blank => self.founding.next_hello,
             Role::Leader(leader) => leader.next_round,
-            _ if self.is_voter() => self.election_at,
+            _ if self.is_voter() => self.election_at.min(self.next_greeting()),
             _ if self.quorum_seen => self.heard + self.options.election_max,
-            _ => Instant::NEVER,
+            _ => self.next_greeting(),
         }
     }
 
@@ -210,6 +210,20 @@
         self.log.members()
     }
 
+    /// Where the other members take messages.
+    pub fn others(&self) -> Vec<SocketAddr> {
+        let mut addresses = self.addresses();
+        addresses.retain(|address| *address != self.address);
+        addresses
+    }
+
+    /// Where all members take messages.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        let members = self.log.members();
+        let all = members.voters.values().chain(members.learners.values());
+        all.copied().collect()
+    }
+
     /// Whether a leader with a quorum was heard lately, or this replica is one.
     pub fn has_quorum(&self, now: Instant) -> bool {
         if self.stopped.is_some() {
@@ -318,9 +332,16 @@
     fn tick(&mut self, now: Instant, out: &mut Vec<Output>) {
         match &self.role {
             Role::Blank => self.tick_founding(now, out),
-            Role::Leader(_) => self.tick_leader(now, out),
-            _ if self.is_voter() && now >= self.election_at => self.sound_out(now, out),
-            _ => {}
+            Role::Leader(_) => {
+                self.tick_leader(now, out);
+                self.keep_members(now);
+            }
+            _ => {
+                self.tick_unheard(now, out);
+                if self.is_voter() && now >= self.election_at {
+                    self.sound_out(now, out);
+                }
+            }
         }
         let quorum = self.has_quorum(now);
         if self.quorum_seen && !quorum {
--- a/crates/control/src/state/config.rs
+++ b/crates/control/src/state/config.rs
@@ -8,7 +8,9 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use eelgrassdyke_core::config::{Change, Document, Patch, Submission, Tracked, Verdict};
+use eelgrassdyke_core::config::{
+    Change, Document, Patch, Publication, Submission, Tracked, Verdict,
+};
 use eelgrassdyke_core::data;
 use eelgrassdyke_core::digest::Sha256;
 use eelgrassdyke_core::id::{Operation, Version};
@@ -51,6 +53,11 @@
         oldest_base: Version,
         /// Version at which the last forgotten operation was decided; none before the first.
         forgotten_at: Option<Version>,
+        /// The operator's number of the last publication; zero before the first.
+        number: u64,
+        /// The text of the last publication.
+        #[serde(with = "serde_bytes")]
+        source: Vec<u8>,
     }
 
     /// Who last changed an object.
@@ -137,6 +144,40 @@
         verdict
     }
 
+    /// Number and text of the last publication; none before the first.
+    pub fn published(&self) -> Option<(u64, &[u8])> {
+        (self.number > 0).then_some((self.number, self.source.as_slice()))
+    }
+
+    /// Puts a publication in force if its number is the highest so far.
+    ///
+    /// One that is overtaken, or sent again, is accepted and changes nothing. An invalid one is
+    /// refused whatever its number is.
+    pub fn publish(&mut self, publication: &Publication) -> Verdict {
+        let faults = validate(&publication.document);
+        if !faults.is_empty() {
+            return Verdict::Invalid { faults };
+        }
+        let version = self.version;
+        if publication.number <= self.number {
+            return Verdict::Accepted { version };
+        }
+        self.number = publication.number;
+        self.source.clone_from(&publication.source);
+        let patch = difference(self.held.document(), &publication.document);
+        if patch.is_empty() {
+            return Verdict::Accepted { version };
+        }
+        self.held.apply(&patch);
+        self.version = version.next();
+        if let Ok(operation) = format!("publication-{}", publication.number).parse() {
+            self.record(&operation, patch);
+        }
+        Verdict::Accepted {
+            version: self.version,
+        }
+    }
+
     fn decide(&mut self, submission: &Submission) -> Verdict {
         let patch = match &submission.change {
             Change::Whole(document) => difference(self.held.document(), document),
@@ -271,6 +312,7 @@
     names.extend(patch.teams.keys().map(|name| format!("teams/{name}")));
     names.extend(patch.services.keys().map(|name| format!("services/{name}")));
     names.extend(patch.groups.keys().map(|name| format!("groups/{name}")));
+    names.extend(patch.mounts.keys().map(|name| format!("mounts/{name}")));
     names
 }
 
@@ -280,6 +322,7 @@
         teams: only_removed(&patch.teams),
         services: only_removed(&patch.services),
         groups: only_removed(&patch.groups),
+        mounts: only_removed(&patch.mounts),
     };
     names(&kept)
 }
@@ -295,6 +338,7 @@
         teams: changes(&old.teams, &new.teams),
         services: changes(&old.services, &new.services),
         groups: changes(&old.groups, &new.groups),
+        mounts: changes(&old.mounts, &new.mounts),
     }
 }
 
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -3,7 +3,7 @@
 //! [`State`] is changed by committed [`Command`]s only, in log order, so that it is the same on every
 //! replica. It reads no clock: time comes with the commands, as the leader stamped them.
 
-use eelgrassdyke_core::config::{Order, Submission, Verdict};
+use eelgrassdyke_core::config::{Order, Publication, Submission, Verdict};
 use eelgrassdyke_core::data;
 use eelgrassdyke_core::id::{Operation, Server};
 use eelgrassdyke_core::time::Wall;
@@ -28,6 +28,8 @@
     pub enum Action {
         /// Changes the configuration.
         Submit(Submission),
+        /// Puts a configuration with a number of the operator's own in force.
+        Publish(Publication),
         /// Claims or settles a key.
         Claim(Ask),
         /// Gives an engine an order.
@@ -82,6 +84,7 @@
         self.claims.forget(self.clock);
         match &command.action {
             Action::Submit(submission) => Effect::Verdict(self.config.submit(submission)),
+            Action::Publish(publication) => Effect::Verdict(self.config.publish(publication)),
             Action::Claim(ask) => Effect::Claim(self.claims.apply(self.clock, ask)),
             Action::Order {
                 operation,
--- a/crates/control/src/state/validate.rs
+++ b/crates/control/src/state/validate.rs
@@ -2,9 +2,11 @@
 
 use std::collections::BTreeMap;
 
-use eelgrassdyke_core::config::{Document, Fault, GroupSpec, Kind, ServiceSpec, TeamSpec};
+use eelgrassdyke_core::config::{
+    Document, Fault, GroupSpec, Kind, MountSpec, ServiceSpec, TeamSpec,
+};
 use eelgrassdyke_core::digest::Sha256;
-use eelgrassdyke_core::id::{Group, Rank, Server, Service, Team};
+use eelgrassdyke_core::id::{Group, Mount, Rank, Server, Service, Team};
 use eelgrassdyke_core::unit::{Bytes, Permille};
 
 /// Longest deadline that a service may have, in milliseconds.
@@ -25,6 +27,7 @@
         token_owners: BTreeMap::new(),
         guaranteed: BTreeMap::new(),
         server_groups: BTreeMap::new(),
+        places: BTreeMap::new(),
     };
     for (name, service) in &document.services {
         check.service(name, service);
@@ -36,6 +39,9 @@
     for (name, group) in &document.groups {
         check.group(name, group);
     }
+    for (name, mount) in &document.mounts {
+        check.mount(name, mount);
+    }
     check.finish()
 }
 
@@ -47,6 +53,7 @@
     token_owners: BTreeMap<Sha256, &'a Team>,
     guaranteed: BTreeMap<&'a Service, u64>,
     server_groups: BTreeMap<&'a Server, &'a Group>,
+    places: BTreeMap<(&'a str, &'a str), &'a Mount>,
 }
 
 impl<'a> Check<'a> {
@@ -205,6 +212,48 @@
         }
     }
 
+    fn mount(&mut self, name: &'a Mount, mount: &'a MountSpec) {
+        let at = |field: &str| format!("mounts.{name}.{field}");
+        if !mount.prefix.starts_with('/') || !mount.prefix.ends_with('/') {
+            self.add(
+                at("prefix"),
+                format!("{:?} is not a prefix of whole segments", mount.prefix),
+                "begin and end it with /",
+            );
+        }
+        let place = (mount.host.as_str(), mount.prefix.as_str());
+        if let Some(other) = self.places.insert(place, name) {
+            self.add(
+                at("prefix"),
+                format!("mount {other} has the same host and prefix"),
+                "give each mount a place of its own",
+            );
+        }
+        if mount.timeout_ms == 0 || mount.timeout_ms > TIMEOUT_MS_MAX {
+            self.add(
+                at("timeout_ms"),
+                format!("{} is out of range", mount.timeout_ms),
+                &format!("give 1 to {TIMEOUT_MS_MAX} milliseconds"),
+            );
+        }
+        if mount.split.iter().all(|part| part.weight == 0) {
+            self.add(
+                at("split"),
+                "the weights add up to nothing".to_owned(),
+                "give one service a weight of at least 1",
+            );
+        }
+        for part in &mount.split {
+            if !self.document.services.contains_key(&part.service) {
+                self.add(
+                    at("split"),
+                    format!("no service {}", part.service),
+                    "create the service or leave it out",
+                );
+            }
+        }
+    }
+
     fn add(&mut self, path: String, problem: String, remedy: &str) {
         if self.faults.len() >= FAULTS_MAX {
             self.more += 1;
--- a/crates/control/tests/claims_cores.rs
+++ b/crates/control/tests/claims_cores.rs
@@ -329,6 +329,8 @@
                     question: follow.question,
                     config: self.state.config.since(follow.version, &follow.digest),
                     directory,
+                    control: Vec::new(),
+                    entries: 1,
                 };
                 let me = sender(Place::Control, 1);
                 self.mail(me, from.address, Message::Update(update));
--- a/crates/control/tests/directory.rs
+++ b/crates/control/tests/directory.rs
@@ -64,6 +64,8 @@
         question: follow.question,
         config: None,
         directory: Some(directory.since(now, follow.directory.as_ref(), answers)),
+        control: Vec::new(),
+        entries: 1,
     }
 }
 
--- a/crates/control/tests/follow.rs
+++ b/crates/control/tests/follow.rs
@@ -32,6 +32,8 @@
         question,
         config: None,
         directory: None,
+        control: Vec::new(),
+        entries: 1,
     }
 }
 
--- a/crates/control/tests/log_control.rs
+++ b/crates/control/tests/log_control.rs
@@ -67,6 +67,7 @@
         let disk = self.disks[number].clone();
         let (store, recovered) = Store::open(disk, Id(number as u64 + 1)).unwrap();
         let options = Options {
+            lease: eelgrassdyke_control::directory::LEASE,
             control: control.clone(),
             wall_at_zero: Wall(1_000_000),
             log: LogOptions {
@@ -199,6 +200,7 @@
     let spec = TeamSpec {
         tokens: vec![Sha256::of(operation.as_bytes())],
         shares: BTreeMap::new(),
+        priority: None,
     };
     patch.teams.insert("salons".parse().unwrap(), Some(spec));
     Submission {
--- a/crates/control/tests/state_config.rs
+++ b/crates/control/tests/state_config.rs
@@ -20,6 +20,7 @@
     TeamSpec {
         tokens: vec![Sha256::of(&token.to_le_bytes())],
         shares: BTreeMap::new(),
+        priority: None,
     }
 }
 
@@ -208,6 +209,8 @@
             question: follow.question,
             config: replica.since(follow.version, &follow.digest),
             directory: None,
+            control: Vec::new(),
+            entries: 1,
         };
         late.push(update);
         for _ in 0..rng.random_range(0..3) {
@@ -233,6 +236,8 @@
             question: follow.question,
             config: leader.since(follow.version, &follow.digest),
             directory: None,
+            control: Vec::new(),
+            entries: 1,
         };
         follower.apply(now, &from, update);
     }
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -13,7 +13,7 @@
 
 use crate::data;
 use crate::digest::{Sha256, Sum};
-use crate::id::{Group, Model, Operation, Rank, Server, Service, Team, Version};
+use crate::id::{Group, Model, Mount, Operation, Rank, Server, Service, Team, Version};
 use crate::unit::{ByteRate, Bytes, Permille, TokenRate};
 
 data! {
@@ -27,6 +27,9 @@
         pub services: BTreeMap<Service, ServiceSpec>,
         /// Rank groups that serve drafting models.
         pub groups: BTreeMap<Group, GroupSpec>,
+        /// Where callers reach services whose back ends are called directly.
+        #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+        pub mounts: BTreeMap<Mount, MountSpec>,
     }
 
     /// A team: who may call in its name and what it is entitled to.
@@ -38,6 +41,9 @@
         /// Entitlement by service; a service not named here gets [`Share::default`].
         #[serde(default)]
         pub shares: BTreeMap<Service, Share>,
+        /// Rank of its requests, 0 first; that of the mount when absent.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub priority: Option<u8>,
     }
 
     /// What a team is entitled to on one service.
@@ -73,6 +79,111 @@
         /// Whether its back ends refuse an order that carries a lower fence than an earlier one.
         #[serde(default)]
         pub checks_fence: bool,
+        /// How entries call its back ends without agents; none where agents stand in between.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub direct: Option<Direct>,
+    }
+
+    /// How entries call the back ends of a service directly.
+    #[derive(Eq)]
+    #[serde(deny_unknown_fields)]
+    pub struct Direct {
+        /// Connections that one back end takes from all callers together.
+        pub connections: u32,
+        /// What its engines need for a request; none for an application.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub engine: Option<Pace>,
+    }
+
+    /// What a step of an engine takes, as its maker publishes it.
+    #[derive(Eq)]
+    #[serde(default, deny_unknown_fields)]
+    #[derive(Default)]
+    pub struct Pace {
+        /// Requests that run at once.
+        pub slots: u32,
+        /// Tokens that its KV cache holds.
+        pub cache_tokens: u64,
+        /// A step with nothing in it, in microseconds.
+        pub step_us: u64,
+        /// What each request adds to a step, in microseconds.
+        pub request_us: u64,
+        /// What 1,000 tokens of context add to a step, in microseconds.
+        pub context_us: u64,
+        /// Prompt tokens read a second.
+        pub read_rate: u64,
+        /// Prompt tokens that one step reads at most.
+        pub chunk: u32,
+        /// Steps between two events of a stream.
+        pub stride: u32,
+        /// Tokens of a usual prompt.
+        pub usual_prompt: u32,
+        /// Tokens of a usual answer.
+        pub usual_answer: u32,
+    }
+
+    /// A host name and path under which callers reach services.
+    #[derive(Eq)]
+    #[serde(deny_unknown_fields)]
+    pub struct MountSpec {
+        /// The host name.
+        pub host: String,
+        /// Beginning of the path, from slash to slash; the longest match wins.
+        pub prefix: String,
+        /// What may be repeated.
+        pub repeat: Repeat,
+        /// Longest time until the last byte of the answer, in milliseconds.
+        pub timeout_ms: u64,
+        /// Time within which an answer, or its first event, is of full use, in milliseconds.
+        pub target_ms: u64,
+        /// Longest pause between two events for which a stream is of full use; zero for none.
+        #[serde(default)]
+        pub pause_ms: u64,
+        /// Rank of its requests, 0 first.
+        #[serde(default)]
+        pub priority: u8,
+        /// The services that serve it and their weights.
+        pub split: Vec<Weighted>,
+        /// Servers that one request may be sent to.
+        pub attempts: u32,
+        /// Whether calls need no team.
+        #[serde(default)]
+        pub anonymous: bool,
+    }
+
+    /// What of a request may be repeated.
+    #[derive(Copy, Eq)]
+    #[serde(rename_all = "snake_case")]
+    pub enum Repeat {
+        /// Nothing: it runs once at most.
+        Never,
+        /// All of it: it may run more than once.
+        Idempotent,
+        /// A stream of events that runs once at most.
+        Stream,
+        /// A stream of events that goes on at another server after the last event passed on.
+        Resumable,
+    }
+
+    /// A service and its part of a mount's requests.
+    #[derive(Eq)]
+    #[serde(deny_unknown_fields)]
+    pub struct Weighted {
+        /// The service.
+        pub service: Service,
+        /// Its weight among the services of the mount.
+        pub weight: u32,
+    }
+
+    /// A whole configuration under a number that the operator chose.
+    pub struct Publication {
+        /// The operator's number; the highest is in force.
+        pub number: u64,
+        /// The configuration.
+        pub document: Document,
+        /// The text that the operator sent, which is what it reads back.
+        #[serde(with = "serde_bytes")]
+        pub source: Vec<u8>,
     }
 
     /// Kind of a service.
@@ -157,6 +268,9 @@
         pub services: BTreeMap<Service, Option<ServiceSpec>>,
         /// Groups touched.
         pub groups: BTreeMap<Group, Option<GroupSpec>>,
+        /// Mounts touched.
+        #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+        pub mounts: BTreeMap<Mount, Option<MountSpec>>,
     }
 
     /// The answer to a submission, remembered under its operation.
@@ -209,6 +323,18 @@
     }
 }
 
+impl Repeat {
+    /// Whether a request that may have run may be sent again.
+    pub fn may_repeat(self) -> bool {
+        matches!(self, Self::Idempotent | Self::Resumable)
+    }
+
+    /// Whether the answer is a stream of events.
+    pub fn streams(self) -> bool {
+        matches!(self, Self::Stream | Self::Resumable)
+    }
+}
+
 impl Default for Share {
     fn default() -> Self {
         Self {
@@ -245,6 +371,7 @@
             teams: merge("teams", &mut self.teams, &patch.teams, sum),
             services: merge("services", &mut self.services, &patch.services, sum),
             groups: merge("groups", &mut self.groups, &patch.groups, sum),
+            mounts: merge("mounts", &mut self.mounts, &patch.mounts, sum),
         }
     }
 }
@@ -252,7 +379,7 @@
 impl Patch {
     /// Objects touched.
     pub fn len(&self) -> usize {
-        self.teams.len() + self.services.len() + self.groups.len()
+        self.teams.len() + self.services.len() + self.groups.len() + self.mounts.len()
     }
 
     /// Whether nothing is touched.
@@ -296,6 +423,7 @@
         add_all("teams", &document.teams, &mut sum);
         add_all("services", &document.services, &mut sum);
         add_all("groups", &document.groups, &mut sum);
+        add_all("mounts", &document.mounts, &mut sum);
         Self { document, sum }
     }
 }
--- a/crates/core/src/follow.rs
+++ b/crates/core/src/follow.rs
@@ -55,7 +55,11 @@
 /// What one process holds of the configuration and the directory.
 #[derive(Clone, Debug)]
 pub struct Follower {
+    /// Control processes named in the settings.
+    seeds: Vec<SocketAddr>,
+    /// Those and the ones that control told of.
     control: Vec<SocketAddr>,
+    entries: u32,
     wants_directory: bool,
     version: Version,
     held: Tracked,
@@ -79,7 +83,9 @@
     pub fn new(me: &Sender, control: Vec<SocketAddr>, wants_directory: bool) -> Self {
         let seed = seed(me);
         Self {
+            seeds: control.clone(),
             control,
+            entries: 0,
             wants_directory,
             version: Version(0),
             held: Tracked::default(),
@@ -117,6 +123,11 @@
         self.confirmed
     }
 
+    /// Entries that control counts, this process among them; zero before it was first heard.
+    pub fn entries(&self) -> u32 {
+        self.entries
+    }
+
     /// Time since control was last heard; none before the first time.
     pub fn silence(&self, now: Instant) -> Option<Duration> {
         self.heard.map(|at| now.since(at))
@@ -171,6 +182,10 @@
     /// Applies an update; `from` is the control process that sent it.
     pub fn apply(&mut self, now: Instant, _from: &Process, update: Update) -> Change {
         self.heard = Some(now);
+        self.entries = update.entries;
+        if !update.control.is_empty() {
+            self.meet(update.control);
+        }
         let mut change = Change::default();
         if let Some(config) = update.config {
             change.config = self.apply_config(config);
@@ -188,6 +203,23 @@
         change
     }
 
+    /// Takes in where the control processes are now; the seeds stay, for when all of them move.
+    fn meet(&mut self, told: Vec<SocketAddr>) {
+        let asked = self
+            .control
+            .get(self.asked % self.control.len().max(1))
+            .copied();
+        let mut control = told;
+        for seed in &self.seeds {
+            if !control.contains(seed) {
+                control.push(*seed);
+            }
+        }
+        let place = asked.and_then(|asked| control.iter().position(|at| *at == asked));
+        self.asked = place.unwrap_or(self.asked);
+        self.control = control;
+    }
+
     /// Questions asked so far.
     fn asked_so_far(&self) -> u64 {
         self.question.wrapping_sub(mix(self.seed))
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -61,6 +61,8 @@
     Server;
     /// A set of ranks that run in lock-step on one expert map.
     Group;
+    /// A host name and path under which callers reach services.
+    Mount;
     /// A running process of the system, named in its settings.
     Process;
     /// A machine.
--- a/crates/core/src/settings/files.rs
+++ b/crates/core/src/settings/files.rs
@@ -26,10 +26,12 @@
     /// Looks at the files of secrets that the settings name.
     pub fn check_files(&self) -> Files {
         let mut files = Files::default();
-        let secret = &self.peer_secret_file;
-        check(&mut files, "peer_secret_file", secret, OTHERS_READ_OR_WRITE);
-        let tokens = &self.operator_tokens_file;
-        check(&mut files, "operator_tokens_file", tokens, OTHERS_WRITE);
+        if let Some(secret) = &self.peer_secret_file {
+            check(&mut files, "peer_secret_file", secret, OTHERS_READ_OR_WRITE);
+        }
+        if let Some(tokens) = &self.operator_tokens_file {
+            check(&mut files, "operator_tokens_file", tokens, OTHERS_WRITE);
+        }
         files
     }
 }
--- a/crates/core/src/settings/mod.rs
+++ b/crates/core/src/settings/mod.rs
@@ -11,7 +11,7 @@
 use crate::data;
 use crate::id::{DataCentre, Group, Host, Process, Rank, Region, Server, Service};
 use crate::jsonc::{self, Fault};
-use crate::unit::TokenRate;
+use crate::unit::{Permille, TokenRate};
 
 pub use files::Files;
 
@@ -37,10 +37,11 @@
         pub advertise: Option<SocketAddr>,
         /// Where the control processes listen.
         pub control: Vec<SocketAddr>,
-        /// File with the secret that all processes of the system share.
-        pub peer_secret_file: PathBuf,
-        /// File with SHA-256 digests of operators' tokens, one a line.
-        pub operator_tokens_file: PathBuf,
+        /// File with the secret that all processes of the system share; without one every peer is
+        /// trusted, which only a network of its own allows.
+        pub peer_secret_file: Option<PathBuf>,
+        /// File with SHA-256 digests of operators' tokens, one a line; without one there are none.
+        pub operator_tokens_file: Option<PathBuf>,
         /// Logging.
         pub log: Log,
         /// Bounds on callers and peers.
@@ -82,6 +83,24 @@
         pub listen: SocketAddr,
         /// Serve on with the last configuration when all of control is out of reach.
         pub serve_without_control: bool,
+        /// Bounds on the way to back ends that are called directly; none where agents are used.
+        pub direct: Option<Direct>,
+    }
+
+    /// Bounds on the way to back ends that are called directly.
+    #[derive(Eq)]
+    pub struct Direct {
+        /// Where the platform asks whether the process takes callers.
+        pub health: SocketAddr,
+        /// Attempts beyond the first of each request that a service gets, in thousandths of its
+        /// requests.
+        pub retry_share: Permille,
+        /// Attempts that all entries together may add to that share within the window.
+        pub retry_slack: u32,
+        /// The window, in milliseconds.
+        pub retry_window_ms: u64,
+        /// Time from the signal to stop until the process is killed, in milliseconds.
+        pub grace_ms: u64,
     }
 
     /// The control role.
@@ -91,6 +110,11 @@
         pub data: PathBuf,
         /// How this replica's membership begins.
         pub start: Start,
+        /// Whether the leader adds, promotes and replaces members by itself.
+        pub keeps_members: bool,
+        /// Time between two announcements of a back end, in milliseconds; it counts as gone after
+        /// four without one.
+        pub heartbeat_ms: u64,
     }
 
     /// How a replica with an empty folder begins.
@@ -99,6 +123,9 @@
     pub enum Start {
         /// First start of a new system: the replicas at these addresses form it together.
         Found(Vec<SocketAddr>),
+        /// First start of a new system: the replicas at these addresses form it together, and all
+        /// others wait until they are added.
+        Seeds(Vec<SocketAddr>),
         /// Waits until an operator adds it.
         Join,
     }
@@ -207,8 +234,8 @@
     /// Takes relative paths in the settings as relative to `folder`.
     fn rebase(&mut self, folder: &Path) {
         let paths = [
-            Some(&mut self.peer_secret_file),
-            Some(&mut self.operator_tokens_file),
+            self.peer_secret_file.as_mut(),
+            self.operator_tokens_file.as_mut(),
             self.log.folder.as_mut(),
             self.control_role.as_mut().map(|control| &mut control.data),
         ];
--- a/crates/core/src/settings/read.rs
+++ b/crates/core/src/settings/read.rs
@@ -4,14 +4,19 @@
 use std::net::SocketAddr;
 
 use crate::jsonc::{Fault, Tree};
-use crate::unit::TokenRate;
+use crate::unit::{Permille, TokenRate};
 
 use super::section::{Reader, Section};
-use super::{Agent, Control, Entry, Limits, Log, Seat, Settings, Start};
+use super::{Agent, Control, Direct, Entry, Limits, Log, Seat, Settings, Start};
 
 /// Names of the log levels.
 const LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
 
+/// Time between two announcements of a back end unless the settings say otherwise.
+const HEARTBEAT_MS: u64 = 750;
+
+const SECONDS: &str = "give a number of seconds";
+
 const NAME: &str = "give a name of letters, digits and . _ : / -";
 const ADDRESS: &str = "give an address as \"IP:PORT\"";
 const ADDRESSES: &str = "give a list of addresses, each as \"IP:PORT\"";
@@ -39,8 +44,18 @@
     let listen = section.required("listen", ADDRESS);
     let advertise = section.optional("advertise", ADDRESS);
     let control: Option<Vec<SocketAddr>> = section.required("control", ADDRESSES);
-    let peer_secret_file = section.required("peer_secret_file", FILE);
-    let operator_tokens_file = section.required("operator_tokens_file", FILE);
+    let trusts = section.or("trusted_network", false, "give true or false");
+    let (peer_secret_file, operator_tokens_file) = match trusts {
+        Some(true) => (
+            section.optional("peer_secret_file", FILE),
+            section.optional("operator_tokens_file", FILE),
+        ),
+        _ => (
+            section.required("peer_secret_file", FILE),
+            section.required("operator_tokens_file", FILE),
+        ),
+    };
+    let has_secrets = peer_secret_file.is_some() && operator_tokens_file.is_some();
     let log = section.section("log");
     let limits = section.section("limits");
     let entry = section.section("entry_role");
@@ -56,6 +71,9 @@
         section.fault_here(&"the process has no role", remedy);
     }
 
+    if !has_secrets && trusts != Some(true) {
+        return None;
+    }
     let log = log.map_or_else(|| Some(Log::default()), |section| read_log(&section));
     let limits = limits.map_or_else(|| Some(Limits::default()), |section| read_limits(&section));
     let entry_role = entry.map(|section| read_entry(&section, listen));
@@ -76,8 +94,8 @@
         listen: listen?,
         advertise,
         control: control?,
-        peer_secret_file: peer_secret_file?,
-        operator_tokens_file: operator_tokens_file?,
+        peer_secret_file,
+        operator_tokens_file,
         log: log?,
         limits: limits?,
         entry_role: all(entry_role)?,
@@ -202,7 +220,9 @@
     let listen: Option<SocketAddr> = section.required("listen", ADDRESS);
     let remedy = "give true or false";
     let serve_without_control = section.or("serve_without_control", true, remedy);
+    let direct = section.section("direct");
     section.finish();
+    let direct = direct.map(|section| read_direct(&section));
     if listen.is_some_and(|address| address.port() != 0) && listen == peers {
         let remedy = "give callers a port of their own";
         section.fault("listen", &"the port that takes peers' messages", remedy);
@@ -210,18 +230,43 @@
     Some(Entry {
         listen: listen?,
         serve_without_control: serve_without_control?,
+        direct: all(direct)?,
+    })
+}
+
+fn read_direct(section: &Section<'_>) -> Option<Direct> {
+    let health: Option<SocketAddr> = section.required("health", ADDRESS);
+    let retry_share: Option<f64> = section.required("retry_share", "give a part of 1, such as 0.2");
+    let retry_slack: Option<f64> = section.required("retry_slack", "give a number of attempts");
+    let retry_window_ms = milliseconds(section.required("retry_window_s", SECONDS));
+    let grace_ms = milliseconds(section.required("grace_s", SECONDS));
+    section.finish();
+    check_positive(section, "retry_window_s", retry_window_ms);
+    Some(Direct {
+        health: health?,
+        retry_share: Permille((retry_share?.clamp(0.0, 1.0) * 1000.0) as u64),
+        retry_slack: retry_slack?.max(0.0) as u32,
+        retry_window_ms: retry_window_ms?,
+        grace_ms: grace_ms?,
     })
 }
 
+fn milliseconds(seconds: Option<f64>) -> Option<u64> {
+    seconds.map(|seconds| (seconds * 1000.0) as u64)
+}
+
 fn read_control(
     section: &Section<'_>,
     listen: Option<SocketAddr>,
     advertise: Option<SocketAddr>,
 ) -> Option<Control> {
     let data = section.required("data", FOLDER);
-    let remedy = "give \"join\" or {\"found\": [\"IP:PORT\", ...]}";
+    let remedy = "give \"join\", {\"found\": [\"IP:PORT\", ...]} or {\"seeds\": [...]}";
     let start: Option<Start> = section.required("start", remedy);
+    let keeps_members = section.or("keeps_members", false, "give true or false");
+    let heartbeat_ms = section.or("heartbeat_ms", HEARTBEAT_MS, MILLISECONDS);
     section.finish();
+    check_positive(section, "heartbeat_ms", heartbeat_ms);
     if let Some(Start::Found(found)) = &start {
         let mine = [listen, advertise];
         let others_only = !found.iter().any(|address| mine.contains(&Some(*address)));
@@ -236,6 +281,8 @@
     Some(Control {
         data: data?,
         start: start?,
+        keeps_members: keeps_members?,
+        heartbeat_ms: heartbeat_ms?,
     })
 }
 
--- a/crates/core/src/wire/follow.rs
+++ b/crates/core/src/wire/follow.rs
@@ -53,6 +53,12 @@
         pub config: Option<Config>,
         /// The directory, when the follower's is older.
         pub directory: Option<Directory>,
+        /// Where the control processes take messages; empty when this one knows only itself.
+        #[serde(default)]
+        pub control: Vec<std::net::SocketAddr>,
+        /// Entries heard lately by any control process, the follower among them.
+        #[serde(default)]
+        pub entries: u32,
     }
 
     /// A newer configuration.
--- a/crates/core/src/wire/mod.rs
+++ b/crates/core/src/wire/mod.rs
@@ -98,6 +98,10 @@
         ReportKept(report::Kept),
         /// From a control process that has started to the others: send all books that you hold.
         ReportAsk,
+        /// Between control processes: a back end said that it has left.
+        Dismiss(crate::id::Server),
+        /// Between control processes: the entries that follow the sender.
+        Entries(Vec<crate::id::Process>),
     }
 }
 
--- a/crates/eelgrassctl/tests/report.rs
+++ b/crates/eelgrassctl/tests/report.rs
@@ -40,6 +40,7 @@
     let team = TeamSpec {
         tokens: Vec::new(),
         shares: [("draft".parse().unwrap(), share)].into(),
+        priority: None,
     };
     Document {
         teams: [("big".parse().unwrap(), team)].into(),
--- a/crates/entry/src/authenticate.rs
+++ b/crates/entry/src/authenticate.rs
@@ -36,6 +36,11 @@
         if !scheme.eq_ignore_ascii_case("bearer") {
             return None;
         }
-        self.teams.get(&Sha256::of(token.trim().as_bytes()))
+        self.holder(&Sha256::of(token.trim().as_bytes()))
+    }
+
+    /// The team that holds the token with this digest.
+    pub fn holder(&self, digest: &Sha256) -> Option<&Team> {
+        self.teams.get(digest)
     }
 }
--- /dev/null
+++ b/crates/entry/src/direct/path.rs
@@ -0,0 +1,705 @@
+//! The state machine of the direct path.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrassdyke_core::config::MountSpec;
+use eelgrassdyke_core::event::{Code, Event};
+use eelgrassdyke_core::follow::Follower;
+use eelgrassdyke_core::id::{Incarnation, Server, Service, Team, Ticket, Version};
+use eelgrassdyke_core::time::Instant;
+use eelgrassdyke_core::wire::refusal::{Reason, Refusal, Run};
+use eelgrassdyke_core::wire::{Message, Sender};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+
+use super::budget::Window;
+use super::io::{Call, Input, Options, Order, Outcome, Output, Proof};
+use super::line::Line;
+use super::pool::{Pool, Verdict};
+use super::table::Table;
+
+/// Part of the target that a request may wait for a place; the rest is the server's.
+const WAIT_PART: f64 = 0.6;
+
+/// Time that a request waits when its service has no server at all: one may be about to announce
+/// itself.
+const NO_SERVER_WAIT: Duration = Duration::from_millis(200);
+
+/// When a caller that was refused for a passing reason may come back, at the earliest.
+const COME_BACK_MIN: Duration = Duration::from_millis(300);
+
+/// Part of the target after which an attempt that shows nothing counts as hung, if others show
+/// something.
+const HANG_PARTS: f64 = 3.0;
+
+/// Attempts at one request, whatever their kind: proof that one did not run costs time as well.
+const ATTEMPTS_MAX: u32 = 6;
+
+/// The direct path of one entry.
+pub struct Direct {
+    options: Options,
+    follower: Follower,
+    table: Table,
+    pool: Pool,
+    lines: BTreeMap<Service, Line>,
+    windows: BTreeMap<Service, Window>,
+    flights: BTreeMap<Ticket, Flight>,
+    timers: BTreeSet<(Instant, Ticket)>,
+    rng: ChaCha8Rng,
+    draining_since: Option<Instant>,
+}
+
+/// A request in progress.
+#[derive(Clone, Debug)]
+struct Flight {
+    id: String,
+    mount: Arc<MountSpec>,
+    service: Service,
+    team: Option<Team>,
+    priority: u8,
+    deadline: Instant,
+    stage: Stage,
+    attempts: u32,
+    /// Servers that may have run it.
+    ran_at: Vec<Server>,
+    /// Servers that it must not go to again.
+    passed_over: Vec<Server>,
+    /// Whether a part of the answer was passed on.
+    begun: bool,
+}
+
+#[derive(Clone, Debug)]
+enum Stage {
+    /// Waits for a place, until the instant at which it is refused.
+    Waiting { key: (u8, u64), until: Instant },
+    /// An attempt is under way.
+    Running {
+        server: Server,
+        incarnation: Incarnation,
+        since: Instant,
+        /// When something was last passed on, or it was sent.
+        alive: Instant,
+    },
+}
+
+impl Flight {
+    /// How long an attempt may show nothing before it counts as hung.
+    fn patience(&self) -> Duration {
+        let target = Duration::from_millis(self.mount.target_ms);
+        target.mul_f64(HANG_PARTS)
+    }
+
+    fn wakes_at(&self) -> Instant {
+        let at = match &self.stage {
+            Stage::Waiting { until, .. } => *until,
+            Stage::Running { alive, .. } if self.mount.repeat.may_repeat() => {
+                *alive + self.patience()
+            }
+            Stage::Running { .. } => Instant::NEVER,
+        };
+        at.min(self.deadline)
+    }
+}
+
+impl Direct {
+    /// A path that has taken in nothing yet.
+    pub fn new(me: &Sender, options: Options) -> Self {
+        Self {
+            follower: Follower::new(me, options.control.clone(), true),
+            table: Table::default(),
+            pool: Pool::default(),
+            lines: BTreeMap::new(),
+            windows: BTreeMap::new(),
+            flights: BTreeMap::new(),
+            timers: BTreeSet::new(),
+            rng: ChaCha8Rng::seed_from_u64(options.seed),
+            draining_since: None,
+            options,
+        }
+    }
+
+    /// Takes in what happened at `now` and adds what is to be done to `out`.
+    pub fn handle(&mut self, now: Instant, input: Input, out: &mut Vec<Output>) {
+        self.run_timers(now, out);
+        match input {
+            Input::Call { ticket, call } => self.take_call(now, ticket, call, out),
+            Input::Gone { ticket } => self.drop_caller(now, ticket, out),
+            Input::Passed { ticket, attempt } => self.take_passed(now, ticket, attempt),
+            Input::Ended {
+                ticket,
+                attempt,
+                outcome,
+            } => self.take_end(now, ticket, attempt, outcome, out),
+            Input::Mail { from, message } => self.take_mail(now, &from, message, out),
+            Input::Tick => {}
+            Input::Drain => {
+                self.draining_since.get_or_insert(now);
+            }
+        }
+        if let Some((to, follow)) = self.follower.ask(now) {
+            let message = Message::Follow(follow);
+            out.push(Output::Mail { to, message });
+        }
+    }
+
+    /// When the path next needs [`Input::Tick`].
+    pub fn next_deadline(&self) -> Instant {
+        let timer = self.timers.first().map_or(Instant::NEVER, |(at, _)| *at);
+        timer.min(self.follower.next_deadline())
+    }
+
+    /// Whether callers are welcome: a quorum confirmed the configuration, and no shutdown began.
+    pub fn is_ready(&self) -> bool {
+        self.follower.is_confirmed()
+            && self.follower.version() > Version(0)
+            && self.draining_since.is_none()
+    }
+
+    /// The configuration version in force.
+    pub fn version(&self) -> Version {
+        self.follower.version()
+    }
+
+    /// Requests in progress.
+    pub fn open_requests(&self) -> usize {
+        self.flights.len()
+    }
+
+    /// Whether a graceful shutdown has nothing left to wait for.
+    pub fn is_done(&self, now: Instant) -> bool {
+        let grace = self.options.drain_grace;
+        let over = self
+            .draining_since
+            .is_some_and(|since| now.since(since) >= grace);
+        over && self.flights.is_empty()
+    }
+
+    fn take_call(&mut self, now: Instant, ticket: Ticket, call: Call, out: &mut Vec<Output>) {
+        let flight = match self.admit(now, call) {
+            Ok(flight) => flight,
+            Err(reason) => {
+                let mut refusal = Refusal::not_run(reason);
+                if reason == Reason::NotReady {
+                    refusal = refusal.after(self.spread(COME_BACK_MIN));
+                }
+                out.push(Output::Refuse { ticket, refusal });
+                return;
+            }
+        };
+        let window = self.windows.entry(flight.service.clone()).or_default();
+        window.count(now, self.options.retry_window);
+        self.place(now, ticket, flight, out);
+    }
+
+    /// Finds the mount, the team and the service of a call.
+    fn admit(&mut self, now: Instant, call: Call) -> Result<Flight, Reason> {
+        if !self.follower.is_confirmed() || self.follower.version() == Version(0) {
+            return Err(Reason::NotReady);
+        }
+        let mount = self.table.mount(&call.host, &call.path);
+        let mount = mount.ok_or(Reason::NoService)?;
+        let team = match mount.anonymous || self.follower.document().teams.is_empty() {
+            true => None,
+            false => {
+                let key = call.key.as_deref().ok_or(Reason::Unauthenticated)?;
+                let team = self.table.team(key).ok_or(Reason::Unauthenticated)?;
+                Some(team.clone())
+            }
+        };
+        let timeout = Duration::from_millis(mount.timeout_ms);
+        let left = call.time_left.unwrap_or(timeout).min(timeout);
+        if left.is_zero() {
+            return Err(Reason::Deadline);
+        }
+        Ok(Flight {
+            id: call.id,
+            service: self.draw_service(&mount),
+            priority: self.table.priority(&mount, team.as_ref()),
+            mount,
+            team,
+            deadline: now + left,
+            stage: Stage::Waiting {
+                key: (0, 0),
+                until: now,
+            },
+            attempts: 0,
+            ran_at: Vec::new(),
+            passed_over: Vec::new(),
+            begun: false,
+        })
+    }
+
+    /// Draws one of the services of a mount by their weights.
+    fn draw_service(&mut self, mount: &MountSpec) -> Service {
+        let total: u32 = mount.split.iter().map(|part| part.weight).sum();
+        let mut draw = self.rng.random_range(0..total.max(1));
+        for part in &mount.split {
+            if draw < part.weight {
+                return part.service.clone();
+            }
+            draw -= part.weight;
+        }
+        // A valid mount names a service with a weight, so the draw ends before.
+        mount.split[0].service.clone()
+    }
+
+    /// Sends a request to a server, or has it wait for a place, or refuses it.
+    fn place(&mut self, now: Instant, ticket: Ticket, flight: Flight, out: &mut Vec<Output>) {
+        let nobody_waits = self.line(&flight.service).is_empty();
+        let Some(flight) = (match nobody_waits || flight.attempts > 0 {
+            true => self.send(now, ticket, flight, out),
+            false => Some(flight),
+        }) else {
+            return;
+        };
+        let target = Duration::from_millis(flight.mount.target_ms);
+        let limit = match self.pool.is_served(&flight.service) {
+            true => target.mul_f64(WAIT_PART),
+            false => NO_SERVER_WAIT,
+        };
+        let (places, _) = self.pool.load(&flight.service, self.follower.entries());
+        let wait = self.line(&flight.service).wait(flight.priority, places);
+        if wait > limit && flight.attempts == 0 {
+            self.refuse(flight, ticket, Reason::Overload, Run::No, Some(wait), out);
+            return;
+        }
+        self.enqueue(now, ticket, flight, limit);
+    }
+
+    fn enqueue(&mut self, now: Instant, ticket: Ticket, mut flight: Flight, limit: Duration) {
+        let priority = flight.priority;
+        let key = self.line(&flight.service).add(priority, ticket);
+        let until = now + limit;
+        flight.stage = Stage::Waiting { key, until };
+        self.land(ticket, flight);
+    }
+
+    /// Sends a request to the best server with a free place; gives it back when there is none.
+    fn send(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        mut flight: Flight,
+        out: &mut Vec<Output>,
+    ) -> Option<Flight> {
+        let entries = self.follower.entries();
+        let (service, passed_over) = (&flight.service, &flight.passed_over);
+        let choice = self
+            .pool
+            .choose(now, service, entries, passed_over, &mut self.rng);
+        let Some(choice) = choice else {
+            return Some(flight);
+        };
+        flight.attempts += 1;
+        self.pool.began(&choice.server);
+        let order = Order {
+            attempt: flight.attempts,
+            server: choice.server.clone(),
+            incarnation: choice.incarnation,
+            address: choice.address,
+            left: flight.deadline.since(now),
+            team: flight.team.clone(),
+            priority: flight.priority,
+            fresh: !flight.mount.repeat.may_repeat(),
+            streams: flight.mount.repeat.streams(),
+        };
+        let event = Event::new(Code::RequestDispatched, describe(&flight));
+        out.push(Output::Event(event.server(&choice.server)));
+        out.push(Output::Send { ticket, order });
+        flight.stage = Stage::Running {
+            server: choice.server,
+            incarnation: choice.incarnation,
+            since: now,
+            alive: now,
+        };
+        self.land(ticket, flight);
+        None
+    }
+
+    /// Sends what waits for a service as long as there are places.
+    fn advance(&mut self, now: Instant, service: &Service, out: &mut Vec<Output>) {
+        for ticket in self.line(service).tickets() {
+            let Some(flight) = self.lift(ticket) else {
+                continue;
+            };
+            let stage = flight.stage.clone();
+            let Stage::Waiting { key, .. } = stage else {
+                self.land(ticket, flight);
+                continue;
+            };
+            self.line(service).remove(key);
+            let Some(mut flight) = self.send(now, ticket, flight, out) else {
+                continue;
+            };
+            let stuck = !flight.passed_over.is_empty();
+            self.line(service).put_back(key, ticket);
+            flight.stage = stage;
+            self.land(ticket, flight);
+            // Others may go to servers that this one must not go to again.
+            if !stuck {
+                return;
+            }
+        }
+    }
+
+    fn take_passed(&mut self, now: Instant, ticket: Ticket, attempt: u32) {
+        let Some(flight) = self.flights.get_mut(&ticket) else {
+            return;
+        };
+        if flight.attempts != attempt {
+            return;
+        }
+        let before = flight.wakes_at();
+        flight.begun = true;
+        if let Stage::Running { server, alive, .. } = &mut flight.stage {
+            *alive = now;
+            self.pool.progressed(now, server);
+        }
+        let after = flight.wakes_at();
+        self.timers.remove(&(before, ticket));
+        self.timers.insert((after, ticket));
+    }
+
+    /// Takes in how an attempt ended.
+    fn take_end(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        attempt: u32,
+        outcome: Outcome,
+        out: &mut Vec<Output>,
+    ) {
+        let current = self.flights.get(&ticket);
+        if !current.is_some_and(|flight| flight.attempts == attempt) {
+            return;
+        }
+        let Some(flight) = self.lift(ticket) else {
+            return;
+        };
+        let service = flight.service.clone();
+        self.end_attempt(now, &flight, outcome, out);
+        match outcome {
+            Outcome::Answered(status) => self.take_answer(now, ticket, flight, status, out),
+            Outcome::Streamed => {
+                self.note(Code::RequestDelivered, &flight, "stream", out);
+                out.push(Output::End { ticket });
+            }
+            Outcome::NotRun(proof) => self.take_proof(now, ticket, flight, proof, out),
+            Outcome::Lost => self.recover(now, ticket, flight, out),
+        }
+        self.advance(now, &service, out);
+    }
+
+    /// Notes the end of an attempt with the server and the line.
+    fn end_attempt(
+        &mut self,
+        now: Instant,
+        flight: &Flight,
+        outcome: Outcome,
+        out: &mut Vec<Output>,
+    ) {
+        let verdict = match outcome {
+            Outcome::Answered(status) if status >= 500 => Verdict::Failed,
+            Outcome::Answered(_) | Outcome::Streamed => Verdict::Served,
+            Outcome::NotRun(Proof::Rejected) => Verdict::Full,
+            Outcome::NotRun(Proof::OtherServer) => Verdict::Moved,
+            Outcome::NotRun(Proof::NotSent) | Outcome::Lost => Verdict::Broken,
+        };
+        self.settle(now, flight, verdict, out);
+        if let (Verdict::Served, Stage::Running { since, .. }) = (verdict, &flight.stage) {
+            self.line(&flight.service).note_hold(now, *since);
+        }
+    }
+
+    fn settle(&mut self, now: Instant, flight: &Flight, verdict: Verdict, out: &mut Vec<Output>) {
+        let Stage::Running {
+            server,
+            incarnation,
+            ..
+        } = &flight.stage
+        else {
+            return;
+        };
+        if self.pool.ended(now, server, *incarnation, verdict) {
+            let event = Event::new(Code::ServerEjected, format!("{verdict:?}"));
+            out.push(Output::Event(event.server(server)));
+        }
+    }
+
+    /// Passes an answer on, or tries another server if it is a failure that may be repeated.
+    fn take_answer(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        mut flight: Flight,
+        status: u16,
+        out: &mut Vec<Output>,
+    ) {
+        if status >= 500 && flight.mount.repeat.may_repeat() {
+            flight.mark_ran();
+            if self.may_repeat(now, &flight) {
+                self.repeat(now, ticket, flight, "server failed", out);
+                return;
+            }
+        }
+        self.note(Code::RequestDelivered, &flight, &status.to_string(), out);
+        out.push(Output::Deliver { ticket });
+    }
+
+    /// Sends a request again that has not run, or refuses it.
+    fn take_proof(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        mut flight: Flight,
+        proof: Proof,
+        out: &mut Vec<Output>,
+    ) {
+        if let (Proof::NotSent | Proof::OtherServer, Stage::Running { server, .. }) =
+            (proof, &flight.stage)
+        {
+            flight.passed_over.push(server.clone());
+        }
+        let again = flight.attempts < ATTEMPTS_MAX && now < flight.deadline;
+        // What never left costs the servers nothing.
+        if again && (proof == Proof::NotSent || self.spend(now, &flight)) {
+            self.repeat(now, ticket, flight, "not run", out);
+            return;
+        }
+        let run = match flight.ran_at.is_empty() {
+            true => Run::No,
+            false => Run::Unknown,
+        };
+        self.give_up(now, ticket, flight, Reason::Overload, run, out);
+    }
+
+    /// Deals with an attempt that may have run and brought no answer.
+    fn recover(&mut self, now: Instant, ticket: Ticket, mut flight: Flight, out: &mut Vec<Output>) {
+        flight.mark_ran();
+        if flight.mount.repeat.may_repeat() && self.may_repeat(now, &flight) {
+            self.repeat(now, ticket, flight, "broken off", out);
+            return;
+        }
+        self.give_up(now, ticket, flight, Reason::ServerFailed, Run::Unknown, out);
+    }
+
+    /// Whether a request that may have run may go to another server; spends the budget.
+    fn may_repeat(&mut self, now: Instant, flight: &Flight) -> bool {
+        let left = now < flight.deadline && flight.attempts < ATTEMPTS_MAX;
+        let allowed = flight.ran_at.len() < flight.mount.attempts as usize;
+        left && allowed && self.spend(now, flight)
+    }
+
+    fn spend(&mut self, now: Instant, flight: &Flight) -> bool {
+        let options = &self.options;
+        let (share, slack) = (options.retry_share, options.retry_slack);
+        let (span, entries) = (options.retry_window, self.follower.entries());
+        let window = self.windows.entry(flight.service.clone()).or_default();
+        window.spend(now, span, share, slack, entries)
+    }
+
+    fn repeat(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        flight: Flight,
+        reason: &str,
+        out: &mut Vec<Output>,
+    ) {
+        let code = match flight.begun {
+            true => Code::RequestResumed,
+            false => Code::RequestRetried,
+        };
+        self.note(code, &flight, reason, out);
+        self.place(now, ticket, flight, out);
+    }
+
+    /// Ends a request without an answer.
+    fn give_up(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        flight: Flight,
+        reason: Reason,
+        run: Run,
+        out: &mut Vec<Output>,
+    ) {
+        if flight.begun {
+            self.note(Code::RequestRefused, &flight, "stream broken off", out);
+            out.push(Output::Abort { ticket });
+            return;
+        }
+        let comes_back = now < flight.deadline && run == Run::No;
+        let after = comes_back.then_some(COME_BACK_MIN);
+        self.refuse(flight, ticket, reason, run, after, out);
+    }
+
+    fn refuse(
+        &mut self,
+        flight: Flight,
+        ticket: Ticket,
+        reason: Reason,
+        run: Run,
+        after: Option<Duration>,
+        out: &mut Vec<Output>,
+    ) {
+        self.note(Code::RequestRefused, &flight, reason.as_str(), out);
+        let refusal = Refusal {
+            reason,
+            run,
+            retry_after_ms: after.map(|after| self.spread(after).as_millis() as u64),
+        };
+        out.push(Output::Refuse { ticket, refusal });
+    }
+
+    /// A time around `span`, so that callers who are refused together don't return together.
+    fn spread(&mut self, span: Duration) -> Duration {
+        let span = span.max(COME_BACK_MIN);
+        span.mul_f64(self.rng.random_range(0.75..1.75))
+    }
+
+    fn drop_caller(&mut self, now: Instant, ticket: Ticket, out: &mut Vec<Output>) {
+        let Some(flight) = self.lift(ticket) else {
+            return;
+        };
+        self.note(Code::RequestCancelled, &flight, "caller left", out);
+        self.break_off(now, ticket, &flight, Verdict::Unknown, out);
+        let service = flight.service.clone();
+        self.advance(now, &service, out);
+    }
+
+    /// Breaks off what a request that is given up has under way.
+    fn break_off(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        flight: &Flight,
+        verdict: Verdict,
+        out: &mut Vec<Output>,
+    ) {
+        match &flight.stage {
+            Stage::Waiting { key, .. } => self.line(&flight.service).remove(*key),
+            Stage::Running { .. } => {
+                out.push(Output::Cancel { ticket });
+                self.settle(now, flight, verdict, out);
+            }
+        }
+    }
+
+    fn run_timers(&mut self, now: Instant, out: &mut Vec<Output>) {
+        while let Some((at, ticket)) = self.timers.first().copied() {
+            if at > now {
+                break;
+            }
+            match self.lift(ticket) {
+                Some(flight) => self.wake(now, ticket, flight, out),
+                None => {
+                    self.timers.remove(&(at, ticket));
+                }
+            }
+        }
+    }
+
+    /// Deals with a request whose time has come: it waited too long, hangs, or is out of time.
+    fn wake(&mut self, now: Instant, ticket: Ticket, mut flight: Flight, out: &mut Vec<Output>) {
+        let service = flight.service.clone();
+        let overdue = now >= flight.deadline;
+        match flight.stage.clone() {
+            Stage::Waiting { key, .. } => {
+                self.line(&service).remove(key);
+                let run = match flight.ran_at.is_empty() {
+                    true => Run::No,
+                    false => Run::Unknown,
+                };
+                self.give_up(now, ticket, flight, Reason::Overload, run, out);
+            }
+            Stage::Running { .. } if overdue => {
+                self.break_off(now, ticket, &flight, Verdict::Unknown, out);
+                self.give_up(now, ticket, flight, Reason::Deadline, Run::Unknown, out);
+            }
+            Stage::Running { server, .. } => {
+                let hangs = self.pool.hangs(now, &server, flight.patience());
+                if hangs && flight.ran_at.len() + 1 < flight.mount.attempts as usize {
+                    self.break_off(now, ticket, &flight, Verdict::Broken, out);
+                    self.recover(now, ticket, flight, out);
+                } else {
+                    if let Stage::Running { alive, .. } = &mut flight.stage {
+                        *alive = now;
+                    }
+                    self.land(ticket, flight);
+                    return;
+                }
+            }
+        }
+        self.advance(now, &service, out);
+    }
+
+    fn take_mail(&mut self, now: Instant, from: &Sender, message: Message, out: &mut Vec<Output>) {
+        let Message::Update(update) = message else {
+            return;
+        };
+        let change = self.follower.apply(now, &from.process, update);
+        if change.config {
+            self.table = Table::new(self.follower.document());
+            let detail = format!("version {}", self.follower.version());
+            out.push(Output::Event(Event::new(Code::ConfigApplied, detail)));
+        }
+        if !change.directory {
+            return;
+        }
+        let servers = self.follower.servers();
+        let mut names = self.pool.names();
+        names.extend(servers.keys().cloned());
+        for name in names {
+            self.pool.learn(now, &name, servers.get(&name));
+        }
+        let waiting: Vec<Service> = self.lines.keys().cloned().collect();
+        for service in waiting {
+            self.advance(now, &service, out);
+        }
+    }
+
+    fn line(&mut self, service: &Service) -> &mut Line {
+        self.lines.entry(service.clone()).or_default()
+    }
+
+    fn lift(&mut self, ticket: Ticket) -> Option<Flight> {
+        let flight = self.flights.remove(&ticket)?;
+        self.timers.remove(&(flight.wakes_at(), ticket));
+        Some(flight)
+    }
+
+    fn land(&mut self, ticket: Ticket, flight: Flight) {
+        self.timers.insert((flight.wakes_at(), ticket));
+        self.flights.insert(ticket, flight);
+    }
+
+    fn note(&self, code: Code, flight: &Flight, detail: &str, out: &mut Vec<Output>) {
+        let detail = format!("{} {detail}", describe(flight));
+        out.push(Output::Event(Event::new(code, detail)));
+    }
+}
+
+impl Flight {
+    /// Notes that the present attempt may have run.
+    fn mark_ran(&mut self) {
+        if let Stage::Running { server, .. } = &self.stage {
+            if !self.ran_at.contains(server) {
+                self.ran_at.push(server.clone());
+            }
+            if !self.passed_over.contains(server) {
+                self.passed_over.push(server.clone());
+            }
+        }
+    }
+}
+
+/// A request, its service and its attempt, for logs.
+fn describe(flight: &Flight) -> String {
+    format!(
+        "id={} service={} attempt={}",
+        flight.id, flight.service, flight.attempts
+    )
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,7 @@
 mod authenticate;
 mod classify;
 mod credit;
+pub mod direct;
 mod entry;
 mod flight;
 mod io;
--- a/crates/entry/tests/once.rs
+++ b/crates/entry/tests/once.rs
@@ -59,10 +59,12 @@
         routes: Vec::new(),
         retry_budget: Permille(1000),
         checks_fence: false,
+        direct: None,
     };
     let team = TeamSpec {
         tokens: vec![Sha256::of(b"token")],
         shares: BTreeMap::new(),
+        priority: None,
     };
     let mut document = Document::default();
     document.services.insert("orders".parse().unwrap(), spec);
@@ -271,6 +273,8 @@
             question: first_question(&self.entries[at].0),
             config: Some(config),
             directory: Some(directory),
+            control: Vec::new(),
+            entries: 1,
         });
         let from = control();
         self.entry(at, Input::Mail { from, message });
@@ -632,6 +636,8 @@
         question: first_question(&me),
         config: None,
         directory: None,
+        control: Vec::new(),
+        entries: 1,
     };
     let mail = AgentInput::Mail {
         from: control(),
--- a/crates/entry/tests/whole.rs
+++ b/crates/entry/tests/whole.rs
@@ -32,10 +32,12 @@
         routes: Vec::new(),
         retry_budget: Permille(100),
         checks_fence: false,
+        direct: None,
     };
     let team = TeamSpec {
         tokens: vec![Sha256::of(b"token")],
         shares: BTreeMap::new(),
+        priority: None,
     };
     let mut document = Document::default();
     document.services.insert("draft".parse().unwrap(), spec);
@@ -114,6 +116,8 @@
                 document: document().into(),
             }),
             directory: Some(directory),
+            control: Vec::new(),
+            entries: 1,
         };
         let message = Message::Update(update);
         desk.feed(
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -57,6 +57,11 @@
     eelgrassdyke_entry::Input,
     eelgrassdyke_entry::Output
 );
+core!(
+    eelgrassdyke_entry::direct::Direct,
+    eelgrassdyke_entry::direct::Input,
+    eelgrassdyke_entry::direct::Output
+);
 core!(
     eelgrassdyke_agent::Agent,
     eelgrassdyke_agent::Input,
--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::FutureExt as _;
 use http::{HeaderMap, HeaderValue, Method, StatusCode, Version, header};
 use monoio::io::AsyncReadRent;
 use monoio::io::sink::SinkExt;
@@ -66,6 +67,8 @@
     host: HeaderValue,
     /// Whether the last call was made with `HEAD`, whose answer has no body.
     is_head: bool,
+    /// How long the peer keeps the connection open between calls; none when it doesn't say.
+    keep: Option<Duration>,
 }
 
 /// The head of an answer, and how its body is read.
@@ -102,9 +105,22 @@
             codec: ClientCodec::new(stream),
             host,
             is_head: false,
+            keep: None,
         })
     }
 
+    /// How long the peer keeps the connection open between calls; none when it didn't say.
+    pub fn keep(&self) -> Option<Duration> {
+        self.keep
+    }
+
+    /// Whether the peer has neither closed the connection nor sent anything unasked.
+    ///
+    /// Bytes after a whole answer belong to no call, so the next answer could not be told apart.
+    pub fn is_quiet(&mut self) -> bool {
+        self.codec.next().now_or_never().is_none()
+    }
+
     /// Sends `request`.
     pub async fn send(&mut self, request: Request) -> Result<()> {
         let payload: Payload = match request.body.is_empty() {
@@ -115,7 +131,9 @@
         *call.method_mut() = request.method;
         *call.uri_mut() = request.path.parse().map_err(Error::protocol)?;
         *call.headers_mut() = request.headers;
-        call.headers_mut().insert(header::HOST, self.host.clone());
+        if !call.headers().contains_key(header::HOST) {
+            call.headers_mut().insert(header::HOST, self.host.clone());
+        }
         if matches!(*call.method(), Method::POST | Method::PUT | Method::PATCH) {
             // The encoder puts the right length in its place, also when it is zero.
             let length = HeaderValue::from_static("0");
@@ -146,6 +164,7 @@
             }
         };
         check_length(&head.headers).map_err(Error::protocol)?;
+        self.keep = keep_alive(&head.headers);
         let framed = head.headers.contains_key(header::CONTENT_LENGTH)
             || head.headers.contains_key(header::TRANSFER_ENCODING);
         let body = match framed {
@@ -198,6 +217,14 @@
     }
 }
 
+/// The time that a `Keep-Alive` field names.
+fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let mut parts = value.split(',');
+    let seconds = parts.find_map(|part| part.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
+
 fn says_close(headers: &HeaderMap) -> bool {
     let value = headers
         .get(header::CONNECTION)
--- a/crates/node/src/http/mod.rs
+++ b/crates/node/src/http/mod.rs
@@ -10,6 +10,7 @@
 use thiserror::Error;
 
 pub mod client;
+pub mod events;
 pub mod guard;
 pub mod pool;
 pub mod server;
--- a/crates/node/src/http/pool.rs
+++ b/crates/node/src/http/pool.rs
@@ -17,6 +17,9 @@
 /// Longest time that an idle connection is kept.
 const KEEP: Duration = Duration::from_secs(5);
 
+/// Part of the time for which a peer says it keeps a connection; the rest is for its way here.
+const KEEP_PART: f64 = 0.7;
+
 /// Idle connections kept for each peer.
 const IDLE_MAX: usize = 64;
 
@@ -29,18 +32,29 @@
 impl Pool {
     /// Takes an idle connection to `address`, or opens one.
     pub async fn take(&self, address: SocketAddr) -> Result<Connection> {
-        let idle = self.idle.borrow_mut().get_mut(&address).and_then(Vec::pop);
-        match idle {
-            Some((since, connection)) if since.elapsed() < KEEP => Ok(connection),
-            _ => Connection::open(address).await,
+        match self.take_idle(address) {
+            Some(connection) => Ok(connection),
+            None => Connection::open(address).await,
+        }
+    }
+
+    /// Takes the idle connection that was used last, if it can still be used.
+    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(&address)?;
+        while let Some((since, mut connection)) = kept.pop() {
+            if since.elapsed() < keep(&connection) && connection.is_quiet() {
+                return Some(connection);
+            }
         }
+        None
     }
 
     /// Puts a connection back whose last exchange is whole.
     pub fn put(&self, address: SocketAddr, connection: Connection) {
         let mut idle = self.idle.borrow_mut();
         let kept = idle.entry(address).or_default();
-        kept.retain(|(since, _)| since.elapsed() < KEEP);
+        kept.retain(|(since, connection)| since.elapsed() < keep(connection));
         if kept.len() < IDLE_MAX {
             kept.push((Instant::now(), connection));
         }
@@ -70,3 +84,9 @@
         }
     }
 }
+
+/// How long a connection is kept: well below what its peer says.
+fn keep(connection: &Connection) -> Duration {
+    let said = connection.keep().map(|said| said.mul_f64(KEEP_PART));
+    said.unwrap_or(KEEP).min(KEEP)
+}
--- a/crates/node/src/http/server.rs
+++ b/crates/node/src/http/server.rs
@@ -96,6 +96,8 @@
     unsent: Cell<usize>,
     overrun: Cell<bool>,
     gone: Cell<bool>,
+    /// Whether the answer tells the peer that the connection closes after it.
+    closes: Cell<bool>,
     on_gone: RefCell<Option<Box<dyn FnOnce()>>>,
 }
 
@@ -125,11 +127,13 @@
 
     /// Answers whole.
     pub fn answer(self, status: StatusCode, headers: HeaderMap, body: impl Into<Bytes>) {
+        self.exchange.closes.set(wants_close(&headers));
         self.push(Part::Fixed(status, headers, body.into()));
     }
 
     /// Starts a streamed answer.
     pub fn head(&self, status: StatusCode, headers: HeaderMap) {
+        self.exchange.closes.set(wants_close(&headers));
         self.push(Part::Head(status, headers));
     }
 
@@ -261,7 +265,7 @@
             );
             match self.respond(rest, &exchange, is_head, close).await {
                 Some(Next::Read(decoded)) => early = Some(decoded),
-                Some(Next::Close) => return,
+                Some(Next::Close) => return self.drain().await,
                 None => {
                     exchange.set_gone();
                     return;
@@ -377,7 +381,8 @@
                 true => match select(parts.next(), watch.as_mut()).await {
                     Either::Left((part, _)) => part,
                     Either::Right((decoded, _)) => {
-                        if decoded.is_none() && self.options.close_cancels {
+                        let reset = matches!(decoded, Some(Err(HttpError::IOError(_))));
+                        if reset || decoded.is_none() && self.options.close_cancels {
                             return None;
                         }
                         early = Some(decoded);
@@ -400,7 +405,7 @@
         // The answer is whole. The watch must run to its end: what it has read belongs to the
         // next request.
         match early {
-            _ if close => Some(Next::Close),
+            _ if close || exchange.closes.get() => Some(Next::Close),
             Some(decoded) => Some(Next::Read(decoded)),
             None => match monoio::time::timeout(self.options.idle, watch.as_mut()).await {
                 Ok(decoded) => Some(Next::Read(decoded)),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 #![warn(rust_2018_idioms)]
 
+pub mod adapter;
 pub mod clock;
 pub mod disk;
 pub mod driver;
@@ -16,6 +17,7 @@
 pub mod node;
 pub mod operator;
 pub mod peer;
+pub mod process;
 pub mod role;
 pub mod runtime;
 pub mod secret;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -9,15 +9,16 @@
 use eelgrassdyke_control::Control;
 use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::id::{Incarnation, Process, Version};
-use eelgrassdyke_core::settings::Settings;
+use eelgrassdyke_core::settings::{self, Settings};
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::{BATCH_BYTES_MAX, Sender};
-use eelgrassdyke_entry::Entry;
+use eelgrassdyke_entry::{Entry, direct};
 use http::{HeaderMap, StatusCode};
 use metrics_exporter_prometheus::PrometheusHandle;
 use monoio::net::TcpListener;
 use rand::RngExt as _;
 
+use crate::adapter::Adapter;
 use crate::clock::Clock;
 use crate::errors::{Error, Result};
 use crate::http::pool::Pool;
@@ -34,9 +35,15 @@
 /// Largest body that is read of a caller that is neither a peer nor an operator.
 const STRANGER_BYTES_MAX: usize = 16 << 10;
 
+/// Largest configuration that an operator of a platform may send.
+const PUBLICATION_BYTES_MAX: usize = 8 << 20;
+
 /// Time between two looks at whether a shutdown has come to its end.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
+/// Part of the time until the platform kills a stopping process in which requests may go on.
+const GRACE_PART: f64 = 0.95;
+
 /// Longest wait for control to take the last page of the books.
 const SETTLE_MAX: Duration = Duration::from_secs(3);
 
@@ -47,8 +54,10 @@
     secret: Peer,
     operators: Operators,
     entry: Option<Rc<role::entry::Role>>,
+    direct: Option<Rc<role::direct::Role>>,
     control: Option<Rc<role::control::Role>>,
     agent: Option<Rc<role::agent::Role>>,
+    adapter: Option<Rc<dyn Adapter>>,
     metrics: Option<PrometheusHandle>,
     draining: Cell<bool>,
 }
@@ -85,14 +94,32 @@
 pub struct Ports {
     peers: StdListener,
     callers: Option<StdListener>,
+    health: Option<StdListener>,
 }
 
 impl Ports {
+    /// Takes all ports that the settings name.
+    fn take_all(settings: &Settings) -> Result<Self> {
+        let entry = settings.entry_role.as_ref();
+        let callers = entry.map(|entry| entry.listen);
+        let health = entry
+            .and_then(|entry| entry.direct.as_ref())
+            .map(|direct| direct.health);
+        let mut ports = Self::take(settings.listen, callers)?;
+        ports.health = health.map(bind).transpose()?;
+        Ok(ports)
+    }
+
     /// Takes the ports that the settings name; port 0 takes a free one.
     pub fn take(listen: SocketAddr, callers: Option<SocketAddr>) -> Result<Self> {
         let peers = bind(listen)?;
         let callers = callers.map(bind).transpose()?;
-        Ok(Self { peers, callers })
+        let health = None;
+        Ok(Self {
+            peers,
+            callers,
+            health,
+        })
     }
 
     /// Where messages and operators' calls come in.
@@ -109,8 +136,7 @@
 impl Node {
     /// Takes the ports of a process and starts its roles, within a running runtime.
     pub fn start(settings: Settings, metrics: Option<PrometheusHandle>) -> Result<Rc<Self>> {
-        let callers = settings.entry_role.as_ref().map(|entry| entry.listen);
-        let ports = Ports::take(settings.listen, callers)?;
+        let ports = Ports::take_all(&settings)?;
         Self::start_on(ports, settings, metrics)
     }
 
@@ -119,10 +145,35 @@
         ports: Ports,
         settings: Settings,
         metrics: Option<PrometheusHandle>,
+    ) -> Result<Rc<Self>> {
+        Self::launch(ports, settings, metrics, None)
+    }
+
+    /// Takes the ports of a process and starts its roles on a platform that `adapter` speaks for.
+    pub fn start_on_platform(
+        settings: Settings,
+        metrics: Option<PrometheusHandle>,
+        adapter: Rc<dyn Adapter>,
+    ) -> Result<Rc<Self>> {
+        let ports = Ports::take_all(&settings)?;
+        Self::launch(ports, settings, metrics, Some(adapter))
+    }
+
+    fn launch(
+        ports: Ports,
+        settings: Settings,
+        metrics: Option<PrometheusHandle>,
+        adapter: Option<Rc<dyn Adapter>>,
     ) -> Result<Rc<Self>> {
         let address = ports.peers()?;
-        let secret = Peer::read(&settings.peer_secret_file)?;
-        let operators = Operators::read(&settings.operator_tokens_file)?;
+        let secret = match &settings.peer_secret_file {
+            Some(path) => Peer::read(path)?,
+            None => Peer::trusting(),
+        };
+        let operators = match &settings.operator_tokens_file {
+            Some(path) => Operators::read(path)?,
+            None => Operators::default(),
+        };
         let me = Sender {
             process: settings.process.clone(),
             incarnation: Clock::incarnation(),
@@ -130,12 +181,22 @@
         };
         let context = context(&settings, me, &secret);
         let seed = rand::rng().random();
-        let entry = settings.entry_role.as_ref().map(|entry| {
+        let through_agents = |entry: &&settings::Entry| entry.direct.is_none();
+        let entry = settings.entry_role.as_ref().filter(through_agents);
+        let entry = entry.map(|entry| {
             let options = eelgrassdyke_entry::Options::from_settings(&settings, entry, seed);
             role::entry::Role::start(Entry::new(context.me.clone(), options), context.clone())
         });
+        let direct = settings.entry_role.as_ref();
+        let direct = direct.and_then(|entry| entry.direct.as_ref());
+        let direct = direct.zip(adapter.clone()).map(|(direct, adapter)| {
+            let options = direct::Options::from_settings(&settings, direct, seed);
+            let core = direct::Direct::new(&context.me, options);
+            role::direct::Role::start(core, adapter, context.clone())
+        });
         let control = settings.control_role.as_ref().map(|control| {
-            role::control::Role::start(control, &settings.control, seed, context.clone())
+            let context = context.clone();
+            role::control::Role::start(control, &settings.control, seed, adapter.clone(), context)
         });
         let control = control.transpose()?;
         let agent = settings.agent_role.as_ref().map(|agent| {
@@ -150,8 +211,10 @@
             secret,
             operators,
             entry,
+            direct,
             control,
             agent,
+            adapter,
             metrics,
             draining,
         });
@@ -181,19 +244,37 @@
         let node = self.clone();
         let limit = Rc::new(move |headers: &HeaderMap| match node.is_known(headers) {
             true => BATCH_BYTES_MAX,
+            // The platform's operators bear no token.
+            false if node.adapter.is_some() => PUBLICATION_BYTES_MAX,
             false => STRANGER_BYTES_MAX,
         });
         monoio::spawn(server::serve_limited(listener, options, limit, handler));
 
-        let (Some(entry), Some(callers)) = (&self.entry, ports.callers) else {
+        if let Some(health) = ports.health {
+            let listener = self::listener(health)?;
+            let node = self.clone();
+            let handler = Rc::new(move |request, responder| node.handle(request, responder));
+            monoio::spawn(server::serve(listener, options, handler));
+        }
+        let Some(callers) = ports.callers else {
             return Ok(());
         };
         let listener = self::listener(callers)?;
         let options = server::Options {
             body_max: CALL_BYTES_MAX,
-            close_cancels: false,
+            // A caller of the direct path that closes has left: what it asked for is cancelled.
+            close_cancels: self.direct.is_some(),
             ..options
         };
+        if let Some(direct) = &self.direct {
+            let direct = direct.clone();
+            let handler = Rc::new(move |request, responder| direct.take_call(request, responder));
+            monoio::spawn(server::serve(listener, options, handler));
+            return Ok(());
+        }
+        let Some(entry) = &self.entry else {
+            return Ok(());
+        };
         let entry = entry.clone();
         let node = self.clone();
         let handler = Rc::new(
@@ -214,6 +295,29 @@
     /// Answers a request on the port for peers and operators.
     fn handle(&self, request: Request, responder: Responder) {
         let path = request.uri.path();
+        if let Some(adapter) = &self.adapter
+            && !path.starts_with("/peer/")
+        {
+            if adapter.is_health_check(&request.uri) {
+                let status = match self.is_ready() {
+                    true => StatusCode::OK,
+                    false => StatusCode::SERVICE_UNAVAILABLE,
+                };
+                text(responder, status, String::new());
+                return;
+            }
+            match adapter.manage(&request).zip(self.control.as_ref()) {
+                Some((Ok(ask), control)) => {
+                    control.take_ask(ask, request, responder);
+                    return;
+                }
+                Some((Err(reply), _)) => {
+                    responder.answer(reply.status, reply.headers, reply.body);
+                    return;
+                }
+                None => {}
+            }
+        }
         if path.starts_with("/peer/") {
             peer::handle(self, request, responder);
             return;
@@ -251,12 +355,17 @@
             .entry
             .as_ref()
             .is_none_or(|role| role.read(Entry::is_ready));
+        let direct = self
+            .direct
+            .as_ref()
+            .is_none_or(|role| role.read(direct::Direct::is_ready));
+        let entry = entry && direct;
         let agent = self
             .agent
             .as_ref()
             .is_none_or(|role| role.read(Agent::is_ready));
         // The data path goes on without control, so a lost quorum counts only where nothing else runs.
-        let other = self.entry.is_some() || self.agent.is_some();
+        let other = self.entry.is_some() || self.direct.is_some() || self.agent.is_some();
         let now = self.context.clock.now();
         let control = self
             .control
@@ -276,6 +385,9 @@
         if let Some(entry) = &self.entry {
             entry.feed(eelgrassdyke_entry::Input::Drain);
         }
+        if let Some(direct) = &self.direct {
+            direct.drain();
+        }
         if let Some(agent) = &self.agent {
             agent.feed(eelgrassdyke_agent::Input::Drain);
         }
@@ -289,7 +401,11 @@
     /// Waits until nothing is in progress, or the drain limit or `hurry` cuts the rest off.
     pub async fn drained(&self, hurry: impl Fn() -> bool) -> Shutdown {
         let begun = self.context.clock.now();
+        let entry = self.settings.entry_role.as_ref();
+        let direct = entry.and_then(|entry| entry.direct.as_ref());
+        let grace = direct.map(|direct| Duration::from_millis(direct.grace_ms).mul_f64(GRACE_PART));
         let limit = Duration::from_millis(self.settings.limits.drain_ms);
+        let limit = grace.map_or(limit, |grace| grace.min(limit));
         while !self.is_done() {
             if self.context.clock.now().since(begun) >= limit || hurry() {
                 break;
@@ -313,11 +429,16 @@
             .entry
             .as_ref()
             .is_none_or(|role| role.read(Entry::is_done));
+        let now = self.context.clock.now();
+        let direct = self
+            .direct
+            .as_ref()
+            .is_none_or(|role| role.read(|core| core.is_done(now)));
         let agent = self
             .agent
             .as_ref()
             .is_none_or(|role| role.read(Agent::is_done));
-        entry && agent
+        entry && direct && agent
     }
 
     fn is_settled(&self) -> bool {
@@ -337,11 +458,15 @@
             .entry
             .as_ref()
             .map_or(0, |role| role.read(Entry::open_requests));
+        let direct = self
+            .direct
+            .as_ref()
+            .map_or(0, |role| role.read(direct::Direct::open_requests));
         let agent = self
             .agent
             .as_ref()
             .map_or(0, |role| role.read(Agent::open_attempts));
-        entry + agent
+        entry + direct + agent
     }
 
     /// The peers' secret.
@@ -364,6 +489,11 @@
         self.entry.as_ref()
     }
 
+    /// The direct path of the entry role, if the process has it.
+    pub fn direct(&self) -> Option<&Rc<role::direct::Role>> {
+        self.direct.as_ref()
+    }
+
     /// The control role, if the process has it.
     pub fn control(&self) -> Option<&Rc<role::control::Role>> {
         self.control.as_ref()
@@ -381,7 +511,14 @@
             incarnation: self.context.me.incarnation,
             ready: self.is_ready(),
             open: self.open(),
-            entry_version: self.entry.as_ref().map(|role| role.read(Entry::version)),
+            entry_version: self
+                .entry
+                .as_ref()
+                .map(|role| role.read(Entry::version))
+                .or(self
+                    .direct
+                    .as_ref()
+                    .map(|role| role.read(direct::Direct::version))),
             agent_version: self.agent.as_ref().map(|role| role.read(Agent::version)),
             control_version: self
                 .control
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -178,9 +178,12 @@
         Answer::NotLeader { .. } => StatusCode::MISDIRECTED_REQUEST,
         Answer::Unknown => StatusCode::GATEWAY_TIMEOUT,
         Answer::Refused { .. } => StatusCode::SERVICE_UNAVAILABLE,
-        Answer::Config { .. } | Answer::Status(_) | Answer::Report(_) | Answer::Members(_) => {
-            StatusCode::OK
-        }
+        Answer::Config { .. }
+        | Answer::Publication(_)
+        | Answer::Noted
+        | Answer::Status(_)
+        | Answer::Report(_)
+        | Answer::Members(_) => StatusCode::OK,
     };
     json(responder, status, answer);
 }
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -31,7 +31,7 @@
     let secret = headers
         .get(SECRET_FIELD)
         .and_then(|value| value.to_str().ok());
-    secret.is_some_and(|text| node.secret().matches(text))
+    node.secret().matches(secret.unwrap_or_default())
 }
 
 fn take_batch(node: &Node, request: &Request, responder: Responder) {
@@ -79,6 +79,13 @@
             message,
         });
     }
+    if let Some(direct) = node.direct() {
+        let message = message.clone();
+        direct.feed(eelgrassdyke_entry::direct::Input::Mail {
+            from: from.clone(),
+            message,
+        });
+    }
     if let Some(agent) = node.agent() {
         agent.feed(eelgrassdyke_agent::Input::Mail {
             from: from.clone(),
--- a/crates/node/src/role/control.rs
+++ b/crates/node/src/role/control.rs
@@ -1,7 +1,10 @@
 //! The control role.
 
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use eelgrassdyke_control::log::Change;
 use eelgrassdyke_control::{Answer, Control, Input, Options, Output, Query};
@@ -13,18 +16,25 @@
 
 use super::Context;
 use super::waiting::Waiting;
+use crate::adapter::{Adapter, Ask};
 use crate::disk::{Done, Writer};
 use crate::driver::Driver;
 use crate::errors::Result;
-use crate::http::server::Responder;
+use crate::http::server::{Request, Responder};
 use crate::operator;
 
+/// Announcements of a back end that may be lost or late before it counts as gone.
+const LEASE_BEATS: u32 = 4;
+
 /// The control role of a process.
 pub struct Role {
     driver: Rc<Driver<Control>>,
     context: Context,
     disk: Writer,
     waiting: Waiting,
+    adapter: Option<Rc<dyn Adapter>>,
+    /// Requests of the adapter's platform that wait, by ticket.
+    asked: RefCell<HashMap<Ticket, Request>>,
 }
 
 impl Role {
@@ -33,13 +43,15 @@
         settings: &settings::Control,
         control: &[SocketAddr],
         seed: u64,
+        adapter: Option<Rc<dyn Adapter>>,
         context: Context,
     ) -> Result<Rc<Self>> {
         let (disk, recovered, done) = Writer::start(&settings.data)?;
         let options = Options {
             control: control.to_vec(),
             wall_at_zero: context.clock.wall_at_zero(),
-            log: log_options(settings, control, seed),
+            lease: Duration::from_millis(settings.heartbeat_ms) * LEASE_BEATS,
+            log: log_options(settings, control, context.me.address, seed),
         };
         let mut begun = Vec::new();
         let now = context.clock.now();
@@ -49,6 +61,8 @@
             context,
             disk,
             waiting: Waiting::default(),
+            adapter,
+            asked: RefCell::default(),
         });
         for output in begun {
             role.carry_out(output);
@@ -110,6 +124,21 @@
         self.feed(Input::Query { ticket, query });
     }
 
+    /// Passes on what an operator or a back end of the adapter's platform asks.
+    pub fn take_ask(self: &Rc<Self>, ask: Ask, mut request: Request, responder: Responder) {
+        let ticket = self.waiting.add(responder);
+        request.body.clear();
+        self.asked.borrow_mut().insert(ticket, request);
+        self.feed(match ask {
+            Ask::Publish(publication) => Input::Publish {
+                ticket,
+                publication,
+            },
+            Ask::Read => Input::ReadPublication { ticket },
+            Ask::Announce(notice) => Input::Announce { ticket, notice },
+        });
+    }
+
     fn carry_out(self: &Rc<Self>, output: Output) {
         match output {
             Output::Send { to, message } => self.context.mail.send(to, message),
@@ -120,8 +149,16 @@
     }
 
     fn answer(&self, ticket: Ticket, answer: &Answer) {
-        if let Some(responder) = self.waiting.take(ticket) {
-            operator::answer(responder, answer);
+        let asked = self.asked.borrow_mut().remove(&ticket);
+        let Some(responder) = self.waiting.take(ticket) else {
+            return;
+        };
+        match (&self.adapter, asked) {
+            (Some(adapter), Some(request)) => {
+                let reply = adapter.answer(&request, answer);
+                responder.answer(reply.status, reply.headers, reply.body);
+            }
+            _ => operator::answer(responder, answer),
         }
     }
 }
@@ -129,15 +166,18 @@
 fn log_options(
     settings: &settings::Control,
     control: &[SocketAddr],
+    me: SocketAddr,
     seed: u64,
 ) -> eelgrassdyke_control::log::Options {
     let founders = match &settings.start {
         Start::Found(addresses) => addresses.clone(),
-        Start::Join => Vec::new(),
+        Start::Seeds(addresses) if addresses.contains(&me) => addresses.clone(),
+        Start::Seeds(_) | Start::Join => Vec::new(),
     };
     eelgrassdyke_control::log::Options {
         founders,
         contacts: control.to_vec(),
+        keeps_members: settings.keeps_members,
         seed,
         ..Default::default()
     }
--- /dev/null
+++ b/crates/node/src/role/direct.rs
@@ -0,0 +1,395 @@
+//! The direct path of an entry role: callers on one side, back ends on the other.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use eelgrassdyke_core::id::Ticket;
+use eelgrassdyke_core::wire::refusal::Refusal;
+use eelgrassdyke_entry::direct::{Direct, Input, Order, Outcome, Output, Proof};
+use futures_channel::oneshot;
+use futures_util::future::{Either, select};
+use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use http::{HeaderMap, HeaderValue, StatusCode};
+
+use super::Context;
+use crate::adapter::{Adapter, Reply, Verdict};
+use crate::driver::Driver;
+use crate::http::client::{self, Answer, Connection};
+use crate::http::events::Splitter;
+use crate::http::server::{Request, Responder};
+
+/// Part of the time left that a new connection may take.
+const CONNECT_PART: u32 = 3;
+
+/// Largest answer that is gathered before it is passed on, in bytes.
+const ANSWER_BYTES_MAX: usize = 8 << 20;
+
+/// The direct path of a process.
+pub struct Role {
+    driver: Rc<Driver<Direct>>,
+    context: Context,
+    adapter: Rc<dyn Adapter>,
+    open: RefCell<HashMap<Ticket, Open>>,
+    last: Cell<u64>,
+    draining: Cell<bool>,
+}
+
+/// A caller that waits, and what is held for it.
+struct Open {
+    request: Rc<Request>,
+    responder: Responder,
+    /// Dropped to break off the attempt under way.
+    cancel: Option<oneshot::Sender<()>>,
+    answer: Option<Reply>,
+    /// Whether the head of a stream was passed on.
+    begun: bool,
+    /// Number of the last event passed on, or of the one the caller wants to go on from.
+    passed: Option<u64>,
+}
+
+/// How an exchange with a back end came out, and the answer if there is one to pass on whole.
+struct Result {
+    outcome: Outcome,
+    answer: Option<Reply>,
+}
+
+impl From<Outcome> for Result {
+    fn from(outcome: Outcome) -> Self {
+        let answer = None;
+        Self { outcome, answer }
+    }
+}
+
+impl Role {
+    /// Wraps the core and starts its alarm.
+    pub fn start(core: Direct, adapter: Rc<dyn Adapter>, context: Context) -> Rc<Self> {
+        let role = Rc::new(Self {
+            driver: Rc::new(Driver::new(core, context.clock)),
+            context,
+            adapter,
+            open: RefCell::default(),
+            last: Cell::new(0),
+            draining: Cell::new(false),
+        });
+        let ticker = role.clone();
+        monoio::spawn(role.driver.clone().run(move || ticker.feed(Input::Tick)));
+        role
+    }
+
+    /// Reads something off the core.
+    pub fn read<T>(&self, look: impl FnOnce(&Direct) -> T) -> T {
+        self.driver.read(look)
+    }
+
+    /// Hands an input to the core and carries out what it decides.
+    pub fn feed(self: &Rc<Self>, input: Input) {
+        for output in self.driver.feed(input) {
+            self.carry_out(output);
+        }
+    }
+
+    /// Begins a graceful shutdown: answers ask callers to close their connections.
+    pub fn drain(self: &Rc<Self>) {
+        self.draining.set(true);
+        self.feed(Input::Drain);
+    }
+
+    /// Takes in a caller's request.
+    pub fn take_call(self: &Rc<Self>, request: Request, responder: Responder) {
+        let call = match self.adapter.call(&request) {
+            Ok(call) => call,
+            Err(reply) => {
+                self.reply(responder, reply);
+                return;
+            }
+        };
+        self.last.set(self.last.get() + 1);
+        let ticket = Ticket(self.last.get());
+        let role = self.clone();
+        responder.on_gone(move || {
+            role.open.borrow_mut().remove(&ticket);
+            role.feed(Input::Gone { ticket });
+        });
+        let open = Open {
+            passed: self.adapter.resumes_after(&request),
+            request: Rc::new(request),
+            responder,
+            cancel: None,
+            answer: None,
+            begun: false,
+        };
+        self.open.borrow_mut().insert(ticket, open);
+        self.feed(Input::Call { ticket, call });
+    }
+
+    fn carry_out(self: &Rc<Self>, output: Output) {
+        match output {
+            Output::Send { ticket, order } => self.send(ticket, order),
+            Output::Cancel { ticket } => {
+                if let Some(open) = self.open.borrow_mut().get_mut(&ticket) {
+                    open.cancel = None;
+                }
+            }
+            Output::Deliver { ticket } => {
+                if let Some(open) = self.take(ticket)
+                    && let Some(answer) = open.answer
+                {
+                    self.reply(open.responder, answer);
+                }
+            }
+            Output::End { ticket } => {
+                if let Some(open) = self.take(ticket) {
+                    open.responder.end();
+                }
+            }
+            // An answer that is dropped unfinished closes its connection.
+            Output::Abort { ticket } => drop(self.take(ticket)),
+            Output::Refuse { ticket, refusal } => self.refuse(ticket, &refusal),
+            Output::Mail { to, message } => self.context.mail.send(to, message),
+            Output::Event(event) => self.context.timeline.note(event),
+        }
+    }
+
+    fn take(&self, ticket: Ticket) -> Option<Open> {
+        self.open.borrow_mut().remove(&ticket)
+    }
+
+    fn refuse(&self, ticket: Ticket, refusal: &Refusal) {
+        if let Some(open) = self.take(ticket) {
+            let reply = self.adapter.refuse(&open.request, refusal);
+            self.reply(open.responder, reply);
+        }
+    }
+
+    /// Answers whole.
+    fn reply(&self, responder: Responder, mut reply: Reply) {
+        if self.draining.get() {
+            ask_to_close(&mut reply.headers);
+        }
+        responder.answer(reply.status, reply.headers, reply.body);
+    }
+
+    /// Starts an attempt.
+    fn send(self: &Rc<Self>, ticket: Ticket, order: Order) {
+        let (cancel, cancelled) = oneshot::channel();
+        let mut open = self.open.borrow_mut();
+        let Some(open) = open.get_mut(&ticket) else {
+            return;
+        };
+        open.cancel = Some(cancel);
+        open.answer = None;
+        let request = open.request.clone();
+        let passed = open.passed;
+        monoio::spawn(self.clone().run(ticket, order, request, passed, cancelled));
+    }
+
+    /// Makes an attempt and tells the core how it ended; dropping the canceller breaks it off.
+    async fn run(
+        self: Rc<Self>,
+        ticket: Ticket,
+        order: Order,
+        request: Rc<Request>,
+        passed: Option<u64>,
+        cancelled: oneshot::Receiver<()>,
+    ) {
+        let attempt = order.attempt;
+        let work = self.exchange(ticket, &order, &request, passed);
+        let result = match select(Box::pin(work), cancelled).await {
+            Either::Left((result, _)) => result,
+            Either::Right(_) => return,
+        };
+        if let Some(open) = self.open.borrow_mut().get_mut(&ticket) {
+            open.cancel = None;
+            open.answer = result.answer;
+        }
+        self.feed(Input::Ended {
+            ticket,
+            attempt,
+            outcome: result.outcome,
+        });
+    }
+
+    async fn exchange(
+        self: &Rc<Self>,
+        ticket: Ticket,
+        order: &Order,
+        request: &Request,
+        passed: Option<u64>,
+    ) -> Result {
+        let mut connection = match self.connect(order).await {
+            Ok(connection) => connection,
+            Err(error) => {
+                log::debug!("{} at {}: {error}", order.server, order.address);
+                return Outcome::NotRun(Proof::NotSent).into();
+            }
+        };
+        let sent = client::Request {
+            method: request.method.clone(),
+            path: request.uri.to_string(),
+            headers: self.adapter.attempt(request, order, passed),
+            body: request.body.clone(),
+        };
+        let (result, keeps) = match self
+            .converse(ticket, order, request, sent, &mut connection)
+            .await
+        {
+            Ok(done) => done,
+            Err(error) => {
+                log::debug!("{} at {}: {error}", order.server, order.address);
+                (Outcome::Lost.into(), false)
+            }
+        };
+        if keeps {
+            self.context.pool.put(order.address, connection);
+        }
+        result
+    }
+
+    async fn connect(&self, order: &Order) -> crate::http::Result<Connection> {
+        let limit = (order.left / CONNECT_PART).min(client::CONNECT_TIMEOUT);
+        let opening = async {
+            match order.fresh {
+                true => Connection::open(order.address).await,
+                false => self.context.pool.take(order.address).await,
+            }
+        };
+        match monoio::time::timeout(limit, opening).await {
+            Ok(connection) => connection,
+            Err(_) => Err(crate::http::Error::Timeout(limit)),
+        }
+    }
+
+    /// Sends a request and reads the answer; also says whether the connection can be kept.
+    async fn converse(
+        self: &Rc<Self>,
+        ticket: Ticket,
+        order: &Order,
+        request: &Request,
+        sent: client::Request,
+        connection: &mut Connection,
+    ) -> crate::http::Result<(Result, bool)> {
+        connection.send(sent).await?;
+        let mut answer = connection.answer().await?;
+        let verdict = self
+            .adapter
+            .verdict(request, answer.status, &answer.headers);
+        let outcome = match verdict {
+            Verdict::Answers => None,
+            Verdict::NotRun => Some(Outcome::NotRun(Proof::Rejected)),
+            Verdict::OtherServer => Some(Outcome::NotRun(Proof::OtherServer)),
+            Verdict::Foreign => return Ok((Outcome::Lost.into(), false)),
+        };
+        if let Some(outcome) = outcome {
+            // Proof that the request did not run stands, whatever becomes of the rest.
+            let whole = gather(&mut answer).await.is_ok();
+            return Ok((outcome.into(), whole && answer.keeps_alive()));
+        }
+        if order.streams && answer.status == StatusCode::OK && is_event_stream(&answer.headers) {
+            let outcome = self.relay(ticket, order, &mut answer).await?;
+            let keeps = outcome == Outcome::Streamed && answer.keeps_alive();
+            return Ok((outcome.into(), keeps));
+        }
+        let body = gather(&mut answer).await?;
+        let reply = Reply {
+            status: answer.status,
+            headers: end_to_end(&answer.headers),
+            body,
+        };
+        let result = Result {
+            outcome: Outcome::Answered(answer.status.as_u16()),
+            answer: Some(reply),
+        };
+        Ok((result, answer.keeps_alive()))
+    }
+
+    /// Passes a stream on, whole event by whole event.
+    async fn relay(
+        self: &Rc<Self>,
+        ticket: Ticket,
+        order: &Order,
+        answer: &mut Answer<'_>,
+    ) -> crate::http::Result<Outcome> {
+        let attempt = order.attempt;
+        let mut splitter = Splitter::default();
+        while let Some(part) = answer.part().await? {
+            let whole = match splitter.push(&part) {
+                Ok(Some(whole)) => whole,
+                Ok(None) => continue,
+                Err(problem) => return Err(crate::http::Error::Protocol(problem.to_owned())),
+            };
+            if !self.pass(ticket, &answer.headers, whole.bytes, whole.last) {
+                return Ok(Outcome::Lost);
+            }
+            self.feed(Input::Passed { ticket, attempt });
+        }
+        // A stream that ends within an event was broken off.
+        Ok(match splitter.is_empty() && self.has_begun(ticket) {
+            true => Outcome::Streamed,
+            false => Outcome::Lost,
+        })
+    }
+
+    fn has_begun(&self, ticket: Ticket) -> bool {
+        self.open
+            .borrow()
+            .get(&ticket)
+            .is_some_and(|open| open.begun)
+    }
+
+    /// Passes events on; a stream that is not the caller's next part is not.
+    fn pass(&self, ticket: Ticket, headers: &HeaderMap, events: Bytes, last: Option<u64>) -> bool {
+        let mut open = self.open.borrow_mut();
+        let Some(open) = open.get_mut(&ticket) else {
+            return false;
+        };
+        if last.is_some() && last <= open.passed {
+            return false;
+        }
+        open.passed = last.or(open.passed);
+        if !open.begun {
+            open.begun = true;
+            let mut headers = end_to_end(headers);
+            if self.draining.get() {
+                ask_to_close(&mut headers);
+            }
+            open.responder.head(StatusCode::OK, headers);
+        }
+        open.responder.data(events);
+        true
+    }
+}
+
+/// Reads the rest of an answer, within bounds.
+async fn gather(answer: &mut Answer<'_>) -> crate::http::Result<Bytes> {
+    let mut body = Vec::new();
+    while let Some(part) = answer.part().await? {
+        if body.len() + part.len() > ANSWER_BYTES_MAX {
+            return Err(crate::http::Error::Protocol(
+                "the body is too large".to_owned(),
+            ));
+        }
+        body.extend_from_slice(&part);
+    }
+    Ok(body.into())
+}
+
+/// The header fields of an answer without those that concern one connection only.
+fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = headers.clone();
+    for name in [CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING] {
+        kept.remove(name);
+    }
+    kept.remove("keep-alive");
+    kept
+}
+
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let kind = headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
+    kind.is_some_and(|kind| kind.starts_with("text/event-stream"))
+}
+
+fn ask_to_close(headers: &mut HeaderMap) {
+    headers.insert(CONNECTION, HeaderValue::from_static("close"));
+}
--- a/crates/node/src/role/mod.rs
+++ b/crates/node/src/role/mod.rs
@@ -14,6 +14,7 @@
 
 pub mod agent;
 pub mod control;
+pub mod direct;
 pub mod entry;
 mod waiting;
 
--- a/crates/node/src/secret.rs
+++ b/crates/node/src/secret.rs
@@ -10,7 +10,8 @@
 #[derive(Clone)]
 pub struct Peer {
     text: String,
-    digest: Sha256,
+    /// Its digest; none where every peer is trusted.
+    digest: Option<Sha256>,
 }
 
 impl Peer {
@@ -26,10 +27,18 @@
                 remedy: "write at least 16 random letters and digits",
             });
         }
-        let digest = Sha256::of(text.as_bytes());
+        let digest = Some(Sha256::of(text.as_bytes()));
         Ok(Self { text, digest })
     }
 
+    /// Trusts every peer, as in a network that only processes of the system can reach.
+    pub fn trusting() -> Self {
+        Self {
+            text: String::new(),
+            digest: None,
+        }
+    }
+
     /// The secret as sent to peers.
     pub fn as_str(&self) -> &str {
         &self.text
@@ -37,12 +46,13 @@
 
     /// Whether `text` is the secret.
     pub fn matches(&self, text: &str) -> bool {
-        Sha256::of(text.as_bytes()) == self.digest
+        self.digest
+            .is_none_or(|digest| Sha256::of(text.as_bytes()) == digest)
     }
 }
 
 /// Digests of the operators' tokens.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Operators {
     digests: Vec<Sha256>,
 }
--- a/crates/testkit/src/model/world.rs
+++ b/crates/testkit/src/model/world.rs
@@ -259,6 +259,8 @@
             question: first_question(to),
             config: Some(config),
             directory,
+            control: Vec::new(),
+            entries: 1,
         }
     }
 
@@ -562,6 +564,7 @@
         routes: Vec::new(),
         retry_budget: options.retry_budget,
         checks_fence: false,
+        direct: None,
     };
     let mut document = Document::default();
     let service: eelgrassdyke_core::id::Service = "draft".parse().expect("a valid name");
@@ -570,6 +573,7 @@
         let team = TeamSpec {
             tokens: vec![Sha256::of(token(at).as_bytes())],
             shares: BTreeMap::from([(service.clone(), demand.share.clone())]),
+            priority: None,
         };
         let name = format!("team-{at}").parse().expect("a valid name");
         document.teams.insert(name, team);
