--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -16,6 +16,7 @@
 mod orders;
 mod pace;
 mod queue;
+pub mod watch;
 mod work;
 
 pub use agent::Agent;
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -11,12 +11,13 @@
 use eelgrassdyke_core::wire::follow::{Follow, Update};
 use eelgrassdyke_core::wire::log::{Payload, Record};
 use eelgrassdyke_core::wire::report::{Kept, Page};
-use eelgrassdyke_core::wire::{self, Message, Sender};
+use eelgrassdyke_core::wire::{self, Message, Sender, rank};
 
 use crate::confirm::Confirmations;
 use crate::directory::Directory;
 use crate::fence::Giver;
 use crate::followers::{Follower, Followers};
+use crate::groups::{self, Groups};
 use crate::io::{Answer, FollowerStatus, Input, Notice, Options, Output, Query, Status};
 use crate::log::{self, Recovered, Replica};
 use crate::proposals::{Proposals, Waiting};
@@ -55,6 +56,7 @@
     state: State,
     directory: Directory,
     followers: Followers,
+    groups: Groups,
     ledger: Ledger,
     asked_books: bool,
     giver: Giver,
@@ -82,6 +84,7 @@
             reads: Reads::default(),
             state: State::default(),
             followers: Followers::default(),
+            groups: Groups::default(),
             ledger: Ledger::default(),
             asked_books: false,
             giver: Giver::default(),
@@ -132,8 +135,13 @@
             Input::DiskFailed { problem } => {
                 self.drive(now, log::Input::DiskFailed { problem }, out);
             }
+            Input::Ordered(done) => {
+                let outputs = self.groups.done(now, done);
+                self.carry_out_groups(outputs, out);
+            }
             Input::Tick => self.drive(now, log::Input::Tick, out),
         }
+        self.tend_groups(now, out);
         self.confirm_followers(now, out);
         self.answer_reads(now, out);
         self.sweep(now, out);
@@ -181,6 +189,7 @@
             Message::Dismiss(server) => {
                 out.extend(self.directory.dismiss(now, &server).map(Output::Event));
             }
+            Message::Rank(message) => self.take_rank(now, *message, out),
             Message::Entries(entries) => self.followers.hear_entries(now, &from.process, entries),
             _ => {}
         }
@@ -298,6 +307,60 @@
         self.propose(now, Action::Submit(submission), waiting, out);
     }
 
+    /// Takes in what a rank of a group says, or passes it on to the leader.
+    fn take_rank(&mut self, now: Instant, message: rank::Message, out: &mut Vec<Output>) {
+        let outputs = match message {
+            rank::Message::Report {
+                report,
+                relayed,
+                from,
+            } => {
+                if !self.replica.leads() {
+                    let leader = self.replica.leader().filter(|_| !relayed);
+                    if let Some(to) = leader {
+                        let message = rank::Message::Report {
+                            report,
+                            relayed: true,
+                            from,
+                        };
+                        let message = Message::Rank(Box::new(message));
+                        out.push(Output::Send { to, message });
+                    }
+                    return;
+                }
+                self.groups
+                    .hear(now, from, report, self.state.config.document())
+            }
+            rank::Message::Done(done) => self.groups.done(now, done),
+            rank::Message::Order(_) => return,
+        };
+        self.carry_out_groups(outputs, out);
+    }
+
+    /// Goes on with the switches of rank groups, as long as this replica surely leads.
+    fn tend_groups(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let leads = self.replica.leads() && self.replica.holds_lease(now);
+        let term = leads.then(|| self.replica.term());
+        let mut outputs = self.groups.lead(now, term);
+        if now >= self.groups.next_deadline() {
+            outputs.extend(self.groups.tick(now, self.state.config.document()));
+        }
+        self.carry_out_groups(outputs, out);
+    }
+
+    fn carry_out_groups(&self, outputs: Vec<groups::Output>, out: &mut Vec<Output>) {
+        for output in outputs {
+            out.push(match output {
+                groups::Output::Order(to, order) => Output::Send {
+                    to,
+                    message: Message::Rank(Box::new(rank::Message::Order(order))),
+                },
+                groups::Output::Direct(engine, order) => Output::Order { engine, order },
+                groups::Output::Event(event) => Output::Event(event),
+            });
+        }
+    }
+
     fn publish(
         &mut self,
         now: Instant,
@@ -514,6 +577,7 @@
             config,
             directory,
             control: self.replica.addresses(),
+            leader: self.replica.leader(),
             entries: self.followers.count_entries(now),
         };
         out.push(Output::Send {
--- /dev/null
+++ b/crates/control/src/groups.rs
@@ -0,0 +1,282 @@
+//! Rank groups whose engines go over to maps by themselves: loads in, switches out.
+//!
+//! Only the leader of the log plans and switches. What it knows of the groups is soft: the ranks
+//! report it all again within a second.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use eelgrassdyke_core::config::{Document, Experts, GroupSpec};
+use eelgrassdyke_core::event::Event;
+use eelgrassdyke_core::id::{Generation, Group, Rank, Service, Step, Term};
+use eelgrassdyke_core::time::Instant;
+use eelgrassdyke_core::wire::group::Seen;
+use eelgrassdyke_core::wire::rank::{Counts, Done, Order, Report};
+use eelgrassdyke_group::barrier::{self, Controller};
+use eelgrassdyke_group::load::Loads;
+use eelgrassdyke_group::plan::{Planner, Reason, Site};
+
+/// Time between two plans: long enough for a few steps to be counted.
+const PLAN_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Least time between two switches: copies slow the steps down.
+const SWITCH_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Least predicted gain of a plan, as a part of the mean step time.
+const HYSTERESIS: f64 = 0.06;
+
+/// Price of step-time skew in the planner, against that of moved bytes.
+const SKEW_WEIGHT: u32 = 4;
+
+/// Price of moved bytes.
+const MOVE_WEIGHT: u32 = 1;
+
+/// Time without a report after which a group is forgotten.
+const FORGET: Duration = Duration::from_secs(30);
+
+/// Something to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Have an order carried out beside an engine.
+    Order(SocketAddr, Order),
+    /// Carry an order out at the engine itself.
+    Direct(SocketAddr, Order),
+    /// Note an event.
+    Event(Event),
+}
+
+/// The groups that reported lately.
+#[derive(Clone, Debug, Default)]
+pub struct Groups {
+    groups: BTreeMap<Group, Entry>,
+    term: Option<Term>,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    service: Service,
+    controller: Controller,
+    loads: Loads,
+    counted: BTreeMap<Rank, Counts>,
+    generation: Generation,
+    size: u32,
+    next_plan: Instant,
+    heard: Instant,
+}
+
+impl Entry {
+    fn new(now: Instant, group: Group, report: &Report) -> Self {
+        Self {
+            service: report.service.clone(),
+            controller: Controller::new(group, barrier::Options::default()),
+            loads: Loads::default(),
+            counted: BTreeMap::new(),
+            generation: report.generation,
+            size: report.size,
+            next_plan: now + PLAN_INTERVAL,
+            heard: now,
+        }
+    }
+
+    /// Counts what a rank's requests chose since its last report; `experts` are those of a layer.
+    fn count(&mut self, report: &Report, experts: usize) {
+        if report.generation != self.generation {
+            self.generation = report.generation;
+            self.loads = Loads::default();
+            self.counted.clear();
+        }
+        self.loads
+            .set_cost(report.rank, f64::from(report.pace.max(1)) / 1000.0);
+        let Some(counts) = &report.counts else {
+            return;
+        };
+        if let Some(before) = self.counted.get(&report.rank)
+            && let Some(chosen) = difference(before, counts)
+        {
+            let seen = Seen {
+                steps: (before.step.next(), counts.step),
+                tokens: chosen.chunks(experts).map(<[u64]>::to_vec).collect(),
+                ..Seen::default()
+            };
+            self.loads.hear(report.rank, &seen);
+        }
+        self.counted.insert(report.rank, counts.clone());
+    }
+
+    /// Plans the next map and begins the switch to it, if that is worth it.
+    fn plan(&mut self, now: Instant, experts: &Experts, out: &mut Vec<barrier::Output>) {
+        if now < self.next_plan {
+            return;
+        }
+        self.next_plan = now + PLAN_INTERVAL;
+        self.loads.roll();
+        let Some(present) = self.controller.present(now) else {
+            return;
+        };
+        if self.loads.experts().is_empty() {
+            return;
+        }
+        let members: Vec<Rank> = (0..u64::from(self.size)).map(Rank).collect();
+        let planner = planner(&self.service, self.size, experts);
+        let plan = planner.plan(&self.loads, Some(&present), &members, Reason::Interval);
+        let Some(plan) = plan else {
+            return;
+        };
+        out.push(barrier::Output::Event(plan.event(self.controller.group())));
+        self.next_plan = now + SWITCH_INTERVAL;
+        let layers = plan.layers;
+        self.controller
+            .handle(now, barrier::Input::Switch(layers), out);
+    }
+}
+
+impl Groups {
+    /// Takes in whether this process leads the log, and in which term.
+    pub fn lead(&mut self, now: Instant, term: Option<Term>) -> Vec<Output> {
+        if self.term == term {
+            return Vec::new();
+        }
+        self.term = term;
+        let input = match term {
+            Some(term) => barrier::Input::Lead(term),
+            None => barrier::Input::Unlead,
+        };
+        let mut out = Vec::new();
+        for entry in self.groups.values_mut() {
+            entry.controller.handle(now, input.clone(), &mut out);
+        }
+        translate(out)
+    }
+
+    /// Takes in what a rank reports; orders to it go to `agent`.
+    pub fn hear(
+        &mut self,
+        now: Instant,
+        agent: SocketAddr,
+        report: Report,
+        document: &Document,
+    ) -> Vec<Output> {
+        let mut out = Vec::new();
+        let name = report.group.clone();
+        let entry = self.groups.entry(name.clone()).or_insert_with(|| {
+            let mut entry = Entry::new(now, name, &report);
+            if let Some(term) = self.term {
+                let lead = barrier::Input::Lead(term);
+                entry.controller.handle(now, lead, &mut out);
+            }
+            entry
+        });
+        entry.heard = now;
+        entry.size = report.size;
+        if let Some(experts) = experts_of(document, &report.service) {
+            entry.count(&report, experts.experts.max(1) as usize);
+        }
+        let report = Box::new(report);
+        let input = barrier::Input::Report { agent, report };
+        entry.controller.handle(now, input, &mut out);
+        translate(out)
+    }
+
+    /// Takes in what came of an order.
+    pub fn done(&mut self, now: Instant, done: Done) -> Vec<Output> {
+        let mut out = Vec::new();
+        if let Some(entry) = self.groups.get_mut(&done.group) {
+            let input = barrier::Input::Done(done);
+            entry.controller.handle(now, input, &mut out);
+        }
+        translate(out)
+    }
+
+    /// Goes on with switches, and plans new ones under this configuration.
+    pub fn tick(&mut self, now: Instant, document: &Document) -> Vec<Output> {
+        self.groups
+            .retain(|_, entry| now.since(entry.heard) < FORGET);
+        if self.term.is_none() {
+            return Vec::new();
+        }
+        let mut out = Vec::new();
+        for entry in self.groups.values_mut() {
+            if now >= entry.controller.next_deadline() {
+                entry.controller.handle(now, barrier::Input::Tick, &mut out);
+            }
+            if let Some(experts) = experts_of(document, &entry.service) {
+                entry.plan(now, experts, &mut out);
+            }
+        }
+        translate(out)
+    }
+
+    /// When the groups next need [`Groups::tick`].
+    pub fn next_deadline(&self) -> Instant {
+        if self.term.is_none() {
+            return Instant::NEVER;
+        }
+        let deadlines = self.groups.values().map(|entry| {
+            let controller = entry.controller.next_deadline();
+            controller.min(entry.next_plan)
+        });
+        deadlines.min().unwrap_or(Instant::NEVER)
+    }
+}
+
+/// What a configuration says of the experts of a service's engines.
+fn experts_of<'a>(document: &'a Document, service: &Service) -> Option<&'a Experts> {
+    let direct = document.services.get(service)?.direct.as_ref()?;
+    direct.engine.as_ref()?.experts.as_ref()
+}
+
+/// What was chosen between two counts; none when the later one does not go on from the earlier.
+fn difference(before: &Counts, after: &Counts) -> Option<Vec<u64>> {
+    if after.step <= before.step || after.step == Step(0) {
+        return None;
+    }
+    let pairs = before.chosen.iter().zip(&after.chosen);
+    pairs
+        .map(|(before, after)| after.checked_sub(*before))
+        .collect()
+}
+
+/// A planner for the ranks of a group, each of which runs on a host of its own.
+fn planner(service: &Service, size: u32, experts: &Experts) -> Planner {
+    let spec = GroupSpec {
+        service: service.clone(),
+        ranks: BTreeMap::new(),
+        experts: experts.experts,
+        layers: experts.layers,
+        slots: experts.slots,
+        expert_bytes: experts.expert_bytes,
+        store_rate: experts.copy_rate,
+        skew_weight: SKEW_WEIGHT,
+        move_weight: MOVE_WEIGHT,
+        frozen: false,
+    };
+    let options = eelgrassdyke_group::plan::Options {
+        hysteresis: HYSTERESIS,
+        fresh_max: experts.spare as usize,
+        // A lost rank ends the life of the group, so copies on other hosts keep nothing alive.
+        spread: 1,
+        ..Default::default()
+    };
+    let name = |rank: u32| format!("rank-{rank}");
+    let sites = (0..size).filter_map(|rank| {
+        Some(Site {
+            data_centre: name(rank).parse().ok()?,
+            host: name(rank).parse().ok()?,
+        })
+    });
+    Planner::new(spec, sites.collect(), options)
+}
+
+fn translate(out: Vec<barrier::Output>) -> Vec<Output> {
+    let translated = out.into_iter().map(|output| match output {
+        barrier::Output::Order {
+            engine: Some(engine),
+            order,
+            ..
+        } => Output::Direct(engine, order),
+        barrier::Output::Order { agent, order, .. } => Output::Order(agent, order),
+        barrier::Output::Event(event) => Output::Event(event),
+    });
+    translated.collect()
+}
--- a/crates/control/src/io.rs
+++ b/crates/control/src/io.rs
@@ -10,7 +10,7 @@
 use eelgrassdyke_core::time::Wall;
 use eelgrassdyke_core::wire::directory::{Beat, Load, Row};
 use eelgrassdyke_core::wire::log::Members;
-use eelgrassdyke_core::wire::{Message, Sender};
+use eelgrassdyke_core::wire::{Message, Sender, rank};
 
 use crate::log::{Change, Job, Standing};
 use crate::report::Line;
@@ -87,6 +87,8 @@
         /// The question.
         query: Query,
     },
+    /// An order that this process gave itself came to something.
+    Ordered(rank::Done),
     /// Nothing but time passed.
     Tick,
 }
@@ -128,6 +130,13 @@
         /// The answer.
         answer: Answer,
     },
+    /// Give an engine an order and feed back what came of it.
+    Order {
+        /// Where the engine takes orders.
+        engine: SocketAddr,
+        /// The order.
+        order: rank::Order,
+    },
     /// Make this durable, after all jobs before it, and answer [`Input::Persisted`].
     Persist(Job),
     /// Note an event.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod directory;
 pub mod fence;
 pub mod followers;
+pub mod groups;
 pub mod log;
 pub mod report;
 pub mod state;
--- a/crates/control/tests/state_config.rs
+++ b/crates/control/tests/state_config.rs
@@ -210,6 +210,7 @@
             config: replica.since(follow.version, &follow.digest),
             directory: None,
             control: Vec::new(),
+            leader: None,
             entries: 1,
         };
         late.push(update);
@@ -237,6 +238,7 @@
             config: leader.since(follow.version, &follow.digest),
             directory: None,
             control: Vec::new(),
+            leader: None,
             entries: 1,
         };
         follower.apply(now, &from, update);
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -120,6 +120,27 @@
         pub usual_prompt: u32,
         /// Tokens of a usual answer.
         pub usual_answer: u32,
+        /// Experts, where the engines are ranks of groups that go over to maps by themselves.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        pub experts: Option<Experts>,
+    }
+
+    /// Experts of the engines of a service, and how many copies of them there may be.
+    #[derive(Eq)]
+    #[serde(deny_unknown_fields)]
+    pub struct Experts {
+        /// Layers with experts.
+        pub layers: u32,
+        /// Experts in each layer.
+        pub experts: u32,
+        /// Experts that a rank may hold of each layer.
+        pub slots: u32,
+        /// Experts of a layer that a rank can copy for one switch.
+        pub spare: u32,
+        /// Size of one expert.
+        pub expert_bytes: Bytes,
+        /// Bytes a second that a rank copies.
+        pub copy_rate: ByteRate,
     }
 
     /// A host name and path under which callers reach services.
--- a/crates/core/src/follow.rs
+++ b/crates/core/src/follow.rs
@@ -60,6 +60,7 @@
     /// Those and the ones that control told of.
     control: Vec<SocketAddr>,
     entries: u32,
+    leader: Option<SocketAddr>,
     wants_directory: bool,
     version: Version,
     held: Tracked,
@@ -86,6 +87,7 @@
             seeds: control.clone(),
             control,
             entries: 0,
+            leader: None,
             wants_directory,
             version: Version(0),
             held: Tracked::default(),
@@ -128,6 +130,12 @@
         self.entries
     }
 
+    /// Where the leader of control takes messages, or the control process that is asked.
+    pub fn leader(&self) -> Option<SocketAddr> {
+        let asked = self.control.get(self.asked % self.control.len().max(1));
+        self.leader.or(asked.copied())
+    }
+
     /// Time since control was last heard; none before the first time.
     pub fn silence(&self, now: Instant) -> Option<Duration> {
         self.heard.map(|at| now.since(at))
@@ -183,6 +191,7 @@
     pub fn apply(&mut self, now: Instant, _from: &Process, update: Update) -> Change {
         self.heard = Some(now);
         self.entries = update.entries;
+        self.leader = update.leader.or(self.leader);
         if !update.control.is_empty() {
             self.meet(update.control);
         }
--- a/crates/core/src/settings/mod.rs
+++ b/crates/core/src/settings/mod.rs
@@ -52,6 +52,8 @@
         pub control_role: Option<Control>,
         /// Role: stands beside one back end.
         pub agent_role: Option<Agent>,
+        /// Role: watches an engine that entries call directly.
+        pub watch_role: Option<Watch>,
     }
 
     /// Logging.
@@ -147,6 +149,15 @@
         pub rank: Option<Seat>,
     }
 
+    /// The watch role.
+    #[derive(Eq)]
+    pub struct Watch {
+        /// Where the engine takes calls and orders.
+        pub engine: SocketAddr,
+        /// The service that it serves.
+        pub service: Service,
+    }
+
     /// A rank of a group.
     #[derive(Eq)]
     pub struct Seat {
--- a/crates/core/src/settings/read.rs
+++ b/crates/core/src/settings/read.rs
@@ -7,7 +7,7 @@
 use crate::unit::{Permille, TokenRate};
 
 use super::section::{Reader, Section};
-use super::{Agent, Control, Direct, Entry, Limits, Log, Seat, Settings, Start};
+use super::{Agent, Control, Direct, Entry, Limits, Log, Seat, Settings, Start, Watch};
 
 /// Names of the log levels.
 const LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
@@ -61,13 +61,14 @@
     let entry = section.section("entry_role");
     let control_role = section.section("control_role");
     let agent = section.section("agent_role");
+    let watch = section.section("watch_role");
     section.finish();
 
     check_listen(section, listen, advertise);
     check_list(section, "control", control.as_deref());
-    let has_role = entry.is_some() || control_role.is_some() || agent.is_some();
+    let has_role = entry.is_some() || control_role.is_some() || agent.is_some() || watch.is_some();
     if !has_role {
-        let remedy = "add entry_role, control_role or agent_role";
+        let remedy = "add entry_role, control_role, agent_role or watch_role";
         section.fault_here(&"the process has no role", remedy);
     }
 
@@ -79,6 +80,7 @@
     let entry_role = entry.map(|section| read_entry(&section, listen));
     let control_role = control_role.map(|section| read_control(&section, listen, advertise));
     let agent_role = agent.map(|section| read_agent(&section, listen));
+    let watch_role = watch.map(|section| read_watch(&section));
     let callers = entry_role.iter().flatten().map(|entry| entry.listen).next();
     if let (Some(Some(agent)), Some(callers)) = (&agent_role, callers)
         && agent.backend == callers
@@ -101,6 +103,7 @@
         entry_role: all(entry_role)?,
         control_role: all(control_role)?,
         agent_role: all(agent_role)?,
+        watch_role: all(watch_role)?,
     })
 }
 
@@ -313,6 +316,19 @@
     })
 }
 
+fn read_watch(section: &Section<'_>) -> Option<Watch> {
+    let engine: Option<SocketAddr> = section.required("engine", ADDRESS);
+    let service = section.required("service", NAME);
+    section.finish();
+    if let Some(engine) = engine {
+        check_reachable(section, "engine", engine);
+    }
+    Some(Watch {
+        engine: engine?,
+        service: service?,
+    })
+}
+
 fn read_seat(section: &Section<'_>) -> Option<Seat> {
     let group = section.required("group", NAME);
     let rank = section.required("rank", "give a whole number from 0");
--- a/crates/core/src/wire/follow.rs
+++ b/crates/core/src/wire/follow.rs
@@ -56,6 +56,9 @@
         /// Where the control processes take messages; empty when this one knows only itself.
         #[serde(default)]
         pub control: Vec<std::net::SocketAddr>,
+        /// Where the leader takes messages, as far as this process knows.
+        #[serde(default)]
+        pub leader: Option<std::net::SocketAddr>,
         /// Entries heard lately by any control process, the follower among them.
         #[serde(default)]
         pub entries: u32,
--- a/crates/core/src/wire/mod.rs
+++ b/crates/core/src/wire/mod.rs
@@ -20,6 +20,7 @@
 pub mod follow;
 pub mod group;
 pub mod log;
+pub mod rank;
 pub mod refusal;
 pub mod report;
 
@@ -100,6 +101,8 @@
         ReportAsk,
         /// Between control processes: a back end said that it has left.
         Dismiss(crate::id::Server),
+        /// Between control and the processes beside the engines of a group.
+        Rank(Box<rank::Message>),
         /// Between control processes: the entries that follow the sender.
         Entries(Vec<crate::id::Process>),
     }
--- a/crates/entry/tests/once.rs
+++ b/crates/entry/tests/once.rs
@@ -274,6 +274,7 @@
             config: Some(config),
             directory: Some(directory),
             control: Vec::new(),
+            leader: None,
             entries: 1,
         });
         let from = control();
@@ -637,6 +638,7 @@
         config: None,
         directory: None,
         control: Vec::new(),
+        leader: None,
         entries: 1,
     };
     let mail = AgentInput::Mail {
--- a/crates/entry/tests/whole.rs
+++ b/crates/entry/tests/whole.rs
@@ -117,6 +117,7 @@
             }),
             directory: Some(directory),
             control: Vec::new(),
+            leader: None,
             entries: 1,
         };
         let message = Message::Update(update);
--- a/crates/group/src/layer.rs
+++ b/crates/group/src/layer.rs
@@ -28,6 +28,8 @@
     pub slots: usize,
     /// Hosts that must hold each expert, one or two.
     pub spread: usize,
+    /// Experts that a rank may hold beyond those of the placement that it starts from.
+    pub fresh_max: usize,
 }
 
 /// One expert loaded into a slot, in place of another or of nothing.
@@ -45,6 +47,8 @@
     ranks: Vec<Vec<u32>>,
     copies: Vec<Vec<usize>>,
     times: Vec<f64>,
+    /// The placement that changes start from.
+    base: Vec<Vec<u32>>,
 }
 
 /// A change and what it brings.
@@ -73,6 +77,7 @@
             ranks: ranks.to_vec(),
             copies: vec![Vec::new(); setting.loads.len()],
             times: vec![0.0; ranks.len()],
+            base: ranks.to_vec(),
         };
         for (rank, experts) in ranks.iter().enumerate() {
             for expert in experts {
@@ -194,7 +199,7 @@
             false if self.ranks[a].contains(&second) => return,
             false => Change::Swap(a, i, b, j),
         };
-        if self.is_spread_after(setting, change) {
+        if self.is_spread_after(setting, change) && self.is_fresh_after(setting, change) {
             self.apply(change, setting);
         }
     }
@@ -210,7 +215,9 @@
             };
             let least = best.as_ref().map_or(LEAST_GAIN, Candidate::worth);
             let is_better = candidate.loaded <= budget && candidate.worth() > least;
-            if is_better && self.is_spread_after(setting, candidate.change) {
+            let allowed = self.is_spread_after(setting, candidate.change)
+                && self.is_fresh_after(setting, candidate.change);
+            if is_better && allowed {
                 best = Some(candidate);
             }
         };
@@ -332,6 +339,27 @@
         }
     }
 
+    /// Whether no rank holds more new experts after a change than allowed.
+    fn is_fresh_after(&self, setting: &Setting<'_>, change: Change) -> bool {
+        match change {
+            Change::Swap(a, i, b, j) => {
+                let (first, second) = (self.ranks[a][i], self.ranks[b][j]);
+                self.stays_fresh(setting, a, i, second) && self.stays_fresh(setting, b, j, first)
+            }
+            Change::Load(rank, slot, expert) => self.stays_fresh(setting, rank, slot, expert),
+        }
+    }
+
+    fn stays_fresh(&self, setting: &Setting<'_>, rank: usize, slot: usize, expert: u32) -> bool {
+        let is_new = |expert: &u32| !self.base[rank].contains(expert);
+        if !is_new(&expert) {
+            return true;
+        }
+        let others = self.ranks[rank].iter().enumerate();
+        let held = others.filter(|(at, expert)| *at != slot && is_new(expert));
+        held.count() < setting.fresh_max
+    }
+
     fn keeps_spread(
         &self,
         setting: &Setting<'_>,
--- a/crates/group/src/load.rs
+++ b/crates/group/src/load.rs
@@ -84,6 +84,11 @@
         }
     }
 
+    /// Takes in the slowness of a rank, where it is told rather than measured.
+    pub fn set_cost(&mut self, rank: Rank, cost: f64) {
+        self.costs.insert(rank, cost);
+    }
+
     /// Forgets a rank that was lost or replaced.
     pub fn forget(&mut self, rank: Rank) {
         self.costs.remove(&rank);
--- a/crates/group/src/plan.rs
+++ b/crates/group/src/plan.rs
@@ -32,6 +32,10 @@
     pub hysteresis: f64,
     /// Span of the weight store's rate that one plan may use.
     pub budget_span: Duration,
+    /// Experts of one layer that a rank may load for one plan.
+    pub fresh_max: usize,
+    /// Hosts that should hold each expert.
+    pub spread: usize,
 }
 
 impl Default for Options {
@@ -39,6 +43,8 @@
         Self {
             hysteresis: 0.01,
             budget_span: Duration::from_secs(30),
+            fresh_max: usize::MAX,
+            spread: HOST_SPREAD,
         }
     }
 }
@@ -187,10 +193,11 @@
             costs: (0..self.sites.len()).map(cost).collect(),
             hosts: self.sites.iter().map(|s| host(s).unwrap_or(0)).collect(),
             slots: self.spec.slots as usize,
-            spread: match slots >= HOST_SPREAD * experts {
-                true => HOST_SPREAD.min(hosts.len()),
+            spread: match slots >= self.options.spread * experts {
+                true => self.options.spread.min(hosts.len()),
                 false => 1,
             },
+            fresh_max: self.options.fresh_max,
         }
     }
 
@@ -268,7 +275,7 @@
     ) -> Plan {
         let layers: Layers = after.iter().map(|layer| layer.ranks().to_vec()).collect();
         let loads = loaded(present, &layers);
-        let spread = HOST_SPREAD;
+        let spread = self.options.spread;
         Plan {
             skew: (ground.skew(before), ground.skew(after)),
             moved: Bytes(loads.iter().sum::<u64>() * self.spec.expert_bytes.0),
@@ -304,6 +311,7 @@
     hosts: Vec<usize>,
     slots: usize,
     spread: usize,
+    fresh_max: usize,
 }
 
 impl Ground {
@@ -320,6 +328,7 @@
             hosts: &self.hosts,
             slots: self.slots,
             spread: self.spread,
+            fresh_max: self.fresh_max,
         }
     }
 
--- a/crates/node/src/adapter.rs
+++ b/crates/node/src/adapter.rs
@@ -3,13 +3,18 @@
 //! An [`Adapter`] only translates: it decodes what callers, back ends and operators of a platform
 //! send into the product's types, and encodes what the product answers. It decides nothing.
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use eelgrassdyke_control::{Answer, Notice};
 use eelgrassdyke_core::config::Publication;
+use eelgrassdyke_core::id::Service;
+use eelgrassdyke_core::wire::rank::{self, Report};
 use eelgrassdyke_core::wire::refusal::Refusal;
 use eelgrassdyke_entry::direct::{Call, Order};
 use http::{HeaderMap, StatusCode, Uri};
 
+use crate::http::client;
 use crate::http::server::Request;
 
 /// Translates between a platform's protocol and the product's types.
@@ -36,10 +41,48 @@
     /// How control's answer to `request` reads.
     fn answer(&self, request: &Request, answer: &Answer) -> Reply;
 
+    /// The call that reads a part of what an engine says.
+    fn engine_call(&self, part: Part) -> client::Request;
+
+    /// What an engine says, from the bodies of its answers.
+    fn engine_report(&self, bodies: &Bodies<'_>) -> std::result::Result<Report, String>;
+
+    /// The call that gives an engine an order.
+    fn engine_order(&self, order: &rank::Order) -> client::Request;
+
+    /// What the answer to an order says.
+    fn engine_outcome(&self, status: StatusCode) -> rank::Outcome;
+
     /// Whether a request asks if the process takes callers.
     fn is_health_check(&self, uri: &Uri) -> bool;
 }
 
+/// A part of what an engine says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// Its state.
+    State,
+    /// How often each expert was chosen.
+    Counts,
+    /// The experts that it holds.
+    Experts,
+}
+
+/// What an engine answered, part by part.
+#[derive(Clone, Copy, Debug)]
+pub struct Bodies<'a> {
+    /// The engine's service.
+    pub service: &'a Service,
+    /// Where it takes calls.
+    pub address: SocketAddr,
+    /// Its state.
+    pub state: &'a [u8],
+    /// How often each expert was chosen.
+    pub counts: Option<&'a [u8]>,
+    /// The experts that it holds.
+    pub experts: Option<&'a [u8]>,
+}
+
 /// A whole answer.
 #[derive(Clone, Debug)]
 pub struct Reply {
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -67,6 +67,11 @@
     eelgrassdyke_agent::Input,
     eelgrassdyke_agent::Output
 );
+core!(
+    eelgrassdyke_agent::watch::Watch,
+    eelgrassdyke_agent::watch::Input,
+    eelgrassdyke_agent::watch::Output
+);
 core!(
     eelgrassdyke_control::Control,
     eelgrassdyke_control::Input,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use eelgrassdyke_agent::Agent;
+use eelgrassdyke_agent::watch::Watch;
 use eelgrassdyke_control::Control;
 use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::id::{Incarnation, Process, Version};
@@ -57,6 +58,7 @@
     direct: Option<Rc<role::direct::Role>>,
     control: Option<Rc<role::control::Role>>,
     agent: Option<Rc<role::agent::Role>>,
+    watch: Option<Rc<role::watch::Role>>,
     adapter: Option<Rc<dyn Adapter>>,
     metrics: Option<PrometheusHandle>,
     draining: Cell<bool>,
@@ -204,6 +206,11 @@
             let core = Agent::new(context.me.clone(), options);
             role::agent::Role::start(core, agent.backend, context.clone())
         });
+        let watch = settings.watch_role.as_ref().zip(adapter.clone());
+        let watch = watch.map(|(watch, adapter)| {
+            let core = Watch::new(context.me.clone(), settings.control.clone());
+            role::watch::Role::start(core, watch, adapter, context.clone())
+        });
         let draining = Cell::new(false);
         let node = Rc::new(Self {
             settings,
@@ -214,6 +221,7 @@
             direct,
             control,
             agent,
+            watch,
             adapter,
             metrics,
             draining,
@@ -494,6 +502,11 @@
         self.direct.as_ref()
     }
 
+    /// The watch role, if the process has it.
+    pub fn watch(&self) -> Option<&Rc<role::watch::Role>> {
+        self.watch.as_ref()
+    }
+
     /// The control role, if the process has it.
     pub fn control(&self) -> Option<&Rc<role::control::Role>> {
         self.control.as_ref()
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -86,6 +86,13 @@
             message,
         });
     }
+    if let Some(watch) = node.watch() {
+        let message = message.clone();
+        watch.feed(eelgrassdyke_agent::watch::Input::Mail {
+            from: from.clone(),
+            message,
+        });
+    }
     if let Some(agent) = node.agent() {
         agent.feed(eelgrassdyke_agent::Input::Mail {
             from: from.clone(),
--- a/crates/node/src/role/control.rs
+++ b/crates/node/src/role/control.rs
@@ -14,8 +14,8 @@
 use futures_channel::mpsc::UnboundedReceiver;
 use futures_util::StreamExt as _;
 
-use super::Context;
 use super::waiting::Waiting;
+use super::{Context, watch};
 use crate::adapter::{Adapter, Ask};
 use crate::disk::{Done, Writer};
 use crate::driver::Driver;
@@ -143,6 +143,16 @@
         match output {
             Output::Send { to, message } => self.context.mail.send(to, message),
             Output::Answer { ticket, answer } => self.answer(ticket, &answer),
+            Output::Order { engine, order } => {
+                let Some(adapter) = self.adapter.clone() else {
+                    return;
+                };
+                let role = self.clone();
+                monoio::spawn(async move {
+                    let done = watch::give(&*adapter, &role.context, engine, &order).await;
+                    role.feed(Input::Ordered(done));
+                });
+            }
             Output::Persist(job) => self.disk.write(job),
             Output::Event(event) => self.context.timeline.note(event),
         }
--- a/crates/node/src/role/mod.rs
+++ b/crates/node/src/role/mod.rs
@@ -17,6 +17,7 @@
 pub mod direct;
 pub mod entry;
 mod waiting;
+pub mod watch;
 
 /// Time after its deadline at which an exchange counts as hung.
 const HANG_GRACE: Duration = Duration::from_secs(30);
