--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -23,14 +23,17 @@
 /// Least time between two switches: copies slow the steps down.
 const SWITCH_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Least predicted gain of a plan, as a part of the mean step time.
-const HYSTERESIS: f64 = 0.06;
+/// Least predicted gain of a plan, as a part of the mean step time, while all places are taken.
+const GAIN_BUSY: f64 = 0.1;
+
+/// The same while none is: an idle group is in time with almost any map, and copies have a price.
+const GAIN_IDLE: f64 = 0.8;
 
 /// Price of step-time skew in the planner, against that of moved bytes.
 const SKEW_WEIGHT: u32 = 4;
 
 /// Price of moved bytes.
-const MOVE_WEIGHT: u32 = 1;
+const MOVE_WEIGHT: u32 = 8;
 
 /// Time without a report after which a group is forgotten.
 const FORGET: Duration = Duration::from_secs(30);
@@ -59,6 +62,8 @@
     controller: Controller,
     loads: Loads,
     counted: BTreeMap<Rank, Counts>,
+    /// Requests that each rank works on.
+    running: BTreeMap<Rank, u32>,
     generation: Generation,
     size: u32,
     next_plan: Instant,
@@ -72,6 +77,7 @@
             controller: Controller::new(group, barrier::Options::default()),
             loads: Loads::default(),
             counted: BTreeMap::new(),
+            running: BTreeMap::new(),
             generation: report.generation,
             size: report.size,
             next_plan: now + PLAN_INTERVAL,
@@ -104,8 +110,21 @@
         self.counted.insert(report.rank, counts.clone());
     }
 
+    /// Least gain for which a switch is worth its copies, by how many of the places are taken.
+    fn least_gain(&self, slots: u32) -> f64 {
+        let places = f64::from(slots.max(1)) * self.running.len().max(1) as f64;
+        let taken = f64::from(self.running.values().sum::<u32>());
+        GAIN_IDLE + (GAIN_BUSY - GAIN_IDLE) * (taken / places).min(1.0)
+    }
+
     /// Plans the next map and begins the switch to it, if that is worth it.
-    fn plan(&mut self, now: Instant, experts: &Experts, out: &mut Vec<barrier::Output>) {
+    fn plan(
+        &mut self,
+        now: Instant,
+        slots: u32,
+        experts: &Experts,
+        out: &mut Vec<barrier::Output>,
+    ) {
         if now < self.next_plan {
             return;
         }
@@ -118,7 +137,7 @@
             return;
         }
         let members: Vec<Rank> = (0..u64::from(self.size)).map(Rank).collect();
-        let planner = planner(&self.service, self.size, experts);
+        let planner = planner(&self.service, self.size, experts, self.least_gain(slots));
         let plan = planner.plan(&self.loads, Some(&present), &members, Reason::Interval);
         let Some(plan) = plan else {
             return;
@@ -169,7 +188,7 @@
         });
         entry.heard = now;
         entry.size = report.size;
-        if let Some(experts) = experts_of(document, &report.service) {
+        if let Some((_, experts)) = experts_of(document, &report.service) {
             entry.count(&report, experts.experts.max(1) as usize);
         }
         let report = Box::new(report);
@@ -200,8 +219,8 @@
             if now >= entry.controller.next_deadline() {
                 entry.controller.handle(now, barrier::Input::Tick, &mut out);
             }
-            if let Some(experts) = experts_of(document, &entry.service) {
-                entry.plan(now, experts, &mut out);
+            if let Some((slots, experts)) = experts_of(document, &entry.service) {
+                entry.plan(now, slots, experts, &mut out);
             }
         }
         translate(out)
@@ -220,10 +239,11 @@
     }
 }
 
-/// What a configuration says of the experts of a service's engines.
-fn experts_of<'a>(document: &'a Document, service: &Service) -> Option<&'a Experts> {
+/// Places of a service's engines and what a configuration says of their experts.
+fn experts_of<'a>(document: &'a Document, service: &Service) -> Option<(u32, &'a Experts)> {
     let direct = document.services.get(service)?.direct.as_ref()?;
-    direct.engine.as_ref()?.experts.as_ref()
+    let engine = direct.engine.as_ref()?;
+    Some((engine.slots, engine.experts.as_ref()?))
 }
 
 /// What was chosen between two counts; none when the later one does not go on from the earlier.
@@ -238,7 +258,7 @@
 }
 
 /// A planner for the ranks of a group, each of which runs on a host of its own.
-fn planner(service: &Service, size: u32, experts: &Experts) -> Planner {
+fn planner(service: &Service, size: u32, experts: &Experts, hysteresis: f64) -> Planner {
     let spec = GroupSpec {
         service: service.clone(),
         ranks: BTreeMap::new(),
@@ -252,7 +272,7 @@
         frozen: false,
     };
     let options = eelgrassdyke_group::plan::Options {
-        hysteresis: HYSTERESIS,
+        hysteresis,
         fresh_max: experts.spare as usize,
         // A lost rank ends the life of the group, so copies on other hosts keep nothing alive.
         spread: 1,
--- a/crates/control/tests/log_control.rs
+++ b/crates/control/tests/log_control.rs
@@ -112,7 +112,7 @@
                     store.write(std::slice::from_ref(&job)).unwrap();
                     self.feed(number, Input::Persisted { job: job.number });
                 }
-                Output::Event(_) => {}
+                Output::Event(_) | Output::Order { .. } => {}
             }
         }
     }
--- a/crates/entry/src/direct/io.rs
+++ b/crates/entry/src/direct/io.rs
@@ -175,6 +175,11 @@
     Event(Event),
 }
 
+/// Part of the time until a stopping process is killed in which it still takes requests: the
+/// platform sends no more callers after two missed health checks, a second apart, and what was taken
+/// must still have time to end.
+const DRAIN_PART: f64 = 0.3;
+
 /// Options of the direct path.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -222,8 +227,7 @@
             retry_share: direct.retry_share,
             retry_slack: direct.retry_slack,
             retry_window: Duration::from_millis(direct.retry_window_ms),
-            // The platform takes two missed health checks to send no more callers.
-            drain_grace: Duration::from_millis(direct.grace_ms / 2),
+            drain_grace: Duration::from_millis(direct.grace_ms).mul_f64(DRAIN_PART),
         }
     }
 }
--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -181,7 +181,7 @@
             Ok(flight) => flight,
             Err(reason) => {
                 let mut refusal = Refusal::not_run(reason);
-                if reason == Reason::NotReady {
+                if matches!(reason, Reason::NotReady | Reason::Draining) {
                     refusal = refusal.after(self.spread(COME_BACK_MIN));
                 }
                 out.push(Output::Refuse { ticket, refusal });
@@ -198,6 +198,9 @@
         if !self.follower.is_confirmed() || self.follower.version() == Version(0) {
             return Err(Reason::NotReady);
         }
+        if self.is_closed(now) {
+            return Err(Reason::Draining);
+        }
         let mount = self.table.mount(&call.host, &call.path);
         let mount = mount.ok_or(Reason::NoService)?;
         let team = match mount.anonymous || self.follower.document().teams.is_empty() {
