--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -169,11 +169,14 @@
 
     /// Whether a graceful shutdown has nothing left to wait for.
     pub fn is_done(&self, now: Instant) -> bool {
+        self.is_closed(now) && self.flights.is_empty()
+    }
+
+    /// Whether a shutdown has gone so far that what is taken now might be cut off.
+    fn is_closed(&self, now: Instant) -> bool {
         let grace = self.options.drain_grace;
-        let over = self
-            .draining_since
-            .is_some_and(|since| now.since(since) >= grace);
-        over && self.flights.is_empty()
+        self.draining_since
+            .is_some_and(|since| now.since(since) >= grace)
     }
 
     fn take_call(&mut self, now: Instant, ticket: Ticket, call: Call, out: &mut Vec<Output>) {
