--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -241,7 +241,7 @@
 
     /// Announces the back end to every control process.
     fn announce(&mut self, now: Instant, out: &mut Vec<Output>) {
-        if let Some((to, follow)) = self.follower.ask(now) {
+        while let Some((to, follow)) = self.follower.ask(now) {
             out.push(Output::Send {
                 to,
                 message: Message::Follow(follow),
--- a/crates/agent/src/watch.rs
+++ b/crates/agent/src/watch.rs
@@ -108,7 +108,7 @@
             Input::Tick => {}
         }
         self.read(now, out);
-        if let Some((to, follow)) = self.follower.ask(now) {
+        while let Some((to, follow)) = self.follower.ask(now) {
             let message = Message::Follow(follow);
             out.push(Output::Send { to, message });
         }
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -577,6 +577,7 @@
             config,
             directory,
             control: self.replica.addresses(),
+            current: self.replica.has_quorum(now),
             leader: self.replica.leader(),
             entries: self.followers.count_entries(now),
         };
--- a/crates/control/tests/claims_cores.rs
+++ b/crates/control/tests/claims_cores.rs
@@ -330,6 +330,7 @@
                     config: self.state.config.since(follow.version, &follow.digest),
                     directory,
                     control: Vec::new(),
+                    current: true,
                     leader: None,
                     entries: 1,
                 };
--- a/crates/control/tests/directory.rs
+++ b/crates/control/tests/directory.rs
@@ -65,6 +65,7 @@
         config: None,
         directory: Some(directory.since(now, follow.directory.as_ref(), answers)),
         control: Vec::new(),
+        current: true,
         leader: None,
         entries: 1,
     }
--- a/crates/control/tests/follow.rs
+++ b/crates/control/tests/follow.rs
@@ -33,6 +33,7 @@
         config: None,
         directory: None,
         control: Vec::new(),
+        current: true,
         leader: None,
         entries: 1,
     }
--- a/crates/control/tests/state_config.rs
+++ b/crates/control/tests/state_config.rs
@@ -210,6 +210,7 @@
             config: replica.since(follow.version, &follow.digest),
             directory: None,
             control: Vec::new(),
+            current: true,
             leader: None,
             entries: 1,
         };
@@ -238,6 +239,7 @@
             config: leader.since(follow.version, &follow.digest),
             directory: None,
             control: Vec::new(),
+            current: true,
             leader: None,
             entries: 1,
         };
--- a/crates/core/src/follow.rs
+++ b/crates/core/src/follow.rs
@@ -29,6 +29,9 @@
 /// Time without an answer after which another control process is asked.
 pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(2500);
 
+/// Time until the next question after a control process has said that it is cut off.
+const LEAVE_PAUSE: Duration = Duration::from_millis(200);
+
 /// Time between two reports of a back end's load.
 const BEAT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -75,6 +78,8 @@
     seed: u64,
     question: u64,
     next_ask: Instant,
+    /// Whether another control process is still to be asked beside the one that is followed.
+    second_due: bool,
     heard: Option<Instant>,
     waiting_since: Instant,
 }
@@ -100,6 +105,7 @@
             seed,
             question: mix(seed),
             next_ask: Instant(0),
+            second_due: false,
             heard: None,
             waiting_since: Instant(0),
         }
@@ -146,11 +152,16 @@
         self.next_ask
     }
 
-    /// The question that is due, if any, and the control process it goes to.
+    /// The question that is due, if any, and the control process it goes to; call it until there is
+    /// none.
     pub fn ask(&mut self, now: Instant) -> Option<(SocketAddr, Follow)> {
-        if now < self.next_ask || self.control.is_empty() {
+        if self.control.is_empty() {
             return None;
         }
+        if now < self.next_ask {
+            return self.ask_second();
+        }
+        self.second_due = self.wants_directory && self.control.len() > 1;
         let last = self.heard.unwrap_or_default().max(self.waiting_since);
         self.question = self.question.wrapping_add(1);
         let random = mix(self.seed ^ self.question);
@@ -187,9 +198,35 @@
         Some((self.control[self.asked % self.control.len()], follow))
     }
 
+    /// Asks another control process for the configuration only: the one that is followed may be cut
+    /// off and not know it yet.
+    fn ask_second(&mut self) -> Option<(SocketAddr, Follow)> {
+        if !std::mem::take(&mut self.second_due) {
+            return None;
+        }
+        self.question = self.question.wrapping_add(1);
+        let others = self.control.len() - 1;
+        let step = 1 + mix(self.seed ^ self.question) as usize % others;
+        let to = self.control[(self.asked % self.control.len() + step) % self.control.len()];
+        let follow = Follow {
+            version: self.version,
+            digest: self.held.digest(),
+            directory: None,
+            wants_directory: false,
+            confirm: false,
+            question: self.question,
+        };
+        Some((to, follow))
+    }
+
     /// Applies an update; `from` is the control process that sent it.
     pub fn apply(&mut self, now: Instant, _from: &Process, update: Update) -> Change {
-        self.heard = Some(now);
+        let is_second = self.wants_directory && update.directory.is_none();
+        if update.current && !is_second {
+            self.heard = Some(now);
+        } else if !update.current && !is_second {
+            self.leave(now);
+        }
         self.entries = update.entries;
         self.leader = update.leader.or(self.leader);
         if !update.control.is_empty() {
@@ -212,6 +249,20 @@
         change
     }
 
+    /// Turns to another control process at the next question, which is due at once.
+    fn leave(&mut self, now: Instant) {
+        if self.control.len() < 2 {
+            return;
+        }
+        self.question = self.question.wrapping_add(1);
+        let others = self.control.len() - 1;
+        self.asked = (self.asked % self.control.len())
+            + 1
+            + mix(self.seed ^ self.question) as usize % others;
+        self.waiting_since = now;
+        self.next_ask = self.next_ask.min(now + LEAVE_PAUSE);
+    }
+
     /// Takes in where the control processes are now; the seeds stay, for when all of them move.
     fn meet(&mut self, told: Vec<SocketAddr>) {
         let asked = self
--- a/crates/core/src/wire/follow.rs
+++ b/crates/core/src/wire/follow.rs
@@ -45,6 +45,9 @@
     pub struct Update {
         /// The version that control has committed.
         pub present: Version,
+        /// Whether this process is in touch with a quorum; if not, `present` may be overtaken.
+        #[serde(default = "Update::usually_current")]
+        pub current: bool,
         /// Whether a quorum confirmed `present` after the follower asked.
         pub confirmed: bool,
         /// The question answered; of a push, the last one heard.
@@ -162,3 +165,9 @@
         }
     }
 }
+
+impl Update {
+    fn usually_current() -> bool {
+        true
+    }
+}
--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -138,7 +138,7 @@
                 self.draining_since.get_or_insert(now);
             }
         }
-        if let Some((to, follow)) = self.follower.ask(now) {
+        while let Some((to, follow)) = self.follower.ask(now) {
             let message = Message::Follow(follow);
             out.push(Output::Mail { to, message });
         }
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -375,7 +375,7 @@
     }
 
     fn follow(&mut self, now: Instant, out: &mut Vec<Output>) {
-        if let Some((to, follow)) = self.follower.ask(now) {
+        while let Some((to, follow)) = self.follower.ask(now) {
             out.push(Output::Send {
                 to,
                 message: Message::Follow(follow),
--- a/crates/entry/tests/once.rs
+++ b/crates/entry/tests/once.rs
@@ -274,6 +274,7 @@
             config: Some(config),
             directory: Some(directory),
             control: Vec::new(),
+            current: true,
             leader: None,
             entries: 1,
         });
@@ -638,6 +639,7 @@
         config: None,
         directory: None,
         control: Vec::new(),
+        current: true,
         leader: None,
         entries: 1,
     };
--- a/crates/entry/tests/whole.rs
+++ b/crates/entry/tests/whole.rs
@@ -117,6 +117,7 @@
             }),
             directory: Some(directory),
             control: Vec::new(),
+            current: true,
             leader: None,
             entries: 1,
         };
--- a/crates/testkit/src/model/world.rs
+++ b/crates/testkit/src/model/world.rs
@@ -260,6 +260,7 @@
             config: Some(config),
             directory,
             control: Vec::new(),
+            current: true,
             leader: None,
             entries: 1,
         }
