--- a/crates/agent/src/watch.rs
+++ b/crates/agent/src/watch.rs
@@ -13,7 +13,7 @@
 use eelgrassdyke_core::wire::{Message, Sender};
 
 /// Time between two readings: a switch waits for the next one at each of its steps.
-const READ_INTERVAL: Duration = Duration::from_millis(200);
+const READ_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Time after which a reading counts as lost.
 const READ_MAX: Duration = Duration::from_secs(1);
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -31,6 +31,9 @@
 /// Least time between two pushes of the directory; the next sweep makes up for one that waits.
 const PUSH_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Time between two looks at which engines are slow.
+const SLOW_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Orders that the status shows at most.
 const ORDERS_SHOWN: usize = 100;
 
@@ -57,6 +60,9 @@
     directory: Directory,
     followers: Followers,
     groups: Groups,
+    /// Engines that are slow now, as the leader says.
+    slow: Vec<rank::Slow>,
+    next_slow: Instant,
     ledger: Ledger,
     asked_books: bool,
     giver: Giver,
@@ -85,6 +91,8 @@
             state: State::default(),
             followers: Followers::default(),
             groups: Groups::default(),
+            slow: Vec::new(),
+            next_slow: now,
             ledger: Ledger::default(),
             asked_books: false,
             giver: Giver::default(),
@@ -332,6 +340,10 @@
                     .hear(now, from, report, self.state.config.document())
             }
             rank::Message::Done(done) => self.groups.done(now, done),
+            rank::Message::Slow(slow) => {
+                self.take_slow(now, slow, out);
+                return;
+            }
             rank::Message::Order(_) => return,
         };
         self.carry_out_groups(outputs, out);
@@ -346,6 +358,38 @@
             outputs.extend(self.groups.tick(now, self.state.config.document()));
         }
         self.carry_out_groups(outputs, out);
+        if term.is_some() && now >= self.next_slow {
+            self.next_slow = now + SLOW_INTERVAL;
+            let slow = self.groups.slow(now);
+            self.tell_slow(now, slow, out);
+        }
+    }
+
+    /// Tells the other control processes which engines are slow, whenever that changes and once in a
+    /// while.
+    fn tell_slow(&mut self, now: Instant, slow: Vec<rank::Slow>, out: &mut Vec<Output>) {
+        if slow.is_empty() && self.slow.is_empty() {
+            return;
+        }
+        for to in self.replica.others() {
+            let message = rank::Message::Slow(slow.clone());
+            let message = Message::Rank(Box::new(message));
+            out.push(Output::Send { to, message });
+        }
+        self.take_slow(now, slow, out);
+    }
+
+    /// Takes in which engines are slow now and tells the followers at once.
+    fn take_slow(&mut self, now: Instant, slow: Vec<rank::Slow>, out: &mut Vec<Output>) {
+        if self.slow == slow {
+            return;
+        }
+        self.slow = slow;
+        for (process, follower) in self.followers.subscribed(now) {
+            if follower.follow.wants_directory {
+                self.update(now, &process, &follower, Occasion::Push, out);
+            }
+        }
     }
 
     fn carry_out_groups(&self, outputs: Vec<groups::Output>, out: &mut Vec<Output>) {
@@ -579,6 +623,7 @@
             control: self.replica.addresses(),
             current: self.replica.has_quorum(now),
             leader: self.replica.leader(),
+            slow: self.slow.clone(),
             entries: self.followers.count_entries(now),
         };
         out.push(Output::Send {
--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -12,16 +12,20 @@
 use eelgrassdyke_core::id::{Generation, Group, Rank, Service, Step, Term};
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::group::Seen;
-use eelgrassdyke_core::wire::rank::{Counts, Done, Order, Report};
+use eelgrassdyke_core::wire::rank::{Counts, Done, Order, Report, Slow};
 use eelgrassdyke_group::barrier::{self, Controller};
 use eelgrassdyke_group::load::Loads;
 use eelgrassdyke_group::plan::{Planner, Reason, Site};
 
 /// Time between two plans: long enough for a few steps to be counted.
-const PLAN_INTERVAL: Duration = Duration::from_millis(250);
+const PLAN_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Weight of the newest interval in the loads: demand shifts within a second or two, and thousands of
+/// choices are counted in each interval.
+const LOAD_GAIN: f64 = 0.7;
 
 /// Least time between two switches: copies slow the steps down.
-const SWITCH_INTERVAL: Duration = Duration::from_millis(500);
+const SWITCH_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Least predicted gain of a plan, as a part of the mean step time, while all places are taken.
 const GAIN_BUSY: f64 = 0.1;
@@ -33,7 +37,13 @@
 const SKEW_WEIGHT: u32 = 4;
 
 /// Price of moved bytes.
-const MOVE_WEIGHT: u32 = 8;
+const MOVE_WEIGHT: u32 = 20;
+
+/// Slowness from which an engine counts as slow, in thousandths: its maker's engines differ by less.
+const SLOW_PACE: u32 = 1300;
+
+/// Age beyond which a report of slowness says nothing of the present.
+const PACE_MAX: Duration = Duration::from_secs(2);
 
 /// Time without a report after which a group is forgotten.
 const FORGET: Duration = Duration::from_secs(30);
@@ -64,6 +74,8 @@
     counted: BTreeMap<Rank, Counts>,
     /// Requests that each rank works on.
     running: BTreeMap<Rank, u32>,
+    /// Where each rank takes calls, its slowness in thousandths, and when it said so.
+    paces: BTreeMap<Rank, (SocketAddr, u32, Instant)>,
     generation: Generation,
     size: u32,
     next_plan: Instant,
@@ -75,9 +87,10 @@
         Self {
             service: report.service.clone(),
             controller: Controller::new(group, barrier::Options::default()),
-            loads: Loads::default(),
+            loads: Loads::new(LOAD_GAIN),
             counted: BTreeMap::new(),
             running: BTreeMap::new(),
+            paces: BTreeMap::new(),
             generation: report.generation,
             size: report.size,
             next_plan: now + PLAN_INTERVAL,
@@ -89,7 +102,7 @@
     fn count(&mut self, report: &Report, experts: usize) {
         if report.generation != self.generation {
             self.generation = report.generation;
-            self.loads = Loads::default();
+            self.loads = Loads::new(LOAD_GAIN);
             self.counted.clear();
         }
         self.loads
@@ -188,6 +201,8 @@
         });
         entry.heard = now;
         entry.size = report.size;
+        let pace = (report.address, report.pace, now);
+        entry.paces.insert(report.rank, pace);
         if let Some((_, experts)) = experts_of(document, &report.service) {
             entry.count(&report, experts.experts.max(1) as usize);
         }
@@ -197,6 +212,20 @@
         translate(out)
     }
 
+    /// The engines that are slow at `now`, by address.
+    pub fn slow(&self, now: Instant) -> Vec<Slow> {
+        let paces = self.groups.values().flat_map(|entry| entry.paces.values());
+        let mut slow: Vec<Slow> = paces
+            .filter(|(_, pace, at)| *pace >= SLOW_PACE && now.since(*at) < PACE_MAX)
+            .map(|(address, pace, _)| Slow {
+                address: *address,
+                pace: *pace,
+            })
+            .collect();
+        slow.sort_by_key(|slow| slow.address);
+        slow
+    }
+
     /// Takes in what came of an order.
     pub fn done(&mut self, now: Instant, done: Done) -> Vec<Output> {
         let mut out = Vec::new();
--- a/crates/control/tests/claims_cores.rs
+++ b/crates/control/tests/claims_cores.rs
@@ -332,6 +332,7 @@
                     control: Vec::new(),
                     current: true,
                     leader: None,
+                    slow: Vec::new(),
                     entries: 1,
                 };
                 let me = sender(Place::Control, 1);
--- a/crates/control/tests/directory.rs
+++ b/crates/control/tests/directory.rs
@@ -67,6 +67,7 @@
         control: Vec::new(),
         current: true,
         leader: None,
+        slow: Vec::new(),
         entries: 1,
     }
 }
--- a/crates/control/tests/follow.rs
+++ b/crates/control/tests/follow.rs
@@ -35,6 +35,7 @@
         control: Vec::new(),
         current: true,
         leader: None,
+        slow: Vec::new(),
         entries: 1,
     }
 }
--- a/crates/control/tests/state_config.rs
+++ b/crates/control/tests/state_config.rs
@@ -212,6 +212,7 @@
             control: Vec::new(),
             current: true,
             leader: None,
+            slow: Vec::new(),
             entries: 1,
         };
         late.push(update);
@@ -241,6 +242,7 @@
             control: Vec::new(),
             current: true,
             leader: None,
+            slow: Vec::new(),
             entries: 1,
         };
         follower.apply(now, &from, update);
--- a/crates/core/src/follow.rs
+++ b/crates/core/src/follow.rs
@@ -16,6 +16,7 @@
 use crate::wire::Sender;
 use crate::wire::directory::{Load, Row};
 use crate::wire::follow::{Config, Directory, Follow, Revision, Update};
+use crate::wire::rank::Slow;
 
 /// Time between two questions to the same control process.
 pub const ASK_INTERVAL: Duration = Duration::from_secs(1);
@@ -42,6 +43,8 @@
     pub config: bool,
     /// The directory changed.
     pub directory: bool,
+    /// Other engines are slow than before.
+    pub slow: bool,
 }
 
 /// A back end and what was last heard of it.
@@ -64,6 +67,7 @@
     control: Vec<SocketAddr>,
     entries: u32,
     leader: Option<SocketAddr>,
+    slow: Vec<Slow>,
     wants_directory: bool,
     version: Version,
     held: Tracked,
@@ -93,6 +97,7 @@
             control,
             entries: 0,
             leader: None,
+            slow: Vec::new(),
             wants_directory,
             version: Version(0),
             held: Tracked::default(),
@@ -136,6 +141,11 @@
         self.entries
     }
 
+    /// Engines that are slow now.
+    pub fn slow(&self) -> &[Slow] {
+        &self.slow
+    }
+
     /// Where the leader of control takes messages, or the control process that is asked.
     pub fn leader(&self) -> Option<SocketAddr> {
         let asked = self.control.get(self.asked % self.control.len().max(1));
@@ -233,6 +243,10 @@
             self.meet(update.control);
         }
         let mut change = Change::default();
+        if !is_second && update.current && self.slow != update.slow {
+            self.slow = update.slow;
+            change.slow = true;
+        }
         if let Some(config) = update.config {
             change.config = self.apply_config(config);
             // Says at once what is in force now, or asks for a snapshot.
--- a/crates/core/src/wire/follow.rs
+++ b/crates/core/src/wire/follow.rs
@@ -62,6 +62,9 @@
         /// Where the leader takes messages, as far as this process knows.
         #[serde(default)]
         pub leader: Option<std::net::SocketAddr>,
+        /// Engines that are slow now.
+        #[serde(default)]
+        pub slow: Vec<crate::wire::rank::Slow>,
         /// Entries heard lately by any control process, the follower among them.
         #[serde(default)]
         pub entries: u32,
--- a/crates/core/src/wire/rank.rs
+++ b/crates/core/src/wire/rank.rs
@@ -137,6 +137,15 @@
         Unanswered,
     }
 
+    /// An engine that is slower than its maker publishes, and holds up its whole group.
+    #[derive(Eq)]
+    pub struct Slow {
+        /// Where it takes calls.
+        pub address: SocketAddr,
+        /// Its slowness, in thousandths.
+        pub pace: u32,
+    }
+
     /// Messages about ranks.
     pub enum Message {
         /// From beside an engine to control.
@@ -152,5 +161,7 @@
         Order(Order),
         /// From beside an engine to the leader.
         Done(Done),
+        /// From the leader to the other control processes: the engines that are slow now.
+        Slow(Vec<Slow>),
     }
 }
--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -443,6 +443,11 @@
         status: u16,
         out: &mut Vec<Output>,
     ) {
+        if flight.begun {
+            // A stream goes on only with more of the stream.
+            self.recover(now, ticket, flight, out);
+            return;
+        }
         if status >= 500 && flight.mount.repeat.may_repeat() {
             flight.mark_ran();
             if self.may_repeat(now, &flight) {
@@ -652,19 +657,27 @@
             let detail = format!("version {}", self.follower.version());
             out.push(Output::Event(Event::new(Code::ConfigApplied, detail)));
         }
-        if !change.directory {
-            return;
+        if change.directory {
+            self.learn_servers(now);
         }
+        if change.directory || change.slow {
+            let slow = self.follower.slow().iter();
+            let addresses: Vec<_> = slow.map(|slow| slow.address).collect();
+            self.pool.note_slow(&addresses);
+            let waiting: Vec<Service> = self.lines.keys().cloned().collect();
+            for service in waiting {
+                self.advance(now, &service, out);
+            }
+        }
+    }
+
+    fn learn_servers(&mut self, now: Instant) {
         let servers = self.follower.servers();
         let mut names = self.pool.names();
         names.extend(servers.keys().cloned());
         for name in names {
             self.pool.learn(now, &name, servers.get(&name));
         }
-        let waiting: Vec<Service> = self.lines.keys().cloned().collect();
-        for service in waiting {
-            self.advance(now, &service, out);
-        }
     }
 
     fn line(&mut self, service: &Service) -> &mut Line {
--- a/crates/entry/src/direct/pool.rs
+++ b/crates/entry/src/direct/pool.rs
@@ -30,6 +30,9 @@
 /// Part of a service's servers that may be left out.
 const OUT_PART: f64 = 0.5;
 
+/// Part of a service's servers that may be spared because they are slow.
+const SLOW_PART: f64 = 0.34;
+
 /// Weight of the newest attempt in a server's failure rate.
 const RATE_WEIGHT: f64 = 0.1;
 
@@ -77,6 +80,8 @@
     full_until: Instant,
     /// When it last answered or sent an event.
     alive: Instant,
+    /// Whether it is slower than published: what it works on holds up its whole group.
+    slow: bool,
 }
 
 /// Where a request goes.
@@ -135,12 +140,20 @@
                     out_until: Instant(0),
                     full_until: Instant(0),
                     alive: now,
+                    slow: false,
                 };
                 self.servers.insert(name.clone(), standing);
             }
         }
     }
 
+    /// Takes in where the engines are that are slow now.
+    pub fn note_slow(&mut self, addresses: &[SocketAddr]) {
+        for standing in self.servers.values_mut() {
+            standing.slow = addresses.contains(&standing.address);
+        }
+    }
+
     /// Names of the servers known.
     pub fn names(&self) -> Vec<Server> {
         self.servers.keys().cloned().collect()
@@ -176,9 +189,11 @@
         let up: Vec<_> = self.up(service).collect();
         let out = up.iter().filter(|(_, s)| s.is_out(now)).count();
         let heeds_out = (out as f64) <= up.len() as f64 * OUT_PART;
+        let slow = up.iter().filter(|(_, s)| s.slow).count();
+        let heeds_slow = (slow as f64) <= up.len() as f64 * SLOW_PART;
         let mut best: Option<(f64, Choice)> = None;
         for (name, standing) in up {
-            let left_out = heeds_out && standing.is_out(now);
+            let left_out = heeds_out && standing.is_out(now) || heeds_slow && standing.slow;
             let full = now < standing.full_until || standing.running >= standing.places(entries);
             if left_out || full || passed_over.contains(name) {
                 continue;
--- a/crates/entry/tests/once.rs
+++ b/crates/entry/tests/once.rs
@@ -276,6 +276,7 @@
             control: Vec::new(),
             current: true,
             leader: None,
+            slow: Vec::new(),
             entries: 1,
         });
         let from = control();
@@ -641,6 +642,7 @@
         control: Vec::new(),
         current: true,
         leader: None,
+        slow: Vec::new(),
         entries: 1,
     };
     let mail = AgentInput::Mail {
--- a/crates/entry/tests/whole.rs
+++ b/crates/entry/tests/whole.rs
@@ -119,6 +119,7 @@
             control: Vec::new(),
             current: true,
             leader: None,
+            slow: Vec::new(),
             entries: 1,
         };
         let message = Message::Update(update);
--- a/crates/group/src/barrier.rs
+++ b/crates/group/src/barrier.rs
@@ -41,6 +41,10 @@
 /// Looks at what is overdue within the time after which an order is sent again.
 const WAKES: u32 = 4;
 
+/// Steps at least from the hold to the one at which the ranks go over: the hold must arrive before
+/// that step begins, and the last report is a step or two old.
+const STEPS_MIN: f64 = 3.0;
+
 /// Options of a controller.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Options {
@@ -61,7 +65,7 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
-            lead: Duration::from_millis(250),
+            lead: Duration::from_millis(150),
             lead_unanswered: Duration::from_millis(1500),
             resend: Duration::from_millis(250),
             prepare_max: Duration::from_millis(2500),
@@ -431,7 +435,7 @@
         };
         let present = self.ranks.values().map(ahead).fold(0.0, f64::max);
         let lead = self.options.lead + self.options.lead_unanswered.mul_f64(self.unanswered);
-        Step((present + (lead.as_secs_f64() / self.step_time).max(3.0)).ceil() as u64)
+        Step((present + (lead.as_secs_f64() / self.step_time).max(STEPS_MIN)).ceil() as u64)
     }
 
     /// Goes on with the present phase as far as what is known allows.
--- a/crates/group/src/load.rs
+++ b/crates/group/src/load.rs
@@ -8,15 +8,16 @@
 use eelgrassdyke_core::id::{Rank, Step};
 use eelgrassdyke_core::wire::group::Seen;
 
-/// Weight of the newest interval in the smoothed load.
+/// Weight of the newest interval in the smoothed load, unless set otherwise.
 const LOAD_GAIN: f64 = 0.5;
 
 /// Weight of the newest report in a rank's smoothed time per token.
 const COST_GAIN: f64 = 0.3;
 
 /// Smoothed load of the experts and speed of the ranks.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Loads {
+    gain: f64,
     smoothed: Vec<Vec<f64>>,
     gathered: Vec<Vec<f64>>,
     rank_steps: f64,
@@ -24,7 +25,25 @@
     heard: BTreeMap<Rank, Step>,
 }
 
+impl Default for Loads {
+    fn default() -> Self {
+        Self::new(LOAD_GAIN)
+    }
+}
+
 impl Loads {
+    /// Loads in which the newest interval has this weight.
+    pub fn new(gain: f64) -> Self {
+        Self {
+            gain,
+            smoothed: Vec::new(),
+            gathered: Vec::new(),
+            rank_steps: 0.0,
+            costs: BTreeMap::new(),
+            heard: BTreeMap::new(),
+        }
+    }
+
     /// Counts a report; one that covers steps already counted is dropped.
     pub fn hear(&mut self, rank: Rank, seen: &Seen) {
         let (first, last) = seen.steps;
@@ -57,7 +76,7 @@
         }
         let gain = match self.smoothed.is_empty() {
             true => 1.0,
-            false => LOAD_GAIN,
+            false => self.gain,
         };
         self.smoothed.resize(self.gathered.len(), Vec::new());
         for (smoothed, sums) in self.smoothed.iter_mut().zip(&self.gathered) {
--- a/crates/testkit/src/model/world.rs
+++ b/crates/testkit/src/model/world.rs
@@ -262,6 +262,7 @@
             control: Vec::new(),
             current: true,
             leader: None,
+            slow: Vec::new(),
             entries: 1,
         }
     }
