--- a/crates/control/src/log/found.rs
+++ b/crates/control/src/log/found.rs
@@ -211,7 +211,10 @@
 
     fn note_waiting(&mut self, now: Instant, id: Id, address: SocketAddr) {
         let waiting = &mut self.founding.waiting;
-        waiting.retain(|_, (_, heard)| now.since(*heard) < WAITING_MAX);
+        // An identity that greets from an address has taken it over from any other.
+        waiting.retain(|other, (at, heard)| {
+            now.since(*heard) < WAITING_MAX && (*at != address || *other == id)
+        });
         if waiting.len() < WAITING_COUNT_MAX {
             waiting.insert(id, (address, now));
         }
--- a/crates/control/src/log/leader.rs
+++ b/crates/control/src/log/leader.rs
@@ -48,6 +48,8 @@
     pub beat: bool,
     round: u64,
     heard: Option<Instant>,
+    /// Since when the leader sends to it.
+    since: Instant,
 }
 
 /// A snapshot under way to a member.
@@ -70,8 +72,9 @@
 }
 
 impl Peer {
-    fn new(next: Index) -> Self {
+    fn new(now: Instant, next: Index) -> Self {
         Self {
+            since: now,
             next,
             matched: Index(0),
             probing: true,
@@ -97,18 +100,20 @@
             rounds: VecDeque::new(),
             questions: Vec::new(),
         };
-        leader.meet(members, first);
+        leader.meet(now, members, first);
         leader
     }
 
     /// Keeps a row for each other member.
-    fn meet(&mut self, members: &Members, next: Index) {
+    fn meet(&mut self, now: Instant, members: &Members, next: Index) {
         let id = self.id;
         self.peers
             .retain(|peer, _| members.address(*peer).is_some());
         for peer in members.voters.keys().chain(members.learners.keys()) {
             if *peer != id {
-                self.peers.entry(*peer).or_insert_with(|| Peer::new(next));
+                self.peers
+                    .entry(*peer)
+                    .or_insert_with(|| Peer::new(now, next));
             }
         }
     }
@@ -118,10 +123,11 @@
         self.peers.get(&id).map_or(Index(0), |peer| peer.matched)
     }
 
-    /// Time since a member answered a round, or since this leader took office.
+    /// Time since a member answered a round, or since this leader first sent to it.
     pub fn silence(&self, now: Instant, id: Id) -> std::time::Duration {
-        let heard = self.peers.get(&id).and_then(|peer| peer.heard);
-        now.since(heard.unwrap_or_default().max(self.since))
+        let peer = self.peers.get(&id);
+        let heard = peer.map(|peer| peer.heard.unwrap_or(peer.since));
+        now.since(heard.unwrap_or(self.since))
     }
 
     /// The same for all members.
@@ -204,7 +210,7 @@
         let waiting = (self.log.last() - self.commit).0 as usize;
         let refusal = match self.role {
             Role::Leader(_) if waiting < self.options.uncommitted_max => {
-                self.append_own(token, Payload::Command(command));
+                self.append_own(Some(token), Payload::Command(command));
                 return;
             }
             Role::Leader(_) => Refusal::Overload,
@@ -213,10 +219,12 @@
         out.push(Output::Refused { token, refusal });
     }
 
-    /// Appends a record of the present term.
-    pub(super) fn append_own(&mut self, token: u64, payload: Payload) {
+    /// Appends a record of the present term, on behalf of a proposal if there is one.
+    pub(super) fn append_own(&mut self, token: Option<u64>, payload: Payload) {
         let (term, index) = (self.hard.term, self.log.last().next());
-        self.tokens.insert(index, (term, token));
+        if let Some(token) = token {
+            self.tokens.insert(index, (term, token));
+        }
         self.append(vec![Record {
             term,
             index,
@@ -324,7 +332,7 @@
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
-        leader.meet(&members, next);
+        leader.meet(now, &members, next);
         let heard = leader.quorum(&members, leader.round, |peer| peer.round);
         let due = leader.questions.iter().any(|q| q.round > leader.round);
         // One round for questions is under way at a time.
--- a/crates/control/src/log/members.rs
+++ b/crates/control/src/log/members.rs
@@ -2,10 +2,11 @@
 //!
 //! An operator changes them, or the leader does by itself ([`super::Options::keeps_members`]). By
 //! itself it adds every replica that waits, gives a learner that holds everything a vote, and takes
-//! a voter out only when a learner is there to take its place, so that a cut never shrinks the
-//! voters. A voter whose address a new identity has taken over has lost its disk and is replaced at
-//! once; another one only after it was silent for a while.
+//! a voter out only after its successor got one, so that a cut never shrinks the voters. A voter
+//! whose address a new identity has taken over has lost its disk and is replaced at once; another
+//! one only after it was silent for a while.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use eelgrassdyke_core::id::{Index, Replica as Id};
@@ -30,9 +31,6 @@
 /// Silence after which a learner is dropped.
 const LEARNER_SILENT_MAX: Duration = Duration::from_secs(20);
 
-/// Token of the changes that nobody waits for.
-const NOBODY: u64 = 0;
-
 impl Replica {
     /// Brings the members one step nearer to what is there.
     pub(super) fn keep_members(&mut self, now: Instant) {
@@ -45,7 +43,7 @@
         if let Ok(members) = self.next_members(now, change)
             && members != *self.log.members()
         {
-            self.append_own(NOBODY, Payload::Members(members));
+            self.append_own(None, Payload::Members(members));
         }
     }
 
@@ -68,50 +66,73 @@
             let heard = leader.silence(now, **id) < self.options.election_max;
             heard && leader.match_of(**id) >= self.commit
         };
-        if let Some(learner) = members.learners.keys().find(complete) {
-            if members.voters.len() < VOTERS {
-                return Some(Change::Promote(*learner));
-            }
-            if let Some(voter) = self.replaceable(now, members) {
-                return Some(Change::Remove(voter));
-            }
+        // A successor gets its vote first: were the old voter taken out before, two disks lost at
+        // that moment would leave no majority, though a third host is only away.
+        let wanted = |learner: &&Id| {
+            let lacks = members.voters.len() < VOTERS;
+            let succeeds = self.replaceable(now, members).is_some();
+            complete(learner) && (lacks || succeeds && members.voters.len() == VOTERS)
+        };
+        if let Some(learner) = members.learners.keys().find(wanted) {
+            return Some(Change::Promote(*learner));
+        }
+        if let Some(voter) = self.replaceable(now, members)
+            && self.is_succeeded(now, members, voter)
+        {
+            return Some(Change::Remove(voter));
         }
-        let silent = |id: &&Id| leader.silence(now, **id) >= LEARNER_SILENT_MAX;
-        members
-            .learners
-            .keys()
-            .find(silent)
-            .copied()
-            .map(Change::Remove)
+        let gone = |id: &&Id| {
+            let address = members.learners.get(*id);
+            let wiped = address.is_some_and(|at| self.is_wiped(now, members, **id, *at));
+            wiped || leader.silence(now, **id) >= LEARNER_SILENT_MAX
+        };
+        let gone = members.learners.keys().find(gone);
+        gone.copied().map(Change::Remove)
     }
 
-    /// A voter that a learner may replace: its disk is lost, or it is silent for long.
+    /// A voter that a learner may succeed: its disk is lost, or it is silent for long.
     fn replaceable(&self, now: Instant, members: &Members) -> Option<Id> {
         let Role::Leader(leader) = &self.role else {
             return None;
         };
         let others = || members.voters.iter().filter(|(id, _)| **id != self.id);
-        let heard = |id: Id| leader.silence(now, id) < self.options.election_max;
-        // The change itself must still find a majority.
-        let live = 1 + others().filter(|(id, _)| heard(**id)).count();
-        if live <= (members.voters.len() - 1) / 2 {
-            return None;
-        }
-        let wiped = others().find(|(id, address)| {
-            let taken = members
-                .learners
-                .iter()
-                .any(|(other, at)| other != *id && at == *address);
-            taken
-                || self
-                    .founding
-                    .waits_at(now, **address)
-                    .is_some_and(|other| other != **id)
-        });
+        let wiped = others().find(|(id, address)| self.is_wiped(now, members, **id, **address));
         let silent = || others().find(|(id, _)| leader.silence(now, **id) >= SILENT_MAX);
         wiped.or_else(silent).map(|(id, _)| *id)
     }
 
+    /// Whether another identity has taken over the address of a member since that was last heard.
+    fn is_wiped(&self, now: Instant, members: &Members, id: Id, address: SocketAddr) -> bool {
+        let Role::Leader(leader) = &self.role else {
+            return false;
+        };
+        let silence = leader.silence(now, id);
+        let mut all = members.voters.iter().chain(&members.learners);
+        let taken = all.any(|(other, at)| {
+            *other != id && *at == address && leader.silence(now, *other) < silence
+        });
+        let waits = self.founding.waits_at(now, address);
+        taken || waits.is_some_and(|other| other != id && members.address(other).is_none())
+    }
+
+    /// Whether a voter can be taken out: enough others are there, and they hold a majority.
+    fn is_succeeded(&self, now: Instant, members: &Members, voter: Id) -> bool {
+        let Role::Leader(leader) = &self.role else {
+            return false;
+        };
+        let address = members.voters.get(&voter);
+        let successor = members
+            .voters
+            .iter()
+            .any(|(id, at)| *id != voter && Some(at) == address);
+        let live = |(id, at): &(&Id, &SocketAddr)| {
+            let heard = **id == self.id || leader.silence(now, **id) < self.options.election_max;
+            heard && **id != voter && !self.is_wiped(now, members, **id, **at)
+        };
+        let live = members.voters.iter().filter(live).count();
+        (successor || members.voters.len() > VOTERS) && live > (members.voters.len() - 1) / 2
+    }
+
     /// Appends a change of the members.
     pub(super) fn change_members(
         &mut self,
@@ -121,7 +142,7 @@
         out: &mut Vec<Output>,
     ) {
         match self.next_members(now, change) {
-            Ok(members) => self.append_own(token, Payload::Members(members)),
+            Ok(members) => self.append_own(Some(token), Payload::Members(members)),
             Err(refusal) => out.push(Output::Refused { token, refusal }),
         }
     }
--- a/crates/control/tests/follow.rs
+++ b/crates/control/tests/follow.rs
@@ -130,3 +130,79 @@
     follower.apply(Instant(1), &from, answer(0, new.question));
     assert!(follower.is_confirmed());
 }
+
+fn with_directory() -> Follower {
+    Follower::new(&sender(1, 1), control(), true)
+}
+
+fn directory() -> eelgrassdyke_core::wire::follow::Directory {
+    let of = ("control-1".parse().unwrap(), Incarnation(1));
+    let revision = eelgrassdyke_core::wire::follow::Revision {
+        of,
+        number: 1,
+        loads: 0,
+    };
+    eelgrassdyke_core::wire::follow::Directory {
+        revision,
+        since: None,
+        settled: true,
+        rows: Vec::new(),
+        gone: Vec::new(),
+        loads_complete: true,
+        loads: Vec::new(),
+    }
+}
+
+#[test]
+fn a_follower_leaves_a_control_process_that_lost_its_quorum() {
+    let from = "control-1".parse().unwrap();
+    let mut follower = with_directory();
+    let (first, question) = follower.ask(Instant(0)).unwrap();
+    let mut cut_off = answer(3, question.question);
+    cut_off.directory = Some(directory());
+    cut_off.current = false;
+    follower.apply(Instant(1), &from, cut_off);
+    while follower.ask(Instant(2)).is_some() {}
+    // Well before it would count as silent.
+    let next = follower.next_deadline();
+    assert!(next.since(Instant(0)) < Duration::from_millis(500));
+    let (second, _) = follower.ask(next).unwrap();
+    assert_ne!(first, second);
+}
+
+#[test]
+fn an_entry_asks_a_second_control_process_for_the_configuration() {
+    let from = "control-2".parse().unwrap();
+    let mut follower = with_directory();
+    let (first, question) = follower.ask(Instant(0)).unwrap();
+    assert!(question.wants_directory);
+    let (second, question) = follower.ask(Instant(0)).unwrap();
+    assert_ne!(first, second);
+    assert!(!question.wants_directory);
+    assert!(follower.ask(Instant(0)).is_none());
+
+    // Its answer does not make up for the silence of the one that is followed.
+    follower.apply(Instant(1), &from, answer(3, question.question));
+    assert_eq!(follower.silence(Instant(2)), None);
+}
+
+#[test]
+fn a_follower_learns_where_control_is_and_keeps_its_seeds() {
+    let from = "control-1".parse().unwrap();
+    let seeds: Vec<SocketAddr> = control().into_iter().take(1).collect();
+    let mut follower = Follower::new(&sender(1, 1), seeds.clone(), false);
+    let (_, question) = follower.ask(Instant(0)).unwrap();
+    let mut told = answer(0, question.question);
+    told.confirmed = false;
+    told.control = control().into_iter().skip(5).collect();
+    follower.apply(Instant(1), &from, told);
+    let mut now = Instant(0);
+    let mut asked = std::collections::BTreeSet::new();
+    // Nobody answers, so it goes on from one to the next.
+    for _ in 0..200 {
+        now = follower.next_deadline().max(now + Duration::from_millis(1));
+        asked.extend(follower.ask(now).map(|(address, _)| address));
+    }
+    assert!(asked.contains(&seeds[0]));
+    assert!(asked.len() > 3, "{asked:?}");
+}
--- a/crates/control/tests/log_net/mod.rs
+++ b/crates/control/tests/log_net/mod.rs
@@ -542,7 +542,11 @@
     fn propose_acknowledged(&mut self) -> Index {
         let end = self.now + Duration::from_secs(60);
         loop {
-            assert!(self.now < end, "nothing is accepted though all is well");
+            assert!(
+                self.now < end,
+                "nothing is accepted though all is well: {}",
+                self.describe()
+            );
             let Some(leader) = self.leader() else {
                 self.run(Duration::from_millis(50));
                 continue;
--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -378,7 +378,7 @@
         out: &mut Vec<Output>,
     ) {
         let current = self.flights.get(&ticket);
-        if !current.is_some_and(|flight| flight.attempts == attempt) {
+        if current.is_none_or(|flight| flight.attempts != attempt) {
             return;
         }
         let Some(flight) = self.lift(ticket) else {
