A new leader fences before it clears: two leaders could disarm a group that had been let go

Ruled out: the fence and the hold themselves (taken out one by one, the check finds mixed maps as well).

--- a/crates/agent/src/watch.rs
+++ b/crates/agent/src/watch.rs
@@ -148,6 +148,7 @@
             self.experts = Some((report.generation, report.map, experts));
         }
         report.after = self.after.0;
+        report.life = self.me.incarnation;
         let from = self.me.address;
         let relayed = false;
         let message = rank::Message::Report {
--- a/crates/core/src/wire/rank.rs
+++ b/crates/core/src/wire/rank.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 
 use crate::data;
-use crate::id::{Generation, Group, Rank, Service, Step, Version};
+use crate::id::{Generation, Group, Incarnation, Rank, Service, Step, Version};
 use crate::wire::group::Layers;
 
 data! {
@@ -43,6 +43,8 @@
         pub running: u32,
         /// Requests that wait at it.
         pub waiting: u32,
+        /// The life of the process beside the engine, which `after` counts in.
+        pub life: Incarnation,
         /// The last order whose outcome was known when this was read.
         pub after: u64,
         /// Its experts in the map in use, by layer; empty when they were not read.
--- a/crates/group/src/barrier.rs
+++ b/crates/group/src/barrier.rs
@@ -10,8 +10,10 @@
 //! 4. if that can't be had: disarm at all ranks under a higher fence, so that no order that is still
 //!    on its way takes effect, and go once all have confirmed.
 //!
-//! A hold outlives the leader that asked for it. Whoever leads next clears the group first, in the
-//! way of the fourth step, and thereby also shuts out its predecessor's orders.
+//! A hold outlives the leader that asked for it. Whoever leads next first shuts out its predecessor's
+//! orders at every rank, with a higher fence that changes nothing else. What it then finds can't change
+//! under its hands: a group that is held is cleared in the way of the fourth step. Ranks that are armed
+//! though nobody holds them were all armed and let go, so they are left to go over.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -142,8 +144,14 @@
 enum Phase {
     /// Another process leads.
     Idle,
-    /// Makes sure that no rank is armed, then lets the group go.
-    Clearing(Round),
+    /// Shuts out all earlier orders, and learns what they have left behind.
+    Fencing(Round),
+    /// Disarms the ranks while the group is held, then lets it go.
+    Clearing {
+        round: Round,
+        /// Orders of the fence that the ranks confirmed: older reports say nothing.
+        fenced: BTreeMap<Rank, u64>,
+    },
     /// Every rank uses the same map and nothing is under way.
     Settled,
     /// The ranks copy experts.
@@ -301,6 +309,17 @@
         if report.generation < self.generation {
             return;
         }
+        let age = |report: &Report| (report.generation, report.after, report.step);
+        if let Some(known) = self.ranks.get(&report.rank).map(|known| &known.report) {
+            let restarted = known.life != report.life;
+            if !restarted && age(&report) < age(known) {
+                return;
+            }
+            // A restarted process has forgotten which orders were over when it reads.
+            if restarted && matches!(self.phase, Phase::Fencing(_) | Phase::Clearing { .. }) {
+                self.clear();
+            }
+        }
         if report.generation > self.generation {
             // A new life of the group has nothing prepared, armed or held.
             self.generation = report.generation;
@@ -342,7 +361,7 @@
             self.phase = Phase::Idle;
             return;
         }
-        let clears = matches!(self.phase, Phase::Clearing(_));
+        let clears = matches!(self.phase, Phase::Fencing(_) | Phase::Clearing { .. });
         let prepares = matches!(self.phase, Phase::Preparing { .. });
         let holds = matches!(self.phase, Phase::Holding { .. });
         let Some(round) = self.round() else {
@@ -378,7 +397,8 @@
     fn round(&mut self) -> Option<&mut Round> {
         match &mut self.phase {
             Phase::Idle | Phase::Settled => None,
-            Phase::Clearing(round)
+            Phase::Fencing(round)
+            | Phase::Clearing { round, .. }
             | Phase::Preparing { round, .. }
             | Phase::Holding { round, .. }
             | Phase::Arming { round, .. }
@@ -389,7 +409,7 @@
     /// Begins to make sure that no rank is armed; a higher fence shuts out all earlier orders.
     fn clear(&mut self) {
         self.tokens += 1;
-        self.phase = Phase::Clearing(Round::default());
+        self.phase = Phase::Fencing(Round::default());
     }
 
     fn switch(&mut self, now: Instant, layers: Layers) {
@@ -449,7 +469,8 @@
                     self.clear();
                 }
             }
-            Phase::Clearing(round) => self.drive_clearing(now, round, out),
+            Phase::Fencing(round) => self.drive_fencing(now, &round, out),
+            Phase::Clearing { round, fenced } => self.drive_clearing(now, &round, &fenced, out),
             Phase::Preparing {
                 version,
                 layers,
@@ -549,55 +570,81 @@
         }
     }
 
-    /// Disarms what may be armed, and lets go what is held once all ranks have confirmed that.
-    fn drive_clearing(&mut self, now: Instant, round: Round, out: &mut Vec<Output>) {
+    /// Shows every rank the new fence and looks at what they report after that.
+    fn drive_fencing(&mut self, now: Instant, round: &Round, out: &mut Vec<Output>) {
         if self.size == 0 || self.ranks.len() < self.size as usize {
             return;
         }
         let ranks: Vec<Rank> = self.ranks.keys().copied().collect();
-        let open = unconfirmed(&ranks, &round);
+        let open = unconfirmed(&ranks, round);
         if !open.is_empty() {
-            let armed: BTreeMap<Rank, Version> = self
-                .ranks
-                .iter()
-                .filter_map(|(rank, known)| Some((*rank, known.report.armed?)))
-                .collect();
-            let action = |rank: Rank| Action::Disarm {
-                version: armed.get(&rank).copied().unwrap_or(NO_VERSION),
-            };
-            self.order(now, &open, action, out);
+            let version = NO_VERSION;
+            self.order(now, &open, |_| Action::Disarm { version }, out);
             return;
         }
-        // Only reports that were read after the confirmation say what is so.
-        let known = self.ranks.iter();
-        let stale = |(rank, known): (&Rank, &Known)| {
-            let confirmed = round.confirmed.get(rank).copied().unwrap_or(u64::MAX);
-            known.report.after < confirmed
-        };
-        if known.clone().any(stale) {
+        if !self.report_since(&round.confirmed) {
             return;
         }
-        if known.clone().any(|(_, known)| known.report.armed.is_some()) {
-            self.clear();
+        let mut reports = self.ranks.values().map(|known| &known.report);
+        if reports.clone().any(|report| report.held.is_some()) {
+            self.phase = Phase::Clearing {
+                round: Round::default(),
+                fenced: round.confirmed.clone(),
+            };
+            self.drive(now, out);
+        } else if reports.all(|report| report.armed.is_none()) {
+            self.phase = Phase::Settled;
+        }
+    }
+
+    /// Whether every rank has reported after these orders of its own were over.
+    fn report_since(&self, orders: &BTreeMap<Rank, u64>) -> bool {
+        self.ranks.iter().all(|(rank, known)| {
+            let order = orders.get(rank).copied().unwrap_or_default();
+            known.report.after >= order
+        })
+    }
+
+    /// Disarms what is armed, and lets the group go once nothing is.
+    fn drive_clearing(
+        &mut self,
+        now: Instant,
+        round: &Round,
+        fenced: &BTreeMap<Rank, u64>,
+        out: &mut Vec<Output>,
+    ) {
+        if self.ranks.len() < self.size as usize || !self.report_since(fenced) {
             return;
         }
-        let held: Vec<(Rank, Step)> = known
+        let armed: BTreeMap<Rank, Version> = self
+            .ranks
+            .iter()
+            .filter_map(|(rank, known)| Some((*rank, known.report.armed?)))
+            .collect();
+        let held: BTreeMap<Rank, Step> = self
+            .ranks
+            .iter()
             .filter_map(|(rank, known)| Some((*rank, known.report.held?)))
             .collect();
-        if held.is_empty() {
+        if armed.is_empty() && held.is_empty() {
             self.phase = Phase::Settled;
             return;
         }
-        let steps: BTreeMap<Rank, Step> = held.into_iter().collect();
-        let ranks: Vec<Rank> = steps.keys().copied().collect();
-        let due: Vec<Rank> = ranks
-            .into_iter()
-            .filter(|rank| round.is_overdue(now, *rank, self.options.resend))
-            .collect();
+        let due = |rank: &Rank| round.is_overdue(now, *rank, self.options.resend);
+        if !armed.is_empty() {
+            let ranks: Vec<Rank> = armed.keys().copied().filter(due).collect();
+            let action = |rank: Rank| Action::Disarm {
+                version: armed.get(&rank).copied().unwrap_or(NO_VERSION),
+            };
+            self.send(now, &ranks, action, out);
+            return;
+        }
+        // An engine that was told to disarm is not armed again: the fence keeps others out.
+        let ranks: Vec<Rank> = held.keys().copied().filter(due).collect();
         let action = |rank: Rank| Action::Go {
-            step: steps.get(&rank).copied().unwrap_or_default(),
+            step: held.get(&rank).copied().unwrap_or_default(),
         };
-        self.send(now, &due, action, out);
+        self.send(now, &ranks, action, out);
     }
 
     /// Lets go what a rank holds that is not to hold: it was asked before another was, and did so late.
--- a/crates/node/src/adapter.rs
+++ b/crates/node/src/adapter.rs
@@ -20,7 +20,7 @@
 /// Translates between a platform's protocol and the product's types.
 pub trait Adapter {
     /// The call that a caller's request makes; an answer when it can't be read.
-    fn call(&self, request: &Request) -> std::result::Result<Call, Reply>;
+    fn call(&self, request: &Request) -> std::result::Result<Call, Box<Reply>>;
 
     /// Header fields of the request that an attempt sends to a back end.
     fn attempt(&self, request: &Request, order: &Order, resume_after: Option<u64>) -> HeaderMap;
@@ -36,7 +36,7 @@
 
     /// What a request on the port for operators and back ends asks; an answer when it can't be read,
     /// and none when it is not of the platform.
-    fn manage(&self, request: &Request) -> Option<std::result::Result<Ask, Reply>>;
+    fn manage(&self, request: &Request) -> Option<std::result::Result<Ask, Box<Reply>>>;
 
     /// How control's answer to `request` reads.
     fn answer(&self, request: &Request, answer: &Answer) -> Reply;
--- a/crates/node/src/role/direct.rs
+++ b/crates/node/src/role/direct.rs
@@ -101,7 +101,7 @@
         let call = match self.adapter.call(&request) {
             Ok(call) => call,
             Err(reply) => {
-                self.reply(responder, reply);
+                self.reply(responder, *reply);
                 return;
             }
         };
