--- /dev/null
+++ b/crates/entry/tests/direct.rs
@@ -0,0 +1,543 @@
+//! The direct path: once, in time, within budgets, and true refusals.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrassdyke_core::config::{Document, MountSpec, Repeat, ServiceSpec, TeamSpec, Weighted};
+use eelgrassdyke_core::digest::Sha256;
+use eelgrassdyke_core::id::{Incarnation, Server, Ticket, Version};
+use eelgrassdyke_core::time::Instant;
+use eelgrassdyke_core::unit::{Permille, TokenRate};
+use eelgrassdyke_core::wire::directory::{Row, State};
+use eelgrassdyke_core::wire::follow::{Config, Directory, Revision, Update};
+use eelgrassdyke_core::wire::rank::Slow;
+use eelgrassdyke_core::wire::refusal::{Reason, Run};
+use eelgrassdyke_core::wire::{Message, Sender};
+use eelgrassdyke_entry::direct::{Call, Direct, Input, Options, Order, Outcome, Output, Proof};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+use test_case::test_case;
+
+const KEY: &str = "a-key";
+const SLOTS: u32 = 4;
+
+fn sender(name: &str) -> Sender {
+    Sender {
+        process: name.parse().unwrap(),
+        incarnation: Incarnation(1),
+        address: "10.0.0.1:7000".parse().unwrap(),
+    }
+}
+
+fn mount(path: &str, repeat: Repeat, attempts: u32) -> MountSpec {
+    MountSpec {
+        host: "draft.example".to_owned(),
+        prefix: path.to_owned(),
+        repeat,
+        timeout_ms: 1000,
+        target_ms: 100,
+        pause_ms: 0,
+        priority: 1,
+        split: vec![Weighted {
+            service: "draft".parse().unwrap(),
+            weight: 1,
+        }],
+        attempts,
+        anonymous: false,
+    }
+}
+
+fn document() -> Document {
+    let spec: ServiceSpec = serde_json::from_str(r#"{"kind": "plain"}"#).unwrap();
+    let team = TeamSpec {
+        tokens: vec![Sha256::of(KEY.as_bytes())],
+        shares: BTreeMap::new(),
+        priority: None,
+    };
+    let mut document = Document::default();
+    document.services.insert("draft".parse().unwrap(), spec);
+    document.teams.insert("salon".parse().unwrap(), team);
+    for (name, repeat, attempts) in [
+        ("never", Repeat::Never, 1),
+        ("idempotent", Repeat::Idempotent, 2),
+        ("stream", Repeat::Stream, 1),
+        ("resumable", Repeat::Resumable, 2),
+    ] {
+        let mount = mount(&format!("/{name}/"), repeat, attempts);
+        document.mounts.insert(name.parse().unwrap(), mount);
+    }
+    document
+}
+
+fn row(number: usize, incarnation: u64, state: State) -> Row {
+    Row {
+        server: server(number),
+        service: "draft".parse().unwrap(),
+        agent: "none".parse().unwrap(),
+        incarnation: Incarnation(incarnation),
+        address: format!("10.0.1.{number}:8000").parse().unwrap(),
+        host: format!("host-{number}").parse().unwrap(),
+        data_centre: "hobart".parse().unwrap(),
+        state,
+        slots: SLOTS,
+        token_rate: TokenRate(0),
+        holds: Vec::new(),
+    }
+}
+
+fn server(number: usize) -> Server {
+    format!("server-{number}").parse().unwrap()
+}
+
+/// A path and what came out of it.
+struct Trial {
+    now: Instant,
+    path: Direct,
+    out: Vec<Output>,
+    question: u64,
+    revision: u64,
+    slow: Vec<Slow>,
+}
+
+impl Trial {
+    fn new(servers: usize, options: Options) -> Self {
+        let options = Options {
+            control: vec!["10.0.0.9:7000".parse().unwrap()],
+            retry_slack: 1000,
+            ..options
+        };
+        let mut trial = Self {
+            now: Instant(0),
+            path: Direct::new(&sender("entry-1"), options),
+            out: Vec::new(),
+            question: 0,
+            revision: 0,
+            slow: Vec::new(),
+        };
+        trial.feed(Input::Tick);
+        let rows = (1..=servers).map(|n| row(n, 1, State::Up)).collect();
+        trial.update(Some(document()), rows);
+        trial
+    }
+
+    fn feed(&mut self, input: Input) -> Vec<Output> {
+        let mut out = Vec::new();
+        self.path.handle(self.now, input, &mut out);
+        for output in &out {
+            if let Output::Mail {
+                message: Message::Follow(follow),
+                ..
+            } = output
+            {
+                self.question = follow.question;
+            }
+        }
+        out.retain(|output| !matches!(output, Output::Mail { .. } | Output::Event(_)));
+        self.out.extend(out.clone());
+        out
+    }
+
+    fn update(&mut self, document: Option<Document>, rows: Vec<Row>) -> Vec<Output> {
+        self.revision += 1;
+        let of = ("control-1".parse().unwrap(), Incarnation(1));
+        let revision = Revision {
+            of,
+            number: self.revision,
+            loads: 0,
+        };
+        let config = document.map(|document| Config::Snapshot {
+            version: Version(1),
+            document: Arc::new(document),
+        });
+        let update = Update {
+            present: Version(1),
+            current: true,
+            confirmed: true,
+            question: self.question,
+            config,
+            directory: Some(Directory {
+                revision,
+                since: None,
+                settled: true,
+                rows: rows.into_iter().map(|row| (row, 1)).collect(),
+                gone: Vec::new(),
+                loads_complete: true,
+                loads: Vec::new(),
+            }),
+            control: Vec::new(),
+            leader: None,
+            slow: self.slow.clone(),
+            entries: 1,
+        };
+        let from = sender("control-1");
+        let message = Message::Update(update);
+        self.feed(Input::Mail { from, message })
+    }
+
+    fn call(&mut self, number: u64, path: &str) -> Vec<Output> {
+        let call = Call {
+            id: number.to_string(),
+            host: "draft.example".to_owned(),
+            path: format!("/{path}/x"),
+            key: Some(KEY.to_owned()),
+            time_left: Some(Duration::from_millis(800)),
+            ..Call::default()
+        };
+        let ticket = Ticket(number);
+        self.feed(Input::Call { ticket, call })
+    }
+
+    fn end(&mut self, number: u64, attempt: u32, outcome: Outcome) -> Vec<Output> {
+        let ticket = Ticket(number);
+        self.feed(Input::Ended {
+            ticket,
+            attempt,
+            outcome,
+        })
+    }
+
+    fn wait(&mut self, span: Duration) -> Vec<Output> {
+        let end = self.now + span;
+        let mut out = Vec::new();
+        while self.now < end {
+            self.now = self
+                .path
+                .next_deadline()
+                .max(self.now + Duration::from_micros(1))
+                .min(end);
+            out.extend(self.feed(Input::Tick));
+        }
+        out
+    }
+}
+
+fn order(out: &[Output]) -> Option<Order> {
+    out.iter().find_map(|output| match output {
+        Output::Send { order, .. } => Some(order.clone()),
+        _ => None,
+    })
+}
+
+fn refusal(out: &[Output]) -> Option<(Reason, Run)> {
+    out.iter().find_map(|output| match output {
+        Output::Refuse { refusal, .. } => Some((refusal.reason, refusal.run)),
+        _ => None,
+    })
+}
+
+#[test_case("never"; "an unsafe call")]
+#[test_case("stream"; "a stream that can't be resumed")]
+fn what_may_not_repeat_is_not_sent_again_once_it_may_have_run(path: &str) {
+    let mut trial = Trial::new(2, Options::default());
+    assert!(order(&trial.call(1, path)).unwrap().fresh);
+    let out = trial.end(1, 1, Outcome::Lost);
+    assert_eq!(order(&out), None);
+    assert_eq!(refusal(&out), Some((Reason::ServerFailed, Run::Unknown)));
+}
+
+#[test]
+fn proof_that_it_has_not_run_lets_an_unsafe_call_go_elsewhere() {
+    let mut trial = Trial::new(2, Options::default());
+    let first = order(&trial.call(1, "never")).unwrap();
+    let second = order(&trial.end(1, 1, Outcome::NotRun(Proof::NotSent))).unwrap();
+    assert_ne!(first.server, second.server);
+    let out = trial.end(1, 2, Outcome::Answered(200));
+    assert_eq!(out, [Output::Deliver { ticket: Ticket(1) }]);
+}
+
+#[test]
+fn a_safe_call_is_repeated_at_as_many_servers_as_its_mount_allows() {
+    let mut trial = Trial::new(5, Options::default());
+    let first = order(&trial.call(1, "idempotent")).unwrap();
+    let second = order(&trial.end(1, 1, Outcome::Answered(500))).unwrap();
+    assert_ne!(first.server, second.server);
+    let out = trial.end(1, 2, Outcome::Lost);
+    assert_eq!(order(&out), None);
+    assert_eq!(refusal(&out), Some((Reason::ServerFailed, Run::Unknown)));
+}
+
+#[test]
+fn a_stream_that_began_goes_on_only_with_more_of_the_stream() {
+    let mut trial = Trial::new(3, Options::default());
+    trial.call(1, "resumable");
+    let ticket = Ticket(1);
+    trial.feed(Input::Passed { ticket, attempt: 1 });
+    let out = trial.end(1, 1, Outcome::Lost);
+    assert_eq!(order(&out).unwrap().attempt, 2);
+    // A whole answer can't follow the events that were passed on.
+    let out = trial.end(1, 2, Outcome::Answered(500));
+    assert_eq!(out, [Output::Abort { ticket }]);
+}
+
+#[test]
+fn an_outcome_of_an_earlier_attempt_is_dropped() {
+    let mut trial = Trial::new(3, Options::default());
+    trial.call(1, "idempotent");
+    trial.end(1, 1, Outcome::Lost);
+    assert!(trial.end(1, 1, Outcome::Answered(200)).is_empty());
+    assert_eq!(
+        trial.end(1, 2, Outcome::Answered(200)),
+        [Output::Deliver { ticket: Ticket(1) }]
+    );
+}
+
+#[test]
+fn the_rest_waits_for_a_place_and_is_refused_as_not_run() {
+    let mut trial = Trial::new(1, Options::default());
+    // The server answers within 10 ms, so that a place is soon free again.
+    for number in 100..300 {
+        trial.call(number, "never");
+        trial.now = trial.now + Duration::from_millis(10);
+        trial.end(number, 1, Outcome::Answered(200));
+    }
+    let mut sent = 0;
+    for number in 0..30 {
+        sent += u32::from(order(&trial.call(number, "never")).is_some());
+    }
+    assert!(
+        (SLOTS..SLOTS * 2).contains(&sent),
+        "{sent} sent to {SLOTS} slots"
+    );
+    // A place that is freed goes to one that waits.
+    let out = trial.end(0, 1, Outcome::Answered(200));
+    assert!(order(&out).is_some());
+    // The others learn well within the time they have that they won't be served.
+    trial.wait(Duration::from_millis(100));
+    let refused = trial.out.iter().filter(|output| {
+        matches!(output, Output::Refuse { refusal, .. }
+            if refusal.run == Run::No && refusal.retry_after_ms.is_some())
+    });
+    assert_eq!(refused.count() as u32, 30 - sent - 1);
+}
+
+#[test]
+fn callers_who_are_refused_together_do_not_return_together() {
+    let mut trial = Trial::new(1, Options::default());
+    for number in 0..200 {
+        trial.call(number, "never");
+    }
+    trial.wait(Duration::from_millis(200));
+    let mut times = BTreeSet::new();
+    for output in &trial.out {
+        if let Output::Refuse { refusal, .. } = output {
+            times.insert(refusal.retry_after_ms.unwrap() / 10);
+        }
+    }
+    assert!(times.len() > 20, "they return at {times:?}");
+}
+
+#[test]
+fn a_call_that_runs_past_its_time_gets_its_answer_at_once() {
+    let mut trial = Trial::new(2, Options::default());
+    trial.call(1, "never");
+    let out = trial.wait(Duration::from_millis(801));
+    assert!(out.contains(&Output::Cancel { ticket: Ticket(1) }));
+    assert_eq!(refusal(&out), Some((Reason::Deadline, Run::Unknown)));
+}
+
+#[test]
+fn work_whose_caller_left_is_broken_off() {
+    let mut trial = Trial::new(2, Options::default());
+    trial.call(1, "resumable");
+    let ticket = Ticket(1);
+    assert_eq!(
+        trial.feed(Input::Gone { ticket }),
+        [Output::Cancel { ticket }]
+    );
+    assert_eq!(trial.path.open_requests(), 0);
+}
+
+#[test]
+fn unknown_paths_and_keys_are_refused() {
+    let mut trial = Trial::new(1, Options::default());
+    let out = trial.call(1, "nowhere");
+    assert_eq!(refusal(&out), Some((Reason::NoService, Run::No)));
+    let call = Call {
+        host: "draft.example".to_owned(),
+        path: "/never/".to_owned(),
+        key: Some("another".to_owned()),
+        ..Call::default()
+    };
+    let ticket = Ticket(2);
+    let out = trial.feed(Input::Call { ticket, call });
+    assert_eq!(refusal(&out), Some((Reason::Unauthenticated, Run::No)));
+}
+
+#[test]
+fn a_leaving_server_and_a_slow_one_get_nothing_new() {
+    let mut trial = Trial::new(4, Options::default());
+    trial.slow = vec![Slow {
+        address: "10.0.1.2:8000".parse().unwrap(),
+        pace: 5000,
+    }];
+    let mut rows: Vec<Row> = (1..=4).map(|n| row(n, 1, State::Up)).collect();
+    rows[0].state = State::Draining;
+    trial.update(None, rows);
+    let mut used = BTreeSet::new();
+    for number in 0..6 {
+        used.extend(order(&trial.call(number, "never")).map(|order| order.server));
+    }
+    assert_eq!(used, BTreeSet::from([server(3), server(4)]));
+}
+
+#[test]
+fn a_stopping_entry_takes_nothing_that_it_might_have_to_cut() {
+    let mut trial = Trial::new(2, Options::default());
+    trial.feed(Input::Drain);
+    assert!(!trial.path.is_ready());
+    assert!(order(&trial.call(1, "never")).is_some());
+    trial.wait(Options::default().drain_grace);
+    assert_eq!(
+        refusal(&trial.call(2, "never")),
+        Some((Reason::Draining, Run::No))
+    );
+}
+
+#[test]
+fn further_attempts_keep_to_the_budget_in_any_window() {
+    let options = Options {
+        retry_share: Permille(200),
+        ..Options::default()
+    };
+    let window = options.retry_window;
+    let mut trial = Trial::new(20, options);
+    // The trial's slack is for one entry alone.
+    let slack = 1000.0;
+    let (mut firsts, mut further) = (Vec::new(), Vec::new());
+    for number in 0..20_000 {
+        trial.now = trial.now + Duration::from_millis(2);
+        let mut out = trial.call(number, "idempotent");
+        if order(&out).is_some() {
+            firsts.push(trial.now);
+        }
+        for attempt in 1..3 {
+            if order(&out).is_none() {
+                break;
+            }
+            out = trial.end(number, attempt, Outcome::Answered(500));
+            if order(&out).is_some() {
+                further.push(trial.now);
+            }
+        }
+    }
+    assert!(
+        further.len() > 2000,
+        "only {} further attempts",
+        further.len()
+    );
+    for (at, end) in further.iter().enumerate() {
+        let recent = |times: &[Instant]| {
+            let inside = times
+                .iter()
+                .filter(|t| **t <= *end && end.since(**t) < window);
+            inside.count() as f64
+        };
+        if at % 97 != 0 {
+            continue;
+        }
+        let bound = 0.2 * recent(&firsts) + slack;
+        assert!(recent(&further) <= bound + 1.0);
+    }
+}
+
+/// What the servers of a random history know of one call.
+#[derive(Default)]
+struct Book {
+    ran: u32,
+    refused_as_not_run: bool,
+    answers: u32,
+}
+
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+fn in_any_history_unsafe_calls_run_once_and_refusals_are_true(seed: u64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut trial = Trial::new(
+        4,
+        Options {
+            seed,
+            ..Options::default()
+        },
+    );
+    let mut books: BTreeMap<u64, Book> = BTreeMap::new();
+    let mut running: Vec<(u64, u32)> = Vec::new();
+    let mut unsafe_calls = BTreeSet::new();
+    for number in 0..30_000 {
+        trial.now = trial.now + Duration::from_millis(rng.random_range(0..8));
+        let path = ["never", "idempotent", "stream", "resumable"][rng.random_range(0..4)];
+        if matches!(path, "never" | "stream") {
+            unsafe_calls.insert(number);
+        }
+        books.insert(number, Book::default());
+        let mut out = trial.call(number, path);
+        if rng.random_bool(0.02) {
+            let rows = (1..=4).map(|n| {
+                let state = if rng.random_bool(0.2) {
+                    State::Draining
+                } else {
+                    State::Up
+                };
+                row(n, 1 + number / 5000, state)
+            });
+            out.extend(trial.update(None, rows.collect()));
+        }
+        out.extend(trial.feed(Input::Tick));
+        while running.len() > 12 || !running.is_empty() && rng.random_bool(0.5) {
+            let at = rng.random_range(0..running.len());
+            let (number, attempt) = running.swap_remove(at);
+            let book = books.get_mut(&number).unwrap();
+            let outcome = match rng.random_range(0..10) {
+                0 => Outcome::NotRun(Proof::NotSent),
+                1 => Outcome::NotRun(Proof::Rejected),
+                2 => Outcome::NotRun(Proof::OtherServer),
+                3 => Outcome::Lost,
+                4 => Outcome::Answered(500),
+                _ => Outcome::Answered(200),
+            };
+            if !matches!(outcome, Outcome::NotRun(_)) {
+                book.ran += 1;
+            }
+            out.extend(trial.end(number, attempt, outcome));
+        }
+        for output in out {
+            match output {
+                Output::Send { ticket, order } => running.push((ticket.0, order.attempt)),
+                Output::Cancel { ticket } => {
+                    // Broken off on its way: it may have run.
+                    books.get_mut(&ticket.0).unwrap().ran += 1;
+                    running.retain(|(number, _)| *number != ticket.0);
+                }
+                Output::Refuse { ticket, refusal } => {
+                    let book = books.get_mut(&ticket.0).unwrap();
+                    book.refused_as_not_run |= refusal.run == Run::No;
+                    book.answers += 1;
+                }
+                Output::Deliver { ticket } | Output::End { ticket } | Output::Abort { ticket } => {
+                    books.get_mut(&ticket.0).unwrap().answers += 1;
+                }
+                _ => {}
+            }
+        }
+    }
+    trial.wait(Duration::from_secs(2));
+    let mut answered = 0;
+    for (number, book) in &books {
+        if unsafe_calls.contains(number) {
+            assert!(book.ran <= 1, "call {number} ran {} times", book.ran);
+        }
+        assert!(
+            !book.refused_as_not_run || book.ran == 0,
+            "call {number} was refused falsely"
+        );
+        assert!(
+            book.answers <= 1,
+            "call {number} got {} answers",
+            book.answers
+        );
+        answered += book.answers;
+    }
+    assert!(answered > 29_000, "{answered} answered");
+    assert_eq!(trial.path.open_requests(), 0);
+}
