--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -28,10 +28,10 @@
 const SWITCH_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Least predicted gain of a plan, as a part of the mean step time, while all places are taken.
-const GAIN_BUSY: f64 = 0.03;
+const GAIN_BUSY: f64 = 0.4;
 
 /// The same while none is: an idle group is in time with almost any map, and copies have a price.
-const GAIN_IDLE: f64 = 0.7;
+const GAIN_IDLE: f64 = 0.8;
 
 /// Price of step-time skew in the planner, against that of moved bytes.
 const SKEW_WEIGHT: u32 = 4;
@@ -105,6 +105,7 @@
             self.loads = Loads::new(LOAD_GAIN);
             self.counted.clear();
         }
+        self.running.insert(report.rank, report.running);
         self.loads
             .set_cost(report.rank, f64::from(report.pace.max(1)) / 1000.0);
         let Some(counts) = &report.counts else {
--- a/crates/entry/src/direct/line.rs
+++ b/crates/entry/src/direct/line.rs
@@ -4,7 +4,7 @@
 //! long as its answer can still come within its target; beyond that it is refused at once with the
 //! time at which coming back makes sense, so that nobody is held up for nothing.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use eelgrassdyke_core::id::Ticket;
@@ -16,12 +16,17 @@
 /// Weight of the newest answer in the time that answers occupy a place.
 const HOLD_WEIGHT: f64 = 0.05;
 
+/// Time over which the places that became free are counted.
+const ENDS_SPAN: Duration = Duration::from_millis(500);
+
 /// Waiting requests, in the order in which they go.
 #[derive(Clone, Debug)]
 pub struct Line {
     waiting: BTreeMap<(u8, u64), Ticket>,
     last: u64,
     hold_s: f64,
+    /// When answers ended lately.
+    ends: VecDeque<Instant>,
 }
 
 impl Default for Line {
@@ -30,6 +35,7 @@
             waiting: BTreeMap::new(),
             last: 0,
             hold_s: HOLD_ASSUMED.as_secs_f64(),
+            ends: VecDeque::new(),
         }
     }
 }
@@ -63,16 +69,36 @@
         self.waiting.is_empty()
     }
 
-    /// Notes for how long an answer occupied its place.
-    pub fn note_hold(&mut self, now: Instant, since: Instant) {
+    /// Notes that an answer that occupied a place since `since` is over.
+    pub fn note_end(&mut self, now: Instant, since: Instant) {
         let held = now.since(since).as_secs_f64();
         self.hold_s += (held - self.hold_s) * HOLD_WEIGHT;
+        self.ends.push_back(now);
+        self.forget(now);
     }
 
     /// How long a new request of this rank would wait for one of `places`.
-    pub fn wait(&self, priority: u8, places: u32) -> Duration {
+    ///
+    /// While requests wait, the places that became free lately say more than how long answers
+    /// usually take: servers that stall let nobody in.
+    pub fn wait(&mut self, now: Instant, priority: u8, places: u32) -> Duration {
+        self.forget(now);
         let ahead = self.waiting.range(..=(priority, u64::MAX)).count() + 1;
-        let seconds = ahead as f64 * self.hold_s / f64::from(places.max(1));
-        Duration::from_secs_f64(seconds.min(60.0))
+        let usual = f64::from(places.max(1)) / self.hold_s.max(1e-3);
+        let rate = match self.waiting.is_empty() {
+            true => usual,
+            false => usual.min((self.ends.len() + 1) as f64 / ENDS_SPAN.as_secs_f64()),
+        };
+        Duration::from_secs_f64((ahead as f64 / rate).min(60.0))
+    }
+
+    fn forget(&mut self, now: Instant) {
+        while self
+            .ends
+            .front()
+            .is_some_and(|at| now.since(*at) >= ENDS_SPAN)
+        {
+            self.ends.pop_front();
+        }
     }
 }
--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -27,8 +27,18 @@
 /// itself.
 const NO_SERVER_WAIT: Duration = Duration::from_millis(200);
 
-/// When a caller that was refused for a passing reason may come back, at the earliest.
-const COME_BACK_MIN: Duration = Duration::from_millis(300);
+/// When a caller that was refused for want of places may come back, at the earliest: a burst lasts
+/// longer, and whoever returns into it is refused again.
+const COME_BACK_MIN: Duration = Duration::from_millis(1200);
+
+/// Part of its remaining time that a caller is asked to stay away at most; it would not wait longer.
+const COME_BACK_PART: f64 = 0.3;
+
+/// Time in which an entry that has just started learns its configuration, or its successor does.
+const START_TIME: Duration = Duration::from_millis(1000);
+
+/// Spread of the times at which callers return, as parts of the time meant.
+const SPREAD: std::ops::Range<f64> = 0.6..1.1;
 
 /// Part of the target after which an attempt that shows nothing counts as hung, if others show
 /// something.
@@ -185,7 +195,7 @@
             Err(reason) => {
                 let mut refusal = Refusal::not_run(reason);
                 if matches!(reason, Reason::NotReady | Reason::Draining) {
-                    refusal = refusal.after(self.spread(COME_BACK_MIN));
+                    refusal = refusal.after(self.spread(START_TIME));
                 }
                 out.push(Output::Refuse { ticket, refusal });
                 return;
@@ -266,9 +276,11 @@
             false => NO_SERVER_WAIT,
         };
         let (places, _) = self.pool.load(&flight.service, self.follower.entries());
-        let wait = self.line(&flight.service).wait(flight.priority, places);
+        let priority = flight.priority;
+        let wait = self.line(&flight.service).wait(now, priority, places);
         if wait > limit && flight.attempts == 0 {
-            self.refuse(flight, ticket, Reason::Overload, Run::No, Some(wait), out);
+            let after = Some(come_back(&flight, now, wait));
+            self.refuse(flight, ticket, Reason::Overload, Run::No, after, out);
             return;
         }
         self.enqueue(now, ticket, flight, limit);
@@ -415,7 +427,7 @@
         };
         self.settle(now, flight, verdict, out);
         if let (Verdict::Served, Stage::Running { since, .. }) = (verdict, &flight.stage) {
-            self.line(&flight.service).note_hold(now, *since);
+            self.line(&flight.service).note_end(now, *since);
         }
     }
 
@@ -543,7 +555,7 @@
             return;
         }
         let comes_back = now < flight.deadline && run == Run::No;
-        let after = comes_back.then_some(COME_BACK_MIN);
+        let after = comes_back.then(|| come_back(&flight, now, COME_BACK_MIN));
         self.refuse(flight, ticket, reason, run, after, out);
     }
 
@@ -567,8 +579,7 @@
 
     /// A time around `span`, so that callers who are refused together don't return together.
     fn spread(&mut self, span: Duration) -> Duration {
-        let span = span.max(COME_BACK_MIN);
-        span.mul_f64(self.rng.random_range(0.75..1.75))
+        span.mul_f64(self.rng.random_range(SPREAD))
     }
 
     fn drop_caller(&mut self, now: Instant, ticket: Ticket, out: &mut Vec<Output>) {
@@ -715,6 +726,13 @@
     }
 }
 
+/// When the caller of a refused request may come back: once those ahead of it are served, but in time
+/// for another attempt.
+fn come_back(flight: &Flight, now: Instant, wait: Duration) -> Duration {
+    let most = flight.deadline.since(now).mul_f64(COME_BACK_PART);
+    wait.max(COME_BACK_MIN).min(most)
+}
+
 /// A request, its service and its attempt, for logs.
 fn describe(flight: &Flight) -> String {
     format!(
