--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use eelgrassdyke_core::config::MountSpec;
+use eelgrassdyke_core::config::{MountSpec, Repeat};
 use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::follow::Follower;
 use eelgrassdyke_core::id::{Incarnation, Server, Service, Team, Ticket, Version};
@@ -675,6 +675,9 @@
             let slow = self.follower.slow().iter();
             let addresses: Vec<_> = slow.map(|slow| slow.address).collect();
             self.pool.note_slow(&addresses);
+            if change.slow {
+                self.leave_slow(now, out);
+            }
             let waiting: Vec<Service> = self.lines.keys().cloned().collect();
             for service in waiting {
                 self.advance(now, &service, out);
@@ -682,6 +685,33 @@
         }
     }
 
+    /// Moves streams that can be resumed away from slow engines: each step of the whole group takes as
+    /// long as their part of it.
+    fn leave_slow(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let at_slow = |flight: &Flight| match &flight.stage {
+            Stage::Running { server, .. } => {
+                flight.mount.repeat == Repeat::Resumable && self.pool.is_spared(server)
+            }
+            Stage::Waiting { .. } => false,
+        };
+        let open = self.flights.iter().filter(|(_, flight)| at_slow(flight));
+        let tickets: Vec<Ticket> = open.map(|(ticket, _)| *ticket).collect();
+        for ticket in tickets {
+            let Some(mut flight) = self.lift(ticket) else {
+                continue;
+            };
+            let ran_at = flight.ran_at.len();
+            flight.mark_ran();
+            if !self.may_repeat(now, &flight) {
+                flight.ran_at.truncate(ran_at);
+                self.land(ticket, flight);
+                continue;
+            }
+            self.break_off(now, ticket, &flight, Verdict::Unknown, out);
+            self.repeat(now, ticket, flight, "slow server", out);
+        }
+    }
+
     fn learn_servers(&mut self, now: Instant) {
         let servers = self.follower.servers();
         let mut names = self.pool.names();
--- a/crates/entry/src/direct/pool.rs
+++ b/crates/entry/src/direct/pool.rs
@@ -154,6 +154,16 @@
         }
     }
 
+    /// Whether a server is spared because it is slow.
+    pub fn is_spared(&self, server: &Server) -> bool {
+        let Some(standing) = self.servers.get(server) else {
+            return false;
+        };
+        let up = self.up(&standing.service).count();
+        let slow = self.up(&standing.service).filter(|(_, s)| s.slow).count();
+        standing.slow && slow as f64 <= up as f64 * SLOW_PART
+    }
+
     /// Names of the servers known.
     pub fn names(&self) -> Vec<Server> {
         self.servers.keys().cloned().collect()
--- a/crates/entry/tests/direct.rs
+++ b/crates/entry/tests/direct.rs
@@ -390,6 +390,27 @@
     assert_eq!(used, BTreeSet::from([server(3), server(4)]));
 }
 
+#[test]
+fn streams_that_can_be_resumed_leave_a_server_that_turns_slow() {
+    let mut trial = Trial::new(4, Options::default());
+    let stream = order(&trial.call(1, "resumable")).unwrap();
+    let ticket = Ticket(1);
+    trial.feed(Input::Passed { ticket, attempt: 1 });
+    trial.slow = vec![Slow {
+        address: stream.address,
+        pace: 5000,
+    }];
+    let out = trial.update(None, (1..=4).map(|n| row(n, 1, State::Up)).collect());
+    assert_eq!(out[0], Output::Cancel { ticket });
+    let resumed = order(&out).unwrap();
+    assert_eq!(resumed.attempt, 2);
+    assert_ne!(resumed.server, stream.server);
+    // It may not move once more: the mount allows two servers.
+    trial.slow[0].address = resumed.address;
+    let out = trial.update(None, (1..=4).map(|n| row(n, 1, State::Up)).collect());
+    assert!(out.is_empty(), "{out:?}");
+}
+
 #[test]
 fn a_stopping_entry_takes_nothing_that_it_might_have_to_cut() {
     let mut trial = Trial::new(2, Options::default());
--- a/crates/group/src/barrier.rs
+++ b/crates/group/src/barrier.rs
@@ -47,6 +47,12 @@
 /// that step begins, and the last report is a step or two old.
 const STEPS_MIN: f64 = 3.0;
 
+/// The same where a step takes so long that reports are always of the present one.
+const STEPS_MIN_SLOW: f64 = 2.0;
+
+/// Time of a step, in seconds, from which it does.
+const STEP_SLOW: f64 = 0.2;
+
 /// Options of a controller.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Options {
@@ -455,7 +461,11 @@
         };
         let present = self.ranks.values().map(ahead).fold(0.0, f64::max);
         let lead = self.options.lead + self.options.lead_unanswered.mul_f64(self.unanswered);
-        Step((present + (lead.as_secs_f64() / self.step_time).max(STEPS_MIN)).ceil() as u64)
+        let least = match self.step_time < STEP_SLOW {
+            true => STEPS_MIN,
+            false => STEPS_MIN_SLOW,
+        };
+        Step((present + (lead.as_secs_f64() / self.step_time).max(least)).ceil() as u64)
     }
 
     /// Goes on with the present phase as far as what is known allows.
