--- a/crates/agent/src/watch.rs
+++ b/crates/agent/src/watch.rs
@@ -70,7 +70,7 @@
     /// A watch that has read nothing yet.
     pub fn new(me: Sender, control: Vec<SocketAddr>) -> Self {
         Self {
-            follower: Follower::new(&me, control, false),
+            follower: Follower::new(&me, control, false).without_config(),
             me,
             next_read: Instant(0),
             reading_since: None,
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -605,7 +605,8 @@
     ) {
         let follow = &follower.follow;
         let answers = occasion != Occasion::Push;
-        let config = self.state.config.since(follow.version, &follow.digest);
+        let lacks = || self.state.config.since(follow.version, &follow.digest);
+        let config = follow.wants_config.then(lacks).flatten();
         let directory = follow.wants_directory.then(|| {
             self.directory
                 .since(now, follow.directory.as_ref(), answers)
@@ -704,7 +705,8 @@
         self.pushed = present;
         self.next_push = now + PUSH_INTERVAL;
         for (process, follower) in self.followers.subscribed(now) {
-            if config_changed || follower.follow.wants_directory {
+            let concerned = config_changed && follower.follow.wants_config;
+            if concerned || follower.follow.wants_directory {
                 self.update(now, &process, &follower, Occasion::Push, out);
             }
         }
--- a/crates/control/tests/log_control.rs
+++ b/crates/control/tests/log_control.rs
@@ -190,6 +190,7 @@
         digest: Sha256::of(b"nothing"),
         directory: None,
         wants_directory: false,
+        wants_config: true,
         confirm: true,
         question: 1,
     }
--- a/crates/core/src/follow.rs
+++ b/crates/core/src/follow.rs
@@ -69,6 +69,7 @@
     leader: Option<SocketAddr>,
     slow: Vec<Slow>,
     wants_directory: bool,
+    wants_config: bool,
     version: Version,
     held: Tracked,
     /// Whether the next question asks for a snapshot, since deltas did not fit.
@@ -99,6 +100,7 @@
             leader: None,
             slow: Vec::new(),
             wants_directory,
+            wants_config: true,
             version: Version(0),
             held: Tracked::default(),
             wants_snapshot: false,
@@ -116,6 +118,13 @@
         }
     }
 
+    /// A follower that only wants to know who leads.
+    #[must_use]
+    pub fn without_config(mut self) -> Self {
+        self.wants_config = false;
+        self
+    }
+
     /// The version in force.
     pub fn version(&self) -> Version {
         self.version
@@ -202,6 +211,7 @@
             digest,
             directory: self.revision.clone(),
             wants_directory: self.wants_directory,
+            wants_config: self.wants_config,
             confirm: !self.confirmed,
             question: self.question,
         };
@@ -223,6 +233,7 @@
             digest: self.held.digest(),
             directory: None,
             wants_directory: false,
+            wants_config: self.wants_config,
             confirm: false,
             question: self.question,
         };
--- a/crates/core/src/wire/follow.rs
+++ b/crates/core/src/wire/follow.rs
@@ -24,6 +24,9 @@
         pub directory: Option<Revision>,
         /// Whether it wants the directory; agents don't.
         pub wants_directory: bool,
+        /// Whether it wants the configuration; who only watches an engine doesn't.
+        #[serde(default = "Follow::usually_wants_config")]
+        pub wants_config: bool,
         /// Whether it asks for a version that a quorum has confirmed before it serves.
         pub confirm: bool,
         /// Names this question; no other life of the follower uses the same number.
@@ -169,6 +172,12 @@
     }
 }
 
+impl Follow {
+    fn usually_wants_config() -> bool {
+        true
+    }
+}
+
 impl Update {
     fn usually_current() -> bool {
         true
--- a/crates/core/tests/decode.rs
+++ b/crates/core/tests/decode.rs
@@ -43,6 +43,7 @@
         digest: eelgrassdyke_core::digest::Sha256::of(b""),
         directory: None,
         wants_directory: true,
+        wants_config: true,
         confirm: true,
         question: 1,
     };
--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -132,11 +132,15 @@
 
     /// Takes in what happened at `now` and adds what is to be done to `out`.
     pub fn handle(&mut self, now: Instant, input: Input, out: &mut Vec<Output>) {
+        // What was passed on counts before its absence is looked for.
+        if let Input::Passed { ticket, attempt } = input {
+            self.take_passed(now, ticket, attempt);
+        }
         self.run_timers(now, out);
         match input {
             Input::Call { ticket, call } => self.take_call(now, ticket, call, out),
             Input::Gone { ticket } => self.drop_caller(now, ticket, out),
-            Input::Passed { ticket, attempt } => self.take_passed(now, ticket, attempt),
+            Input::Passed { .. } => {}
             Input::Ended {
                 ticket,
                 attempt,
--- a/crates/entry/tests/direct.rs
+++ b/crates/entry/tests/direct.rs
@@ -270,6 +270,18 @@
     assert_eq!(out, [Output::Abort { ticket }]);
 }
 
+#[test]
+fn an_event_that_comes_as_patience_ends_is_not_followed_by_a_refusal() {
+    let mut trial = Trial::new(1, Options::default());
+    trial.call(1, "resumable");
+    let ticket = Ticket(1);
+    // The caller's time ends in the very moment in which the first event is passed on.
+    trial.now = trial.now + Duration::from_millis(800);
+    let out = trial.feed(Input::Passed { ticket, attempt: 1 });
+    assert_eq!(refusal(&out), None);
+    assert!(out.contains(&Output::Abort { ticket }));
+}
+
 #[test]
 fn an_outcome_of_an_earlier_attempt_is_dropped() {
     let mut trial = Trial::new(3, Options::default());
--- a/crates/node/src/role/direct.rs
+++ b/crates/node/src/role/direct.rs
@@ -135,6 +135,7 @@
             Output::Deliver { ticket } => {
                 if let Some(open) = self.take(ticket)
                     && let Some(answer) = open.answer
+                    && !open.begun
                 {
                     self.reply(open.responder, answer);
                 }
@@ -157,7 +158,8 @@
     }
 
     fn refuse(&self, ticket: Ticket, refusal: &Refusal) {
-        if let Some(open) = self.take(ticket) {
+        // Nothing but the rest of a stream may follow its head: without it, the connection closes.
+        if let Some(open) = self.take(ticket).filter(|open| !open.begun) {
             let reply = self.adapter.refuse(&open.request, refusal);
             self.reply(open.responder, reply);
         }
