--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use eelgrassdyke_core::config::{Publication, Submission};
+use eelgrassdyke_core::config::Submission;
 use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::id::{Process, Server, Ticket, Version};
 use eelgrassdyke_core::time::{Instant, Wall};
@@ -17,8 +17,8 @@
 use crate::directory::Directory;
 use crate::fence::Giver;
 use crate::followers::{Follower, Followers};
-use crate::groups::{self, Groups};
-use crate::io::{Answer, FollowerStatus, Input, Notice, Options, Output, Query, Status};
+use crate::groups::Groups;
+use crate::io::{Answer, FollowerStatus, Input, Options, Output, Query, Status};
 use crate::log::{self, Recovered, Replica};
 use crate::proposals::{Proposals, Waiting};
 use crate::reads::Reads;
@@ -31,15 +31,12 @@
 /// Least time between two pushes of the directory; the next sweep makes up for one that waits.
 const PUSH_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Time between two looks at which engines are slow.
-const SLOW_INTERVAL: Duration = Duration::from_millis(250);
-
 /// Orders that the status shows at most.
 const ORDERS_SHOWN: usize = 100;
 
 /// Why a follower is sent an update.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Occasion {
+pub(crate) enum Occasion {
     /// Something changed.
     Push,
     /// It asked.
@@ -52,22 +49,22 @@
 pub struct Control {
     options: Options,
     me: Sender,
-    replica: Replica,
+    pub(crate) replica: Replica,
     proposals: Proposals,
-    confirmations: Confirmations,
-    reads: Reads,
-    state: State,
-    directory: Directory,
-    followers: Followers,
-    groups: Groups,
+    pub(crate) confirmations: Confirmations,
+    pub(crate) reads: Reads,
+    pub(crate) state: State,
+    pub(crate) directory: Directory,
+    pub(crate) followers: Followers,
+    pub(crate) groups: Groups,
     /// Engines that are slow now, as the leader says.
-    slow: Vec<rank::Slow>,
-    next_slow: Instant,
+    pub(crate) slow: Vec<rank::Slow>,
+    pub(crate) next_slow: Instant,
     ledger: Ledger,
     asked_books: bool,
     giver: Giver,
     pushed: (Version, u64),
-    next_push: Instant,
+    pub(crate) next_push: Instant,
     next_sweep: Instant,
 }
 
@@ -315,160 +312,6 @@
         self.propose(now, Action::Submit(submission), waiting, out);
     }
 
-    /// Takes in what a rank of a group says, or passes it on to the leader.
-    fn take_rank(&mut self, now: Instant, message: rank::Message, out: &mut Vec<Output>) {
-        let outputs = match message {
-            rank::Message::Report {
-                report,
-                relayed,
-                from,
-            } => {
-                if !self.replica.leads() {
-                    let leader = self.replica.leader().filter(|_| !relayed);
-                    if let Some(to) = leader {
-                        let message = rank::Message::Report {
-                            report,
-                            relayed: true,
-                            from,
-                        };
-                        let message = Message::Rank(Box::new(message));
-                        out.push(Output::Send { to, message });
-                    }
-                    return;
-                }
-                self.groups
-                    .hear(now, from, report, self.state.config.document())
-            }
-            rank::Message::Done(done) => self.groups.done(now, done),
-            rank::Message::Slow(slow) => {
-                self.take_slow(now, slow, out);
-                return;
-            }
-            rank::Message::Order(_) => return,
-        };
-        self.carry_out_groups(outputs, out);
-    }
-
-    /// Goes on with the switches of rank groups, as long as this replica surely leads.
-    fn tend_groups(&mut self, now: Instant, out: &mut Vec<Output>) {
-        let leads = self.replica.leads() && self.replica.holds_lease(now);
-        let term = leads.then(|| self.replica.term());
-        let mut outputs = self.groups.lead(now, term);
-        if now >= self.groups.next_deadline() {
-            outputs.extend(self.groups.tick(now, self.state.config.document()));
-        }
-        self.carry_out_groups(outputs, out);
-        if term.is_some() && now >= self.next_slow {
-            self.next_slow = now + SLOW_INTERVAL;
-            let slow = self.groups.slow(now);
-            self.tell_slow(now, slow, out);
-        }
-    }
-
-    /// Tells the other control processes which engines are slow, whenever that changes and once in a
-    /// while.
-    fn tell_slow(&mut self, now: Instant, slow: Vec<rank::Slow>, out: &mut Vec<Output>) {
-        if slow.is_empty() && self.slow.is_empty() {
-            return;
-        }
-        for to in self.replica.others() {
-            let message = rank::Message::Slow(slow.clone());
-            let message = Message::Rank(Box::new(message));
-            out.push(Output::Send { to, message });
-        }
-        self.take_slow(now, slow, out);
-    }
-
-    /// Takes in which engines are slow now and tells the followers at once.
-    fn take_slow(&mut self, now: Instant, slow: Vec<rank::Slow>, out: &mut Vec<Output>) {
-        if self.slow == slow {
-            return;
-        }
-        self.slow = slow;
-        for (process, follower) in self.followers.subscribed(now) {
-            if follower.follow.wants_directory {
-                self.update(now, &process, &follower, Occasion::Push, out);
-            }
-        }
-    }
-
-    fn carry_out_groups(&self, outputs: Vec<groups::Output>, out: &mut Vec<Output>) {
-        for output in outputs {
-            out.push(match output {
-                groups::Output::Order(to, order) => Output::Send {
-                    to,
-                    message: Message::Rank(Box::new(rank::Message::Order(order))),
-                },
-                groups::Output::Direct(engine, order) => Output::Order { engine, order },
-                groups::Output::Event(event) => Output::Event(event),
-            });
-        }
-    }
-
-    fn publish(
-        &mut self,
-        now: Instant,
-        ticket: Ticket,
-        publication: Publication,
-        out: &mut Vec<Output>,
-    ) {
-        let operation = format!("publication-{}", publication.number).parse();
-        let Ok(operation) = operation else {
-            return;
-        };
-        let waiting = Waiting::Operator { ticket, operation };
-        self.propose(now, Action::Publish(publication), waiting, out);
-    }
-
-    /// Asks a quorum which publication is the newest, on behalf of an operator.
-    fn read_publication(&mut self, now: Instant, ticket: Ticket, out: &mut Vec<Output>) {
-        if !self.replica.has_quorum(now) {
-            out.push(Reads::fail(ticket));
-            return;
-        }
-        let question = self.confirmations.draw();
-        self.reads.add(now, question, ticket);
-        self.drive(now, log::Input::Confirm { question }, out);
-    }
-
-    /// Answers the operators whose question a quorum has confirmed, and gives up the others in time.
-    fn answer_reads(&mut self, now: Instant, out: &mut Vec<Output>) {
-        if self.reads.is_empty() {
-            return;
-        }
-        let published = self.state.config.published();
-        let applied = self.replica.applied();
-        self.reads.answer(now, applied, published, out);
-    }
-
-    /// Takes in what a back end says of itself and passes it on to the other control processes.
-    ///
-    /// A replica without a quorum may be cut off from them, so it leaves the back end to another.
-    fn announce(&mut self, now: Instant, ticket: Ticket, notice: Notice, out: &mut Vec<Output>) {
-        if !self.replica.has_quorum(now) {
-            out.push(Reads::fail(ticket));
-            return;
-        }
-        let message = match &notice {
-            Notice::Beat(beat) => Message::Beat(beat.clone()),
-            Notice::Left(server) => Message::Dismiss(server.clone()),
-        };
-        for to in self.replica.others() {
-            let message = message.clone();
-            out.push(Output::Send { to, message });
-        }
-        let event = match notice {
-            Notice::Beat(beat) => self.directory.hear(now, beat),
-            Notice::Left(server) => self.directory.dismiss(now, &server),
-        };
-        if event.is_some() {
-            self.next_push = now;
-        }
-        out.extend(event.map(Output::Event));
-        let answer = Answer::Noted;
-        out.push(Output::Answer { ticket, answer });
-    }
-
     fn take_claim(&mut self, now: Instant, from: &Sender, ask: Ask, out: &mut Vec<Output>) {
         let waiting = Waiting::Entry {
             address: from.address,
@@ -479,7 +322,13 @@
     }
 
     /// Passes a command to the log; it takes effect once a quorum holds it.
-    fn propose(&mut self, now: Instant, action: Action, waiting: Waiting, out: &mut Vec<Output>) {
+    pub(crate) fn propose(
+        &mut self,
+        now: Instant,
+        action: Action,
+        waiting: Waiting,
+        out: &mut Vec<Output>,
+    ) {
         let at = self.wall(now);
         let token = self.proposals.add(waiting);
         match wire::encode(&Command { at, action }) {
@@ -493,7 +342,7 @@
     }
 
     /// Hands an input to the log and carries out what it decides.
-    fn drive(&mut self, now: Instant, input: log::Input, out: &mut Vec<Output>) {
+    pub(crate) fn drive(&mut self, now: Instant, input: log::Input, out: &mut Vec<Output>) {
         let mut decided = Vec::new();
         self.replica.handle(now, input, &mut decided);
         self.carry_out(now, decided, out);
@@ -595,7 +444,7 @@
     }
 
     /// Sends a follower what it lacks.
-    fn update(
+    pub(crate) fn update(
         &mut self,
         now: Instant,
         process: &Process,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -12,6 +12,8 @@
 mod control;
 mod io;
 mod proposals;
+mod publish;
+mod ranks;
 mod reads;
 
 pub mod directory;
--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -1,13 +1,12 @@
 //! The state machine of the direct path.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
 use std::time::Duration;
 
 use eelgrassdyke_core::config::{MountSpec, Repeat};
 use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::follow::Follower;
-use eelgrassdyke_core::id::{Incarnation, Server, Service, Team, Ticket, Version};
+use eelgrassdyke_core::id::{Service, Ticket, Version};
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::refusal::{Reason, Refusal, Run};
 use eelgrassdyke_core::wire::{Message, Sender};
@@ -15,6 +14,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::budget::Window;
+use super::flight::{COME_BACK_MIN, Flight, Stage, come_back, describe};
 use super::io::{Call, Input, Options, Order, Outcome, Output, Proof};
 use super::line::Line;
 use super::pool::{Pool, Verdict};
@@ -27,23 +27,12 @@
 /// itself.
 const NO_SERVER_WAIT: Duration = Duration::from_millis(200);
 
-/// When a caller that was refused for want of places may come back, at the earliest: a burst lasts
-/// longer, and whoever returns into it is refused again.
-const COME_BACK_MIN: Duration = Duration::from_millis(1200);
-
-/// Part of its remaining time that a caller is asked to stay away at most; it would not wait longer.
-const COME_BACK_PART: f64 = 0.3;
-
 /// Time in which an entry that has just started learns its configuration, or its successor does.
 const START_TIME: Duration = Duration::from_millis(1000);
 
 /// Spread of the times at which callers return, as parts of the time meant.
 const SPREAD: std::ops::Range<f64> = 0.6..1.1;
 
-/// Part of the target after which an attempt that shows nothing counts as hung, if others show
-/// something.
-const HANG_PARTS: f64 = 3.0;
-
 /// Attempts at one request, whatever their kind: proof that one did not run costs time as well.
 const ATTEMPTS_MAX: u32 = 6;
 
@@ -61,58 +50,6 @@
     draining_since: Option<Instant>,
 }
 
-/// A request in progress.
-#[derive(Clone, Debug)]
-struct Flight {
-    id: String,
-    mount: Arc<MountSpec>,
-    service: Service,
-    team: Option<Team>,
-    priority: u8,
-    deadline: Instant,
-    stage: Stage,
-    attempts: u32,
-    /// Servers that may have run it.
-    ran_at: Vec<Server>,
-    /// Servers that it must not go to again.
-    passed_over: Vec<Server>,
-    /// Whether a part of the answer was passed on.
-    begun: bool,
-}
-
-#[derive(Clone, Debug)]
-enum Stage {
-    /// Waits for a place, until the instant at which it is refused.
-    Waiting { key: (u8, u64), until: Instant },
-    /// An attempt is under way.
-    Running {
-        server: Server,
-        incarnation: Incarnation,
-        since: Instant,
-        /// When something was last passed on, or it was sent.
-        alive: Instant,
-    },
-}
-
-impl Flight {
-    /// How long an attempt may show nothing before it counts as hung.
-    fn patience(&self) -> Duration {
-        let target = Duration::from_millis(self.mount.target_ms);
-        target.mul_f64(HANG_PARTS)
-    }
-
-    fn wakes_at(&self) -> Instant {
-        let at = match &self.stage {
-            Stage::Waiting { until, .. } => *until,
-            Stage::Running { alive, .. } if self.mount.repeat.may_repeat() => {
-                *alive + self.patience()
-            }
-            Stage::Running { .. } => Instant::NEVER,
-        };
-        at.min(self.deadline)
-    }
-}
-
 impl Direct {
     /// A path that has taken in nothing yet.
     pub fn new(me: &Sender, options: Options) -> Self {
@@ -745,32 +682,3 @@
         out.push(Output::Event(Event::new(code, detail)));
     }
 }
-
-impl Flight {
-    /// Notes that the present attempt may have run.
-    fn mark_ran(&mut self) {
-        if let Stage::Running { server, .. } = &self.stage {
-            if !self.ran_at.contains(server) {
-                self.ran_at.push(server.clone());
-            }
-            if !self.passed_over.contains(server) {
-                self.passed_over.push(server.clone());
-            }
-        }
-    }
-}
-
-/// When the caller of a refused request may come back: once those ahead of it are served, but in time
-/// for another attempt.
-fn come_back(flight: &Flight, now: Instant, wait: Duration) -> Duration {
-    let most = flight.deadline.since(now).mul_f64(COME_BACK_PART);
-    wait.max(COME_BACK_MIN).min(most)
-}
-
-/// A request, its service and its attempt, for logs.
-fn describe(flight: &Flight) -> String {
-    format!(
-        "id={} service={} attempt={}",
-        flight.id, flight.service, flight.attempts
-    )
-}
