--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -1,5 +1,6 @@
 //! Control's state machine: it joins the log, the state and the soft state.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use eelgrassdyke_core::config::Submission;
@@ -63,7 +64,7 @@
     ledger: Ledger,
     asked_books: bool,
     giver: Giver,
-    pushed: (Version, u64),
+    pushed: (Version, u64, Option<SocketAddr>),
     pub(crate) next_push: Instant,
     next_sweep: Instant,
 }
@@ -93,7 +94,7 @@
             ledger: Ledger::default(),
             asked_books: false,
             giver: Giver::default(),
-            pushed: (Version(0), 0),
+            pushed: (Version(0), 0, None),
             next_push: now,
             next_sweep: now,
             me,
@@ -540,22 +541,24 @@
         }
     }
 
-    /// Pushes a new configuration at once, and a new directory once in a while, to everybody who
-    /// follows.
+    /// Pushes a new configuration and a new leader at once, and a new directory once in a while, to
+    /// everybody who follows.
     fn push_changes(&mut self, now: Instant, out: &mut Vec<Output>) {
-        let present = (self.version(), self.directory.revision());
+        let leader = self.replica.leader().or(self.pushed.2);
+        let present = (self.version(), self.directory.revision(), leader);
         if present == self.pushed {
             return;
         }
         let config_changed = present.0 != self.pushed.0;
-        if !config_changed && now < self.next_push {
+        let leader_changed = present.2 != self.pushed.2;
+        if !config_changed && !leader_changed && now < self.next_push {
             return;
         }
         self.pushed = present;
         self.next_push = now + PUSH_INTERVAL;
         for (process, follower) in self.followers.subscribed(now) {
             let concerned = config_changed && follower.follow.wants_config;
-            if concerned || follower.follow.wants_directory {
+            if concerned || leader_changed || follower.follow.wants_directory {
                 self.update(now, &process, &follower, Occasion::Push, out);
             }
         }
--- a/crates/control/tests/follow.rs
+++ b/crates/control/tests/follow.rs
@@ -206,3 +206,22 @@
     assert!(asked.contains(&seeds[0]));
     assert!(asked.len() > 3, "{asked:?}");
 }
+
+#[test]
+fn a_watch_learns_of_a_new_leader_while_the_one_it_follows_stands_still() {
+    let mut follower = Follower::new(&sender(1, 1), control(), false).without_config();
+    let (first, question) = follower.ask(Instant(0)).unwrap();
+    assert!(!question.wants_config);
+    let (second, question) = follower.ask(Instant(0)).unwrap();
+    assert_ne!(first, second);
+    let mut told = answer(3, question.question);
+    let leader = Some("127.0.0.1:9".parse().unwrap());
+    told.leader = leader;
+    follower.apply(Instant(1), &"control-2".parse().unwrap(), told.clone());
+    assert_eq!(follower.leader(), leader);
+    // A process that lost its quorum may name a leader that is one no more.
+    told.leader = Some("127.0.0.1:8".parse().unwrap());
+    told.current = false;
+    follower.apply(Instant(2), &"control-2".parse().unwrap(), told);
+    assert_eq!(follower.leader(), leader);
+}
--- a/crates/core/src/follow.rs
+++ b/crates/core/src/follow.rs
@@ -180,7 +180,8 @@
         if now < self.next_ask {
             return self.ask_second();
         }
-        self.second_due = self.wants_directory && self.control.len() > 1;
+        let depends = self.wants_directory || !self.wants_config;
+        self.second_due = depends && self.control.len() > 1;
         let last = self.heard.unwrap_or_default().max(self.waiting_since);
         self.question = self.question.wrapping_add(1);
         let random = mix(self.seed ^ self.question);
@@ -218,8 +219,8 @@
         Some((self.control[self.asked % self.control.len()], follow))
     }
 
-    /// Asks another control process for the configuration only: the one that is followed may be cut
-    /// off and not know it yet.
+    /// Asks another control process for the configuration and the leader only: the one that is followed
+    /// may be cut off or stand still and not know it yet.
     fn ask_second(&mut self) -> Option<(SocketAddr, Follow)> {
         if !std::mem::take(&mut self.second_due) {
             return None;
@@ -249,7 +250,9 @@
             self.leave(now);
         }
         self.entries = update.entries;
-        self.leader = update.leader.or(self.leader);
+        if update.current {
+            self.leader = update.leader.or(self.leader);
+        }
         if !update.control.is_empty() {
             self.meet(update.control);
         }
