One way to turn to another control process; drop what nobody uses

Found on reading the whole change: the choice of another control process stood three times in Follower; Pool::load counted taken places for nobody; hear_entries had an unused sender and the barrier controller an unused getter; the page of rank reports gave an old rate. Behaviour is the same: the arithmetic is unchanged. clippy and the tests of the touched crates pass (follow, direct, whole, barrier, log_members, directory, state_config, core).

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -196,7 +196,7 @@
                 out.extend(self.directory.dismiss(now, &server).map(Output::Event));
             }
             Message::Rank(message) => self.take_rank(now, *message, out),
-            Message::Entries(entries) => self.followers.hear_entries(now, &from.process, entries),
+            Message::Entries(entries) => self.followers.hear_entries(now, entries),
             _ => {}
         }
     }
--- a/crates/control/src/followers.rs
+++ b/crates/control/src/followers.rs
@@ -57,7 +57,7 @@
     }
 
     /// Takes in which entries follow another control process.
-    pub fn hear_entries(&mut self, now: Instant, _from: &Process, entries: Vec<Process>) {
+    pub fn hear_entries(&mut self, now: Instant, entries: Vec<Process>) {
         for entry in entries {
             self.elsewhere.insert(entry, now);
         }
--- a/crates/core/src/follow.rs
+++ b/crates/core/src/follow.rs
@@ -191,8 +191,7 @@
         };
         if now.since(last) >= patience {
             // Any of the others, so that the followers of a dead one don't all go to the next.
-            let others = self.control.len().max(2) - 1;
-            self.asked = (self.asked % self.control.len()) + 1 + random as usize % others;
+            self.asked = self.another(random);
             self.waiting_since = now;
         }
         let interval = match self.confirmed {
@@ -226,9 +225,8 @@
             return None;
         }
         self.question = self.question.wrapping_add(1);
-        let others = self.control.len() - 1;
-        let step = 1 + mix(self.seed ^ self.question) as usize % others;
-        let to = self.control[(self.asked % self.control.len() + step) % self.control.len()];
+        let another = self.another(mix(self.seed ^ self.question));
+        let to = self.control[another % self.control.len()];
         let follow = Follow {
             version: self.version,
             digest: self.held.digest(),
@@ -283,14 +281,17 @@
             return;
         }
         self.question = self.question.wrapping_add(1);
-        let others = self.control.len() - 1;
-        self.asked = (self.asked % self.control.len())
-            + 1
-            + mix(self.seed ^ self.question) as usize % others;
+        self.asked = self.another(mix(self.seed ^ self.question));
         self.waiting_since = now;
         self.next_ask = self.next_ask.min(now + LEAVE_PAUSE);
     }
 
+    /// Position, counted around the list, of any control process but the one that is followed.
+    fn another(&self, random: u64) -> usize {
+        let others = self.control.len().max(2) - 1;
+        self.asked % self.control.len() + 1 + random as usize % others
+    }
+
     /// Takes in where the control processes are now; the seeds stay, for when all of them move.
     fn meet(&mut self, told: Vec<SocketAddr>) {
         let asked = self
--- a/crates/core/src/wire/rank.rs
+++ b/crates/core/src/wire/rank.rs
@@ -10,7 +10,7 @@
 use crate::wire::group::Layers;
 
 data! {
-    /// What one engine says of itself, about four times a second.
+    /// What one engine says of itself, about ten times a second.
     #[derive(Eq)]
     pub struct Report {
         /// The service that it serves.
--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -216,7 +216,7 @@
             true => target.mul_f64(WAIT_PART),
             false => NO_SERVER_WAIT,
         };
-        let (places, _) = self.pool.load(&flight.service, self.follower.entries());
+        let places = self.pool.places(&flight.service, self.follower.entries());
         let priority = flight.priority;
         let wait = self.line(&flight.service).wait(now, priority, places);
         if wait > limit && flight.attempts == 0 {
--- a/crates/entry/src/direct/pool.rs
+++ b/crates/entry/src/direct/pool.rs
@@ -174,15 +174,12 @@
         self.up(service).next().is_some()
     }
 
-    /// Places of a service for this entry, and how many of them are taken.
-    pub fn load(&self, service: &Service, entries: u32) -> (u32, u32) {
-        let mut places = 0;
-        let mut taken = 0;
-        for (_, standing) in self.up(service) {
-            places += standing.places(entries);
-            taken += standing.running;
-        }
-        (places, taken)
+    /// Places of a service for this entry.
+    pub fn places(&self, service: &Service, entries: u32) -> u32 {
+        let places = self
+            .up(service)
+            .map(|(_, standing)| standing.places(entries));
+        places.sum()
     }
 
     /// The server for the next request of a service, none while all places are taken.
--- a/crates/group/src/barrier.rs
+++ b/crates/group/src/barrier.rs
@@ -294,11 +294,6 @@
         (0..layers).map(of).collect()
     }
 
-    /// The life of the group.
-    pub fn generation(&self) -> Generation {
-        self.generation
-    }
-
     /// Switches that came into force.
     pub fn switches(&self) -> u64 {
         self.switches
