A replica whose disk failed opens its folder again by itself

Cause: after DiskFailed the disk's thread ended and the replica stayed stopped until somebody started the process again.

Change: the thread opens the folder anew every 250 ms until the disk takes writes, and control continues from what the folder holds, as after a restart; jobs decided on before are void.

Conclusion: a disk that is full for seconds no longer costs a voter for good.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -141,6 +141,7 @@
             Input::DiskFailed { problem } => {
                 self.drive(now, log::Input::DiskFailed { problem }, out);
             }
+            Input::DiskReopened { recovered } => self.start_again(now, *recovered, out),
             Input::Ordered(done) => {
                 let outputs = self.groups.done(now, done);
                 self.carry_out_groups(outputs, out);
@@ -156,8 +157,10 @@
 
     /// When control next needs [`Input::Tick`].
     pub fn next_deadline(&self) -> Instant {
-        let reads = self.reads.next_deadline();
-        self.next_sweep.min(self.replica.next_deadline()).min(reads)
+        self.next_sweep
+            .min(self.replica.next_deadline())
+            .min(self.reads.next_deadline())
+            .min(self.groups.next_deadline())
     }
 
     /// Whether this replica can reach a quorum and has applied, since it started, all that was
@@ -416,6 +419,20 @@
         }
     }
 
+    /// Continues from what the data folder holds, as a restarted process would; what others know
+    /// of this process goes on.
+    fn start_again(&mut self, now: Instant, recovered: Recovered, out: &mut Vec<Output>) {
+        let (address, options) = (self.me.address, self.options.log.clone());
+        let mut begun = Vec::new();
+        self.replica = Replica::new(now, address, recovered, options, &mut begun);
+        self.state = State::default();
+        out.push(Output::Event(Event::new(
+            Code::DiskReopened,
+            format!("continues as replica {}", self.replica.id()),
+        )));
+        self.carry_out(now, begun, out);
+    }
+
     /// Stops the log, since this replica can no longer keep the state.
     fn fail(&mut self, now: Instant, problem: String, out: &mut Vec<Output>) {
         self.drive(now, log::Input::DiskFailed { problem }, out);
--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -139,10 +139,6 @@
         experts: &Experts,
         out: &mut Vec<barrier::Output>,
     ) {
-        if now < self.next_plan {
-            return;
-        }
-        self.next_plan = now + PLAN_INTERVAL;
         self.loads.roll();
         let Some(present) = self.controller.present(now) else {
             return;
@@ -249,6 +245,10 @@
             if now >= entry.controller.next_deadline() {
                 entry.controller.handle(now, barrier::Input::Tick, &mut out);
             }
+            if now < entry.next_plan {
+                continue;
+            }
+            entry.next_plan = now + PLAN_INTERVAL;
             if let Some((slots, experts)) = experts_of(document, &entry.service) {
                 entry.plan(now, slots, experts, &mut out);
             }
--- a/crates/control/src/io.rs
+++ b/crates/control/src/io.rs
@@ -12,7 +12,7 @@
 use eelgrassdyke_core::wire::log::Members;
 use eelgrassdyke_core::wire::{Message, Sender, rank};
 
-use crate::log::{Change, Job, Standing};
+use crate::log::{Change, Job, Recovered, Standing};
 use crate::report::Line;
 use crate::state::order;
 
@@ -75,11 +75,16 @@
         /// The job.
         job: u64,
     },
-    /// The disk failed.
+    /// The disk failed; no job handed out so far becomes durable any more.
     DiskFailed {
         /// What went wrong and what to do about it.
         problem: String,
     },
+    /// The disk takes writes again.
+    DiskReopened {
+        /// What the data folder holds now.
+        recovered: Box<Recovered>,
+    },
     /// An operator asks.
     Query {
         /// The waiting operator.
--- a/crates/control/src/store/errors.rs
+++ b/crates/control/src/store/errors.rs
@@ -24,15 +24,15 @@
         problem: String,
     },
     /// The disk is full.
-    #[error("{file}: the disk is full; free space and start the process again")]
+    #[error("{file}: the disk is full; free space: a process that runs goes on by itself")]
     Full {
         /// The file.
         file: String,
     },
     /// The file system failed.
     #[error(
-        "{file}: {source}; check the disk and start the process again, or empty the data folder \
-         and add it as a new replica"
+        "{file}: {source}; check the disk: a process that runs goes on once it takes writes; or \
+         empty the data folder and add it as a new replica"
     )]
     Io {
         /// The file.
@@ -41,7 +41,7 @@
         source: io::Error,
     },
     /// An earlier write failed.
-    #[error("an earlier write failed; start the process again")]
+    #[error("an earlier write failed; open the folder again")]
     Stopped,
     /// A value does not encode.
     #[error(transparent)]
--- a/crates/control/tests/log_control.rs
+++ b/crates/control/tests/log_control.rs
@@ -84,6 +84,18 @@
         self.carry_out(number, out);
     }
 
+    /// Ends the trouble of a disk, whose folder is then opened again.
+    fn mend(&mut self, number: usize) {
+        self.disks[number].mend();
+        let opened = Store::open(self.disks[number].clone(), Id(99));
+        let (opened, recovered) = opened.unwrap();
+        if let Some((_, store)) = &mut self.up[number] {
+            *store = opened;
+        }
+        let recovered = Box::new(recovered);
+        self.feed(number, Input::DiskReopened { recovered });
+    }
+
     fn kill(&mut self, number: usize) {
         self.up[number] = None;
         self.disks[number].crash(|_| 0);
@@ -109,8 +121,13 @@
                 }
                 Output::Persist(job) => {
                     let (_, store) = self.up[number].as_mut().unwrap();
-                    store.write(std::slice::from_ref(&job)).unwrap();
-                    self.feed(number, Input::Persisted { job: job.number });
+                    let input = match store.write(std::slice::from_ref(&job)) {
+                        Ok(()) => Input::Persisted { job: job.number },
+                        Err(error) => Input::DiskFailed {
+                            problem: error.to_string(),
+                        },
+                    };
+                    self.feed(number, input);
                 }
                 Output::Event(_) | Output::Order { .. } => {}
             }
@@ -407,3 +424,34 @@
     }
     panic!("the replica never became ready");
 }
+
+/// A cluster of three may lose one replica; one whose disk was full for a while counts again.
+#[test_case(0; "the leader's disk")]
+#[test_case(1; "a follower's disk")]
+fn a_replica_whose_disk_failed_goes_on_when_it_takes_writes_again(offset: usize) {
+    let mut site = Site::new();
+    let leader = site.leader();
+    let (full, lost) = ((leader + offset) % 3, (leader + 2) % 3);
+    site.disks[full].break_after(1, std::io::ErrorKind::StorageFull);
+    site.submit(leader, &change("one", 0));
+    site.run(3000);
+    assert!(
+        !site.status(full).quorum,
+        "a replica with a full disk says that it serves"
+    );
+    let leader = site.leader();
+    let (operation, base) = ("two", u64::from(offset == 1));
+    let answer = site.submit(leader, &change(operation, base));
+    assert!(matches!(answer, Some(Answer::Verdict { .. })), "{answer:?}");
+
+    site.mend(full);
+    site.run(2000);
+    site.kill(lost);
+    site.run(5000);
+    let leader = site.leader();
+    let answer = site.submit(leader, &change("three", base + 1));
+    assert!(matches!(answer, Some(Answer::Verdict { .. })), "{answer:?}");
+    let other = 3 - leader - lost;
+    site.run(500);
+    assert_eq!(site.status(other).version, site.status(leader).version);
+}
--- a/crates/control/tests/log_net/disk.rs
+++ b/crates/control/tests/log_net/disk.rs
@@ -38,6 +38,11 @@
         inner.kind = Some(kind);
     }
 
+    /// Takes writes again.
+    pub fn mend(&self) {
+        self.0.borrow_mut().budget = None;
+    }
+
     /// Fails each sync of a file from now on.
     pub fn fail_sync(&self) {
         self.0.borrow_mut().fail_sync = true;
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -66,6 +66,7 @@
     205 MembersChanged "The members of the control log changed.";
     206 DiskFailed "A replica stopped because its disk failed.";
     207 LogCut "A torn tail was cut from the log at start.";
+    208 DiskReopened "A replica goes on, as its disk takes writes again.";
     220 ConfigAccepted "A configuration change was accepted.";
     221 ConfigRefused "A configuration change was refused; nothing was applied.";
     222 ConfigApplied "A process put a configuration version in force.";
--- a/crates/node/src/disk.rs
+++ b/crates/node/src/disk.rs
@@ -2,12 +2,19 @@
 //!
 //! A sync takes milliseconds, during which the runtime's only thread must go on. Jobs wait in a
 //! channel; the thread writes all that wait as one and syncs once.
+//!
+//! After a write failed, nothing that the process believes of the folder can be relied on: the
+//! thread drops all jobs and opens the folder anew until the disk takes writes again, as a restart
+//! of the process would. Without that, a disk that was full for some seconds would cost the cluster
+//! a voter until somebody started the process again.
 
+use std::cell::Cell;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write as _};
 use std::path::{Path, PathBuf};
 use std::sync::mpsc;
 use std::thread;
+use std::time::Duration;
 
 use eelgrassdyke_control::log::{Job, Recovered};
 use eelgrassdyke_control::store::{Disk, Store};
@@ -22,13 +29,19 @@
 /// Jobs that may be written as one.
 const JOBS_MAX: usize = 1024;
 
+/// Time between two attempts to open a folder whose disk failed; short beside the time in which a
+/// cluster must be able to lose the next replica.
+const REOPEN_INTERVAL: Duration = Duration::from_millis(250);
+
 /// What the thread answers.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Done {
     /// All jobs up to this one are durable.
     Persisted(u64),
-    /// A write failed; nothing more is written.
+    /// A write failed; no job handed over so far is written any more.
     Failed(String),
+    /// The disk takes writes again, and this is what the folder holds.
+    Reopened(Box<Recovered>),
 }
 
 /// A folder of the file system.
@@ -127,38 +140,68 @@
     }
 }
 
+/// A folder just opened, and what it holds.
+pub type Opened<D> = (Store<D>, Recovered);
+
 /// The thread that writes a data folder.
 pub struct Writer {
-    jobs: mpsc::Sender<Job>,
+    jobs: mpsc::Sender<(u64, Job)>,
+    /// How often the folder was opened anew; jobs decided on before that are void.
+    life: Cell<u64>,
 }
 
 impl Writer {
     /// Opens a data folder and starts the thread that writes it.
     pub fn start(path: &Path) -> Result<(Self, Recovered, UnboundedReceiver<Done>)> {
-        let drawn = Replica(rand::random());
-        let folder = Folder::open(path)?;
-        let (store, recovered) = Store::open(folder, drawn).map_err(|error| Error::Content {
-            path: path.to_owned(),
-            problem: error.to_string(),
-            remedy: "see docs/operators/control.md",
-        })?;
+        let path = path.to_owned();
+        Self::spawn(move || open(&path))
+    }
+
+    /// Opens a folder and starts the thread that writes it; `open` is called again, on that thread,
+    /// after the disk failed.
+    pub fn spawn<D: Disk + Send + 'static>(
+        open: impl Fn() -> Result<Opened<D>> + Send + 'static,
+    ) -> Result<(Self, Recovered, UnboundedReceiver<Done>)> {
+        let (store, recovered) = open()?;
         let (jobs, queue) = mpsc::channel();
         let (answer, answers) = unbounded();
         let thread = thread::Builder::new().name("disk".to_owned());
         thread
-            .spawn(move || run(store, &queue, &answer))
+            .spawn(move || run(store, open, &queue, &answer))
             .map_err(Error::Runtime)?;
-        Ok((Self { jobs }, recovered, answers))
+        let life = Cell::default();
+        Ok((Self { jobs, life }, recovered, answers))
     }
 
     /// Queues a job.
     pub fn write(&self, job: Job) {
-        // The thread ends only after it has said that the disk failed.
-        let _ = self.jobs.send(job);
+        // The thread ends only when nobody hears its answers any more.
+        let _ = self.jobs.send((self.life.get(), job));
+    }
+
+    /// Takes in [`Done::Reopened`]: jobs from here on are decided on what the folder holds now.
+    pub fn renew(&self) {
+        self.life.set(self.life.get() + 1);
     }
 }
 
-fn run(mut store: Store<Folder>, queue: &mpsc::Receiver<Job>, answer: &UnboundedSender<Done>) {
+fn open(path: &Path) -> Result<Opened<Folder>> {
+    let drawn = Replica(rand::random());
+    let folder = Folder::open(path)?;
+    Store::open(folder, drawn).map_err(|error| Error::Content {
+        path: path.to_owned(),
+        problem: error.to_string(),
+        remedy: "see docs/operators/control.md",
+    })
+}
+
+fn run<D: Disk>(
+    mut store: Store<D>,
+    open: impl Fn() -> Result<Opened<D>>,
+    queue: &mpsc::Receiver<(u64, Job)>,
+    answer: &UnboundedSender<Done>,
+) {
+    let mut life = 0;
     while let Ok(first) = queue.recv() {
         let mut jobs = vec![first];
         while jobs.len() < JOBS_MAX
@@ -166,14 +209,48 @@
         {
             jobs.push(job);
         }
-        let last = jobs.last().map_or(0, |job| job.number);
-        let done = match store.write(&jobs) {
-            Ok(()) => Done::Persisted(last),
-            Err(error) => Done::Failed(error.to_string()),
+        jobs.retain(|(decided, _)| *decided == life);
+        let jobs: Vec<Job> = jobs.into_iter().map(|(_, job)| job).collect();
+        let Some(last) = jobs.last().map(|job| job.number) else {
+            continue;
         };
-        let failed = matches!(done, Done::Failed(_));
-        if answer.unbounded_send(done).is_err() || failed {
+        let Err(error) = store.write(&jobs) else {
+            if answer.unbounded_send(Done::Persisted(last)).is_err() {
+                return;
+            }
+            continue;
+        };
+        if answer
+            .unbounded_send(Done::Failed(error.to_string()))
+            .is_err()
+        {
             return;
         }
+        // The folder is let go first, as it may be opened only once at a time.
+        drop(store);
+        let Some((reopened, recovered)) = reopen(&open, answer) else {
+            return;
+        };
+        store = reopened;
+        life += 1;
+        let done = Done::Reopened(Box::new(recovered));
+        if answer.unbounded_send(done).is_err() {
+            return;
+        }
+    }
+}
+
+/// Opens the folder once its disk takes writes; none when nobody waits for that any more.
+fn reopen<D: Disk>(
+    open: impl Fn() -> Result<Opened<D>>,
+    answer: &UnboundedSender<Done>,
+) -> Option<Opened<D>> {
+    while !answer.is_closed() {
+        thread::sleep(REOPEN_INTERVAL);
+        // Why the disk fails has been said; that it still does is no news.
+        if let Ok(opened) = open() {
+            return Some(opened);
+        }
     }
+    None
 }
--- a/crates/node/src/role/control.rs
+++ b/crates/node/src/role/control.rs
@@ -79,6 +79,10 @@
             self.feed(match done {
                 Done::Persisted(job) => Input::Persisted { job },
                 Done::Failed(problem) => Input::DiskFailed { problem },
+                Done::Reopened(recovered) => {
+                    self.disk.renew();
+                    Input::DiskReopened { recovered }
+                }
             });
         }
     }
