Lives of control processes are told apart, not put in order, where a clock may jump

Cause: lives are numbered by the time of day. A control process that starts again while its clock is behind has a lower number than its life before: followers dropped its directory, and the books of entries and agents took no acknowledgement from it, until it started once more.

Ruled out: numbers kept on disk (entries and agents have none); an order by connection (mail comes over several).

Change: of two lives of a control process the later one has heard the later question of the follower; in the books any other life holds only what it acknowledged itself.

Tests: follow.rs (a control process that starts again with its clock behind; failed before), report.rs draws lives at random instead of counting up.

--- a/crates/control/tests/follow.rs
+++ b/crates/control/tests/follow.rs
@@ -225,3 +225,34 @@
     follower.apply(Instant(2), &"control-2".parse().unwrap(), told);
     assert_eq!(follower.leader(), leader);
 }
+
+#[test]
+fn a_control_process_that_starts_again_with_its_clock_behind_is_heard() {
+    let from = "control-1".parse().unwrap();
+    let mut follower = Follower::new(&sender(1, 1), control().into_iter().take(1).collect(), true);
+    let told = |life, question| {
+        let mut update = answer(3, question);
+        let mut directory = directory();
+        directory.revision.of.1 = Incarnation(life);
+        update.directory = Some(directory);
+        update
+    };
+    let (_, first) = follower.ask(Instant(0)).unwrap();
+    assert!(
+        follower
+            .apply(Instant(1), &from, told(9, first.question))
+            .directory
+    );
+    let (_, second) = follower.ask(follower.next_deadline()).unwrap();
+    assert!(
+        follower
+            .apply(Instant(3), &from, told(4, second.question))
+            .directory
+    );
+    // What the life before sent is late.
+    assert!(
+        !follower
+            .apply(Instant(4), &from, told(9, first.question))
+            .directory
+    );
+}
--- a/crates/control/tests/report.rs
+++ b/crates/control/tests/report.rs
@@ -119,7 +119,8 @@
     /// Restarts a control process, which asks the others for their books.
     fn restart(&mut self, control: usize) {
         self.pages.retain(|(_, to, _)| *to != control);
-        self.lives[control] += 1;
+        // Lives are numbered by a clock that may jump back.
+        self.lives[control] = self.rng.random();
         self.ledgers[control] = Ledger::default();
         for other in 0..CONTROLS {
             if other == control {
--- a/crates/core/src/books.rs
+++ b/crates/core/src/books.rs
@@ -153,15 +153,12 @@
         let Some(holder) = self.holders.get_mut(&from.address) else {
             return;
         };
-        match holder.life {
-            Some(life) if life > from.incarnation => return,
-            Some(life) if life < from.incarnation => {
-                // A new life holds only what this one page brought.
-                holder.kept = 0;
-                holder.life = Some(from.incarnation);
-                return;
-            }
-            _ => holder.life = Some(from.incarnation),
+        let before = holder.life.replace(from.incarnation);
+        if before.is_some_and(|life| life != from.incarnation) {
+            // Another life holds only what this one page brought. Which of the two is the later one
+            // can't be told, as lives are numbered by a clock that may jump.
+            holder.kept = 0;
+            return;
         }
         // A second copy of a page that an earlier life held the beginning of proves nothing.
         if kept.after <= holder.kept {
--- a/crates/core/src/follow.rs
+++ b/crates/core/src/follow.rs
@@ -76,6 +76,8 @@
     wants_snapshot: bool,
     servers: BTreeMap<Server, Seen>,
     revision: Option<Revision>,
+    /// Number of the last question that control had heard when it told the revision held.
+    revision_asked: u64,
     /// Number of the beat that each row came with.
     beats: BTreeMap<Server, u64>,
     confirmed: bool,
@@ -106,6 +108,7 @@
             wants_snapshot: false,
             servers: BTreeMap::new(),
             revision: None,
+            revision_asked: 0,
             beats: BTreeMap::new(),
             confirmed: false,
             asked: (mix(seed) >> 1) as usize,
@@ -254,6 +257,9 @@
         if !update.control.is_empty() {
             self.meet(update.control);
         }
+        // An answer to an earlier life of this process answers nothing that this one asked.
+        let asked = update.question.wrapping_sub(mix(self.seed));
+        let answers = asked <= self.asked_so_far();
         let mut change = Change::default();
         if !is_second && update.current && self.slow != update.slow {
             self.slow = update.slow;
@@ -265,10 +271,9 @@
             self.next_ask = now;
         }
         if let Some(directory) = update.directory {
-            change.directory = self.apply_directory(now, directory);
+            let asked = if answers { asked } else { 0 };
+            change.directory = self.apply_directory(now, directory, asked);
         }
-        // An answer to an earlier life of this process confirms nothing to this one.
-        let answers = update.question.wrapping_sub(mix(self.seed)) <= self.asked_so_far();
         if update.confirmed && answers && update.present <= self.version {
             self.confirmed = true;
         }
@@ -353,12 +358,17 @@
         }
     }
 
-    fn apply_directory(&mut self, now: Instant, directory: Directory) -> bool {
+    /// Applies what control says of the back ends, after it heard the question numbered `asked`.
+    ///
+    /// Of two lives of a control process the later one has heard the later question; their own
+    /// numbers come from a clock that may jump.
+    fn apply_directory(&mut self, now: Instant, directory: Directory, asked: u64) -> bool {
         let held = self.revision.as_ref();
         let same = held.is_some_and(|revision| revision.of == directory.revision.of);
         let number = held.map_or(0, |revision| revision.number);
         let (process, life) = &directory.revision.of;
-        if held.is_some_and(|held| held.of.0 == *process && held.of.1 > *life) {
+        let other_life = held.is_some_and(|held| held.of.0 == *process && held.of.1 != *life);
+        if other_life && asked <= self.revision_asked {
             return false;
         }
         match directory.since {
@@ -385,6 +395,7 @@
             }
         }
         self.revision = Some(directory.revision);
+        self.revision_asked = asked;
         true
     }
 
