Two lost disks and a cut, in every order, among five voters that keep themselves

The exhaustive small case that was left: all 12 orders of two lost disks (wiped, or one host replaced) and a cut that begins and ends, for each cut host and each choice of lost hosts (leader, founder, latecomer), with pauses of 5, 200 and 1200 ms: 1080 histories, then a third disk. All vote again within 30 s, nothing accepted is lost.

--- a/crates/control/tests/log_members.rs
+++ b/crates/control/tests/log_members.rs
@@ -205,3 +205,104 @@
     let wipes: u32 = seeds.map(history).sum();
     assert!(wipes > 300, "only {wipes} disks were wiped");
 }
+
+/// An event of the small case.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Step {
+    FirstLoss,
+    SecondLoss,
+    Cut,
+    Heal,
+}
+
+/// Every order of two lost disks and one cut that begins and ends.
+fn orders() -> Vec<[Step; 4]> {
+    use Step::{Cut, FirstLoss, Heal, SecondLoss};
+    let all = [FirstLoss, SecondLoss, Cut, Heal];
+    let mut orders = Vec::new();
+    for code in 0..4_usize.pow(4) {
+        let order = [0, 1, 2, 3].map(|place| all[code / 4_usize.pow(place) % 4]);
+        let at = |step| order.iter().position(|held| *held == step);
+        if all.iter().all(|step| at(*step).is_some()) && at(Cut) < at(Heal) {
+            orders.push(order);
+        }
+    }
+    orders
+}
+
+/// Which host loses its disk: the leader, the first or the last of the others.
+fn pick(net: &Net, which: usize, besides: Option<usize>) -> usize {
+    let leader = net.leader().unwrap_or(0);
+    let others: Vec<usize> = (0..5)
+        .filter(|n| *n != leader && Some(*n) != besides)
+        .collect();
+    match which {
+        0 if besides != Some(leader) => leader,
+        1 | 0 => others[0],
+        _ => others[others.len() - 1],
+    }
+}
+
+/// One of two losses: the disk only, or the host for good, for which the sixth comes.
+fn take_disk(net: &mut Net, number: usize, for_good: bool) {
+    net.lose(number);
+    net.hosts[number].founders.clear();
+    net.hosts[number].restart_at = net.now + Duration::from_millis(600);
+    if for_good {
+        net.hosts[number].restart_at = net.now + Duration::from_secs(3600);
+        net.hosts[5].restart_at = net.now + Duration::from_millis(600);
+    }
+}
+
+/// The small case in full: five voters, two lost disks, of which one may be a replaced host, and one
+/// cut, in every order. Afterwards all vote again and nothing accepted is lost, also when a third
+/// disk goes right after.
+#[test_case(0, None; "two wipes, beginning with the leader")]
+#[test_case(1, None; "two wipes, beginning with a founder")]
+#[test_case(2, None; "two wipes, beginning with a latecomer")]
+#[test_case(0, Some(Step::FirstLoss); "the leader is replaced, then a wipe")]
+#[test_case(1, Some(Step::FirstLoss); "a founder is replaced, then a wipe")]
+#[test_case(1, Some(Step::SecondLoss); "a wipe, then a replaced host")]
+fn two_lost_disks_and_a_cut_in_every_order(first: usize, replaced: Option<Step>) {
+    let mut case = 0;
+    for order in orders() {
+        for second in 0..3 {
+            for cut in 0..5 {
+                case += 1;
+                let pause = Duration::from_millis([5, 200, 1200][case % 3]);
+                println!("case {case}: {order:?}, losses {first} {second}, cut {cut}, {pause:?}");
+                let mut net = net(case as u64, 3, 3);
+                net.crash(5, false);
+                net.hosts[5].restart_at = net.now + Duration::from_secs(3600);
+                net.run_until(SETTLE, settled);
+                net.run(DISK_MAX);
+                let one = pick(&net, first, None);
+                let two = pick(&net, second, Some(one));
+                for step in order {
+                    match step {
+                        Step::FirstLoss => take_disk(&mut net, one, replaced == Some(step)),
+                        Step::SecondLoss => take_disk(&mut net, two, replaced == Some(step)),
+                        Step::Cut => net.hosts[cut].cut = true,
+                        Step::Heal => net.hosts[cut].cut = false,
+                    }
+                    if let Some(leader) = net.leader() {
+                        net.propose(leader);
+                    }
+                    net.run(pause);
+                }
+                let gone = replaced.map(|step| if step == Step::FirstLoss { one } else { two });
+                let there: Vec<usize> = match gone {
+                    None => (0..5).collect(),
+                    Some(gone) => (0..6).filter(|number| *number != gone).collect(),
+                };
+                net.run_until(SETTLE, |net| vote(net, there.iter().copied()));
+                accept(&mut net);
+                net.run(DISK_MAX);
+                let third = there[case % there.len()];
+                take_disk(&mut net, third, false);
+                net.run_until(SETTLE, |net| vote(net, there.iter().copied()));
+                net.settle_all();
+            }
+        }
+    }
+}
