Retry budget: no slack in the first window of an entry's life

Cause: each entry spends its part of the slack in any window that it remembers.

Ruled out: shares of the requests (each life counts only its own); a smaller part of the slack (any part is doubled by a restart). Change: an entry takes its part only when its life is as old as a window.

--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -15,7 +15,7 @@
 mod pool;
 mod table;
 
-pub use budget::Window;
+pub use budget::{Bound, Window};
 pub use io::{Call, Input, Options, Order, Outcome, Output, Proof, Size};
 pub use path::Direct;
 pub use pool::{Pool, Verdict};
--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -13,7 +13,7 @@
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
-use super::budget::Window;
+use super::budget::{Bound, Window};
 use super::flight::{COME_BACK_MIN, Flight, Stage, come_back, describe};
 use super::io::{Call, Input, Options, Order, Outcome, Output, Proof};
 use super::line::Line;
@@ -44,6 +44,7 @@
     pool: Pool,
     lines: BTreeMap<Service, Line>,
     windows: BTreeMap<Service, Window>,
+    started: Instant,
     flights: BTreeMap<Ticket, Flight>,
     timers: BTreeSet<(Instant, Ticket)>,
     rng: ChaCha8Rng,
@@ -52,13 +53,14 @@
 
 impl Direct {
     /// A path that has taken in nothing yet.
-    pub fn new(me: &Sender, options: Options) -> Self {
+    pub fn new(now: Instant, me: &Sender, options: Options) -> Self {
         Self {
             follower: Follower::new(me, options.control.clone(), true),
             table: Table::default(),
             pool: Pool::default(),
             lines: BTreeMap::new(),
             windows: BTreeMap::new(),
+            started: now,
             flights: BTreeMap::new(),
             timers: BTreeSet::new(),
             rng: ChaCha8Rng::seed_from_u64(options.seed),
@@ -457,11 +459,15 @@
     }
 
     fn spend(&mut self, now: Instant, flight: &Flight) -> bool {
-        let options = &self.options;
-        let (share, slack) = (options.retry_share, options.retry_slack);
-        let (span, entries) = (options.retry_window, self.follower.entries());
+        let bound = Bound {
+            span: self.options.retry_window,
+            share: self.options.retry_share,
+            slack: self.options.retry_slack,
+            entries: self.follower.entries(),
+            age: now.since(self.started),
+        };
         let window = self.windows.entry(flight.service.clone()).or_default();
-        window.spend(now, span, share, slack, entries)
+        window.spend(now, &bound)
     }
 
     fn repeat(
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -193,7 +193,7 @@
         let direct = direct.and_then(|entry| entry.direct.as_ref());
         let direct = direct.zip(adapter.clone()).map(|(direct, adapter)| {
             let options = direct::Options::from_settings(&settings, direct, seed);
-            let core = direct::Direct::new(&context.me, options);
+            let core = direct::Direct::new(context.clock.now(), &context.me, options);
             role::direct::Role::start(core, adapter, context.clone())
         });
         let control = settings.control_role.as_ref().map(|control| {
