Log lines of JSON on standard output, with what decided each request

Cause: an on-call engineer had no line about a request: events of requests were logged at debug level as text, refusals before admission not at all, and each line was written by the thread that serves.

Change: each event is a line of JSON with call id, deciding inputs, their age or version, and outcome; new events for queued requests (311), peers that are reached again (107), settings read again (108) and lines left out (106). Why an attempt failed is logged (404), and latencies are histograms on the scrape page.

Tests: log.rs (a reader that stops reading holds nobody up; what is left out is counted).

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -3,6 +3,10 @@
 //! Every line that a process logs about its decisions is one of these events. The catalogue in
 //! docs/EVENTS.md lists each number; a test holds the two together.
 
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 use crate::data;
@@ -58,6 +62,9 @@
     103 PeerUnreachable "Messages to a peer could not be sent and were dropped.";
     104 InputRefused "Input from outside was malformed and refused.";
     105 TimeLineGap "Events were dropped from the ring before they were read.";
+    106 LinesOmitted "Log lines of one kind were left out, as there were too many.";
+    107 PeerReached "Messages to a peer go through again.";
+    108 SettingsRead "A process was asked to read its settings again.";
     200 LeaderElected "A replica became leader of the control log.";
     201 LeaderLost "A leader gave up its office.";
     202 QuorumLost "A replica can't reach a quorum; changes are refused.";
@@ -90,13 +97,14 @@
     308 KeyClaimed "A key was claimed for one agent life.";
     309 KeySealed "A key that never arrived was sealed.";
     310 KeySettled "The outcome of a key was stored.";
+    311 RequestQueued "An entry has a request wait for a place.";
     320 ServerEjected "An entry stopped routing to a failing server.";
     321 ServerReturned "An entry routes to a server again, slowly at first.";
     400 AttemptQueued "An agent queued an attempt.";
     401 AttemptStarted "An agent passed an attempt on to its back end.";
     402 AttemptEnded "An attempt ended.";
     403 AttemptRefused "An agent refused an attempt.";
-    404 BackendFailed "A back end broke off or answered garbage.";
+    404 BackendFailed "A back end could not be reached, broke off, or answered garbage.";
     500 PlanMade "A new expert map was planned.";
     501 SwitchPrepared "All ranks hold the weights of a new map.";
     502 SwitchDecided "A switch was committed or aborted.";
@@ -116,6 +124,9 @@
     #[derive(Default, Eq)]
     #[serde(default)]
     pub struct Subject {
+        /// The caller's own id of a call, as far as callers give one.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        pub call: Option<String>,
         /// A request.
         #[serde(skip_serializing_if = "Option::is_none")]
         pub request: Option<Request>,
@@ -142,6 +153,19 @@
         pub subject: Subject,
         /// Particulars, for people.
         pub detail: String,
+        /// What decided it, with its age or version, and what came of it.
+        #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+        pub facts: BTreeMap<String, Fact>,
+    }
+
+    /// One thing that decided an event.
+    #[derive(Eq)]
+    #[serde(untagged)]
+    pub enum Fact {
+        /// A count, a version, or a time in the unit that its name ends with.
+        Number(u64),
+        /// Anything else.
+        Text(String),
     }
 
     /// An event as the time line holds it.
@@ -160,6 +184,40 @@
     }
 }
 
+impl From<u64> for Fact {
+    fn from(number: u64) -> Self {
+        Self::Number(number)
+    }
+}
+
+impl From<&str> for Fact {
+    fn from(text: &str) -> Self {
+        Self::Text(text.to_owned())
+    }
+}
+
+impl From<String> for Fact {
+    fn from(text: String) -> Self {
+        Self::Text(text)
+    }
+}
+
+/// A span counts in milliseconds.
+impl From<Duration> for Fact {
+    fn from(span: Duration) -> Self {
+        Self::Number(span.as_millis() as u64)
+    }
+}
+
+impl fmt::Display for Fact {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Number(number) => number.fmt(f),
+            Self::Text(text) => text.fmt(f),
+        }
+    }
+}
+
 impl Event {
     /// An event about nothing in particular.
     pub fn new(code: Code, detail: impl Into<String>) -> Self {
@@ -167,9 +225,24 @@
             code,
             subject: Subject::default(),
             detail: detail.into(),
+            facts: BTreeMap::new(),
         }
     }
 
+    /// Adds what decided it.
+    #[must_use]
+    pub fn with(mut self, name: &str, fact: impl Into<Fact>) -> Self {
+        self.facts.insert(name.to_owned(), fact.into());
+        self
+    }
+
+    /// Names the call concerned by the caller's own id.
+    #[must_use]
+    pub fn call(mut self, id: &str) -> Self {
+        self.subject.call = Some(id.to_owned());
+        self
+    }
+
     /// Names the request concerned.
     #[must_use]
     pub fn request(mut self, request: &Request) -> Self {
--- a/crates/core/src/settings/mod.rs
+++ b/crates/core/src/settings/mod.rs
@@ -61,7 +61,7 @@
     pub struct Log {
         /// Level: error, warn, info, debug or trace.
         pub level: String,
-        /// Folder for log files; standard error when absent.
+        /// Folder for log files; standard output when absent.
         pub folder: Option<PathBuf>,
         /// Events kept in memory for the time line.
         pub ring: usize,
--- a/crates/core/tests/events.rs
+++ b/crates/core/tests/events.rs
@@ -8,9 +8,10 @@
 fn page() -> String {
     let mut page = String::from(
         "# Events\n\n\
-         Every decision that a process logs is one of these numbered events. In the log a line reads\n\
-         `PROCESS E<number> <name> subject=...: detail`; `eelgrassctl timeline` shows the events of all\n\
-         processes in causal order. Write this page anew after a change of the catalogue:\n\
+         Every decision that a process logs is one of these numbered events. In the log each is a line of\n\
+         JSON, as docs/OPERATIONS.md shows; `eelgrassctl timeline` shows the events of all processes in\n\
+         causal order, `eelgrassctl trace` those of one request. Write this page anew after a change of\n\
+         the catalogue:\n\
          `EVENTS=write cargo test -p eelgrassdyke-core --test events`.\n\n\
          | number | name | meaning |\n|---:|---|---|\n",
     );
--- a/crates/eelgrassctl/src/timeline/html.rs
+++ b/crates/eelgrassctl/src/timeline/html.rs
@@ -86,6 +86,7 @@
     let mut add = |name: &str, value: Option<String>| {
         about.extend(value.map(|value| format!("{name} {value}")));
     };
+    add("call", subject.call.clone());
     add("request", subject.request.as_ref().map(ToString::to_string));
     add("team", subject.team.as_ref().map(ToString::to_string));
     add("server", subject.server.as_ref().map(ToString::to_string));
@@ -98,7 +99,17 @@
         event.code as u16,
         event.code.as_str()
     );
-    for (tag, text) in [("i", about.join(", ")), ("span", event.detail.clone())] {
+    let facts: Vec<String> = event
+        .facts
+        .iter()
+        .map(|(n, fact)| format!("{n} {fact}"))
+        .collect();
+    let lines = [
+        ("i", about.join(", ")),
+        ("span", event.detail.clone()),
+        ("small", facts.join(", ")),
+    ];
+    for (tag, text) in lines {
         if !text.is_empty() {
             let _ = write!(cell, "<br><{tag}>{}</{tag}>", escape(&text));
         }
--- a/crates/eelgrassctl/src/timeline/merge.rs
+++ b/crates/eelgrassctl/src/timeline/merge.rs
@@ -124,15 +124,19 @@
         let (code, name) = (event.code as u16, event.code.as_str());
         write!(f, "{} {:<16} E{code} {name}", record.stamp, record.process)?;
         let subject = &event.subject;
+        write_subject(f, "call", subject.call.as_ref())?;
         write_subject(f, "request", subject.request.as_ref())?;
         write_subject(f, "team", subject.team.as_ref())?;
         write_subject(f, "server", subject.server.as_ref())?;
         write_subject(f, "group", subject.group.as_ref())?;
         write_subject(f, "operation", subject.operation.as_ref())?;
-        match event.detail.is_empty() {
-            true => Ok(()),
-            false => write!(f, ": {}", event.detail),
+        if !event.detail.is_empty() {
+            write!(f, ": {}", event.detail)?;
         }
+        for (name, fact) in &event.facts {
+            write!(f, " {name}={fact}")?;
+        }
+        Ok(())
     }
 }
 
--- a/crates/eelgrassdyke/src/run.rs
+++ b/crates/eelgrassdyke/src/run.rs
@@ -10,8 +10,7 @@
 
 /// Runs the roles that a settings file names until a signal asks it to stop.
 pub fn run(path: &Path) -> Result<ExitCode> {
-    let settings = Settings::read(path)?;
-    eelgrassdyke_node::process::run(settings, None)
+    eelgrassdyke_node::process::run(path, None)
 }
 
 /// Checks a settings file and the files that it names, and prints everything found.
--- a/crates/eelgrassdyke/tests/process.rs
+++ b/crates/eelgrassdyke/tests/process.rs
@@ -32,10 +32,10 @@
         let mut child = Command::new(env!("CARGO_BIN_EXE_eelgrassdyke"))
             .args(["run", "--settings"])
             .arg(&settings)
-            .stderr(Stdio::piped())
+            .stdout(Stdio::piped())
             .spawn()
             .unwrap();
-        let mut log = BufReader::new(child.stderr.take().unwrap()).lines();
+        let mut log = BufReader::new(child.stdout.take().unwrap()).lines();
         let started = log.any(|line| line.is_ok_and(|line| line.contains("ProcessStarted")));
         assert!(started, "the process never said that it serves");
         std::thread::spawn(move || log.for_each(drop));
--- a/crates/entry/src/direct/flight.rs
+++ b/crates/entry/src/direct/flight.rs
@@ -26,6 +26,8 @@
     pub service: Service,
     pub team: Option<Team>,
     pub priority: u8,
+    /// When it came in.
+    pub taken: Instant,
     pub deadline: Instant,
     pub stage: Stage,
     pub attempts: u32,
@@ -88,11 +90,3 @@
     let most = flight.deadline.since(now).mul_f64(COME_BACK_PART);
     wait.max(COME_BACK_MIN).min(most)
 }
-
-/// A request, its service and its attempt, for logs.
-pub fn describe(flight: &Flight) -> String {
-    format!(
-        "id={} service={} attempt={}",
-        flight.id, flight.service, flight.attempts
-    )
-}
--- a/crates/entry/src/direct/line.rs
+++ b/crates/entry/src/direct/line.rs
@@ -64,6 +64,11 @@
         self.waiting.values().copied().collect()
     }
 
+    /// How many wait that go before a new request of this rank.
+    pub fn ahead(&self, priority: u8) -> usize {
+        self.waiting.range(..=(priority, u64::MAX)).count()
+    }
+
     /// Whether nobody waits.
     pub fn is_empty(&self) -> bool {
         self.waiting.is_empty()
@@ -83,7 +88,7 @@
     /// usually take: servers that stall let nobody in.
     pub fn wait(&mut self, now: Instant, priority: u8, places: u32) -> Duration {
         self.forget(now);
-        let ahead = self.waiting.range(..=(priority, u64::MAX)).count() + 1;
+        let ahead = self.ahead(priority) + 1;
         let usual = f64::from(places.max(1)) / self.hold_s.max(1e-3);
         let rate = match self.waiting.is_empty() {
             true => usual,
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -8,6 +8,7 @@
 //! [`Direct`] decides and never sees a body: the shell holds the request and the answer by ticket.
 
 mod budget;
+mod events;
 mod flight;
 mod io;
 mod line;
--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -1,12 +1,13 @@
 //! The state machine of the direct path.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use eelgrassdyke_core::config::{MountSpec, Repeat};
 use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::follow::Follower;
-use eelgrassdyke_core::id::{Service, Ticket, Version};
+use eelgrassdyke_core::id::{Service, Team, Ticket, Version};
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::refusal::{Reason, Refusal, Run};
 use eelgrassdyke_core::wire::{Message, Sender};
@@ -14,7 +15,8 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::budget::{Bound, Window};
-use super::flight::{COME_BACK_MIN, Flight, Stage, come_back, describe};
+use super::events::Waits;
+use super::flight::{COME_BACK_MIN, Flight, Stage, come_back};
 use super::io::{Call, Input, Options, Order, Outcome, Output, Proof};
 use super::line::Line;
 use super::pool::{Pool, Verdict};
@@ -39,7 +41,7 @@
 /// The direct path of one entry.
 pub struct Direct {
     options: Options,
-    follower: Follower,
+    pub(super) follower: Follower,
     table: Table,
     pool: Pool,
     lines: BTreeMap<Service, Line>,
@@ -51,6 +53,9 @@
     draining_since: Option<Instant>,
 }
 
+/// The mount of a call, its team, and the time that it has.
+type Found = (Arc<MountSpec>, Option<Team>, Duration);
+
 impl Direct {
     /// A path that has taken in nothing yet.
     pub fn new(now: Instant, me: &Sender, options: Options) -> Self {
@@ -135,7 +140,8 @@
     fn take_call(&mut self, now: Instant, ticket: Ticket, call: Call, out: &mut Vec<Output>) {
         let flight = match self.admit(now, call) {
             Ok(flight) => flight,
-            Err(reason) => {
+            Err((reason, call)) => {
+                self.note_unadmitted(now, &call, reason, out);
                 let mut refusal = Refusal::not_run(reason);
                 if matches!(reason, Reason::NotReady | Reason::Draining) {
                     refusal = refusal.after(self.spread(START_TIME));
@@ -150,7 +156,31 @@
     }
 
     /// Finds the mount, the team and the service of a call.
-    fn admit(&mut self, now: Instant, call: Call) -> Result<Flight, Reason> {
+    fn admit(&mut self, now: Instant, call: Call) -> Result<Flight, (Reason, Call)> {
+        match self.find_mount(now, &call) {
+            Ok((mount, team, left)) => Ok(Flight {
+                id: call.id,
+                service: self.draw_service(&mount),
+                priority: self.table.priority(&mount, team.as_ref()),
+                mount,
+                team,
+                taken: now,
+                deadline: now + left,
+                stage: Stage::Waiting {
+                    key: (0, 0),
+                    until: now,
+                },
+                attempts: 0,
+                ran_at: Vec::new(),
+                passed_over: Vec::new(),
+                begun: false,
+            }),
+            Err(reason) => Err((reason, call)),
+        }
+    }
+
+    /// Finds the mount of a call, its team, and the time that it has.
+    fn find_mount(&self, now: Instant, call: &Call) -> Result<Found, Reason> {
         if !self.follower.is_confirmed() || self.follower.version() == Version(0) {
             return Err(Reason::NotReady);
         }
@@ -172,22 +202,7 @@
         if left.is_zero() {
             return Err(Reason::Deadline);
         }
-        Ok(Flight {
-            id: call.id,
-            service: self.draw_service(&mount),
-            priority: self.table.priority(&mount, team.as_ref()),
-            mount,
-            team,
-            deadline: now + left,
-            stage: Stage::Waiting {
-                key: (0, 0),
-                until: now,
-            },
-            attempts: 0,
-            ran_at: Vec::new(),
-            passed_over: Vec::new(),
-            begun: false,
-        })
+        Ok((mount, team, left))
     }
 
     /// Draws one of the services of a mount by their weights.
@@ -221,11 +236,23 @@
         let places = self.pool.places(&flight.service, self.follower.entries());
         let priority = flight.priority;
         let wait = self.line(&flight.service).wait(now, priority, places);
+        let waits = Waits {
+            expected: wait,
+            most: limit,
+            places,
+        };
         if wait > limit && flight.attempts == 0 {
-            let after = Some(come_back(&flight, now, wait));
-            self.refuse(flight, ticket, Reason::Overload, Run::No, after, out);
+            let refusal = Refusal {
+                reason: Reason::Overload,
+                run: Run::No,
+                retry_after_ms: Some(self.spread_ms(come_back(&flight, now, wait))),
+            };
+            self.note_refusal(now, &flight, &refusal, Some(waits), out);
+            out.push(Output::Refuse { ticket, refusal });
             return;
         }
+        let ahead = self.line(&flight.service).ahead(priority);
+        self.note_queued(now, &flight, ahead, waits, out);
         self.enqueue(now, ticket, flight, limit);
     }
 
@@ -266,8 +293,7 @@
             fresh: !flight.mount.repeat.may_repeat(),
             streams: flight.mount.repeat.streams(),
         };
-        let event = Event::new(Code::RequestDispatched, describe(&flight));
-        out.push(Output::Event(event.server(&choice.server)));
+        self.note_dispatch(now, &flight, &choice, out);
         out.push(Output::Send { ticket, order });
         flight.stage = Stage::Running {
             server: choice.server,
@@ -344,7 +370,7 @@
         match outcome {
             Outcome::Answered(status) => self.take_answer(now, ticket, flight, status, out),
             Outcome::Streamed => {
-                self.note(Code::RequestDelivered, &flight, "stream", out);
+                self.note(now, Code::RequestDelivered, &flight, "stream", out);
                 out.push(Output::End { ticket });
             }
             Outcome::NotRun(proof) => self.take_proof(now, ticket, flight, proof, out),
@@ -410,7 +436,8 @@
                 return;
             }
         }
-        self.note(Code::RequestDelivered, &flight, &status.to_string(), out);
+        let detail = format!("status {status}");
+        self.note(now, Code::RequestDelivered, &flight, &detail, out);
         out.push(Output::Deliver { ticket });
     }
 
@@ -482,7 +509,7 @@
             true => Code::RequestResumed,
             false => Code::RequestRetried,
         };
-        self.note(code, &flight, reason, out);
+        self.note(now, code, &flight, reason, out);
         self.place(now, ticket, flight, out);
     }
 
@@ -497,33 +524,25 @@
         out: &mut Vec<Output>,
     ) {
         if flight.begun {
-            self.note(Code::RequestRefused, &flight, "stream broken off", out);
+            self.note(now, Code::RequestRefused, &flight, "stream broken off", out);
             out.push(Output::Abort { ticket });
             return;
         }
         let comes_back = now < flight.deadline && run == Run::No;
         let after = comes_back.then(|| come_back(&flight, now, COME_BACK_MIN));
-        self.refuse(flight, ticket, reason, run, after, out);
-    }
-
-    fn refuse(
-        &mut self,
-        flight: Flight,
-        ticket: Ticket,
-        reason: Reason,
-        run: Run,
-        after: Option<Duration>,
-        out: &mut Vec<Output>,
-    ) {
-        self.note(Code::RequestRefused, &flight, reason.as_str(), out);
         let refusal = Refusal {
             reason,
             run,
-            retry_after_ms: after.map(|after| self.spread(after).as_millis() as u64),
+            retry_after_ms: after.map(|after| self.spread_ms(after)),
         };
+        self.note_refusal(now, &flight, &refusal, None, out);
         out.push(Output::Refuse { ticket, refusal });
     }
 
+    fn spread_ms(&mut self, span: Duration) -> u64 {
+        self.spread(span).as_millis() as u64
+    }
+
     /// A time around `span`, so that callers who are refused together don't return together.
     fn spread(&mut self, span: Duration) -> Duration {
         span.mul_f64(self.rng.random_range(SPREAD))
@@ -533,7 +552,7 @@
         let Some(flight) = self.lift(ticket) else {
             return;
         };
-        self.note(Code::RequestCancelled, &flight, "caller left", out);
+        self.note(now, Code::RequestCancelled, &flight, "caller left", out);
         self.break_off(now, ticket, &flight, Verdict::Unknown, out);
         let service = flight.service.clone();
         self.advance(now, &service, out);
@@ -682,9 +701,4 @@
         self.timers.insert((flight.wakes_at(), ticket));
         self.flights.insert(ticket, flight);
     }
-
-    fn note(&self, code: Code, flight: &Flight, detail: &str, out: &mut Vec<Output>) {
-        let detail = format!("{} {detail}", describe(flight));
-        out.push(Output::Event(Event::new(code, detail)));
-    }
 }
--- a/crates/entry/src/direct/pool.rs
+++ b/crates/entry/src/direct/pool.rs
@@ -93,6 +93,10 @@
     pub incarnation: Incarnation,
     /// Where it takes calls.
     pub address: SocketAddr,
+    /// Requests of this entry at the server, without this one.
+    pub running: u32,
+    /// Places at the server for this entry.
+    pub places: u32,
 }
 
 impl Standing {
@@ -213,6 +217,8 @@
                     server: name.clone(),
                     incarnation: standing.incarnation,
                     address: standing.address,
+                    running: standing.running,
+                    places: standing.places(entries),
                 };
                 best = Some((score, choice));
             }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod errors;
 pub mod gauges;
 pub mod http;
+pub mod latency;
+pub mod log;
 pub mod mail;
 pub mod node;
 pub mod operator;
--- a/crates/node/src/mail.rs
+++ b/crates/node/src/mail.rs
@@ -92,6 +92,10 @@
             }
             let sent = self.post(to, messages).await;
             if sent {
+                if failed_before {
+                    let event = Event::new(Code::PeerReached, to.to_string());
+                    self.timeline.note(event);
+                }
                 failed_before = false;
                 continue;
             }
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -1,51 +1,49 @@
 //! Runs one process from its settings until a signal asks it to stop.
 
+use std::path::Path;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
+use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::settings::Settings;
-use flexi_logger::{Cleanup, Criterion, FileSpec, Naming};
 use metrics_exporter_prometheus::PrometheusBuilder;
 
 use crate::Node;
 use crate::adapter::Adapter;
 
-/// Size at which a log file is closed and the next one begun, in bytes.
-const LOG_BYTES_MAX: u64 = 64 << 20;
-
-/// Closed log files that are kept.
-const LOG_FILES_MAX: usize = 7;
-
 /// Time between two looks at received signals.
 const SIGNAL_POLL: Duration = Duration::from_millis(50);
 
 /// Result of running a process.
 pub type Result<T> = std::result::Result<T, Box<dyn std::error::Error>>;
 
-/// Runs the roles that `settings` name until a signal asks the process to stop; an adapter lets it
-/// serve a platform with a protocol of its own.
-pub fn run(settings: Settings, adapter: Option<Rc<dyn Adapter>>) -> Result<ExitCode> {
-    let _logger = start_log(&settings)?;
+/// Runs the roles that the settings at `path` name until a signal asks the process to stop; an adapter
+/// lets it serve a platform with a protocol of its own.
+pub fn run(path: &Path, adapter: Option<Rc<dyn Adapter>>) -> Result<ExitCode> {
+    let settings = Settings::read(path)?;
+    let _log = crate::log::start(&settings)?;
     for fault in settings.check_files().warnings {
-        log::warn!("settings: {fault}");
+        ::log::warn!("settings: {fault}");
     }
-    let metrics = PrometheusBuilder::new().install_recorder()?;
-    let signals = Arc::new(AtomicUsize::new(0));
-    count_signals(signals.clone())?;
+    let metrics = crate::latency::with_buckets(PrometheusBuilder::new())?.install_recorder()?;
+    let signals = Signals::catch()?;
     let shutdown = crate::runtime::block_on(async {
         let node = match adapter {
-            Some(adapter) => Node::start_on_platform(settings, Some(metrics), adapter)?,
-            None => Node::start(settings, Some(metrics))?,
+            Some(adapter) => Node::start_on_platform(settings.clone(), Some(metrics), adapter)?,
+            None => Node::start(settings.clone(), Some(metrics))?,
         };
-        while signals.load(Ordering::Relaxed) == 0 && !node.is_draining() {
+        while signals.stops() == 0 && !node.is_draining() {
+            if signals.take_reload() {
+                node.timeline().note(compare(&settings, path));
+            }
             monoio::time::sleep(SIGNAL_POLL).await;
         }
-        let begun = signals.load(Ordering::Relaxed);
+        let begun = signals.stops();
         node.drain();
-        let hurry = || signals.load(Ordering::Relaxed) > begun;
+        let hurry = || signals.stops() > begun;
         Ok::<_, crate::errors::Error>(node.drained(hurry).await)
     })??;
     match shutdown.cut {
@@ -54,39 +52,64 @@
     }
 }
 
-/// Counts the signals that ask the process to stop.
-fn count_signals(count: Arc<AtomicUsize>) -> Result<()> {
-    use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+/// Signals received so far.
+#[derive(Clone, Default)]
+struct Signals {
+    stops: Arc<AtomicUsize>,
+    reload: Arc<AtomicBool>,
+}
 
-    let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT, SIGHUP])?;
-    std::thread::spawn(move || {
-        for signal in signals.forever() {
-            // What a process needs of its settings it takes in at its start.
-            if signal != SIGHUP {
-                count.fetch_add(1, Ordering::Relaxed);
+impl Signals {
+    /// Begins to take signals.
+    fn catch() -> Result<Self> {
+        use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+
+        let held = Self::default();
+        let told = held.clone();
+        let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT, SIGHUP])?;
+        std::thread::spawn(move || {
+            for signal in signals.forever() {
+                match signal {
+                    SIGHUP => told.reload.store(true, Ordering::Relaxed),
+                    _ => {
+                        told.stops.fetch_add(1, Ordering::Relaxed);
+                    }
+                }
             }
-        }
-    });
-    Ok(())
+        });
+        Ok(held)
+    }
+
+    /// How often the process was asked to stop.
+    fn stops(&self) -> usize {
+        self.stops.load(Ordering::Relaxed)
+    }
+
+    /// Whether it was asked to read its settings again since this was last asked.
+    fn take_reload(&self) -> bool {
+        self.reload.swap(false, Ordering::Relaxed)
+    }
 }
 
-/// Starts the log that the settings ask for.
-fn start_log(settings: &Settings) -> Result<flexi_logger::LoggerHandle> {
-    let logger = flexi_logger::Logger::try_with_str(&settings.log.level)?;
-    let logger = match &settings.log.folder {
-        None => logger.log_to_stderr(),
-        Some(folder) => logger
-            .log_to_file(
-                FileSpec::default()
-                    .directory(folder)
-                    .basename(settings.process.as_str()),
-            )
-            .rotate(
-                Criterion::Size(LOG_BYTES_MAX),
-                Naming::Numbers,
-                Cleanup::KeepLogFiles(LOG_FILES_MAX),
-            )
-            .append(),
+/// Says how the settings file differs from what the process runs on; it takes a change in at its next
+/// start, and learns from control meanwhile where the control processes are.
+fn compare(running: &Settings, path: &Path) -> Event {
+    let read = match Settings::read(path) {
+        Ok(read) => read,
+        Err(error) => {
+            return Event::new(Code::SettingsRead, "refused").with("error", error.to_string());
+        }
+    };
+    let fields = |settings: &Settings| serde_json::to_value(settings).unwrap_or_default();
+    let (before, after) = (fields(running), fields(&read));
+    let names = before.as_object().into_iter().flatten();
+    let changed: Vec<&str> = names
+        .filter(|(name, value)| after.get(name) != Some(value))
+        .map(|(name, _)| name.as_str())
+        .collect();
+    let detail = match changed.is_empty() {
+        true => "unchanged",
+        false => "in force at the next start",
     };
-    Ok(logger.format(flexi_logger::detailed_format).start()?)
+    Event::new(Code::SettingsRead, detail).with("changed", changed.join(" "))
 }
--- a/crates/node/src/role/direct.rs
+++ b/crates/node/src/role/direct.rs
@@ -5,7 +5,9 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::id::Ticket;
+use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::refusal::Refusal;
 use eelgrassdyke_entry::direct::{Direct, Input, Order, Outcome, Output, Proof};
 use futures_channel::oneshot;
@@ -19,6 +21,7 @@
 use crate::http::client::{self, Answer, Connection};
 use crate::http::events::Splitter;
 use crate::http::server::{Request, Responder};
+use crate::latency;
 
 /// Part of the time left that a new connection may take.
 const CONNECT_PART: u32 = 3;
@@ -38,6 +41,9 @@
 
 /// A caller that waits, and what is held for it.
 struct Open {
+    /// The caller's id of the call, for logs.
+    call: Rc<str>,
+    taken: Instant,
     request: Rc<Request>,
     responder: Responder,
     /// Dropped to break off the attempt under way.
@@ -49,6 +55,16 @@
     passed: Option<u64>,
 }
 
+/// An attempt under way.
+struct Attempt {
+    ticket: Ticket,
+    order: Order,
+    call: Rc<str>,
+    request: Rc<Request>,
+    /// Number of the last event that the caller has.
+    passed: Option<u64>,
+}
+
 /// How an exchange with a back end came out, and the answer if there is one to pass on whole.
 struct Result {
     outcome: Outcome,
@@ -113,6 +129,8 @@
             role.feed(Input::Gone { ticket });
         });
         let open = Open {
+            call: call.id.as_str().into(),
+            taken: self.context.clock.now(),
             passed: self.adapter.resumes_after(&request),
             request: Rc::new(request),
             responder,
@@ -133,7 +151,7 @@
                 }
             }
             Output::Deliver { ticket } => {
-                if let Some(open) = self.take(ticket)
+                if let Some(open) = self.take(ticket, latency::Outcome::Answered)
                     && let Some(answer) = open.answer
                     && !open.begun
                 {
@@ -141,25 +159,29 @@
                 }
             }
             Output::End { ticket } => {
-                if let Some(open) = self.take(ticket) {
+                if let Some(open) = self.take(ticket, latency::Outcome::Streamed) {
                     open.responder.end();
                 }
             }
             // An answer that is dropped unfinished closes its connection.
-            Output::Abort { ticket } => drop(self.take(ticket)),
+            Output::Abort { ticket } => drop(self.take(ticket, latency::Outcome::BrokenOff)),
             Output::Refuse { ticket, refusal } => self.refuse(ticket, &refusal),
             Output::Mail { to, message } => self.context.mail.send(to, message),
             Output::Event(event) => self.context.timeline.note(event),
         }
     }
 
-    fn take(&self, ticket: Ticket) -> Option<Open> {
-        self.open.borrow_mut().remove(&ticket)
+    /// Takes out a caller whose request is over.
+    fn take(&self, ticket: Ticket, outcome: latency::Outcome) -> Option<Open> {
+        let open = self.open.borrow_mut().remove(&ticket)?;
+        latency::note_request(outcome, self.context.clock.now().since(open.taken));
+        Some(open)
     }
 
     fn refuse(&self, ticket: Ticket, refusal: &Refusal) {
         // Nothing but the rest of a stream may follow its head: without it, the connection closes.
-        if let Some(open) = self.take(ticket).filter(|open| !open.begun) {
+        let open = self.take(ticket, latency::Outcome::Refused);
+        if let Some(open) = open.filter(|open| !open.begun) {
             let reply = self.adapter.refuse(&open.request, refusal);
             self.reply(open.responder, reply);
         }
@@ -182,22 +204,20 @@
         };
         open.cancel = Some(cancel);
         open.answer = None;
-        let request = open.request.clone();
-        let passed = open.passed;
-        monoio::spawn(self.clone().run(ticket, order, request, passed, cancelled));
+        let attempt = Attempt {
+            ticket,
+            order,
+            call: open.call.clone(),
+            request: open.request.clone(),
+            passed: open.passed,
+        };
+        monoio::spawn(self.clone().run(attempt, cancelled));
     }
 
     /// Makes an attempt and tells the core how it ended; dropping the canceller breaks it off.
-    async fn run(
-        self: Rc<Self>,
-        ticket: Ticket,
-        order: Order,
-        request: Rc<Request>,
-        passed: Option<u64>,
-        cancelled: oneshot::Receiver<()>,
-    ) {
-        let attempt = order.attempt;
-        let work = self.exchange(ticket, &order, &request, passed);
+    async fn run(self: Rc<Self>, attempt: Attempt, cancelled: oneshot::Receiver<()>) {
+        let (ticket, number) = (attempt.ticket, attempt.order.attempt);
+        let work = self.exchange(&attempt);
         let result = match select(Box::pin(work), cancelled).await {
             Either::Left((result, _)) => result,
             Either::Right(_) => return,
@@ -208,38 +228,32 @@
         }
         self.feed(Input::Ended {
             ticket,
-            attempt,
+            attempt: number,
             outcome: result.outcome,
         });
     }
 
-    async fn exchange(
-        self: &Rc<Self>,
-        ticket: Ticket,
-        order: &Order,
-        request: &Request,
-        passed: Option<u64>,
-    ) -> Result {
+    async fn exchange(self: &Rc<Self>, attempt: &Attempt) -> Result {
+        let order = &attempt.order;
         let mut connection = match self.connect(order).await {
             Ok(connection) => connection,
             Err(error) => {
-                log::debug!("{} at {}: {error}", order.server, order.address);
+                self.note_failure(attempt, "not reached", &error.to_string());
                 return Outcome::NotRun(Proof::NotSent).into();
             }
         };
+        let request = &attempt.request;
         let sent = client::Request {
             method: request.method.clone(),
             path: request.uri.to_string(),
-            headers: self.adapter.attempt(request, order, passed),
+            headers: self.adapter.attempt(request, order, attempt.passed),
             body: request.body.clone(),
         };
-        let (result, keeps) = match self
-            .converse(ticket, order, request, sent, &mut connection)
-            .await
-        {
+        let talk = self.converse(attempt, sent, &mut connection).await;
+        let (result, keeps) = match talk {
             Ok(done) => done,
             Err(error) => {
-                log::debug!("{} at {}: {error}", order.server, order.address);
+                self.note_failure(attempt, "broken off", &error.to_string());
                 (Outcome::Lost.into(), false)
             }
         };
@@ -249,6 +263,19 @@
         result
     }
 
+    /// Notes why an attempt brought no answer.
+    fn note_failure(&self, attempt: &Attempt, what: &str, why: &str) {
+        let order = &attempt.order;
+        let event = Event::new(Code::BackendFailed, what)
+            .call(&attempt.call)
+            .server(&order.server)
+            .with("attempt", u64::from(order.attempt))
+            .with("address", order.address.to_string())
+            .with("life", order.incarnation.0)
+            .with("error", why);
+        self.context.timeline.note(event);
+    }
+
     async fn connect(&self, order: &Order) -> crate::http::Result<Connection> {
         let limit = (order.left / CONNECT_PART).min(client::CONNECT_TIMEOUT);
         let opening = async {
@@ -266,22 +293,25 @@
     /// Sends a request and reads the answer; also says whether the connection can be kept.
     async fn converse(
         self: &Rc<Self>,
-        ticket: Ticket,
-        order: &Order,
-        request: &Request,
+        attempt: &Attempt,
         sent: client::Request,
         connection: &mut Connection,
     ) -> crate::http::Result<(Result, bool)> {
+        let order = &attempt.order;
         connection.send(sent).await?;
         let mut answer = connection.answer().await?;
         let verdict = self
             .adapter
-            .verdict(request, answer.status, &answer.headers);
+            .verdict(&attempt.request, answer.status, &answer.headers);
         let outcome = match verdict {
             Verdict::Answers => None,
             Verdict::NotRun => Some(Outcome::NotRun(Proof::Rejected)),
             Verdict::OtherServer => Some(Outcome::NotRun(Proof::OtherServer)),
-            Verdict::Foreign => return Ok((Outcome::Lost.into(), false)),
+            Verdict::Foreign => {
+                let status = answer.status.as_u16().to_string();
+                self.note_failure(attempt, "an answer without proof of its server", &status);
+                return Ok((Outcome::Lost.into(), false));
+            }
         };
         if let Some(outcome) = outcome {
             // Proof that the request did not run stands, whatever becomes of the rest.
@@ -289,7 +319,7 @@
             return Ok((outcome.into(), whole && answer.keeps_alive()));
         }
         if order.streams && answer.status == StatusCode::OK && is_event_stream(&answer.headers) {
-            let outcome = self.relay(ticket, order, &mut answer).await?;
+            let outcome = self.relay(attempt, &mut answer).await?;
             let keeps = outcome == Outcome::Streamed && answer.keeps_alive();
             return Ok((outcome.into(), keeps));
         }
@@ -309,11 +339,10 @@
     /// Passes a stream on, whole event by whole event.
     async fn relay(
         self: &Rc<Self>,
-        ticket: Ticket,
-        order: &Order,
+        attempt: &Attempt,
         answer: &mut Answer<'_>,
     ) -> crate::http::Result<Outcome> {
-        let attempt = order.attempt;
+        let ticket = attempt.ticket;
         let mut splitter = Splitter::default();
         while let Some(part) = answer.part().await? {
             let whole = match splitter.push(&part) {
@@ -322,14 +351,22 @@
                 Err(problem) => return Err(crate::http::Error::Protocol(problem.to_owned())),
             };
             if !self.pass(ticket, &answer.headers, whole.bytes, whole.last) {
+                self.note_failure(attempt, "an event that is not the next", "out of order");
                 return Ok(Outcome::Lost);
             }
-            self.feed(Input::Passed { ticket, attempt });
+            let number = attempt.order.attempt;
+            self.feed(Input::Passed {
+                ticket,
+                attempt: number,
+            });
         }
         // A stream that ends within an event was broken off.
         Ok(match splitter.is_empty() && self.has_begun(ticket) {
             true => Outcome::Streamed,
-            false => Outcome::Lost,
+            false => {
+                self.note_failure(attempt, "broken off", "the stream ends within an event");
+                Outcome::Lost
+            }
         })
     }
 
@@ -357,6 +394,7 @@
                 ask_to_close(&mut headers);
             }
             open.responder.head(StatusCode::OK, headers);
+            latency::note_first_event(self.context.clock.now().since(open.taken));
         }
         open.responder.data(events);
         true
--- a/crates/node/src/timeline.rs
+++ b/crates/node/src/timeline.rs
@@ -8,6 +8,7 @@
 use eelgrassdyke_core::time::{Hybrid, Stamp};
 
 use crate::clock::Clock;
+use crate::log::{self, Budget};
 
 /// Notes events and stamps messages.
 pub struct TimeLine {
@@ -22,6 +23,7 @@
     ring: VecDeque<Record>,
     most: usize,
     number: u64,
+    budget: Budget,
 }
 
 impl TimeLine {
@@ -32,6 +34,7 @@
             ring: VecDeque::new(),
             most,
             number: 0,
+            budget: Budget::default(),
         };
         Self {
             process,
@@ -41,11 +44,25 @@
         }
     }
 
-    /// Notes an event, in the ring and in the log.
+    /// Notes an event, in the ring and, within the budget of its kind, in the log.
     pub fn note(&self, event: Event) {
-        write_log(&self.process, &event);
         metrics::counter!("eelgrassdyke_events_total", "event" => event.code.as_str()).increment(1);
+        let mut omitted = Vec::new();
         let mut inner = self.inner.borrow_mut();
+        let now = self.clock.now();
+        let admitted = inner.budget.admit(now, event.code, &mut omitted);
+        if event.code == Code::ProcessStopped {
+            inner.budget.end_span(&mut omitted);
+        }
+        for (code, count) in omitted {
+            let event = log::omitted(code, count);
+            self.keep(&mut inner, event, true);
+        }
+        self.keep(&mut inner, event, admitted);
+    }
+
+    /// Puts an event into the ring, and into the log if it is `logged`.
+    fn keep(&self, inner: &mut Inner, event: Event, logged: bool) {
         inner.number += 1;
         let record = Record {
             stamp: inner.hybrid.tick(self.clock.wall()),
@@ -54,6 +71,9 @@
             number: inner.number,
             event,
         };
+        if logged {
+            log::write(&record);
+        }
         inner.ring.push_back(record);
         if inner.ring.len() > inner.most {
             inner.ring.pop_front();
@@ -84,48 +104,3 @@
             .collect()
     }
 }
-
-/// Writes an event to the log as one line: number, name, subject, detail.
-fn write_log(process: &Process, event: &Event) {
-    let level = level(event.code);
-    if level > log::max_level() {
-        return;
-    }
-    let mut line = format!("{} E{} {}", process, event.code as u16, event.code.as_str());
-    let subject = &event.subject;
-    append(&mut line, "request", subject.request.as_ref());
-    append(&mut line, "team", subject.team.as_ref());
-    append(&mut line, "server", subject.server.as_ref());
-    append(&mut line, "group", subject.group.as_ref());
-    append(&mut line, "operation", subject.operation.as_ref());
-    if !event.detail.is_empty() {
-        line.push_str(": ");
-        line.push_str(&event.detail);
-    }
-    log::log!(level, "{line}");
-}
-
-fn append(line: &mut String, name: &str, value: Option<&impl std::fmt::Display>) {
-    if let Some(value) = value {
-        line.push_str(&format!(" {name}={value}"));
-    }
-}
-
-/// What happens with each request is for debugging; failures are warnings.
-fn level(code: Code) -> log::Level {
-    match code {
-        Code::PeerUnreachable
-        | Code::QuorumLost
-        | Code::ServerLost
-        | Code::OrderFenced
-        | Code::OrderFailed
-        | Code::ServerEjected
-        | Code::BackendFailed
-        | Code::SwitchStalled
-        | Code::ConfigStale => log::Level::Warn,
-        Code::DiskFailed => log::Level::Error,
-        _ if (300..320).contains(&(code as u16)) => log::Level::Debug,
-        _ if (400..404).contains(&(code as u16)) => log::Level::Debug,
-        _ => log::Level::Info,
-    }
-}
--- a/crates/testkit/src/site.rs
+++ b/crates/testkit/src/site.rs
@@ -212,7 +212,7 @@
         let child = Command::new(binary)
             .args(&member.arguments)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(log.try_clone().map_err(Error::outside)?)
             .stderr(log)
             .spawn()
             .map_err(Error::outside)?;
@@ -451,13 +451,10 @@
     if let Some(rest) = log.split("stand-in listens on ").nth(1) {
         return Some((rest.split_whitespace().next()?.parse().ok()?, None));
     }
-    let rest = log.split(": peers ").nth(1)?;
-    let line = rest.lines().next()?;
-    let mut words = line.split_whitespace();
+    let rest = log.split("\"detail\":\"peers ").nth(1)?;
+    let (detail, _) = rest.split_once('"')?;
+    let mut words = detail.split_whitespace();
     let peers = words.next()?.parse().ok()?;
-    if !rest.contains('\n') {
-        return None;
-    }
     let callers = match words.next() {
         Some("callers") => Some(words.next()?.parse().ok()?),
         _ => None,
