Log: the writing thread gathers before it wakes again; facts without a map

The thread woke for each line, and each event filled a map. Change: the thread sleeps 50 ms after the first line and takes all that came; facts are a list.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -3,11 +3,12 @@
 //! Every line that a process logs about its decisions is one of these events. The catalogue in
 //! docs/EVENTS.md lists each number; a test holds the two together.
 
+use std::borrow::Cow;
 use std::collections::BTreeMap;
 use std::fmt;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 use crate::data;
 use crate::id::{Group, Incarnation, Operation, Process, Request, Server, Team};
@@ -154,8 +155,8 @@
         /// Particulars, for people.
         pub detail: String,
         /// What decided it, with its age or version, and what came of it.
-        #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
-        pub facts: BTreeMap<String, Fact>,
+        #[serde(default, skip_serializing_if = "Facts::is_empty")]
+        pub facts: Facts,
     }
 
     /// One thing that decided an event.
@@ -184,6 +185,37 @@
     }
 }
 
+/// What decided an event, by name, in the order in which it was noted.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Facts(Vec<(Cow<'static, str>, Fact)>);
+
+impl Facts {
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Each name with its fact.
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &Fact)> {
+        self.0.iter().map(|(name, fact)| (&**name, fact))
+    }
+}
+
+/// Facts are written as a map.
+impl Serialize for Facts {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_map(self.iter())
+    }
+}
+
+impl<'de> Deserialize<'de> for Facts {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let map = BTreeMap::<String, Fact>::deserialize(deserializer)?;
+        let facts = map.into_iter().map(|(name, fact)| (name.into(), fact));
+        Ok(Self(facts.collect()))
+    }
+}
+
 impl From<u64> for Fact {
     fn from(number: u64) -> Self {
         Self::Number(number)
@@ -225,14 +257,14 @@
             code,
             subject: Subject::default(),
             detail: detail.into(),
-            facts: BTreeMap::new(),
+            facts: Facts::default(),
         }
     }
 
     /// Adds what decided it.
     #[must_use]
-    pub fn with(mut self, name: &str, fact: impl Into<Fact>) -> Self {
-        self.facts.insert(name.to_owned(), fact.into());
+    pub fn with(mut self, name: &'static str, fact: impl Into<Fact>) -> Self {
+        self.facts.0.push((name.into(), fact.into()));
         self
     }
 
--- a/crates/eelgrassctl/src/timeline/merge.rs
+++ b/crates/eelgrassctl/src/timeline/merge.rs
@@ -133,7 +133,7 @@
         if !event.detail.is_empty() {
             write!(f, ": {}", event.detail)?;
         }
-        for (name, fact) in &event.facts {
+        for (name, fact) in event.facts.iter() {
             write!(f, " {name}={fact}")?;
         }
         Ok(())
--- a/crates/node/src/log/sink.rs
+++ b/crates/node/src/log/sink.rs
@@ -3,7 +3,7 @@
 use std::io::{self, Write};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, sync_channel};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
@@ -16,8 +16,9 @@
 /// Lines that wait at most; at 400 bytes each, below one megabyte.
 const WAITING_MAX: usize = 2048;
 
-/// Time for which lines are gathered and then written at once, so that busy times cost few writes.
-const GATHER: Duration = Duration::from_millis(20);
+/// Time for which lines are gathered and then written at once: a thread that woke for each line would
+/// cost more than the line.
+const GATHER: Duration = Duration::from_millis(50);
 
 /// Longest time in which the last lines are written when the process ends.
 const LAST_WRITE_MAX: Duration = Duration::from_millis(500);
@@ -103,16 +104,11 @@
         let Ok(Some(mut text)) = waiting.recv() else {
             return;
         };
-        let until = Instant::now() + GATHER;
-        loop {
-            let left = until.saturating_duration_since(Instant::now());
-            match waiting.recv_timeout(left) {
-                Ok(Some(line)) => text.extend(line),
-                Ok(None) | Err(RecvTimeoutError::Disconnected) => {
-                    ends = true;
-                    break;
-                }
-                Err(RecvTimeoutError::Timeout) => break,
+        thread::sleep(GATHER);
+        for line in waiting.try_iter() {
+            match line {
+                Some(line) => text.extend(line),
+                None => ends = true,
             }
         }
         let count = omitted.swap(0, Ordering::Relaxed);
