eelgrassctl trace: what the logs of all processes say about one request

Gathers the lines of a call (the caller's id or the entry's own) from log files, in causal order, with what may explain it: events of its servers, of configuration and processes around it, gaps, and lines left out. Table, JSON and HTML as the time line has them. Tests: tests/trace.rs.

--- a/crates/eelgrassctl/src/command.rs
+++ b/crates/eelgrassctl/src/command.rs
@@ -71,6 +71,9 @@
     Report(Report),
     /// Show the events of all processes in causal order.
     Timeline(Timeline),
+    /// Show what the logs of all processes say about one request, in causal order.
+    #[command(after_help = EXIT_CODES)]
+    Trace(Trace),
     /// Ask a process for a graceful shutdown.
     Drain(Drain),
     /// Give an engine an order, such as to load a model.
@@ -171,6 +174,23 @@
     pub html: Option<PathBuf>,
 }
 
+/// Options of `trace`.
+#[derive(Clone, Debug, Args)]
+pub struct Trace {
+    /// The id that the caller gave its call, or the entry's own.
+    pub id: String,
+    /// Log files of the processes; - reads standard input.
+    #[arg(required = true)]
+    pub files: Vec<PathBuf>,
+    /// Seconds before and after the request from which events of its servers, of the configuration
+    /// and of processes are shown as well.
+    #[arg(long, value_name = "SECONDS", default_value_t = 1)]
+    pub context: u64,
+    /// Write a page with a lane for each process to this file.
+    #[arg(long, value_name = "FILE")]
+    pub html: Option<PathBuf>,
+}
+
 /// Options of `drain`.
 #[derive(Clone, Debug, Args)]
 pub struct Drain {
--- a/crates/eelgrassctl/src/lib.rs
+++ b/crates/eelgrassctl/src/lib.rs
@@ -30,6 +30,9 @@
     if let Command::Token(options) = &arguments.command {
         return token::print(&options.file);
     }
+    if let Command::Trace(options) = &arguments.command {
+        return timeline::trace::print(options, arguments.json);
+    }
     let client = client::Client::new(&arguments.connection)?;
     let json = arguments.json;
     let work = async {
@@ -43,7 +46,8 @@
             Command::Drain(options) => drain::drain(&client, &options, json).await,
             Command::Order(options) => order::give(&client, &options, json).await,
             Command::Control(change) => control::change(&client, change, json).await,
-            Command::Token(_) => Ok(Code::Done),
+            // These ask no process and were carried out above.
+            Command::Trace(_) | Command::Token(_) => Ok(Code::Done),
         }
     };
     eelgrassdyke_node::runtime::block_on(work).map_err(Error::runtime)?
--- a/crates/eelgrassctl/src/timeline/mod.rs
+++ b/crates/eelgrassctl/src/timeline/mod.rs
@@ -17,6 +17,7 @@
 
 pub mod html;
 pub mod merge;
+pub mod trace;
 
 use merge::{Entry, Merge};
 
--- /dev/null
+++ b/crates/eelgrassctl/tests/trace.rs
@@ -0,0 +1,153 @@
+//! What the logs of several processes say about one request: all of it, in causal order, with what may
+//! explain it, and nothing of other requests.
+
+use eelgrassctl::timeline::merge::Entry;
+use eelgrassctl::timeline::trace;
+use eelgrassdyke_core::event::{Code, Event, Record};
+use eelgrassdyke_core::id::{Incarnation, Request, Server};
+use eelgrassdyke_core::time::{Stamp, Wall};
+
+fn record(process: &str, number: u64, wall: u64, event: Event) -> Record {
+    Record {
+        stamp: Stamp {
+            wall: Wall(wall),
+            count: 0,
+        },
+        process: process.parse().unwrap(),
+        incarnation: Incarnation(1),
+        number,
+        event,
+    }
+}
+
+/// A log file as a collector stores it: time and host before each line, other lines between.
+fn file(records: &[Record]) -> String {
+    let mut text = String::from("   0.1 host starts\n");
+    for record in records {
+        let json = serde_json::to_string(record).unwrap();
+        text.push_str(&format!(
+            "   1.2 host {{\"level\":\"INFO\",{}\n",
+            &json[1..]
+        ));
+    }
+    text.push_str(
+        "{\"time\":\"now\",\"level\":\"WARN\",\"target\":\"t\",\"message\":\"m\"}\n{broken",
+    );
+    text
+}
+
+fn server(name: &str) -> Server {
+    name.parse().unwrap()
+}
+
+fn codes(entries: &[Entry]) -> Vec<Code> {
+    let codes = entries.iter().filter_map(|entry| match entry {
+        Entry::Event(record) => Some(record.event.code),
+        Entry::Gap(_) => None,
+    });
+    codes.collect()
+}
+
+fn logs() -> Vec<Record> {
+    let (one, two) = (server("engine-1"), server("engine-2"));
+    let dispatched = |to: &Server| {
+        let event = Event::new(Code::RequestDispatched, "").server(to);
+        event.with("running_here", 3).with("service", "draft")
+    };
+    let entry = [
+        record("entry-1", 1, 1000, dispatched(&one).call("a1")),
+        record("entry-1", 2, 1001, dispatched(&two).call("b2")),
+        record(
+            "entry-1",
+            3,
+            1005,
+            Event::new(Code::BackendFailed, "broken off")
+                .call("a1")
+                .server(&one),
+        ),
+        record(
+            "entry-1",
+            4,
+            1005,
+            Event::new(Code::ServerEjected, "").server(&one),
+        ),
+        record(
+            "entry-1",
+            5,
+            1006,
+            Event::new(Code::RequestRefused, "server_failed").call("a1"),
+        ),
+    ];
+    let control = [
+        record(
+            "control-1",
+            1,
+            1003,
+            Event::new(Code::ServerLost, "").server(&one),
+        ),
+        record(
+            "control-1",
+            2,
+            1004,
+            Event::new(Code::ServerLost, "").server(&two),
+        ),
+        record(
+            "control-1",
+            3,
+            1004,
+            Event::new(Code::LeaderElected, "term 2"),
+        ),
+        record("control-1", 4, 9000, Event::new(Code::LeaderLost, "term 2")),
+    ];
+    let mut records = trace::read(&file(&control));
+    records.extend(trace::read(&file(&entry)));
+    records
+}
+
+#[test]
+fn a_request_is_told_in_causal_order_with_what_may_explain_it() {
+    let entries = trace::select(logs(), "a1", 1000);
+    let expected = [
+        Code::RequestDispatched,
+        Code::ServerLost,
+        Code::LeaderElected,
+        Code::BackendFailed,
+        Code::ServerEjected,
+        Code::RequestRefused,
+    ];
+    assert_eq!(codes(&entries), expected);
+    assert!(
+        entries[0]
+            .to_string()
+            .ends_with("running_here=3 service=draft")
+    );
+}
+
+#[test]
+fn without_context_only_the_request_is_told() {
+    let entries = trace::select(logs(), "b2", 0);
+    assert_eq!(codes(&entries), [Code::RequestDispatched]);
+    assert!(trace::select(logs(), "c3", 1000).is_empty());
+}
+
+#[test]
+fn an_entry_s_own_id_names_a_request_and_left_out_lines_show() {
+    let request: Request = "entry-1/1/7".parse().unwrap();
+    let records = vec![
+        record(
+            "entry-1",
+            1,
+            50,
+            Event::new(Code::RequestTaken, "").request(&request),
+        ),
+        record(
+            "entry-1",
+            4,
+            51,
+            Event::new(Code::LinesOmitted, "").with("lines", 2),
+        ),
+    ];
+    let entries = trace::select(records, "entry-1/1/7", 0);
+    assert_eq!(codes(&entries), [Code::RequestTaken, Code::LinesOmitted]);
+    assert!(entries.iter().any(|entry| matches!(entry, Entry::Gap(_))));
+}
