--- a/crates/node/src/log/sink.rs
+++ b/crates/node/src/log/sink.rs
@@ -20,6 +20,10 @@
 /// cost more than the line.
 const GATHER: Duration = Duration::from_millis(50);
 
+/// Bytes that are written at once: a pipe takes them whole (PIPE_BUF of Linux), so that lines of
+/// processes that share one are not mixed.
+const WRITE_BYTES: usize = 4096;
+
 /// Longest time in which the last lines are written when the process ends.
 const LAST_WRITE_MAX: Duration = Duration::from_millis(500);
 
@@ -99,25 +103,40 @@
 }
 
 fn run(mut out: impl Write, waiting: &Receiver<Option<Vec<u8>>>, omitted: &AtomicU64) {
+    let mut text = Vec::with_capacity(WRITE_BYTES);
     let mut ends = false;
     while !ends {
-        let Ok(Some(mut text)) = waiting.recv() else {
+        let Ok(Some(first)) = waiting.recv() else {
             return;
         };
+        add(&mut out, &mut text, &first);
         thread::sleep(GATHER);
         for line in waiting.try_iter() {
             match line {
-                Some(line) => text.extend(line),
+                Some(line) => add(&mut out, &mut text, &line),
                 None => ends = true,
             }
         }
         let count = omitted.swap(0, Ordering::Relaxed);
         if count > 0 {
-            text.extend(omission(count));
+            add(&mut out, &mut text, &omission(count));
         }
-        // There is no other place to tell of a log that can't be written.
-        let _ = out.write_all(&text).and_then(|()| out.flush());
+        put(&mut out, &mut text);
+    }
+}
+
+/// Adds a line to `text`, which is written before it grows too long.
+fn add(out: &mut impl Write, text: &mut Vec<u8>, line: &[u8]) {
+    if text.len() + line.len() > WRITE_BYTES {
+        put(out, text);
     }
+    text.extend_from_slice(line);
+}
+
+/// Writes what was gathered. There is no other place to tell of a log that can't be written.
+fn put(out: &mut impl Write, text: &mut Vec<u8>) {
+    let _ = out.write_all(text).and_then(|()| out.flush());
+    text.clear();
 }
 
 /// A line that says how many were left out, as their reader did not keep up.
