Scrape page on an address of its own; a reset counts as a failed connection in the log

Cause: the platform names a fixed port and path for metrics, while the port for messages differs by site. An attempt that ended with a reset was logged as bad HTTP; the cause is looked for first.

--- a/crates/core/src/settings/mod.rs
+++ b/crates/core/src/settings/mod.rs
@@ -35,6 +35,8 @@
         pub listen: SocketAddr,
         /// Where others reach `listen`, when that is another address.
         pub advertise: Option<SocketAddr>,
+        /// Where the scrape page is served, besides `listen`.
+        pub metrics: Option<SocketAddr>,
         /// Where the control processes listen.
         pub control: Vec<SocketAddr>,
         /// File with the secret that all processes of the system share; without one every peer is
--- a/crates/core/src/settings/read.rs
+++ b/crates/core/src/settings/read.rs
@@ -43,6 +43,7 @@
     let region = section.required("region", NAME);
     let listen = section.required("listen", ADDRESS);
     let advertise = section.optional("advertise", ADDRESS);
+    let metrics = section.optional("metrics", ADDRESS);
     let control: Option<Vec<SocketAddr>> = section.required("control", ADDRESSES);
     let trusts = section.or("trusted_network", false, "give true or false");
     let (peer_secret_file, operator_tokens_file) = match trusts {
@@ -95,6 +96,7 @@
         region: region?,
         listen: listen?,
         advertise,
+        metrics,
         control: control?,
         peer_secret_file,
         operator_tokens_file,
--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -156,14 +156,16 @@
             let (head, decoder): (_, PayloadDecoder<FixedBodyDecoder, ChunkedBodyDecoder>) =
                 response.into_parts();
             if head.status == StatusCode::SWITCHING_PROTOCOLS {
-                return Err(Error::protocol("the peer switches protocols unasked"));
+                return Err(Error::Protocol(
+                    "the peer switches protocols unasked".to_owned(),
+                ));
             }
             // An interim answer only announces the real one.
             if !head.status.is_informational() {
                 break (head, decoder);
             }
         };
-        check_length(&head.headers).map_err(Error::protocol)?;
+        check_length(&head.headers).map_err(|problem| Error::Protocol(problem.to_owned()))?;
         self.keep = keep_alive(&head.headers);
         let framed = head.headers.contains_key(header::CONTENT_LENGTH)
             || head.headers.contains_key(header::TRANSFER_ENCODING);
--- a/crates/node/src/http/mod.rs
+++ b/crates/node/src/http/mod.rs
@@ -40,8 +40,15 @@
 }
 
 impl Error {
-    /// Wraps a decoder's or encoder's error.
-    fn protocol(error: impl std::fmt::Display) -> Self {
+    /// Wraps a decoder's or encoder's error; what the connection itself failed with comes first.
+    fn protocol(error: impl std::error::Error + 'static) -> Self {
+        let mut cause: Option<&(dyn std::error::Error + 'static)> = Some(&error);
+        while let Some(at) = cause {
+            if let Some(failed) = at.downcast_ref::<io::Error>() {
+                return Self::Io(io::Error::new(failed.kind(), failed.to_string()));
+            }
+            cause = at.source();
+        }
         Self::Protocol(error.to_string())
     }
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -97,6 +97,7 @@
     peers: StdListener,
     callers: Option<StdListener>,
     health: Option<StdListener>,
+    metrics: Option<StdListener>,
 }
 
 impl Ports {
@@ -109,6 +110,7 @@
             .map(|direct| direct.health);
         let mut ports = Self::take(settings.listen, callers)?;
         ports.health = health.map(bind).transpose()?;
+        ports.metrics = settings.metrics.map(bind).transpose()?;
         Ok(ports)
     }
 
@@ -116,11 +118,11 @@
     pub fn take(listen: SocketAddr, callers: Option<SocketAddr>) -> Result<Self> {
         let peers = bind(listen)?;
         let callers = callers.map(bind).transpose()?;
-        let health = None;
         Ok(Self {
             peers,
             callers,
-            health,
+            health: None,
+            metrics: None,
         })
     }
 
@@ -264,6 +266,14 @@
             let handler = Rc::new(move |request, responder| node.handle(request, responder));
             monoio::spawn(server::serve(listener, options, handler));
         }
+        if let Some(metrics) = ports.metrics {
+            let listener = self::listener(metrics)?;
+            let node = self.clone();
+            let handler = Rc::new(move |request: Request, responder| {
+                node.show(request.uri.path(), responder);
+            });
+            monoio::spawn(server::serve(listener, options, handler));
+        }
         let Some(callers) = ports.callers else {
             return Ok(());
         };
@@ -334,6 +344,11 @@
             operator::handle(self, request, responder);
             return;
         }
+        self.show(path, responder);
+    }
+
+    /// Answers a question for a page that anyone may see.
+    fn show(&self, path: &str, responder: Responder) {
         match path {
             "/health" => text(responder, StatusCode::OK, "alive\n".to_owned()),
             "/ready" if self.is_ready() => text(responder, StatusCode::OK, "ready\n".to_owned()),
