Reports for teams whose calls entries send directly; what dead processes had not handed over is uncertain

Cause: the direct path kept no books, so a manager on the users' platform saw nothing; and the report showed as uncertain only what a dead process had open, not what it took in after its last page (a caller's book of 11,077 charges against 10,837 asked and 12 uncertain).

Change: the direct path counts asked, sent, delivered, refused by reason and latencies for each team and hands pages to every control process it knows of. Control adds, for a life that ended without closing its books, twice what each team asked between two pages lately. A closing process hands over at once.

Ruled out: handing over before each answer (a round trip on each request); a ceiling that an entry may not exceed without a new page (a cut would stop the entry). Limit: a life that handed over one page only shows what it had open. Tokens aren't counted on the direct path: an event may hold several.

--- a/crates/control/src/report.rs
+++ b/crates/control/src/report.rs
@@ -2,16 +2,25 @@
 //!
 //! Counters are cumulative over one life of a process. Pages of one life merge by maximum, so that a
 //! page that arrives twice counts once; lives add up. What a life that never closed its books had
-//! open shows as uncertain.
+//! open shows as uncertain, and so does what it may have taken in after its last page: what it took in
+//! between two pages before, doubled, as a page may be lost with its process.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use eelgrassdyke_core::books::PAGE_INTERVAL;
 use eelgrassdyke_core::data;
 use eelgrassdyke_core::id::{Incarnation, Process, Service, Team};
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::report::{Counts, PAGE_ROWS_MAX, Page, Row, Side};
 
+/// Intervals of pages within which a team must have asked for its requests to count as under way when
+/// the process died.
+const RECENT_PAGES: u32 = 3;
+
+/// Intervals that a dying process may leave unreported: the one it is in, and one whose page is lost.
+const UNREPORTED_PAGES: u64 = 2;
+
 /// Silence after which a life that did not close its books counts as dead.
 const DEAD: Duration = Duration::from_secs(15);
 
@@ -29,14 +38,50 @@
         pub delivered: Counts,
         /// What agents counted.
         pub ran: Counts,
-        /// Requests that dead processes had on their books when last heard.
+        /// Requests that dead processes had on their books when last heard, and those that they may have
+        /// taken in since.
         pub uncertain: u64,
     }
 }
 
+/// What one life counted for one team and service.
+#[derive(Clone, Debug, Default)]
+struct Account {
+    counts: Counts,
+    /// Most requests taken in between two pages lately.
+    burst: u64,
+    /// When it last took in any.
+    asked_at: Instant,
+}
+
+impl Account {
+    /// Takes in a reading, `pages` intervals after the page before it; none when it is the first that
+    /// this process hears of the life, which may hold any time and tells no rate.
+    fn hear(&mut self, now: Instant, counts: &Counts, pages: Option<f64>) {
+        let before = self.counts.asked;
+        self.counts.merge_max(counts);
+        let more = self.counts.asked - before;
+        let Some(pages) = pages.filter(|_| more > 0) else {
+            return;
+        };
+        let by_page = (more as f64 / pages.max(1.0)).ceil() as u64;
+        // What was long ago says little of the rate now.
+        self.burst = by_page.max(self.burst / 2);
+        self.asked_at = now;
+    }
+
+    /// Requests that a life last heard at `heard` may have taken in after that.
+    fn unreported(&self, heard: Instant) -> u64 {
+        match heard.since(self.asked_at) <= PAGE_INTERVAL * RECENT_PAGES {
+            true => self.burst * UNREPORTED_PAGES,
+            false => 0,
+        }
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct Held {
-    rows: BTreeMap<(Team, Service), Counts>,
+    rows: BTreeMap<(Team, Service), Account>,
     sequence: u64,
     closed: bool,
     heard: Instant,
@@ -53,12 +98,15 @@
     pub fn hear(&mut self, now: Instant, page: &Page) {
         let life = (page.process.clone(), page.incarnation, page.side);
         let held = self.lives.entry(life).or_default();
+        let since = now.since(held.heard).as_secs_f64() / PAGE_INTERVAL.as_secs_f64();
+        let pages = (!held.rows.is_empty()).then_some(since);
         held.heard = now;
         held.closed |= page.closed;
         held.sequence = held.sequence.max(page.sequence);
         for row in &page.rows {
             let account = (row.team.clone(), row.service.clone());
-            held.rows.entry(account).or_default().merge_max(&row.counts);
+            let held = held.rows.entry(account).or_default();
+            held.hear(now, &row.counts, pages);
         }
     }
 
@@ -71,10 +119,10 @@
             let rows: Vec<Row> = held
                 .rows
                 .iter()
-                .map(|((team, service), counts)| Row {
+                .map(|((team, service), account)| Row {
                     team: team.clone(),
                     service: service.clone(),
-                    counts: counts.clone(),
+                    counts: account.counts.clone(),
                 })
                 .collect();
             let count = rows.len().div_ceil(PAGE_ROWS_MAX);
@@ -98,9 +146,10 @@
         let mut lines: BTreeMap<(Team, Service), Line> = BTreeMap::new();
         for ((_, _, side), held) in &self.lives {
             let dead = !held.closed && now.since(held.heard) >= DEAD;
-            for ((team, service), counts) in &held.rows {
-                let account = (team.clone(), service.clone());
-                let line = lines.entry(account).or_insert_with(|| Line {
+            for ((team, service), account) in &held.rows {
+                let counts = &account.counts;
+                let key = (team.clone(), service.clone());
+                let line = lines.entry(key).or_insert_with(|| Line {
                     team: team.clone(),
                     service: service.clone(),
                     delivered: Counts::default(),
@@ -112,7 +161,7 @@
                     Side::Ran => line.ran.add(counts),
                 }
                 if dead && *side == Side::Delivered {
-                    line.uncertain += counts.open;
+                    line.uncertain += counts.open + account.unreported(held.heard);
                 }
             }
         }
--- a/crates/control/tests/report.rs
+++ b/crates/control/tests/report.rs
@@ -215,3 +215,65 @@
     books.kept(&control, &kept);
     assert!(!books.is_settled());
 }
+
+/// Entries that are killed hand nothing over any more; what they took in after their last page must be
+/// within what shows as uncertain, and that within what they take in between a few pages.
+#[test]
+fn what_killed_entries_took_in_last_shows_as_uncertain() {
+    for seed in 0..SEEDS {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let control = sender("control-0", 1, 9000);
+        let service = "draft".parse().unwrap();
+        let (mut ledger, mut now) = (Ledger::default(), Instant(0));
+        let mut truth: BTreeMap<String, u64> = BTreeMap::new();
+        let mut lives = 0;
+        for entry in 0..6 {
+            let entry = sender(&format!("entry-{entry}"), rng.random(), 8000);
+            let mut books = Books::new(&entry, Side::Delivered, &[control.address]);
+            lives += 1;
+            // Each team asks at a rate of its own; the process is killed at any moment.
+            let life = Duration::from_millis(rng.random_range(4000..20_000));
+            let end = now + life;
+            while now < end {
+                now = now + Duration::from_millis(10);
+                for team in 0..4 {
+                    if rng.random_bool(0.05 * f64::from(team + 1)) {
+                        let team = format!("team-{team}");
+                        let row = books.row(&team.parse().unwrap(), &service);
+                        row.asked += 1;
+                        row.delivered += u64::from(rng.random_bool(0.98));
+                        *truth.entry(team).or_default() += 1;
+                    }
+                }
+                for (_, page) in books.pages(now, false) {
+                    ledger.hear(now, &page);
+                    let kept = Kept {
+                        incarnation: page.incarnation,
+                        side: page.side,
+                        after: page.after,
+                        sequence: page.sequence,
+                    };
+                    books.kept(&control, &kept);
+                }
+            }
+        }
+        let later = now + Duration::from_secs(3600);
+        for line in ledger.lines(later) {
+            let asked = truth[line.team.as_str()];
+            let lost = asked - line.delivered.asked;
+            let never_answered = line.delivered.asked - line.delivered.delivered;
+            assert!(
+                lost <= line.uncertain,
+                "seed {seed}: {lost} of {}",
+                line.uncertain
+            );
+            // At 100 chances a second, no team asks more than 40 times between two pages.
+            let most = never_answered + lives * 2 * 40;
+            assert!(
+                line.uncertain <= most,
+                "seed {seed}: {} of {most}",
+                line.uncertain
+            );
+        }
+    }
+}
--- a/crates/core/src/books.rs
+++ b/crates/core/src/books.rs
@@ -87,11 +87,12 @@
     /// The pages that are due, each with the control process it goes to; `closed` says that nothing
     /// will be counted any more.
     pub fn pages(&mut self, now: Instant, closed: bool) -> Vec<(SocketAddr, Page)> {
-        if now < self.next_page {
+        let closes = closed && !self.closed;
+        if now < self.next_page && !closes {
             return Vec::new();
         }
         self.next_page = now + PAGE_INTERVAL;
-        if closed && !self.closed {
+        if closes {
             // Closing is a change of its own, which must be kept too.
             self.closed = true;
             self.revision += 1;
@@ -145,6 +146,14 @@
         })
     }
 
+    /// Takes in where the control processes are now: a new one lacks everything.
+    pub fn meet(&mut self, control: &[SocketAddr]) {
+        self.holders.retain(|address, _| control.contains(address));
+        for address in control {
+            self.holders.entry(*address).or_default();
+        }
+    }
+
     /// Notes that a control process holds the books up to a page.
     pub fn kept(&mut self, from: &Sender, kept: &Kept) {
         if kept.incarnation != self.incarnation || kept.side != self.side {
--- a/crates/core/src/follow.rs
+++ b/crates/core/src/follow.rs
@@ -169,6 +169,11 @@
         self.heard.map(|at| now.since(at))
     }
 
+    /// Where the control processes are, as far as is known.
+    pub fn control(&self) -> &[SocketAddr] {
+        &self.control
+    }
+
     /// When [`Follower::ask`] next has something to send.
     pub fn next_deadline(&self) -> Instant {
         self.next_ask
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -14,6 +14,7 @@
 mod line;
 mod path;
 mod pool;
+mod report;
 mod table;
 
 pub use budget::{Bound, Window};
--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -4,12 +4,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use eelgrassdyke_core::books::Books;
 use eelgrassdyke_core::config::{MountSpec, Repeat};
 use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::follow::Follower;
 use eelgrassdyke_core::id::{Service, Team, Ticket, Version};
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::refusal::{Reason, Refusal, Run};
+use eelgrassdyke_core::wire::report::Side;
 use eelgrassdyke_core::wire::{Message, Sender};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
@@ -49,6 +51,7 @@
     started: Instant,
     flights: BTreeMap<Ticket, Flight>,
     timers: BTreeSet<(Instant, Ticket)>,
+    pub(super) books: Books,
     rng: ChaCha8Rng,
     draining_since: Option<Instant>,
 }
@@ -68,6 +71,7 @@
             started: now,
             flights: BTreeMap::new(),
             timers: BTreeSet::new(),
+            books: Books::new(me, Side::Delivered, &options.control),
             rng: ChaCha8Rng::seed_from_u64(options.seed),
             draining_since: None,
             options,
@@ -100,12 +104,15 @@
             let message = Message::Follow(follow);
             out.push(Output::Mail { to, message });
         }
+        self.send_books(now, out);
     }
 
     /// When the path next needs [`Input::Tick`].
     pub fn next_deadline(&self) -> Instant {
         let timer = self.timers.first().map_or(Instant::NEVER, |(at, _)| *at);
-        timer.min(self.follower.next_deadline())
+        timer
+            .min(self.follower.next_deadline())
+            .min(self.books.next_deadline())
     }
 
     /// Whether callers are welcome: a quorum confirmed the configuration, and no shutdown began.
@@ -152,6 +159,7 @@
         };
         let window = self.windows.entry(flight.service.clone()).or_default();
         window.count(now, self.options.retry_window);
+        self.count_asked(&flight);
         self.place(now, ticket, flight, out);
     }
 
@@ -248,6 +256,7 @@
                 retry_after_ms: Some(self.spread_ms(come_back(&flight, now, wait))),
             };
             self.note_refusal(now, &flight, &refusal, Some(waits), out);
+            self.count_refused(&flight, refusal.reason);
             out.push(Output::Refuse { ticket, refusal });
             return;
         }
@@ -280,6 +289,9 @@
         let Some(choice) = choice else {
             return Some(flight);
         };
+        if flight.attempts == 0 {
+            self.count_sent(now, &flight);
+        }
         flight.attempts += 1;
         self.pool.began(&choice.server);
         let order = Order {
@@ -332,21 +344,22 @@
     }
 
     fn take_passed(&mut self, now: Instant, ticket: Ticket, attempt: u32) {
-        let Some(flight) = self.flights.get_mut(&ticket) else {
+        let current = self.flights.get(&ticket);
+        if current.is_none_or(|flight| flight.attempts != attempt) {
             return;
-        };
-        if flight.attempts != attempt {
+        }
+        let Some(mut flight) = self.lift(ticket) else {
             return;
+        };
+        if !flight.begun {
+            self.count_first(now, &flight);
         }
-        let before = flight.wakes_at();
         flight.begun = true;
         if let Stage::Running { server, alive, .. } = &mut flight.stage {
             *alive = now;
             self.pool.progressed(now, server);
         }
-        let after = flight.wakes_at();
-        self.timers.remove(&(before, ticket));
-        self.timers.insert((after, ticket));
+        self.land(ticket, flight);
     }
 
     /// Takes in how an attempt ended.
@@ -371,6 +384,7 @@
             Outcome::Answered(status) => self.take_answer(now, ticket, flight, status, out),
             Outcome::Streamed => {
                 self.note(now, Code::RequestDelivered, &flight, "stream", out);
+                self.count_delivered(now, &flight);
                 out.push(Output::End { ticket });
             }
             Outcome::NotRun(proof) => self.take_proof(now, ticket, flight, proof, out),
@@ -438,6 +452,7 @@
         }
         let detail = format!("status {status}");
         self.note(now, Code::RequestDelivered, &flight, &detail, out);
+        self.count_delivered(now, &flight);
         out.push(Output::Deliver { ticket });
     }
 
@@ -523,6 +538,7 @@
         run: Run,
         out: &mut Vec<Output>,
     ) {
+        self.count_refused(&flight, reason);
         if flight.begun {
             self.note(now, Code::RequestRefused, &flight, "stream broken off", out);
             out.push(Output::Abort { ticket });
@@ -553,6 +569,7 @@
             return;
         };
         self.note(now, Code::RequestCancelled, &flight, "caller left", out);
+        self.count_refused(&flight, Reason::CallerGone);
         self.break_off(now, ticket, &flight, Verdict::Unknown, out);
         let service = flight.service.clone();
         self.advance(now, &service, out);
@@ -625,10 +642,16 @@
     }
 
     fn take_mail(&mut self, now: Instant, from: &Sender, message: Message, out: &mut Vec<Output>) {
-        let Message::Update(update) = message else {
-            return;
+        let update = match message {
+            Message::Update(update) => update,
+            Message::ReportKept(kept) => {
+                self.books.kept(from, &kept);
+                return;
+            }
+            _ => return,
         };
         let change = self.follower.apply(now, &from.process, update);
+        self.books.meet(self.follower.control());
         if change.config {
             self.table = Table::new(self.follower.document());
             let detail = format!("version {}", self.follower.version());
--- a/crates/entry/tests/direct.rs
+++ b/crates/entry/tests/direct.rs
@@ -13,6 +13,7 @@
 use eelgrassdyke_core::wire::follow::{Config, Directory, Revision, Update};
 use eelgrassdyke_core::wire::rank::Slow;
 use eelgrassdyke_core::wire::refusal::{Reason, Run};
+use eelgrassdyke_core::wire::report::{Counts, Page};
 use eelgrassdyke_core::wire::{Message, Sender};
 use eelgrassdyke_entry::direct::{Call, Direct, Input, Options, Order, Outcome, Output, Proof};
 use rand::{RngExt as _, SeedableRng as _};
@@ -98,6 +99,8 @@
     question: u64,
     revision: u64,
     slow: Vec<Slow>,
+    /// Pages of the books that were sent.
+    pages: Vec<Page>,
 }
 
 impl Trial {
@@ -115,6 +118,7 @@
             question: 0,
             revision: 0,
             slow: Vec::new(),
+            pages: Vec::new(),
         };
         trial.feed(Input::Tick);
         let rows = (1..=servers).map(|n| row(n, 1, State::Up)).collect();
@@ -133,6 +137,13 @@
             {
                 self.question = follow.question;
             }
+            if let Output::Mail {
+                message: Message::Report(page),
+                ..
+            } = output
+            {
+                self.pages.push(page.clone());
+            }
         }
         out.retain(|output| !matches!(output, Output::Mail { .. } | Output::Event(_)));
         self.out.extend(out.clone());
@@ -490,6 +501,7 @@
     ran: u32,
     refused_as_not_run: bool,
     answers: u32,
+    delivered: u32,
 }
 
 #[test_case(1)]
@@ -557,14 +569,21 @@
                     book.refused_as_not_run |= refusal.run == Run::No;
                     book.answers += 1;
                 }
-                Output::Deliver { ticket } | Output::End { ticket } | Output::Abort { ticket } => {
-                    books.get_mut(&ticket.0).unwrap().answers += 1;
+                Output::Deliver { ticket } | Output::End { ticket } => {
+                    let book = books.get_mut(&ticket.0).unwrap();
+                    book.answers += 1;
+                    book.delivered += 1;
                 }
+                Output::Abort { ticket } => books.get_mut(&ticket.0).unwrap().answers += 1,
                 _ => {}
             }
         }
     }
-    trial.wait(Duration::from_secs(2));
+    for output in trial.wait(Duration::from_secs(2)) {
+        if let Output::Refuse { ticket, .. } | Output::Abort { ticket } = output {
+            books.get_mut(&ticket.0).unwrap().answers += 1;
+        }
+    }
     let mut answered = 0;
     for (number, book) in &books {
         if unsafe_calls.contains(number) {
@@ -583,4 +602,19 @@
     }
     assert!(answered > 29_000, "{answered} answered");
     assert_eq!(trial.path.open_requests(), 0);
+
+    // The team's books say the same as the callers'.
+    let mut held = Counts::default();
+    for row in trial.pages.iter().flat_map(|page| &page.rows) {
+        assert_eq!(row.team.as_str(), "salon");
+        held.merge_max(&row.counts);
+    }
+    let delivered: u32 = books.values().map(|book| book.delivered).sum();
+    assert_eq!(held.asked, books.len() as u64);
+    assert_eq!(held.delivered, u64::from(delivered));
+    assert_eq!(
+        held.refused.values().sum::<u64>(),
+        u64::from(answered - delivered)
+    );
+    assert_eq!(held.open, 0);
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -469,11 +469,15 @@
             .entry
             .as_ref()
             .is_none_or(|role| role.read(Entry::is_settled));
+        let direct = self
+            .direct
+            .as_ref()
+            .is_none_or(|role| role.read(direct::Direct::is_settled));
         let agent = self
             .agent
             .as_ref()
             .is_none_or(|role| role.read(Agent::is_settled));
-        entry && agent
+        entry && direct && agent
     }
 
     fn open(&self) -> usize {
