Streams that began wait for a group that is down; a stalled service is tried with one request at a time

Each broken stream bounced from engine to engine within 10 ms, ejecting them all, until its six attempts or 240 ms of waiting were over; then it was broken off although seconds were left.

Ruled out: the attempts a mount allows (rejected attempts run nowhere and don't count); the budget alone.

Change: (1) an answer that has begun waits for a place until its deadline, before requests that have not; (2) after three failures in a row and 100 ms without a sign of life of any server, a service gets one request each 300 ms until one shows life; (3) watches already tell whether a group is open: control passes that on with the slow engines, entries send closed ones nothing, refuse new requests at once with a time to come back, and believe it 2.5 s at most; (4) what waits is looked at each 50 ms, not only when an attempt ends.

Tests in direct.rs: a begun stream waits and is tried now and then, ends at its deadline if the service stays away, closed engines get nothing while control says so and not for ever.

--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -74,8 +74,8 @@
     counted: BTreeMap<Rank, Counts>,
     /// Requests that each rank works on.
     running: BTreeMap<Rank, u32>,
-    /// Where each rank takes calls, its slowness in thousandths, and when it said so.
-    paces: BTreeMap<Rank, (SocketAddr, u32, Instant)>,
+    /// What each rank last said of its speed, and when.
+    paces: BTreeMap<Rank, (Slow, Instant)>,
     generation: Generation,
     size: u32,
     next_plan: Instant,
@@ -198,8 +198,12 @@
         });
         entry.heard = now;
         entry.size = report.size;
-        let pace = (report.address, report.pace, now);
-        entry.paces.insert(report.rank, pace);
+        let pace = Slow {
+            address: report.address,
+            pace: report.pace,
+            closed: !report.open,
+        };
+        entry.paces.insert(report.rank, (pace, now));
         if let Some((_, experts)) = experts_of(document, &report.service) {
             entry.count(&report, experts.experts.max(1) as usize);
         }
@@ -209,15 +213,15 @@
         translate(out)
     }
 
-    /// The engines that are slow at `now`, by address.
+    /// The engines that are slow or closed at `now`, by address.
     pub fn slow(&self, now: Instant) -> Vec<Slow> {
         let paces = self.groups.values().flat_map(|entry| entry.paces.values());
         let mut slow: Vec<Slow> = paces
-            .filter(|(_, pace, at)| *pace >= SLOW_PACE && now.since(*at) < PACE_MAX)
-            .map(|(address, pace, _)| Slow {
-                address: *address,
-                pace: *pace,
+            .filter(|(pace, at)| {
+                let counts = pace.pace >= SLOW_PACE || pace.closed;
+                counts && now.since(*at) < PACE_MAX
             })
+            .map(|(pace, _)| pace.clone())
             .collect();
         slow.sort_by_key(|slow| slow.address);
         slow
--- a/crates/core/src/wire/rank.rs
+++ b/crates/core/src/wire/rank.rs
@@ -139,13 +139,16 @@
         Unanswered,
     }
 
-    /// An engine that is slower than its maker publishes, and holds up its whole group.
+    /// An engine that is slower than its maker publishes, and holds up its whole group, or whose group
+    /// is not open.
     #[derive(Eq)]
     pub struct Slow {
         /// Where it takes calls.
         pub address: SocketAddr,
         /// Its slowness, in thousandths.
         pub pace: u32,
+        /// Whether its group lost a rank and does no work.
+        pub closed: bool,
     }
 
     /// Messages about ranks.
--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -1,14 +1,13 @@
 //! The state machine of the direct path.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
 use std::time::Duration;
 
 use eelgrassdyke_core::books::Books;
 use eelgrassdyke_core::config::{MountSpec, Repeat};
 use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::follow::Follower;
-use eelgrassdyke_core::id::{Service, Team, Ticket, Version};
+use eelgrassdyke_core::id::{Service, Ticket, Version};
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::refusal::{Reason, Refusal, Run};
 use eelgrassdyke_core::wire::report::Side;
@@ -34,6 +33,10 @@
 /// Time in which an entry that has just started learns its configuration, or its successor does.
 const START_TIME: Duration = Duration::from_millis(1000);
 
+/// Time between two looks at whether what waits can go: servers that were full or stalled are tried
+/// again without any news.
+const TRY_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Spread of the times at which callers return, as parts of the time meant.
 const SPREAD: std::ops::Range<f64> = 0.6..1.1;
 
@@ -49,6 +52,8 @@
     lines: BTreeMap<Service, Line>,
     windows: BTreeMap<Service, Window>,
     started: Instant,
+    /// When what waits is tried again, though no attempt ended.
+    next_try: Instant,
     flights: BTreeMap<Ticket, Flight>,
     timers: BTreeSet<(Instant, Ticket)>,
     pub(super) books: Books,
@@ -56,9 +61,6 @@
     draining_since: Option<Instant>,
 }
 
-/// The mount of a call, its team, and the time that it has.
-type Found = (Arc<MountSpec>, Option<Team>, Duration);
-
 impl Direct {
     /// A path that has taken in nothing yet.
     pub fn new(now: Instant, me: &Sender, options: Options) -> Self {
@@ -69,6 +71,7 @@
             lines: BTreeMap::new(),
             windows: BTreeMap::new(),
             started: now,
+            next_try: Instant::NEVER,
             flights: BTreeMap::new(),
             timers: BTreeSet::new(),
             books: Books::new(me, Side::Delivered, &options.control),
@@ -105,6 +108,14 @@
             out.push(Output::Mail { to, message });
         }
         self.send_books(now, out);
+        if now >= self.next_try {
+            self.next_try = Instant::NEVER;
+            self.advance_all(now, out);
+        }
+        self.next_try = match self.lines.values().all(Line::is_empty) {
+            true => Instant::NEVER,
+            false => self.next_try.min(now + TRY_INTERVAL),
+        };
     }
 
     /// When the path next needs [`Input::Tick`].
@@ -113,6 +124,7 @@
         timer
             .min(self.follower.next_deadline())
             .min(self.books.next_deadline())
+            .min(self.next_try)
     }
 
     /// Whether callers are welcome: a quorum confirmed the configuration, and no shutdown began.
@@ -145,9 +157,9 @@
     }
 
     fn take_call(&mut self, now: Instant, ticket: Ticket, call: Call, out: &mut Vec<Output>) {
-        let flight = match self.admit(now, call) {
+        let flight = match self.admit(now, &call) {
             Ok(flight) => flight,
-            Err((reason, call)) => {
+            Err(reason) => {
                 self.note_unadmitted(now, &call, reason, out);
                 let mut refusal = Refusal::not_run(reason);
                 if matches!(reason, Reason::NotReady | Reason::Draining) {
@@ -164,31 +176,7 @@
     }
 
     /// Finds the mount, the team and the service of a call.
-    fn admit(&mut self, now: Instant, call: Call) -> Result<Flight, (Reason, Call)> {
-        match self.find_mount(now, &call) {
-            Ok((mount, team, left)) => Ok(Flight {
-                id: call.id,
-                service: self.draw_service(&mount),
-                priority: self.table.priority(&mount, team.as_ref()),
-                mount,
-                team,
-                taken: now,
-                deadline: now + left,
-                stage: Stage::Waiting {
-                    key: (0, 0),
-                    until: now,
-                },
-                attempts: 0,
-                ran_at: Vec::new(),
-                passed_over: Vec::new(),
-                begun: false,
-            }),
-            Err(reason) => Err((reason, call)),
-        }
-    }
-
-    /// Finds the mount of a call, its team, and the time that it has.
-    fn find_mount(&self, now: Instant, call: &Call) -> Result<Found, Reason> {
+    fn admit(&mut self, now: Instant, call: &Call) -> Result<Flight, Reason> {
         if !self.follower.is_confirmed() || self.follower.version() == Version(0) {
             return Err(Reason::NotReady);
         }
@@ -210,7 +198,23 @@
         if left.is_zero() {
             return Err(Reason::Deadline);
         }
-        Ok((mount, team, left))
+        Ok(Flight {
+            id: call.id.clone(),
+            service: self.draw_service(&mount),
+            priority: self.table.priority(&mount, team.as_ref()),
+            mount,
+            team,
+            taken: now,
+            deadline: now + left,
+            stage: Stage::Waiting {
+                key: (0, 0),
+                until: now,
+            },
+            attempts: 0,
+            ran_at: Vec::new(),
+            passed_over: Vec::new(),
+            begun: false,
+        })
     }
 
     /// Draws one of the services of a mount by their weights.
@@ -237,11 +241,13 @@
             return;
         };
         let target = Duration::from_millis(flight.mount.target_ms);
-        let limit = match self.pool.is_served(&flight.service) {
+        let limit = match self.pool.is_served(now, &flight.service) {
             true => target.mul_f64(WAIT_PART),
             false => NO_SERVER_WAIT,
         };
-        let places = self.pool.places(&flight.service, self.follower.entries());
+        let places = self
+            .pool
+            .places(now, &flight.service, self.follower.entries());
         let priority = flight.priority;
         let wait = self.line(&flight.service).wait(now, priority, places);
         let waits = Waits {
@@ -266,9 +272,12 @@
     }
 
     fn enqueue(&mut self, now: Instant, ticket: Ticket, mut flight: Flight, limit: Duration) {
-        let priority = flight.priority;
+        // The rest of an answer that has begun can't be refused: it goes first, and waits while it may.
+        let (priority, until) = match flight.begun {
+            true => (0, flight.deadline),
+            false => (flight.priority, now + limit),
+        };
         let key = self.line(&flight.service).add(priority, ticket);
-        let until = now + limit;
         flight.stage = Stage::Waiting { key, until };
         self.land(ticket, flight);
     }
@@ -293,7 +302,7 @@
             self.count_sent(now, &flight);
         }
         flight.attempts += 1;
-        self.pool.began(&choice.server);
+        self.pool.began(now, &choice.server);
         let order = Order {
             attempt: flight.attempts,
             server: choice.server.clone(),
@@ -470,7 +479,7 @@
         {
             flight.passed_over.push(server.clone());
         }
-        let again = flight.attempts < ATTEMPTS_MAX && now < flight.deadline;
+        let again = (flight.begun || flight.attempts < ATTEMPTS_MAX) && now < flight.deadline;
         // What never left costs the servers nothing.
         if again && (proof == Proof::NotSent || self.spend(now, &flight)) {
             self.repeat(now, ticket, flight, "not run", out);
@@ -650,6 +659,7 @@
             }
             _ => return,
         };
+        let tells_slow = update.current && update.directory.is_some();
         let change = self.follower.apply(now, &from.process, update);
         self.books.meet(self.follower.control());
         if change.config {
@@ -660,17 +670,23 @@
         if change.directory {
             self.learn_servers(now);
         }
+        if tells_slow {
+            self.pool.note_slow(now, self.follower.slow());
+        }
         if change.directory || change.slow {
-            let slow = self.follower.slow().iter();
-            let addresses: Vec<_> = slow.map(|slow| slow.address).collect();
-            self.pool.note_slow(&addresses);
             if change.slow {
                 self.leave_slow(now, out);
             }
-            let waiting: Vec<Service> = self.lines.keys().cloned().collect();
-            for service in waiting {
-                self.advance(now, &service, out);
-            }
+            self.advance_all(now, out);
+        }
+    }
+
+    /// Sends what waits for any service as long as there are places.
+    fn advance_all(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let waiting = self.lines.iter().filter(|(_, line)| !line.is_empty());
+        let services: Vec<Service> = waiting.map(|(service, _)| service.clone()).collect();
+        for service in services {
+            self.advance(now, &service, out);
         }
     }
 
@@ -679,7 +695,7 @@
     fn leave_slow(&mut self, now: Instant, out: &mut Vec<Output>) {
         let at_slow = |flight: &Flight| match &flight.stage {
             Stage::Running { server, .. } => {
-                flight.mount.repeat == Repeat::Resumable && self.pool.is_spared(server)
+                flight.mount.repeat == Repeat::Resumable && self.pool.is_spared(now, server)
             }
             Stage::Waiting { .. } => false,
         };
--- a/crates/entry/src/direct/pool.rs
+++ b/crates/entry/src/direct/pool.rs
@@ -12,6 +12,7 @@
 use eelgrassdyke_core::id::{Incarnation, Server, Service};
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::directory::State;
+use eelgrassdyke_core::wire::rank::Slow;
 use rand::{Rng, RngExt as _};
 
 /// Places that all entries together fill of each place that a server has: callers are spread
@@ -27,6 +28,21 @@
 /// Time for which a server that rejected a request as full gets no other.
 const FULL: Duration = Duration::from_millis(100);
 
+/// Failures in a row after which a service counts as stalled: more than a server or two are at fault.
+const STALL_FAILURES: u32 = 3;
+
+/// Time without a sign of life of any server after which a service counts as stalled; engines that work
+/// pass something on far more often.
+const STALL_QUIET: Duration = Duration::from_millis(100);
+
+/// Time between two requests to a stalled service: each one that is rejected costs the budget of further
+/// attempts.
+const PROBE_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Time for which an engine counts as closed after control last said so; control says it again each
+/// second, and may itself be lost.
+const CLOSED_MAX: Duration = Duration::from_millis(2500);
+
 /// Part of a service's servers that may be left out.
 const OUT_PART: f64 = 0.5;
 
@@ -60,6 +76,36 @@
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     servers: BTreeMap<Server, Standing>,
+    pulses: BTreeMap<Service, Pulse>,
+}
+
+/// Whether the servers of a service do anything at all.
+#[derive(Clone, Debug, Default)]
+struct Pulse {
+    /// When one of them last answered or sent an event.
+    alive: Instant,
+    /// Requests rejected or broken off since.
+    failures: u32,
+    /// When a stalled service is tried next.
+    next_probe: Instant,
+}
+
+impl Pulse {
+    fn is_stalled(&self, now: Instant) -> bool {
+        self.failures >= STALL_FAILURES && now.since(self.alive) >= STALL_QUIET
+    }
+
+    fn note_failure(&mut self, now: Instant) {
+        self.failures += 1;
+        if self.failures == STALL_FAILURES {
+            self.next_probe = now + PROBE_INTERVAL;
+        }
+    }
+
+    fn revive(&mut self, now: Instant) {
+        self.alive = now;
+        self.failures = 0;
+    }
 }
 
 /// One server.
@@ -82,6 +128,8 @@
     alive: Instant,
     /// Whether it is slower than published: what it works on holds up its whole group.
     slow: bool,
+    /// Until when its group counts as not open.
+    closed_until: Instant,
 }
 
 /// Where a request goes.
@@ -145,26 +193,36 @@
                     full_until: Instant(0),
                     alive: now,
                     slow: false,
+                    closed_until: Instant(0),
                 };
                 self.servers.insert(name.clone(), standing);
             }
         }
     }
 
-    /// Takes in where the engines are that are slow now.
-    pub fn note_slow(&mut self, addresses: &[SocketAddr]) {
+    /// Takes in which engines are slow now, and which are closed.
+    pub fn note_slow(&mut self, now: Instant, slow: &[Slow]) {
         for standing in self.servers.values_mut() {
-            standing.slow = addresses.contains(&standing.address);
+            let told = slow.iter().find(|told| told.address == standing.address);
+            let closed = told.is_some_and(|told| told.closed);
+            standing.slow = told.is_some() && !closed;
+            standing.closed_until = match closed {
+                true => now + CLOSED_MAX,
+                false => now,
+            };
         }
     }
 
     /// Whether a server is spared because it is slow.
-    pub fn is_spared(&self, server: &Server) -> bool {
+    pub fn is_spared(&self, now: Instant, server: &Server) -> bool {
         let Some(standing) = self.servers.get(server) else {
             return false;
         };
-        let up = self.up(&standing.service).count();
-        let slow = self.up(&standing.service).filter(|(_, s)| s.slow).count();
+        let up = self.up(now, &standing.service).count();
+        let slow = self
+            .up(now, &standing.service)
+            .filter(|(_, s)| s.slow)
+            .count();
         standing.slow && slow as f64 <= up as f64 * SLOW_PART
     }
 
@@ -174,14 +232,14 @@
     }
 
     /// Whether a service has a server that takes new work.
-    pub fn is_served(&self, service: &Service) -> bool {
-        self.up(service).next().is_some()
+    pub fn is_served(&self, now: Instant, service: &Service) -> bool {
+        self.up(now, service).next().is_some()
     }
 
     /// Places of a service for this entry.
-    pub fn places(&self, service: &Service, entries: u32) -> u32 {
+    pub fn places(&self, now: Instant, service: &Service, entries: u32) -> u32 {
         let places = self
-            .up(service)
+            .up(now, service)
             .map(|(_, standing)| standing.places(entries));
         places.sum()
     }
@@ -197,7 +255,11 @@
         passed_over: &[Server],
         rng: &mut impl Rng,
     ) -> Option<Choice> {
-        let up: Vec<_> = self.up(service).collect();
+        let pulse = self.pulses.get(service);
+        if pulse.is_some_and(|pulse| pulse.is_stalled(now) && now < pulse.next_probe) {
+            return None;
+        }
+        let up: Vec<_> = self.up(now, service).collect();
         let out = up.iter().filter(|(_, s)| s.is_out(now)).count();
         let heeds_out = (out as f64) <= up.len() as f64 * OUT_PART;
         let slow = up.iter().filter(|(_, s)| s.slow).count();
@@ -227,16 +289,25 @@
     }
 
     /// Notes that a request was sent.
-    pub fn began(&mut self, server: &Server) {
-        if let Some(standing) = self.servers.get_mut(server) {
-            standing.running += 1;
+    pub fn began(&mut self, now: Instant, server: &Server) {
+        let Some(standing) = self.servers.get_mut(server) else {
+            return;
+        };
+        standing.running += 1;
+        let pulse = self.pulses.entry(standing.service.clone()).or_default();
+        if pulse.is_stalled(now) {
+            pulse.next_probe = now + PROBE_INTERVAL;
         }
     }
 
     /// Notes that a server is at work on what it was sent.
     pub fn progressed(&mut self, now: Instant, server: &Server) {
-        if let Some(standing) = self.servers.get_mut(server) {
-            standing.alive = now;
+        let Some(standing) = self.servers.get_mut(server) else {
+            return;
+        };
+        standing.alive = now;
+        if let Some(pulse) = self.pulses.get_mut(&standing.service) {
+            pulse.revive(now);
         }
     }
 
@@ -247,7 +318,7 @@
         };
         let silent = |s: &Standing| now.since(s.alive) >= patience;
         let mut others = self
-            .up(&standing.service)
+            .up(now, &standing.service)
             .filter(|(name, _)| *name != server);
         silent(standing) && others.any(|(_, other)| !silent(other))
     }
@@ -277,6 +348,12 @@
             }
             Verdict::Full | Verdict::Moved | Verdict::Unknown => {}
         }
+        let pulse = self.pulses.entry(standing.service.clone()).or_default();
+        match verdict {
+            Verdict::Served | Verdict::Failed => pulse.revive(now),
+            Verdict::Full | Verdict::Broken => pulse.note_failure(now),
+            Verdict::Moved | Verdict::Unknown => {}
+        }
         match verdict {
             Verdict::Served => {
                 standing.failures = 0;
@@ -295,8 +372,13 @@
         false
     }
 
-    fn up<'a>(&'a self, service: &'a Service) -> impl Iterator<Item = (&'a Server, &'a Standing)> {
-        let takes_work = |standing: &Standing| standing.state == State::Up;
+    fn up<'a>(
+        &'a self,
+        now: Instant,
+        service: &'a Service,
+    ) -> impl Iterator<Item = (&'a Server, &'a Standing)> {
+        let takes_work =
+            move |standing: &Standing| standing.state == State::Up && now >= standing.closed_until;
         let all = self.servers.iter();
         all.filter(move |(_, standing)| standing.service == *service && takes_work(standing))
     }
--- a/crates/entry/tests/direct.rs
+++ b/crates/entry/tests/direct.rs
@@ -401,6 +401,7 @@
 fn a_leaving_server_and_a_slow_one_get_nothing_new() {
     let mut trial = Trial::new(4, Options::default());
     trial.slow = vec![Slow {
+        closed: false,
         address: "10.0.1.2:8000".parse().unwrap(),
         pace: 5000,
     }];
@@ -421,6 +422,7 @@
     let ticket = Ticket(1);
     trial.feed(Input::Passed { ticket, attempt: 1 });
     trial.slow = vec![Slow {
+        closed: false,
         address: stream.address,
         pace: 5000,
     }];
@@ -618,3 +620,97 @@
     );
     assert_eq!(held.open, 0);
 }
+
+/// Breaks a stream that has begun while every server rejects what comes.
+fn broken_stream(trial: &mut Trial) {
+    let first = order(&trial.call(1, "resumable")).expect("there are places");
+    let ticket = Ticket(1);
+    trial.feed(Input::Passed { ticket, attempt: 1 });
+    trial.now = trial.now + Duration::from_millis(150);
+    let mut out = trial.end(1, 1, Outcome::Lost);
+    let mut asked = BTreeSet::from([first.server]);
+    while let Some(order) = order(&out) {
+        asked.insert(order.server);
+        out = trial.end(1, order.attempt, Outcome::NotRun(Proof::Rejected));
+        assert!(refusal(&out).is_none());
+    }
+    assert!(
+        (2..=3).contains(&asked.len()),
+        "{asked:?} were asked at once"
+    );
+    assert_eq!(trial.path.open_requests(), 1);
+}
+
+#[test]
+fn a_stream_that_began_waits_for_a_stalled_service_and_is_tried_now_and_then() {
+    let mut trial = Trial::new(12, Options::default());
+    broken_stream(&mut trial);
+    let begun = trial.now;
+    let (mut probes, mut next) = (0, None);
+    while next.is_none() && trial.now.since(begun) < Duration::from_millis(640) {
+        next = order(&trial.wait(Duration::from_millis(10)));
+        let Some(probe) = next.take_if(|_| probes < 1) else {
+            continue;
+        };
+        probes += 1;
+        trial.end(1, probe.attempt, Outcome::NotRun(Proof::Rejected));
+    }
+    // The service is back: the stream goes on.
+    let resumed = next.expect("it is tried again");
+    assert!(
+        trial.now.since(begun) >= Duration::from_millis(600),
+        "tried too often"
+    );
+    let ticket = Ticket(1);
+    let attempt = resumed.attempt;
+    trial.feed(Input::Passed { ticket, attempt });
+    let out = trial.end(1, attempt, Outcome::Streamed);
+    assert!(out.contains(&Output::End { ticket }));
+    // And everyone else at once.
+    let sent = (2..12).filter(|number| order(&trial.call(*number, "never")).is_some());
+    assert_eq!(sent.count(), 10);
+}
+
+#[test]
+fn a_stream_that_began_ends_at_its_deadline_if_the_service_stays_away() {
+    let mut trial = Trial::new(12, Options::default());
+    broken_stream(&mut trial);
+    let end = trial.now + Duration::from_millis(800);
+    let mut out = Vec::new();
+    while trial.now < end {
+        let step = trial.wait(Duration::from_millis(5));
+        if let Some(probe) = order(&step) {
+            out.extend(trial.end(1, probe.attempt, Outcome::NotRun(Proof::Rejected)));
+        }
+        out.extend(step);
+    }
+    assert!(
+        out.contains(&Output::Abort { ticket: Ticket(1) }),
+        "{out:?}"
+    );
+    assert_eq!(trial.path.open_requests(), 0);
+}
+
+#[test]
+fn engines_whose_group_is_closed_get_nothing_while_control_says_so() {
+    let mut trial = Trial::new(3, Options::default());
+    let rows = || (1..=3).map(|n| row(n, 1, State::Up)).collect();
+    let closed = |n: u8| Slow {
+        address: format!("10.0.1.{n}:8000").parse().unwrap(),
+        pace: 1000,
+        closed: true,
+    };
+    trial.slow = (1..=3).map(closed).collect();
+    trial.update(None, rows());
+    // Known to be unservable: refused at once, with a time to come back.
+    let out = trial.call(1, "never");
+    assert_eq!(refusal(&out), Some((Reason::Overload, Run::No)));
+    trial.slow.clear();
+    trial.update(None, rows());
+    assert!(order(&trial.call(2, "never")).is_some());
+    // Control falls silent after it said so: what it said doesn't hold for ever.
+    trial.slow = (1..=3).map(closed).collect();
+    trial.update(None, rows());
+    trial.wait(Duration::from_secs(3));
+    assert!(order(&trial.call(3, "never")).is_some());
+}
