--- a/crates/eelgrassctl/src/timeline/trace.rs
+++ b/crates/eelgrassctl/src/timeline/trace.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::Read as _;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
 use eelgrassdyke_core::event::{Code as Kind, Record, Subject};
 use eelgrassdyke_core::id::Server;
@@ -56,7 +56,7 @@
 
 fn text_of(path: &Path) -> Result<String> {
     let fail = |error| Error::file(path, error);
-    if path == PathBuf::from(STANDARD_INPUT) {
+    if path == Path::new(STANDARD_INPUT) {
         let mut text = String::new();
         std::io::stdin().read_to_string(&mut text).map_err(fail)?;
         return Ok(text);
--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -449,6 +449,8 @@
     ) {
         if flight.begun {
             // A stream goes on only with more of the stream.
+            let detail = format!("status {status} instead of the rest of a stream");
+            self.note(now, Code::BackendFailed, &flight, &detail, out);
             self.recover(now, ticket, flight, out);
             return;
         }
