A stream that began waits for the retry budget instead of being broken off

Ruled out: an answer of the server (a line says so now; there was none). Change: a begun answer that may not draw on the budget goes into the line and draws when it is sent. The budget itself is unchanged. Test: direct.rs, a budget that others spent.

--- a/crates/entry/src/direct/flight.rs
+++ b/crates/entry/src/direct/flight.rs
@@ -37,6 +37,8 @@
     pub passed_over: Vec<Server>,
     /// Whether a part of the answer was passed on.
     pub begun: bool,
+    /// Whether the next attempt must still draw on the budget of further ones.
+    pub owes: bool,
 }
 
 #[derive(Clone, Debug)]
--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -214,6 +214,7 @@
             ran_at: Vec::new(),
             passed_over: Vec::new(),
             begun: false,
+            owes: false,
         })
     }
 
@@ -298,6 +299,10 @@
         let Some(choice) = choice else {
             return Some(flight);
         };
+        if flight.owes && !self.spend(now, &flight) {
+            return Some(flight);
+        }
+        flight.owes = false;
         if flight.attempts == 0 {
             self.count_sent(now, &flight);
         }
@@ -483,7 +488,7 @@
         }
         let again = (flight.begun || flight.attempts < ATTEMPTS_MAX) && now < flight.deadline;
         // What never left costs the servers nothing.
-        if again && (proof == Proof::NotSent || self.spend(now, &flight)) {
+        if again && (proof == Proof::NotSent || self.draw(now, &mut flight)) {
             self.repeat(now, ticket, flight, "not run", out);
             return;
         }
@@ -497,7 +502,8 @@
     /// Deals with an attempt that may have run and brought no answer.
     fn recover(&mut self, now: Instant, ticket: Ticket, mut flight: Flight, out: &mut Vec<Output>) {
         flight.mark_ran();
-        if flight.mount.repeat.may_repeat() && self.may_repeat(now, &flight) {
+        let can = self.is_allowed(now, &flight) && flight.mount.repeat.may_repeat();
+        if can && self.draw(now, &mut flight) {
             self.repeat(now, ticket, flight, "broken off", out);
             return;
         }
@@ -506,9 +512,21 @@
 
     /// Whether a request that may have run may go to another server; spends the budget.
     fn may_repeat(&mut self, now: Instant, flight: &Flight) -> bool {
-        let left = now < flight.deadline && flight.attempts < ATTEMPTS_MAX;
-        let allowed = flight.ran_at.len() < flight.mount.attempts as usize;
-        left && allowed && self.spend(now, flight)
+        self.is_allowed(now, flight) && self.spend(now, flight)
+    }
+
+    /// Whether a request that may have run may go to another server as far as its mount and its time
+    /// go.
+    fn is_allowed(&self, now: Instant, flight: &Flight) -> bool {
+        let left = now < flight.deadline && (flight.begun || flight.attempts < ATTEMPTS_MAX);
+        left && flight.ran_at.len() < flight.mount.attempts as usize
+    }
+
+    /// Draws on the budget for another attempt; an answer that has begun waits until it can.
+    fn draw(&mut self, now: Instant, flight: &mut Flight) -> bool {
+        let drawn = self.spend(now, flight);
+        flight.owes = flight.begun && !drawn;
+        drawn || flight.begun
     }
 
     fn spend(&mut self, now: Instant, flight: &Flight) -> bool {
@@ -551,7 +569,8 @@
     ) {
         self.count_refused(&flight, reason);
         if flight.begun {
-            self.note(now, Code::RequestRefused, &flight, "stream broken off", out);
+            let detail = format!("stream broken off: {reason}");
+            self.note(now, Code::RequestRefused, &flight, &detail, out);
             out.push(Output::Abort { ticket });
             return;
         }
--- a/crates/entry/tests/direct.rs
+++ b/crates/entry/tests/direct.rs
@@ -187,15 +187,19 @@
         self.feed(Input::Mail { from, message })
     }
 
-    fn call(&mut self, number: u64, path: &str) -> Vec<Output> {
-        let call = Call {
+    fn request(&self, number: u64, path: &str) -> Call {
+        Call {
             id: number.to_string(),
             host: "draft.example".to_owned(),
             path: format!("/{path}/x"),
             key: Some(KEY.to_owned()),
             time_left: Some(Duration::from_millis(800)),
             ..Call::default()
-        };
+        }
+    }
+
+    fn call(&mut self, number: u64, path: &str) -> Vec<Output> {
+        let call = self.request(number, path);
         let ticket = Ticket(number);
         self.feed(Input::Call { ticket, call })
     }
@@ -714,3 +718,40 @@
     trial.wait(Duration::from_secs(3));
     assert!(order(&trial.call(3, "never")).is_some());
 }
+
+#[test]
+fn a_stream_that_began_waits_for_the_budget_of_further_attempts() {
+    let options = Options {
+        retry_share: Permille(0),
+        retry_window: Duration::from_millis(500),
+        ..Options::default()
+    };
+    let window = options.retry_window;
+    let mut trial = Trial::new(40, options);
+    // The others spend all there is.
+    let mut number = 100;
+    loop {
+        let Some(_) = order(&trial.call(number, "idempotent")) else {
+            panic!("there are places");
+        };
+        let out = trial.end(number, 1, Outcome::Answered(500));
+        number += 1;
+        match order(&out) {
+            Some(again) => trial.end(number - 1, again.attempt, Outcome::Answered(200)),
+            None => break,
+        };
+    }
+    let call = Call {
+        time_left: Some(window * 2),
+        ..trial.request(1, "resumable")
+    };
+    let ticket = Ticket(1);
+    let out = trial.feed(Input::Call { ticket, call });
+    assert!(order(&out).is_some());
+    trial.feed(Input::Passed { ticket, attempt: 1 });
+    let out = trial.end(1, 1, Outcome::Lost);
+    assert!(out.is_empty(), "{out:?}");
+    // What was spent leaves the window.
+    let out = trial.wait(window + Duration::from_millis(100));
+    assert_eq!(order(&out).map(|order| order.attempt), Some(2));
+}
