--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -101,6 +101,7 @@
     311 RequestQueued "An entry has a request wait for a place.";
     320 ServerEjected "An entry stopped routing to a failing server.";
     321 ServerReturned "An entry routes to a server again, slowly at first.";
+    322 EnginesSlow "An entry heard which engines are slow, or closed with their group.";
     400 AttemptQueued "An agent queued an attempt.";
     401 AttemptStarted "An agent passed an attempt on to its back end.";
     402 AttemptEnded "An attempt ended.";
--- a/crates/entry/src/direct/events.rs
+++ b/crates/entry/src/direct/events.rs
@@ -118,6 +118,18 @@
         out.push(Output::Event(event));
     }
 
+    /// Notes which engines are slow or closed now, as control says.
+    pub(super) fn note_slow(&self, out: &mut Vec<Output>) {
+        let told = self.follower.slow();
+        let closed = told.iter().filter(|slow| slow.closed).count();
+        let addresses: Vec<String> = told.iter().map(|slow| slow.address.to_string()).collect();
+        let event = Event::new(Code::EnginesSlow, "")
+            .with("slow", (told.len() - closed) as u64)
+            .with("closed", closed as u64)
+            .with("addresses", addresses.join(" "));
+        out.push(Output::Event(event));
+    }
+
     /// Adds how old the picture of the servers is that decided.
     fn with_directory(&self, now: Instant, event: Event) -> Event {
         match self.follower.silence(now) {
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -15,7 +15,9 @@
 mod path;
 mod pool;
 mod report;
+mod retry;
 mod table;
+mod updates;
 
 pub use budget::{Bound, Window};
 pub use io::{Call, Input, Options, Order, Outcome, Output, Proof, Size};
--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use eelgrassdyke_core::books::Books;
-use eelgrassdyke_core::config::{MountSpec, Repeat};
+use eelgrassdyke_core::config::MountSpec;
 use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::follow::Follower;
 use eelgrassdyke_core::id::{Service, Ticket, Version};
@@ -15,9 +15,9 @@
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
-use super::budget::{Bound, Window};
+use super::budget::Window;
 use super::events::Waits;
-use super::flight::{COME_BACK_MIN, Flight, Stage, come_back};
+use super::flight::{Flight, Stage, come_back};
 use super::io::{Call, Input, Options, Order, Outcome, Output, Proof};
 use super::line::Line;
 use super::pool::{Pool, Verdict};
@@ -40,25 +40,22 @@
 /// Spread of the times at which callers return, as parts of the time meant.
 const SPREAD: std::ops::Range<f64> = 0.6..1.1;
 
-/// Attempts at one request, whatever their kind: proof that one did not run costs time as well.
-const ATTEMPTS_MAX: u32 = 6;
-
 /// The direct path of one entry.
 pub struct Direct {
-    options: Options,
+    pub(super) options: Options,
     pub(super) follower: Follower,
-    table: Table,
-    pool: Pool,
-    lines: BTreeMap<Service, Line>,
-    windows: BTreeMap<Service, Window>,
-    started: Instant,
+    pub(super) table: Table,
+    pub(super) pool: Pool,
+    pub(super) lines: BTreeMap<Service, Line>,
+    pub(super) windows: BTreeMap<Service, Window>,
+    pub(super) started: Instant,
     /// When what waits is tried again, though no attempt ended.
-    next_try: Instant,
-    flights: BTreeMap<Ticket, Flight>,
-    timers: BTreeSet<(Instant, Ticket)>,
+    pub(super) next_try: Instant,
+    pub(super) flights: BTreeMap<Ticket, Flight>,
+    pub(super) timers: BTreeSet<(Instant, Ticket)>,
     pub(super) books: Books,
-    rng: ChaCha8Rng,
-    draining_since: Option<Instant>,
+    pub(super) rng: ChaCha8Rng,
+    pub(super) draining_since: Option<Instant>,
 }
 
 impl Direct {
@@ -233,7 +230,13 @@
     }
 
     /// Sends a request to a server, or has it wait for a place, or refuses it.
-    fn place(&mut self, now: Instant, ticket: Ticket, flight: Flight, out: &mut Vec<Output>) {
+    pub(super) fn place(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        flight: Flight,
+        out: &mut Vec<Output>,
+    ) {
         let nobody_waits = self.line(&flight.service).is_empty();
         let Some(flight) = (match nobody_waits || flight.attempts > 0 {
             true => self.send(now, ticket, flight, out),
@@ -332,7 +335,7 @@
     }
 
     /// Sends what waits for a service as long as there are places.
-    fn advance(&mut self, now: Instant, service: &Service, out: &mut Vec<Output>) {
+    pub(super) fn advance(&mut self, now: Instant, service: &Service, out: &mut Vec<Output>) {
         for ticket in self.line(service).tickets() {
             let Some(flight) = self.lift(ticket) else {
                 continue;
@@ -428,7 +431,13 @@
         }
     }
 
-    fn settle(&mut self, now: Instant, flight: &Flight, verdict: Verdict, out: &mut Vec<Output>) {
+    pub(super) fn settle(
+        &mut self,
+        now: Instant,
+        flight: &Flight,
+        verdict: Verdict,
+        out: &mut Vec<Output>,
+    ) {
         let Stage::Running {
             server,
             incarnation,
@@ -443,154 +452,8 @@
         }
     }
 
-    /// Passes an answer on, or tries another server if it is a failure that may be repeated.
-    fn take_answer(
-        &mut self,
-        now: Instant,
-        ticket: Ticket,
-        mut flight: Flight,
-        status: u16,
-        out: &mut Vec<Output>,
-    ) {
-        if flight.begun {
-            // A stream goes on only with more of the stream.
-            let detail = format!("status {status} instead of the rest of a stream");
-            self.note(now, Code::BackendFailed, &flight, &detail, out);
-            self.recover(now, ticket, flight, out);
-            return;
-        }
-        if status >= 500 && flight.mount.repeat.may_repeat() {
-            flight.mark_ran();
-            if self.may_repeat(now, &flight) {
-                self.repeat(now, ticket, flight, "server failed", out);
-                return;
-            }
-        }
-        let detail = format!("status {status}");
-        self.note(now, Code::RequestDelivered, &flight, &detail, out);
-        self.count_delivered(now, &flight);
-        out.push(Output::Deliver { ticket });
-    }
-
-    /// Sends a request again that has not run, or refuses it.
-    fn take_proof(
-        &mut self,
-        now: Instant,
-        ticket: Ticket,
-        mut flight: Flight,
-        proof: Proof,
-        out: &mut Vec<Output>,
-    ) {
-        if let (Proof::NotSent | Proof::OtherServer, Stage::Running { server, .. }) =
-            (proof, &flight.stage)
-        {
-            flight.passed_over.push(server.clone());
-        }
-        let again = (flight.begun || flight.attempts < ATTEMPTS_MAX) && now < flight.deadline;
-        // What never left costs the servers nothing.
-        if again && (proof == Proof::NotSent || self.draw(now, &mut flight)) {
-            self.repeat(now, ticket, flight, "not run", out);
-            return;
-        }
-        let run = match flight.ran_at.is_empty() {
-            true => Run::No,
-            false => Run::Unknown,
-        };
-        self.give_up(now, ticket, flight, Reason::Overload, run, out);
-    }
-
-    /// Deals with an attempt that may have run and brought no answer.
-    fn recover(&mut self, now: Instant, ticket: Ticket, mut flight: Flight, out: &mut Vec<Output>) {
-        flight.mark_ran();
-        let can = self.is_allowed(now, &flight) && flight.mount.repeat.may_repeat();
-        if can && self.draw(now, &mut flight) {
-            self.repeat(now, ticket, flight, "broken off", out);
-            return;
-        }
-        self.give_up(now, ticket, flight, Reason::ServerFailed, Run::Unknown, out);
-    }
-
-    /// Whether a request that may have run may go to another server; spends the budget.
-    fn may_repeat(&mut self, now: Instant, flight: &Flight) -> bool {
-        self.is_allowed(now, flight) && self.spend(now, flight)
-    }
-
-    /// Whether a request that may have run may go to another server as far as its mount and its time
-    /// go.
-    fn is_allowed(&self, now: Instant, flight: &Flight) -> bool {
-        let left = now < flight.deadline && (flight.begun || flight.attempts < ATTEMPTS_MAX);
-        left && flight.ran_at.len() < flight.mount.attempts as usize
-    }
-
-    /// Draws on the budget for another attempt; an answer that has begun waits until it can.
-    fn draw(&mut self, now: Instant, flight: &mut Flight) -> bool {
-        let drawn = self.spend(now, flight);
-        flight.owes = flight.begun && !drawn;
-        drawn || flight.begun
-    }
-
-    fn spend(&mut self, now: Instant, flight: &Flight) -> bool {
-        let bound = Bound {
-            span: self.options.retry_window,
-            share: self.options.retry_share,
-            slack: self.options.retry_slack,
-            entries: self.follower.entries(),
-            age: now.since(self.started),
-        };
-        let window = self.windows.entry(flight.service.clone()).or_default();
-        window.spend(now, &bound)
-    }
-
-    fn repeat(
-        &mut self,
-        now: Instant,
-        ticket: Ticket,
-        flight: Flight,
-        reason: &str,
-        out: &mut Vec<Output>,
-    ) {
-        let code = match flight.begun {
-            true => Code::RequestResumed,
-            false => Code::RequestRetried,
-        };
-        self.note(now, code, &flight, reason, out);
-        self.place(now, ticket, flight, out);
-    }
-
-    /// Ends a request without an answer.
-    fn give_up(
-        &mut self,
-        now: Instant,
-        ticket: Ticket,
-        flight: Flight,
-        reason: Reason,
-        run: Run,
-        out: &mut Vec<Output>,
-    ) {
-        self.count_refused(&flight, reason);
-        if flight.begun {
-            let detail = format!("stream broken off: {reason}");
-            self.note(now, Code::RequestRefused, &flight, &detail, out);
-            out.push(Output::Abort { ticket });
-            return;
-        }
-        let comes_back = now < flight.deadline && run == Run::No;
-        let after = comes_back.then(|| come_back(&flight, now, COME_BACK_MIN));
-        let refusal = Refusal {
-            reason,
-            run,
-            retry_after_ms: after.map(|after| self.spread_ms(after)),
-        };
-        self.note_refusal(now, &flight, &refusal, None, out);
-        out.push(Output::Refuse { ticket, refusal });
-    }
-
-    fn spread_ms(&mut self, span: Duration) -> u64 {
-        self.spread(span).as_millis() as u64
-    }
-
     /// A time around `span`, so that callers who are refused together don't return together.
-    fn spread(&mut self, span: Duration) -> Duration {
+    pub(super) fn spread(&mut self, span: Duration) -> Duration {
         span.mul_f64(self.rng.random_range(SPREAD))
     }
 
@@ -606,7 +469,7 @@
     }
 
     /// Breaks off what a request that is given up has under way.
-    fn break_off(
+    pub(super) fn break_off(
         &mut self,
         now: Instant,
         ticket: Ticket,
@@ -671,93 +534,17 @@
         self.advance(now, &service, out);
     }
 
-    fn take_mail(&mut self, now: Instant, from: &Sender, message: Message, out: &mut Vec<Output>) {
-        let update = match message {
-            Message::Update(update) => update,
-            Message::ReportKept(kept) => {
-                self.books.kept(from, &kept);
-                return;
-            }
-            _ => return,
-        };
-        let tells_slow = update.current && update.directory.is_some();
-        let change = self.follower.apply(now, &from.process, update);
-        self.books.meet(self.follower.control());
-        if change.config {
-            self.table = Table::new(self.follower.document());
-            let detail = format!("version {}", self.follower.version());
-            out.push(Output::Event(Event::new(Code::ConfigApplied, detail)));
-        }
-        if change.directory {
-            self.learn_servers(now);
-        }
-        if tells_slow {
-            self.pool.note_slow(now, self.follower.slow());
-        }
-        if change.directory || change.slow {
-            if change.slow {
-                self.leave_slow(now, out);
-            }
-            self.advance_all(now, out);
-        }
-    }
-
-    /// Sends what waits for any service as long as there are places.
-    fn advance_all(&mut self, now: Instant, out: &mut Vec<Output>) {
-        let waiting = self.lines.iter().filter(|(_, line)| !line.is_empty());
-        let services: Vec<Service> = waiting.map(|(service, _)| service.clone()).collect();
-        for service in services {
-            self.advance(now, &service, out);
-        }
-    }
-
-    /// Moves streams that can be resumed away from slow engines: each step of the whole group takes as
-    /// long as their part of it.
-    fn leave_slow(&mut self, now: Instant, out: &mut Vec<Output>) {
-        let at_slow = |flight: &Flight| match &flight.stage {
-            Stage::Running { server, .. } => {
-                flight.mount.repeat == Repeat::Resumable && self.pool.is_spared(now, server)
-            }
-            Stage::Waiting { .. } => false,
-        };
-        let open = self.flights.iter().filter(|(_, flight)| at_slow(flight));
-        let tickets: Vec<Ticket> = open.map(|(ticket, _)| *ticket).collect();
-        for ticket in tickets {
-            let Some(mut flight) = self.lift(ticket) else {
-                continue;
-            };
-            let ran_at = flight.ran_at.len();
-            flight.mark_ran();
-            if !self.may_repeat(now, &flight) {
-                flight.ran_at.truncate(ran_at);
-                self.land(ticket, flight);
-                continue;
-            }
-            self.break_off(now, ticket, &flight, Verdict::Unknown, out);
-            self.repeat(now, ticket, flight, "slow server", out);
-        }
-    }
-
-    fn learn_servers(&mut self, now: Instant) {
-        let servers = self.follower.servers();
-        let mut names = self.pool.names();
-        names.extend(servers.keys().cloned());
-        for name in names {
-            self.pool.learn(now, &name, servers.get(&name));
-        }
-    }
-
-    fn line(&mut self, service: &Service) -> &mut Line {
+    pub(super) fn line(&mut self, service: &Service) -> &mut Line {
         self.lines.entry(service.clone()).or_default()
     }
 
-    fn lift(&mut self, ticket: Ticket) -> Option<Flight> {
+    pub(super) fn lift(&mut self, ticket: Ticket) -> Option<Flight> {
         let flight = self.flights.remove(&ticket)?;
         self.timers.remove(&(flight.wakes_at(), ticket));
         Some(flight)
     }
 
-    fn land(&mut self, ticket: Ticket, flight: Flight) {
+    pub(super) fn land(&mut self, ticket: Ticket, flight: Flight) {
         self.timers.insert((flight.wakes_at(), ticket));
         self.flights.insert(ticket, flight);
     }
