--- a/crates/node/src/gauges.rs
+++ b/crates/node/src/gauges.rs
@@ -10,6 +10,7 @@
 /// Sets every gauge to what the roles of `node` hold now.
 pub fn set(node: &Node) {
     let now = node.now();
+    crate::latency::register();
     gauge!("eelgrassdyke_ready").set(flag(node.is_ready()));
     if let Some(entry) = node.entry() {
         let open = entry.read(Entry::open_requests);
--- a/crates/node/src/latency.rs
+++ b/crates/node/src/latency.rs
@@ -31,6 +31,13 @@
 }
 
 impl Outcome {
+    const ALL: [Self; 4] = [
+        Self::Answered,
+        Self::Streamed,
+        Self::BrokenOff,
+        Self::Refused,
+    ];
+
     fn as_str(self) -> &'static str {
         match self {
             Self::Answered => "answered",
@@ -41,6 +48,14 @@
     }
 }
 
+/// Has every histogram on the scrape page, also before anything is counted.
+pub fn register() {
+    for outcome in Outcome::ALL {
+        let _ = histogram!(REQUEST, "outcome" => outcome.as_str());
+    }
+    let _ = histogram!(FIRST_EVENT);
+}
+
 /// Counts a request that is over.
 pub fn note_request(outcome: Outcome, span: Duration) {
     histogram!(REQUEST, "outcome" => outcome.as_str()).record(span.as_secs_f64());
