A group with long steps is not taken for stalled

A slow rank makes every step of its group 0.28 s long; engines are full meanwhile, and three rejections within 100 ms without an event counted as a stall, so the service got one request each 300 ms. Change: 600 ms without a sign of life. A group that lost a rank has shown none for 1.5 s when it resets. Test: a_service_that_is_slow_and_full_is_not_taken_for_stalled (fails at 100 ms).

--- a/crates/entry/src/direct/pool.rs
+++ b/crates/entry/src/direct/pool.rs
@@ -31,9 +31,9 @@
 /// Failures in a row after which a service counts as stalled: more than a server or two are at fault.
 const STALL_FAILURES: u32 = 3;
 
-/// Time without a sign of life of any server after which a service counts as stalled; engines that work
-/// pass something on far more often.
-const STALL_QUIET: Duration = Duration::from_millis(100);
+/// Time without a sign of life of any server after which a service counts as stalled: longer than the
+/// steps of a group with a slow rank, which pass something on each 0.3 s.
+const STALL_QUIET: Duration = Duration::from_millis(600);
 
 /// Time between two requests to a stalled service: each one that is rejected costs the budget of further
 /// attempts.
