Read again: one way to show events, to refuse, and to find the present attempt

Change: timeline::show, Direct::refuse, Flight::run, Direct::lift_attempt serve both sides; four functions are private again; names in report.rs and log/mod.rs. No behaviour, bound or test is changed.

--- a/crates/control/src/report.rs
+++ b/crates/control/src/report.rs
@@ -104,9 +104,9 @@
         held.closed |= page.closed;
         held.sequence = held.sequence.max(page.sequence);
         for row in &page.rows {
-            let account = (row.team.clone(), row.service.clone());
-            let held = held.rows.entry(account).or_default();
-            held.hear(now, &row.counts, pages);
+            let key = (row.team.clone(), row.service.clone());
+            let account = held.rows.entry(key).or_default();
+            account.hear(now, &row.counts, pages);
         }
     }
 
--- a/crates/eelgrassctl/src/timeline/mod.rs
+++ b/crates/eelgrassctl/src/timeline/mod.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::path::Path;
 
 use eelgrassdyke_core::event::Record;
 use eelgrassdyke_core::id::{Incarnation, Process};
@@ -32,19 +33,7 @@
         let merge = Merge::of(records, &marks);
         advance(&mut marks, &merge.entries);
         let entries = merge.matching(options);
-        match &options.html {
-            Some(path) => {
-                let page = html::render(&entries, &missing);
-                std::fs::write(path, page).map_err(|error| Error::file(path, error))?;
-                output::line(format_args!(
-                    "{} events in {}",
-                    entries.len(),
-                    path.display()
-                ));
-            }
-            None if json => print_entries_json(&entries)?,
-            None => print_entries(&entries),
-        }
+        show(&entries, &missing, options.html.as_deref(), json)?;
         if !options.follow {
             break missing;
         }
@@ -100,6 +89,24 @@
     }
 }
 
+/// Writes entries to a page, or prints them; `missing` names the processes that could not be read.
+fn show(entries: &[Entry], missing: &[String], page: Option<&Path>, json: bool) -> Result<()> {
+    match page {
+        Some(path) => {
+            let page = html::render(entries, missing);
+            std::fs::write(path, page).map_err(|error| Error::file(path, error))?;
+            output::line(format_args!(
+                "{} events in {}",
+                entries.len(),
+                path.display()
+            ));
+        }
+        None if json => print_entries_json(entries)?,
+        None => print_entries(entries),
+    }
+    Ok(())
+}
+
 fn print_entries(entries: &[Entry]) {
     for entry in entries {
         output::line(format_args!("{entry}"));
--- a/crates/eelgrassctl/src/timeline/trace.rs
+++ b/crates/eelgrassctl/src/timeline/trace.rs
@@ -8,10 +8,9 @@
 use eelgrassdyke_core::id::Server;
 
 use super::merge::{Entry, Merge};
-use super::{html, print_entries, print_entries_json};
+use super::show;
 use crate::command::Trace;
 use crate::errors::{Code, Error, Result};
-use crate::output;
 
 /// Time after which a process says that it left lines out.
 const OMISSION_MS: u64 = 1000;
@@ -30,19 +29,7 @@
         Entry::Event(record) => concerns(&record.event.subject, &options.id),
         Entry::Gap(_) => false,
     });
-    match &options.html {
-        Some(path) => {
-            let page = html::render(&entries, &[]);
-            std::fs::write(path, page).map_err(|error| Error::file(path, error))?;
-            output::line(format_args!(
-                "{} events in {}",
-                entries.len(),
-                path.display()
-            ));
-        }
-        None if json => print_entries_json(&entries)?,
-        None => print_entries(&entries),
-    }
+    show(&entries, &[], options.html.as_deref(), json)?;
     if found {
         return Ok(Code::Done);
     }
--- a/crates/entry/src/direct/flight.rs
+++ b/crates/entry/src/direct/flight.rs
@@ -6,6 +6,7 @@
 use eelgrassdyke_core::config::MountSpec;
 use eelgrassdyke_core::id::{Incarnation, Server, Service, Team};
 use eelgrassdyke_core::time::Instant;
+use eelgrassdyke_core::wire::refusal::Run;
 
 /// Part of the target after which an attempt that shows nothing counts as hung, if others show
 /// something.
@@ -73,6 +74,14 @@
         at.min(self.deadline)
     }
 
+    /// Whether it may have run, if no attempt is under way.
+    pub fn run(&self) -> Run {
+        match self.ran_at.is_empty() {
+            true => Run::No,
+            false => Run::Unknown,
+        }
+    }
+
     /// Notes that the present attempt may have run.
     pub fn mark_ran(&mut self) {
         if let Stage::Running { server, .. } = &self.stage {
--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -265,9 +265,7 @@
                 run: Run::No,
                 retry_after_ms: Some(self.spread_ms(come_back(&flight, now, wait))),
             };
-            self.note_refusal(now, &flight, &refusal, Some(waits), out);
-            self.count_refused(&flight, refusal.reason);
-            out.push(Output::Refuse { ticket, refusal });
+            self.refuse(now, ticket, &flight, refusal, Some(waits), out);
             return;
         }
         let ahead = self.line(&flight.service).ahead(priority);
@@ -361,11 +359,7 @@
     }
 
     fn take_passed(&mut self, now: Instant, ticket: Ticket, attempt: u32) {
-        let current = self.flights.get(&ticket);
-        if current.is_none_or(|flight| flight.attempts != attempt) {
-            return;
-        }
-        let Some(mut flight) = self.lift(ticket) else {
+        let Some(mut flight) = self.lift_attempt(ticket, attempt) else {
             return;
         };
         if !flight.begun {
@@ -388,11 +382,7 @@
         outcome: Outcome,
         out: &mut Vec<Output>,
     ) {
-        let current = self.flights.get(&ticket);
-        if current.is_none_or(|flight| flight.attempts != attempt) {
-            return;
-        }
-        let Some(flight) = self.lift(ticket) else {
+        let Some(flight) = self.lift_attempt(ticket, attempt) else {
             return;
         };
         let service = flight.service.clone();
@@ -507,10 +497,7 @@
         match flight.stage.clone() {
             Stage::Waiting { key, .. } => {
                 self.line(&service).remove(key);
-                let run = match flight.ran_at.is_empty() {
-                    true => Run::No,
-                    false => Run::Unknown,
-                };
+                let run = flight.run();
                 self.give_up(now, ticket, flight, Reason::Overload, run, out);
             }
             Stage::Running { .. } if overdue => {
@@ -544,6 +531,12 @@
         Some(flight)
     }
 
+    /// Lifts a request while this is its present attempt.
+    fn lift_attempt(&mut self, ticket: Ticket, attempt: u32) -> Option<Flight> {
+        let flight = self.flights.get(&ticket)?;
+        (flight.attempts == attempt).then(|| self.lift(ticket))?
+    }
+
     pub(super) fn land(&mut self, ticket: Ticket, flight: Flight) {
         self.timers.insert((flight.wakes_at(), ticket));
         self.flights.insert(ticket, flight);
--- a/crates/entry/src/direct/retry.rs
+++ b/crates/entry/src/direct/retry.rs
@@ -8,6 +8,7 @@
 use eelgrassdyke_core::wire::refusal::{Reason, Refusal, Run};
 
 use super::budget::Bound;
+use super::events::Waits;
 use super::flight::{COME_BACK_MIN, Flight, Stage, come_back};
 use super::io::{Output, Proof};
 use super::path::Direct;
@@ -65,10 +66,7 @@
             self.repeat(now, ticket, flight, "not run", out);
             return;
         }
-        let run = match flight.ran_at.is_empty() {
-            true => Run::No,
-            false => Run::Unknown,
-        };
+        let run = flight.run();
         self.give_up(now, ticket, flight, Reason::Overload, run, out);
     }
 
@@ -96,13 +94,13 @@
 
     /// Whether a request that may have run may go to another server as far as its mount and its time
     /// go.
-    pub(super) fn is_allowed(&self, now: Instant, flight: &Flight) -> bool {
+    fn is_allowed(&self, now: Instant, flight: &Flight) -> bool {
         let left = now < flight.deadline && (flight.begun || flight.attempts < ATTEMPTS_MAX);
         left && flight.ran_at.len() < flight.mount.attempts as usize
     }
 
     /// Draws on the budget for another attempt; an answer that has begun waits until it can.
-    pub(super) fn draw(&mut self, now: Instant, flight: &mut Flight) -> bool {
+    fn draw(&mut self, now: Instant, flight: &mut Flight) -> bool {
         let drawn = self.spend(now, flight);
         flight.owes = flight.begun && !drawn;
         drawn || flight.begun
@@ -146,8 +144,8 @@
         run: Run,
         out: &mut Vec<Output>,
     ) {
-        self.count_refused(&flight, reason);
         if flight.begun {
+            self.count_refused(&flight, reason);
             let detail = format!("stream broken off: {reason}");
             self.note(now, Code::RequestRefused, &flight, &detail, out);
             out.push(Output::Abort { ticket });
@@ -160,7 +158,21 @@
             run,
             retry_after_ms: after.map(|after| self.spread_ms(after)),
         };
-        self.note_refusal(now, &flight, &refusal, None, out);
+        self.refuse(now, ticket, &flight, refusal, None, out);
+    }
+
+    /// Refuses a request; `waits` says why, if it was for want of places.
+    pub(super) fn refuse(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        flight: &Flight,
+        refusal: Refusal,
+        waits: Option<Waits>,
+        out: &mut Vec<Output>,
+    ) {
+        self.note_refusal(now, flight, &refusal, waits, out);
+        self.count_refused(flight, refusal.reason);
         out.push(Output::Refuse { ticket, refusal });
     }
 
--- a/crates/entry/src/direct/updates.rs
+++ b/crates/entry/src/direct/updates.rs
@@ -62,7 +62,7 @@
 
     /// Moves streams that can be resumed away from slow engines: each step of the whole group takes as
     /// long as their part of it.
-    pub(super) fn leave_slow(&mut self, now: Instant, out: &mut Vec<Output>) {
+    fn leave_slow(&mut self, now: Instant, out: &mut Vec<Output>) {
         let at_slow = |flight: &Flight| match &flight.stage {
             Stage::Running { server, .. } => {
                 flight.mount.repeat == Repeat::Resumable && self.pool.is_spared(now, server)
@@ -87,7 +87,7 @@
         }
     }
 
-    pub(super) fn learn_servers(&mut self, now: Instant) {
+    fn learn_servers(&mut self, now: Instant) {
         let servers = self.follower.servers();
         let mut names = self.pool.names();
         names.extend(servers.keys().cloned());
--- a/crates/node/src/log/mod.rs
+++ b/crates/node/src/log/mod.rs
@@ -122,8 +122,12 @@
     if record.target() == EVENT_TARGET
         && let Some((name, event)) = text.split_once('\t')
     {
-        let (time, name) = (&*time, name);
-        serde_json::to_writer(&mut *line, &Head { time, level, name })?;
+        let head = Head {
+            time: &time,
+            level,
+            name,
+        };
+        serde_json::to_writer(&mut *line, &head)?;
         // The two objects become one.
         line.pop();
         line.push(b',');
