group, control: plans are limited by the time of their copies and the life of demand

Loads had a fixed weight, gains a fixed threshold. - plan_copies compares plans with different limits on the copies of a rank by the step time that each saves over the expected rest of demand's life, less copies, slowdown, price, and the delay it causes if demand changes meanwhile. Layers are improved in turn, the one with the largest excess first. - The estimator weighs an interval by its deviation from the smoothed loads against the noise between consecutive intervals, and tells when demand has changed. - forecast measures the life of demand, the rise of skew at a change, and by how much predictions were too low; a plan's event shows the skew of the map that it replaces beside its prediction. - A switch whose copies are under way is replaced if demand has changed.

--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -17,31 +17,25 @@
     EngineReport, ExpertCounts, RankOrder, RankOrderResult, SlowEngine,
 };
 use eelgrassdyke_group::barrier::{self, Controller};
+use eelgrassdyke_group::forecast::Forecast;
 use eelgrassdyke_group::load::LoadEstimator;
-use eelgrassdyke_group::plan::{Planner, RankLocation, Reason};
+use eelgrassdyke_group::plan::{CopyCost, Planner, RankLocation};
 
 /// Time between two plans: long enough to include the counts of a few steps.
 const PLAN_INTERVAL: Duration = Duration::from_millis(150);
 
-/// Weight of the newest interval in the smoothed loads. It is high because demand shifts within a
-/// second or two, and each interval counts thousands of expert choices.
-const LOAD_GAIN: f64 = 0.7;
-
 /// Minimum time between two switches, since copying experts slows the steps down.
 const SWITCH_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Minimum predicted gain of a plan while all slots are occupied, as a fraction of the mean step time.
-const MIN_GAIN_BUSY: f64 = 0.4;
-
-/// Minimum predicted gain while all slots are free. It is higher, since an idle group meets its
-/// deadlines with almost any map, and copying experts has a cost.
-const MIN_GAIN_IDLE: f64 = 0.8;
+/// Fraction by which steps are longer while ranks copy experts.
+const COPY_SLOWDOWN: f64 = 0.15;
 
-/// Cost of step-time skew in the planner, relative to [`MOVE_WEIGHT`].
-const SKEW_WEIGHT: u32 = 4;
+/// Price of copying as many experts as all layers have, in seconds of mean step time.
+const COPY_ALL_PRICE_SECONDS: f64 = 1.5;
 
-/// Cost of moved bytes in the planner, relative to [`SKEW_WEIGHT`].
-const MOVE_WEIGHT: u32 = 20;
+/// Price of a switch, in seconds of mean step time: the group stalls if the leader or a watch process
+/// is lost between hold and release.
+const SWITCH_PRICE_SECONDS: f64 = 0.3;
 
 /// Slowness from which an engine counts as slow, in thousandths, where 1000 is the published speed;
 /// engines of the same make differ by less.
@@ -88,6 +82,10 @@
     size: u32,
     next_plan: Instant,
     last_report: Instant,
+    forecast: Forecast,
+    /// When the last map was planned, and its predicted skew.
+    planned: (Instant, f64),
+    completed_switches: u64,
 }
 
 impl GroupState {
@@ -95,7 +93,7 @@
         Self {
             service: report.service.clone(),
             controller: Controller::new(group, barrier::Options::default()),
-            loads: LoadEstimator::new(LOAD_GAIN),
+            loads: LoadEstimator::adaptive(),
             last_counts: BTreeMap::new(),
             running: BTreeMap::new(),
             slowness: BTreeMap::new(),
@@ -103,6 +101,9 @@
             size: report.group_size,
             next_plan: now + PLAN_INTERVAL,
             last_report: now,
+            forecast: Forecast::new(now),
+            planned: (now, 1.0),
+            completed_switches: 0,
         }
     }
 
@@ -110,7 +111,7 @@
     fn record_counts(&mut self, report: &EngineReport, experts: usize) {
         if report.generation != self.generation {
             self.generation = report.generation;
-            self.loads = LoadEstimator::new(LOAD_GAIN);
+            self.loads = LoadEstimator::adaptive();
             self.last_counts.clear();
         }
         self.running.insert(report.rank, report.running);
@@ -134,11 +135,24 @@
         self.last_counts.insert(report.rank, counts.clone());
     }
 
-    /// Minimum gain for which a switch is worth its copies; depends on the fraction of occupied slots.
-    fn min_gain(&self, slots: u32) -> f64 {
+    /// What copies cost, and how long they are of use; copying matters less the fewer slots are occupied.
+    fn copy_cost(&self, now: Instant, slots: u32, experts: &ExpertLayout) -> CopyCost {
         let total = f64::from(slots.max(1)) * self.running.len().max(1) as f64;
         let occupied = f64::from(self.running.values().sum::<u32>());
-        MIN_GAIN_IDLE + (MIN_GAIN_BUSY - MIN_GAIN_IDLE) * (occupied / total).min(1.0)
+        let all_experts = f64::from(experts.layers) * f64::from(experts.experts);
+        let price = COPY_ALL_PRICE_SECONDS / all_experts.max(1.0);
+        let copy_seconds = experts.expert_bytes.0 as f64 / experts.copy_rate.0.max(1) as f64;
+        CopyCost {
+            copy_time: Duration::from_secs_f64(copy_seconds),
+            switch_time: self.controller.switch_time(),
+            demand_life: self.forecast.remaining_life(now),
+            usual_life: self.forecast.life(),
+            switch_price: SWITCH_PRICE_SECONDS,
+            optimism: self.forecast.optimism(),
+            rise: self.forecast.rise(),
+            slowdown: COPY_SLOWDOWN,
+            price: price * total / occupied.max(1.0),
+        }
     }
 
     /// Plans the next map and begins the switch to it, if the gain is sufficient.
@@ -149,7 +163,9 @@
         experts: &ExpertLayout,
         out: &mut Vec<barrier::Output>,
     ) {
-        self.loads.close_interval();
+        if self.loads.close_interval() {
+            self.forecast.record_change(now);
+        }
         let Some(present) = self.controller.active_placement(now) else {
             return;
         };
@@ -157,16 +173,46 @@
             return;
         }
         let members: Vec<Rank> = (0..u64::from(self.size)).map(Rank).collect();
-        let planner = build_planner(&self.service, self.size, experts, self.min_gain(slots));
-        let plan = planner.plan(&self.loads, Some(&present), &members, Reason::Interval);
-        let Some(plan) = plan else {
+        let planner = build_planner(&self.service, self.size, experts);
+        let switches = self.controller.completed_switches();
+        if self.controller.copying().is_some() {
+            // The map in force is about to be replaced.
+        } else if switches > self.completed_switches {
+            self.completed_switches = switches;
+            let (planned_at, predicted_skew) = self.planned;
+            self.forecast.record_map(now, planned_at, predicted_skew);
+        } else {
+            let skew = planner.latest_skew(&self.loads, &present, &members);
+            let smoothed_skew = planner.skew(&self.loads, &present, &members);
+            self.forecast.record_skew(skew, smoothed_skew);
+        }
+        let cost = self.copy_cost(now, slots, experts);
+        // A switch whose copies are under way is replaced only if demand has changed since.
+        let mut min_saving = 0.0;
+        if let Some((layers, started_at, copy_time)) = self.controller.copying() {
+            if self.forecast.changed_at() <= started_at {
+                return;
+            }
+            let skew = (
+                planner.skew(&self.loads, &present, &members),
+                planner.skew(&self.loads, layers, &members),
+            );
+            let rest = copy_time.saturating_sub(now.since(started_at));
+            min_saving = cost.saved_by_completing(skew, rest).max(0.0);
+        }
+        let plan = planner.plan_copies(&self.loads, &present, &members, &cost);
+        let Some(plan) = plan.filter(|plan| plan.saved_seconds > min_saving) else {
             return;
         };
-        out.push(barrier::Output::Event(plan.event(self.controller.group())));
+        self.planned = (now, plan.skew.1);
+        out.push(barrier::Output::Event(
+            plan.event(self.controller.group(), self.forecast.map()),
+        ));
         self.next_plan = now + SWITCH_INTERVAL;
+        let copy_time = cost.copy_time * plan.copies_of_busiest_rank as u32;
         let layers = plan.layers;
-        self.controller
-            .handle(now, barrier::Input::StartSwitch(layers), out);
+        let input = barrier::Input::StartSwitch { layers, copy_time };
+        self.controller.handle(now, input, out);
     }
 }
 
@@ -306,7 +352,7 @@
 }
 
 /// A planner for a group in which each rank runs on a host of its own.
-fn build_planner(service: &Service, size: u32, experts: &ExpertLayout, hysteresis: f64) -> Planner {
+fn build_planner(service: &Service, size: u32, experts: &ExpertLayout) -> Planner {
     let spec = GroupSpec {
         service: service.clone(),
         ranks: BTreeMap::new(),
@@ -315,12 +361,11 @@
         slots: experts.slots,
         expert_bytes: experts.expert_bytes,
         store_rate: experts.copy_rate,
-        skew_weight: SKEW_WEIGHT,
-        move_weight: MOVE_WEIGHT,
+        skew_weight: 1,
+        move_weight: 1,
         frozen: false,
     };
     let options = eelgrassdyke_group::plan::Options {
-        hysteresis,
         max_new_experts: experts.max_copies_per_switch as usize,
         // Losing a rank ends the group's generation, so copies on other hosts add no availability.
         min_hosts_per_expert: 1,
--- a/crates/group/src/barrier.rs
+++ b/crates/group/src/barrier.rs
@@ -53,26 +53,40 @@
 /// Number of wake-ups per resend interval, to find overdue orders.
 const WAKEUPS_PER_RESEND: u32 = 4;
 
-/// Minimum number of steps between the estimated current step and the activation step. The hold
-/// must arrive before the activation step starts, and the latest report is one or two steps old.
-const MIN_STEPS_AHEAD: f64 = 3.0;
+/// Minimum number of steps between the estimated current step and the activation step: the estimate
+/// may be wrong by one step, and the hold must arrive before the activation step starts.
+const MIN_STEPS_AHEAD: f64 = 1.5;
 
-/// The minimum if steps are so slow that the latest report always shows the current step.
-const MIN_STEPS_AHEAD_SLOW: f64 = 2.0;
+/// Number of orders that follow each other between the choice of the activation step and the step:
+/// hold, arm and release.
+const ORDERS_BEFORE_ACTIVATION: f64 = 3.0;
 
-/// Step time, in seconds, from which [`MIN_STEPS_AHEAD_SLOW`] applies.
-const SLOW_STEP_TIME_SECONDS: f64 = 0.2;
+/// Mean round-trip time of an order, in seconds, that is assumed until orders have been measured.
+const INITIAL_ORDER_SECONDS: f64 = 0.025;
+
+/// Weight of the latest order in the smoothed round-trip time.
+const ORDER_TIME_SMOOTHING: f64 = 0.05;
+
+/// Number of mean deviations above the mean that the slowest of all ranks is expected to need.
+const ORDER_DEVIATIONS: f64 = 2.0;
+
+/// Weight of the latest switch in the smoothed switch time.
+const SWITCH_TIME_SMOOTHING: f64 = 0.3;
+
+/// Time of a switch, without the copies, that is assumed until one has been measured.
+const INITIAL_SWITCH_TIME: Duration = Duration::from_millis(400);
+
+/// Factor by which copies may take longer than expected before a switch is given up.
+const COPY_TIME_TOLERANCE: u32 = 2;
 
 /// Options of a controller.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Options {
-    /// Time from the hold order to the activation step.
-    pub activation_lead: Duration,
     /// Additional lead, multiplied by the recent fraction of unanswered orders.
     pub unanswered_lead: Duration,
     /// Time without a result after which an order is sent again.
     pub resend_interval: Duration,
-    /// Maximum duration of the preparation.
+    /// Maximum duration of the preparation, in addition to the expected time of the copies.
     pub prepare_timeout: Duration,
     /// Maximum duration of arming the ranks, from the first order.
     pub arm_timeout: Duration,
@@ -83,7 +97,6 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
-            activation_lead: Duration::from_millis(150),
             unanswered_lead: Duration::from_millis(1500),
             resend_interval: Duration::from_millis(250),
             prepare_timeout: Duration::from_millis(2500),
@@ -110,8 +123,13 @@
     /// The outcome of an order.
     OrderResult(RankOrderResult),
     /// A request to switch to this placement; ignored unless [`Controller::active_placement`] returns
-    /// one.
-    StartSwitch(ExpertPlacement),
+    /// one. It replaces a switch whose copies are not complete.
+    StartSwitch {
+        /// The placement.
+        layers: ExpertPlacement,
+        /// Time that the copies are expected to take.
+        copy_time: Duration,
+    },
     /// The deadline of [`Controller::next_deadline`] has passed.
     Tick,
 }
@@ -225,6 +243,8 @@
     /// Counter in the low bits of the fencing token.
     fencing_counter: u64,
     last_order_number: u64,
+    /// Number of the first order under the present fencing token.
+    first_order_of_token: u64,
     step_time_seconds: f64,
     /// Smoothed fraction of unanswered orders.
     unanswered_fraction: f64,
@@ -232,6 +252,12 @@
     stray_releases: BTreeMap<Rank, Instant>,
     next_wakeup: Instant,
     completed_switches: u64,
+    /// Smoothed round-trip time of an order and its mean deviation.
+    order_seconds: (f64, f64),
+    /// When the last switch started, and the time that its copies were expected to take.
+    switch_started: (Instant, Duration),
+    /// Smoothed time of a switch without its copies.
+    switch_seconds: f64,
 }
 
 impl Controller {
@@ -248,11 +274,15 @@
             highest_version: Version(0),
             fencing_counter: 0,
             last_order_number: 0,
+            first_order_of_token: 0,
             step_time_seconds: INITIAL_STEP_TIME.as_secs_f64(),
             unanswered_fraction: 0.0,
             stray_releases: BTreeMap::new(),
             next_wakeup: Instant::NEVER,
             completed_switches: 0,
+            order_seconds: (INITIAL_ORDER_SECONDS, INITIAL_ORDER_SECONDS / 2.0),
+            switch_started: (Instant(0), Duration::ZERO),
+            switch_seconds: INITIAL_SWITCH_TIME.as_secs_f64(),
         }
     }
 
@@ -269,7 +299,7 @@
             Input::LeadershipLost => self.phase = Phase::Idle,
             Input::Report { watch, report } => self.handle_report(now, watch, *report),
             Input::OrderResult(result) => self.handle_order_result(now, &result, out),
-            Input::StartSwitch(layers) => self.start_switch(now, layers),
+            Input::StartSwitch { layers, copy_time } => self.start_switch(now, layers, copy_time),
             Input::Tick => {}
         }
         self.advance_phase(now, out);
@@ -295,9 +325,20 @@
         !matches!(self.phase, Phase::Idle)
     }
 
+    /// The placement that the ranks copy experts for, with the start of the switch and the time that
+    /// the copies are expected to take; none in any other phase.
+    pub fn copying(&self) -> Option<(&ExpertPlacement, Instant, Duration)> {
+        let (started_at, copy_time) = self.switch_started;
+        match &self.phase {
+            Phase::Preparing { layers, .. } => Some((layers, started_at, copy_time)),
+            _ => None,
+        }
+    }
+
     /// The placement that all ranks use; none unless a switch may start.
     pub fn active_placement(&self, now: Instant) -> Option<ExpertPlacement> {
-        if !matches!(self.phase, Phase::Settled) || !self.is_group_running(now) {
+        let may_start = matches!(self.phase, Phase::Settled | Phase::Preparing { .. });
+        if !may_start || !self.is_group_running(now) {
             return None;
         }
         let mut reports = self.ranks.values().map(|entry| &entry.report);
@@ -320,6 +361,16 @@
         self.completed_switches
     }
 
+    /// Time that a switch takes in addition to its copies, as recent ones took it.
+    pub fn switch_time(&self) -> Duration {
+        Duration::from_secs_f64(self.switch_seconds)
+    }
+
+    /// Smoothed time of a step.
+    pub fn step_time(&self) -> Duration {
+        Duration::from_secs_f64(self.step_time_seconds)
+    }
+
     /// Whether every rank has a recent report and the group is open.
     fn is_group_running(&self, now: Instant) -> bool {
         let is_running = |entry: &RankEntry| {
@@ -390,7 +441,10 @@
     ) {
         let unanswered = f64::from(u8::from(result.outcome == RankOrderOutcome::Unanswered));
         self.unanswered_fraction += (unanswered - self.unanswered_fraction) * UNANSWERED_SMOOTHING;
-        if result.outcome == RankOrderOutcome::Fenced && self.is_leader() {
+        // An order from before this controller last raised its token was overtaken by a later one of its
+        // own.
+        let is_overtaken = result.number < self.first_order_of_token;
+        if result.outcome == RankOrderOutcome::Fenced && self.is_leader() && !is_overtaken {
             let detail = format!(
                 "rank {} refused an order: another leader has used a higher fencing token",
                 result.rank
@@ -414,6 +468,7 @@
             return;
         }
         sent.unanswered_sends = 0;
+        let sent_at = sent.sent_at;
         match result.outcome {
             RankOrderOutcome::Accepted => {
                 round.confirmed.insert(result.rank, result.number);
@@ -432,6 +487,14 @@
             }
             RankOrderOutcome::Fenced => {}
         }
+        self.record_order_time(now.since(sent_at));
+    }
+
+    fn record_order_time(&mut self, time: Duration) {
+        let seconds = time.as_secs_f64();
+        let (mean, deviation) = &mut self.order_seconds;
+        *deviation += ((seconds - *mean).abs() - *deviation) * ORDER_TIME_SMOOTHING;
+        *mean += (seconds - *mean) * ORDER_TIME_SMOOTHING;
     }
 
     fn round_mut(&mut self) -> Option<&mut Round> {
@@ -448,22 +511,28 @@
 
     /// Raises the fencing token, which invalidates all earlier orders, and enters [`Phase::Fencing`].
     fn start_fencing(&mut self) {
-        self.fencing_counter += 1;
+        self.raise_token();
         self.phase = Phase::Fencing(Round::default());
     }
 
-    fn start_switch(&mut self, now: Instant, layers: ExpertPlacement) {
+    fn raise_token(&mut self) {
+        self.fencing_counter += 1;
+        self.first_order_of_token = self.last_order_number + 1;
+    }
+
+    fn start_switch(&mut self, now: Instant, layers: ExpertPlacement, copy_time: Duration) {
         if self.active_placement(now).is_none() {
             return;
         }
-        self.fencing_counter += 1;
+        self.raise_token();
         self.highest_version = self.highest_version.next();
         self.phase = Phase::Preparing {
             version: self.highest_version,
             layers,
             round: Round::default(),
-            deadline: now + self.options.prepare_timeout,
+            deadline: now + self.options.prepare_timeout + copy_time * COPY_TIME_TOLERANCE,
         };
+        self.switch_started = (now, copy_time);
     }
 
     /// Orders the rank after `tried_holder` to hold the group before a newly chosen activation step,
@@ -495,16 +564,11 @@
             entry.report.step.0 as f64 + age / self.step_time_seconds
         };
         let current = self.ranks.values().map(estimated_step).fold(0.0, f64::max);
-        let lead = self.options.activation_lead
-            + self
-                .options
-                .unanswered_lead
-                .mul_f64(self.unanswered_fraction);
-        let min_steps = match self.step_time_seconds < SLOW_STEP_TIME_SECONDS {
-            true => MIN_STEPS_AHEAD,
-            false => MIN_STEPS_AHEAD_SLOW,
-        };
-        Step((current + (lead.as_secs_f64() / self.step_time_seconds).max(min_steps)).ceil() as u64)
+        let (mean, deviation) = self.order_seconds;
+        let orders = ORDERS_BEFORE_ACTIVATION * (mean + ORDER_DEVIATIONS * deviation);
+        let unanswered = self.options.unanswered_lead.as_secs_f64() * self.unanswered_fraction;
+        let lead_steps = (orders + unanswered) / self.step_time_seconds;
+        Step((current + lead_steps.max(MIN_STEPS_AHEAD)).ceil() as u64)
     }
 
     /// Sends the orders of the current phase and enters the next one when its condition is met.
@@ -537,6 +601,10 @@
                     self.start_holding(now, version, holder);
                     self.advance_phase(now, out);
                 } else if now >= deadline {
+                    let detail = format!(
+                        "version {version}: not every rank had copied its experts before the deadline"
+                    );
+                    self.emit_event(Code::SwitchStalled, detail, out);
                     self.phase = Phase::Settled;
                 } else {
                     let ranks: Vec<Rank> =
@@ -621,6 +689,12 @@
                 };
                 if self.ranks.values().all(is_switched) {
                     self.completed_switches += 1;
+                    let (started_at, copy_time) = self.switch_started;
+                    let seconds = now
+                        .since(started_at)
+                        .saturating_sub(copy_time)
+                        .as_secs_f64();
+                    self.switch_seconds += (seconds - self.switch_seconds) * SWITCH_TIME_SMOOTHING;
                     let detail = format!("version {version} at step {step}");
                     self.emit_event(Code::MapInForce, detail, out);
                     self.phase = Phase::Settled;
--- a/crates/group/src/layer.rs
+++ b/crates/group/src/layer.rs
@@ -29,8 +29,8 @@
     pub slots: usize,
     /// Number of hosts that must hold each expert: one or two.
     pub min_hosts_per_expert: usize,
-    /// Maximum number of experts of a rank that are not in its initial placement.
-    pub max_new_experts: usize,
+    /// Maximum number of experts of each rank that are not in its initial placement.
+    pub max_new_experts: &'a [usize],
 }
 
 /// A change of a placement.
@@ -135,6 +135,12 @@
         self.rank_times.iter().copied().fold(0.0, f64::max)
     }
 
+    /// Number of experts of `rank` that are not in its initial placement.
+    pub fn new_experts(&self, rank: usize) -> usize {
+        let is_new = |expert: &&u32| !self.initial[rank].contains(expert);
+        self.experts_by_rank[rank].iter().filter(is_new).count()
+    }
+
     /// Mean time of the member ranks.
     pub fn mean_time(&self, problem: &LayerProblem<'_>) -> f64 {
         let members = problem
@@ -271,10 +277,12 @@
         best
     }
 
-    /// The least busy ranks other than `slowest`.
+    /// The least busy ranks other than `slowest` that may still receive a new expert.
     fn partners(&self, problem: &LayerProblem<'_>, slowest: usize) -> Vec<usize> {
+        let may_receive = |rank: &usize| self.new_experts(*rank) < problem.max_new_experts[*rank];
         let mut ranks: Vec<usize> = (0..self.experts_by_rank.len())
             .filter(|rank| *rank != slowest && problem.rank_costs[*rank].is_finite())
+            .filter(may_receive)
             .collect();
         ranks.sort_by(|a, b| {
             self.rank_times[*a]
@@ -408,7 +416,7 @@
         }
         let experts = self.experts_by_rank[rank].iter().enumerate();
         let new_experts = experts.filter(|(index, expert)| *index != slot && is_new(expert));
-        new_experts.count() < problem.max_new_experts
+        new_experts.count() < problem.max_new_experts[rank]
     }
 
     /// Whether `expert` stays on enough hosts, or on as many as before, if its copy on rank `removed` is
--- a/crates/group/src/load.rs
+++ b/crates/group/src/load.rs
@@ -12,6 +12,17 @@
 /// Weight of the latest interval in the smoothed loads, by default.
 const LOAD_SMOOTHING: f64 = 0.5;
 
+/// Weight of the latest interval while demand is steady, if the weight follows the noise.
+const STEADY_SMOOTHING: f64 = 0.25;
+
+/// Weight of the latest interval in the smoothed noise. It is low, so that a change of demand hardly
+/// counts as noise.
+const NOISE_SMOOTHING: f64 = 0.08;
+
+/// Squared deviation from the smoothed loads, relative to the squared noise, that is expected while
+/// demand is steady.
+const STEADY_DEVIATION: f64 = 1.3;
+
 /// Weight of the latest report in the smoothed cost of a rank.
 const COST_SMOOTHING: f64 = 0.3;
 
@@ -20,8 +31,13 @@
 /// The cost of a rank is its time per token, in any unit that all ranks of the group share.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LoadEstimator {
-    /// Weight of the latest interval in the smoothed loads.
-    smoothing: f64,
+    smoothing: Smoothing,
+    /// Tokens per step and rank in the latest interval alone, by layer and expert.
+    latest_loads: Vec<Vec<f64>>,
+    /// Shares of the experts in the previous interval, by layer and expert.
+    previous_shares: Vec<Vec<f64>>,
+    /// Smoothed squared difference of the shares in consecutive intervals; none until it was measured.
+    noise: Option<f64>,
     /// Tokens per step and rank, by layer and expert.
     expert_loads: Vec<Vec<f64>>,
     /// Tokens reported in the current interval, by layer and expert.
@@ -34,6 +50,16 @@
     reported_steps: BTreeMap<Rank, Step>,
 }
 
+/// How the loads of an interval are weighted.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Smoothing {
+    /// With a constant weight, between 0 and 1.
+    Constant(f64),
+    /// With a weight that grows with the deviation from the smoothed loads, measured by the noise of
+    /// the intervals.
+    ByNoise,
+}
+
 impl Default for LoadEstimator {
     fn default() -> Self {
         Self::new(LOAD_SMOOTHING)
@@ -43,8 +69,21 @@
 impl LoadEstimator {
     /// Creates an estimator that gives the latest interval the weight `smoothing`, between 0 and 1.
     pub fn new(smoothing: f64) -> Self {
+        Self::with_smoothing(Smoothing::Constant(smoothing))
+    }
+
+    /// Creates an estimator that follows a change of demand at once and otherwise averages over
+    /// intervals; it tells the two apart by the difference between consecutive intervals.
+    pub fn adaptive() -> Self {
+        Self::with_smoothing(Smoothing::ByNoise)
+    }
+
+    fn with_smoothing(smoothing: Smoothing) -> Self {
         Self {
             smoothing,
+            latest_loads: Vec::new(),
+            previous_shares: Vec::new(),
+            noise: None,
             expert_loads: Vec::new(),
             interval_tokens: Vec::new(),
             interval_rank_steps: 0.0,
@@ -79,25 +118,50 @@
         *smoothed += (cost - *smoothed) * COST_SMOOTHING;
     }
 
-    /// Closes the current interval and adds it to the smoothed loads.
-    pub fn close_interval(&mut self) {
+    /// Closes the current interval and adds it to the smoothed loads. Returns whether demand has
+    /// changed, as far as the noise allows to tell.
+    pub fn close_interval(&mut self) -> bool {
         if self.interval_rank_steps == 0.0 {
-            return;
+            return false;
         }
-        let weight = match self.expert_loads.is_empty() {
-            true => 1.0,
-            false => self.smoothing,
+        let (weight, has_changed) = match (self.expert_loads.is_empty(), self.smoothing) {
+            (true, _) => (1.0, false),
+            (false, Smoothing::Constant(weight)) => (weight, false),
+            (false, Smoothing::ByNoise) => self.weight_by_noise(),
         };
+        self.latest_loads = std::mem::take(&mut self.interval_tokens);
+        for sum in self.latest_loads.iter_mut().flatten() {
+            *sum /= self.interval_rank_steps;
+        }
+        self.interval_rank_steps = 0.0;
         self.expert_loads
-            .resize(self.interval_tokens.len(), Vec::new());
-        for (loads, sums) in self.expert_loads.iter_mut().zip(&self.interval_tokens) {
-            loads.resize(sums.len(), 0.0);
-            for (load, sum) in loads.iter_mut().zip(sums) {
-                *load += (sum / self.interval_rank_steps - *load) * weight;
+            .resize(self.latest_loads.len(), Vec::new());
+        for (loads, latest) in self.expert_loads.iter_mut().zip(&self.latest_loads) {
+            loads.resize(latest.len(), 0.0);
+            for (load, latest) in loads.iter_mut().zip(latest) {
+                *load += (latest - *load) * weight;
             }
         }
-        self.interval_tokens.clear();
-        self.interval_rank_steps = 0.0;
+        has_changed
+    }
+
+    /// Weight of the current interval, and whether it shows a change of demand.
+    fn weight_by_noise(&mut self) -> (f64, bool) {
+        let shares = shares(&self.interval_tokens);
+        let previous = std::mem::replace(&mut self.previous_shares, shares);
+        if previous.is_empty() {
+            return (STEADY_SMOOTHING, false);
+        }
+        // Two consecutive intervals differ by the noise of both.
+        let noise = squared_difference(&self.previous_shares, &previous) / 2.0;
+        let expected = *self.noise.get_or_insert(noise);
+        self.noise = Some(expected + (noise - expected) * NOISE_SMOOTHING);
+        let smoothed = self::shares(&self.expert_loads);
+        let deviation = squared_difference(&self.previous_shares, &smoothed);
+        let excess =
+            (1.0 - STEADY_DEVIATION * expected / deviation.max(f64::MIN_POSITIVE)).max(0.0);
+        let weight = STEADY_SMOOTHING + (1.0 - STEADY_SMOOTHING) * excess;
+        (weight, excess > 0.5)
     }
 
     /// Tokens that a rank routes to each expert in a step, by layer and expert.
@@ -105,6 +169,11 @@
         &self.expert_loads
     }
 
+    /// Tokens that a rank routed to each expert in a step of the latest interval, by layer and expert.
+    pub fn latest_loads(&self) -> &[Vec<f64>] {
+        &self.latest_loads
+    }
+
     /// Cost of a rank relative to the mean of all ranks; 1 for a rank without reports.
     pub fn relative_cost(&self, rank: Rank) -> f64 {
         let mean = self.rank_costs.values().sum::<f64>() / self.rank_costs.len().max(1) as f64;
@@ -125,3 +194,18 @@
         self.reported_steps.remove(&rank);
     }
 }
+
+/// Share of each expert in the tokens of its layer.
+fn shares(loads: &[Vec<f64>]) -> Vec<Vec<f64>> {
+    let layer_shares = |layer: &Vec<f64>| {
+        let sum = layer.iter().sum::<f64>().max(f64::MIN_POSITIVE);
+        layer.iter().map(|load| load / sum).collect()
+    };
+    loads.iter().map(layer_shares).collect()
+}
+
+/// Sum of the squared differences of the shares in all layers.
+fn squared_difference(a: &[Vec<f64>], b: &[Vec<f64>]) -> f64 {
+    let pairs = a.iter().flatten().zip(b.iter().flatten());
+    pairs.map(|(a, b)| (a - b) * (a - b)).sum()
+}
--- a/crates/group/src/plan.rs
+++ b/crates/group/src/plan.rs
@@ -14,6 +14,7 @@
 use eelgrassdyke_core::unit::Bytes;
 use eelgrassdyke_core::wire::group::ExpertPlacement;
 
+use crate::forecast::MapRecord;
 use crate::layer::{LayerPlacement, LayerProblem};
 use crate::load::LoadEstimator;
 
@@ -28,6 +29,12 @@
 /// Number of hosts that should hold each expert, by default.
 const MIN_HOSTS_PER_EXPERT: usize = 2;
 
+/// Fraction of the time of a switch that a smaller limit on the copies must be able to save.
+const NOTICEABLE_FRACTION: f64 = 0.1;
+
+/// Number of turns in which the copies of a plan are distributed among the layers.
+const BUDGET_DIVISOR: usize = 8;
+
 /// Options of a planner.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Options {
@@ -52,6 +59,73 @@
     }
 }
 
+/// What the copies of a plan cost, and for how long they are of use.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CopyCost {
+    /// Time in which a rank copies one expert.
+    pub copy_time: Duration,
+    /// Time that a switch takes in addition to its copies.
+    pub switch_time: Duration,
+    /// Expected time until demand changes.
+    pub demand_life: Duration,
+    /// Fraction by which steps are longer while ranks copy.
+    pub slowdown: f64,
+    /// Price of copying one expert: the time that it has to save, in seconds of mean step time.
+    pub price: f64,
+    /// Price of a switch whatever it copies, in seconds of mean step time.
+    pub switch_price: f64,
+    /// Usual difference between the skew of a map and its prediction.
+    pub optimism: f64,
+    /// Usual increase of the skew by a change of demand.
+    pub rise: f64,
+    /// Usual time between two changes of demand.
+    pub usual_life: Duration,
+}
+
+impl CopyCost {
+    /// Limits on the copies of a rank to compare, the largest first; small ones are left out where
+    /// they would not shorten the switch noticeably.
+    fn copy_limits(&self, limit_max: usize) -> Vec<usize> {
+        let mut limits = vec![limit_max.max(1)];
+        let noticeable = self.switch_time.as_secs_f64() * NOTICEABLE_FRACTION;
+        while let Some(limit) = limits.last().copied()
+            && limit > 1
+            && self.copy_time.as_secs_f64() * limit as f64 > noticeable
+        {
+            limits.push(limit.div_ceil(2));
+        }
+        limits
+    }
+
+    /// Seconds for which a map is expected to be of use if each rank copies `copies` experts for it.
+    fn time_in_force(&self, copies: usize) -> f64 {
+        let life = self.demand_life.as_secs_f64() - self.switch_time.as_secs_f64();
+        life - self.copy_time.as_secs_f64() * copies as f64
+    }
+
+    /// What completing a switch is expected to save whose copies take another `copying`, in seconds of
+    /// mean step time, if it changes the skew from `skew.0` to `skew.1`.
+    pub fn saved_by_completing(&self, skew: (f64, f64), copying: Duration) -> f64 {
+        let wait = copying + self.switch_time;
+        (skew.0 - skew.1) * (self.demand_life.as_secs_f64() - wait.as_secs_f64())
+    }
+
+    /// What a plan is expected to save, in seconds of mean step time.
+    fn saved_seconds(&self, plan: &Plan, copies: u64) -> f64 {
+        let copying = self.copy_time.as_secs_f64() * plan.copies_of_busiest_rank as f64;
+        let gain = plan.skew.0 - plan.skew.1 - self.optimism;
+        let saved = gain * self.time_in_force(plan.copies_of_busiest_rank as usize);
+        // If demand changes during the switch, the next plan waits for half of it on average.
+        let switching = copying + self.switch_time.as_secs_f64();
+        let delay = switching * switching / 2.0 / self.usual_life.as_secs_f64().max(switching);
+        saved
+            - self.switch_price
+            - self.slowdown * plan.skew.0 * copying
+            - self.rise * delay
+            - self.price * copies as f64
+    }
+}
+
 /// Where a rank runs.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RankLocation {
@@ -88,21 +162,35 @@
     pub bytes_to_load: Bytes,
     /// Number of ranks that load weights.
     pub loading_ranks: u64,
+    /// Number of experts that the rank with the most copies loads.
+    pub copies_of_busiest_rank: u64,
     /// Number of experts, summed over all layers, that fewer hosts hold than
     /// [`Options::min_hosts_per_expert`].
     pub under_replicated_experts: u64,
     /// Whether the load budget truncated the plan.
     pub truncated: bool,
+    /// Time that the plan is expected to save, in seconds of mean step time; zero if it was planned
+    /// without regard to that.
+    pub saved_seconds: f64,
 }
 
 impl Plan {
-    /// The event that records the plan in the timeline.
-    pub fn event(&self, group: &Group) -> Event {
+    /// The event that records the plan in the timeline, with the skew that the map it replaces had
+    /// and should have had.
+    pub fn event(&self, group: &Group, replaced: Option<&MapRecord>) -> Event {
+        let measured = replaced.and_then(|map| Some((map.measured()?, map.predicted)));
+        let replaced = match measured {
+            Some((measured, predicted)) => {
+                format!(", replaces a map with skew {measured:.3} (predicted {predicted:.3})")
+            }
+            None => String::new(),
+        };
         let detail = format!(
-            "{:?}: predicted skew {:.3} to {:.3}, {} bytes to load, {} experts on one host only{}",
+            "{:?}: predicted skew {:.3} to {:.3}, saves {:.2} s, {} bytes to load, {} experts on one host only{}{replaced}",
             self.reason,
             self.skew.0,
             self.skew.1,
+            self.saved_seconds,
             self.bytes_to_load,
             self.under_replicated_experts,
             if self.truncated {
@@ -152,7 +240,7 @@
         if self.spec.frozen && reason == Reason::Interval {
             return None;
         }
-        let problem = self.group_problem(loads, members);
+        let problem = self.group_problem(loads, loads.expert_loads(), members);
         let mut truncated = false;
         let (before, layers) = match active {
             Some(active) if reason != Reason::RanksChanged => {
@@ -172,13 +260,114 @@
         (!is_small && !is_empty).then_some(plan)
     }
 
+    /// Plans the next map of a group whose ranks copy experts while they run.
+    ///
+    /// Copies are worth their time only while demand stays as it is. Plans with different limits on the
+    /// copies of a rank are compared by the step time that each is expected to save over the rest of the
+    /// demand's life, less what its copies cost. Returns none if none of them saves any.
+    pub fn plan_copies(
+        &self,
+        loads: &LoadEstimator,
+        active: &ExpertPlacement,
+        members: &[Rank],
+        cost: &CopyCost,
+    ) -> Option<Plan> {
+        let problem = self.group_problem(loads, loads.expert_loads(), members);
+        let before = problem.layer_placements(active);
+        let limit_max = self.options.max_new_experts.saturating_mul(before.len());
+        let mut best: Option<Plan> = None;
+        for limit in cost.copy_limits(limit_max) {
+            let window = cost.time_in_force(limit);
+            let price = cost.price * problem.mean_time(&before) / window;
+            if window <= 0.0 {
+                continue;
+            }
+            let after = self.improve_with_limit(loads, members, &before, price, limit);
+            let mut plan = self.build_plan(
+                &problem,
+                Some(active),
+                &before,
+                &after,
+                Reason::Interval,
+                false,
+            );
+            let copies = plan.bytes_to_load.0 / self.spec.expert_bytes.0.max(1);
+            plan.saved_seconds = cost.saved_seconds(&plan, copies);
+            if plan.saved_seconds > best.as_ref().map_or(0.0, |best| best.saved_seconds) {
+                best = Some(plan);
+            }
+        }
+        best
+    }
+
+    /// Improves the layers in turn, the one with the highest potential gain first, until every rank
+    /// has copied `limit` experts or no further copy saves more than `price`.
+    fn improve_with_limit(
+        &self,
+        loads: &LoadEstimator,
+        members: &[Rank],
+        before: &[LayerPlacement],
+        price: f64,
+        limit: usize,
+    ) -> Vec<LayerPlacement> {
+        let mut problem = self.group_problem(loads, loads.expert_loads(), members);
+        let ranks = self.locations.len();
+        let mut layers = before.to_vec();
+        // Small budgets spread the copies over the layers; a budget grows while it is too small to
+        // relieve several equally slow ranks.
+        let min_budget = (ranks * limit / (layers.len() * BUDGET_DIVISOR).max(1)).max(1) as u64;
+        let mut budgets = vec![min_budget; layers.len()];
+        let mut copies = vec![0; ranks];
+        loop {
+            let excess = |index: usize| {
+                layers[index].slowest_time()
+                    - layers[index].mean_time(&problem.layer_problem(index))
+            };
+            let open = (0..layers.len()).filter(|index| budgets[*index] <= (ranks * limit) as u64);
+            let Some(index) = open.max_by(|a, b| excess(*a).total_cmp(&excess(*b))) else {
+                return layers;
+            };
+            for (rank, limit_in_layer) in problem.max_new_experts.iter_mut().enumerate() {
+                let remaining = limit - usize::min(limit, copies[rank]);
+                let held = layers[index].new_experts(rank);
+                *limit_in_layer = self.options.max_new_experts.min(held + remaining);
+            }
+            let old = layers[index].clone();
+            let layer_problem = problem.layer_problem(index);
+            if layers[index].improve(&layer_problem, price, budgets[index]) == 0 {
+                budgets[index] *= 2;
+                continue;
+            }
+            budgets[index] = min_budget;
+            for (rank, copies) in copies.iter_mut().enumerate() {
+                *copies = *copies + layers[index].new_experts(rank) - old.new_experts(rank);
+            }
+        }
+    }
+
     /// Predicted skew of a placement under these loads: time of the slowest rank over the mean time.
     pub fn skew(&self, loads: &LoadEstimator, layers: &ExpertPlacement, members: &[Rank]) -> f64 {
-        let problem = self.group_problem(loads, members);
+        let problem = self.group_problem(loads, loads.expert_loads(), members);
         problem.skew(&problem.layer_placements(layers))
     }
 
-    fn group_problem(&self, loads: &LoadEstimator, members: &[Rank]) -> GroupProblem {
+    /// Skew of a placement in the latest interval alone.
+    pub fn latest_skew(
+        &self,
+        loads: &LoadEstimator,
+        layers: &ExpertPlacement,
+        members: &[Rank],
+    ) -> f64 {
+        let problem = self.group_problem(loads, loads.latest_loads(), members);
+        problem.skew(&problem.layer_placements(layers))
+    }
+
+    fn group_problem(
+        &self,
+        loads: &LoadEstimator,
+        expert_loads: &[Vec<f64>],
+        members: &[Rank],
+    ) -> GroupProblem {
         let experts = self.spec.experts as usize;
         let mut hosts: Vec<&Host> = self
             .locations
@@ -193,7 +382,7 @@
             true => loads.relative_cost(Rank(rank as u64)),
             false => f64::INFINITY,
         };
-        let mut expert_loads = loads.expert_loads().to_vec();
+        let mut expert_loads = expert_loads.to_vec();
         expert_loads.resize(self.spec.layers as usize, Vec::new());
         for row in &mut expert_loads {
             // Experts without load get a small one, so that their copies are distributed as well.
@@ -217,7 +406,7 @@
                 true => self.options.min_hosts_per_expert.min(hosts.len()),
                 false => 1,
             },
-            max_new_experts: self.options.max_new_experts,
+            max_new_experts: vec![self.options.max_new_experts; self.locations.len()],
         }
     }
 
@@ -318,6 +507,7 @@
         Plan {
             skew: (problem.skew(before), problem.skew(after)),
             bytes_to_load: Bytes(load_counts.iter().sum::<u64>() * self.spec.expert_bytes.0),
+            copies_of_busiest_rank: load_counts.iter().copied().max().unwrap_or(0),
             loading_ranks: load_counts.iter().filter(|count| **count > 0).count() as u64,
             under_replicated_experts: after
                 .iter()
@@ -326,6 +516,7 @@
             layers,
             reason,
             truncated,
+            saved_seconds: 0.0,
         }
     }
 }
@@ -350,7 +541,7 @@
     hosts: Vec<usize>,
     slots: usize,
     min_hosts_per_expert: usize,
-    max_new_experts: usize,
+    max_new_experts: Vec<usize>,
 }
 
 impl GroupProblem {
@@ -367,7 +558,7 @@
             hosts: &self.hosts,
             slots: self.slots,
             min_hosts_per_expert: self.min_hosts_per_expert,
-            max_new_experts: self.max_new_experts,
+            max_new_experts: &self.max_new_experts,
         }
     }
 
--- a/crates/group/tests/barrier.rs
+++ b/crates/group/tests/barrier.rs
@@ -24,6 +24,8 @@
 const STEP_TIME: Duration = Duration::from_millis(50);
 const TICK: Duration = Duration::from_millis(5);
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+/// Fraction of the ticks, while ranks copy experts, in which their switch is replaced by another.
+const REPLACED_FRACTION: f64 = 0.01;
 const RUN_TIME: Duration = Duration::from_secs(40);
 
 /// The mechanism that the engines ignore.
@@ -319,8 +321,16 @@
             if self.now >= self.leaders[leader].next_deadline() {
                 self.drive_controller(leader, Input::Tick);
             }
-            if self.leaders[leader].active_placement(self.now).is_some() {
-                self.drive_controller(leader, Input::StartSwitch(layers()));
+            let controller = &self.leaders[leader];
+            let may_start = controller.active_placement(self.now).is_some();
+            let is_copying = controller.copying().is_some();
+            // A switch whose copies are under way is replaced now and then.
+            if may_start && (!is_copying || self.rng.random_bool(REPLACED_FRACTION)) {
+                let input = Input::StartSwitch {
+                    layers: layers(),
+                    copy_time: Duration::ZERO,
+                };
+                self.drive_controller(leader, input);
             }
         }
     }
@@ -453,3 +463,28 @@
         "no seed finds mixed maps although engines ignore {ignored:?}"
     );
 }
+
+/// Replaces a switch while its first orders are in transit: a rank refuses them under the token of the
+/// second switch, which does not mean that another leader exists.
+#[test]
+fn orders_overtaken_by_the_same_leader_do_not_depose_it() {
+    let mut world = World::new(3, Ignored::Nothing, 0.0);
+    world.drive_controller(0, Input::LeadershipGained(Term(1)));
+    while world.leaders[0].active_placement(world.now).is_none() {
+        world.tick();
+    }
+    let start = || Input::StartSwitch {
+        layers: layers(),
+        copy_time: Duration::ZERO,
+    };
+    let mut out = Vec::new();
+    world.leaders[0].handle(world.now, start(), &mut out);
+    let first_order = out.iter().find_map(|output| match output {
+        Output::Order { order, .. } => Some(order.clone()),
+        Output::Event(_) => None,
+    });
+    world.leaders[0].handle(world.now, start(), &mut out);
+    let overtaken = order_result(&first_order.unwrap(), RankOrderOutcome::Fenced);
+    world.drive_controller(0, Input::OrderResult(overtaken));
+    assert!(world.leaders[0].is_leader());
+}
--- a/crates/group/tests/plan.rs
+++ b/crates/group/tests/plan.rs
@@ -159,7 +159,7 @@
         .unwrap();
     assert!(plan.under_replicated_experts > 0);
     assert!(
-        plan.event(&"draft".parse().unwrap())
+        plan.event(&"draft".parse().unwrap(), None)
             .detail
             .contains("on one host only")
     );
