--- a/crates/agent/src/watch.rs
+++ b/crates/agent/src/watch.rs
@@ -8,15 +8,28 @@
 use std::time::Duration;
 
 use eelgrassdyke_core::follow::Follower;
-use eelgrassdyke_core::id::{Generation, Version};
+use eelgrassdyke_core::id::{Generation, Rank, Step, Version};
 use eelgrassdyke_core::time::Instant;
-use eelgrassdyke_core::wire::rank::{self, EngineReport, RankOrder, RankOrderResult};
+use eelgrassdyke_core::wire::rank::{
+    self, EngineReport, ExpertCounts, RankAction, RankOrder, RankOrderResult,
+};
 use eelgrassdyke_core::wire::{Message, Sender};
 
 /// Time between two reads of the engine's state. It is short because each step of a switch of
 /// expert maps waits for the next read.
 const READ_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time between two reads while an order to copy or activate a map takes effect: the leader waits for
+/// the last of all ranks.
+const AWAITING_READ_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Maximum time for which the effect of an order is awaited.
+const AWAITING_MAX: Duration = Duration::from_secs(3);
+
+/// Rate, in bytes per second, at which a watch sends expert counts: the control traffic that a node may
+/// cause (docs/CAPACITY.md).
+const COUNTS_RATE_MAX: f64 = 13_000.0;
+
 /// Time after which a read without a result counts as lost.
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -46,6 +59,8 @@
         /// Generation of the group and version of the map for which the watch already has the
         /// experts.
         known_map: Option<(Generation, Version)>,
+        /// Whether to read the expert counts.
+        reads_counts: bool,
     },
     /// Send an order to the engine and feed the result back as [`Input::OrderResult`].
     Order(RankOrder),
@@ -63,6 +78,12 @@
     local: Sender,
     follower: Follower,
     next_read_at: Instant,
+    /// When the next read at the usual interval is due.
+    next_regular_read_at: Instant,
+    /// Whether the read in progress is one at the usual interval.
+    is_regular_read: bool,
+    /// Highest order whose result was known to the last report.
+    reported_order: u64,
     read_started_at: Option<Instant>,
     /// Highest number of an order whose result is known.
     last_known_order: u64,
@@ -70,6 +91,58 @@
     last_known_order_at_read: u64,
     /// Experts of the rank by layer, with the generation and the version of their map.
     experts: Option<(Generation, Version, Vec<Vec<u32>>)>,
+    /// Reads at the usual interval since the start.
+    reads: u64,
+    /// The number of reads of which one sends counts.
+    reads_per_counts: u64,
+    /// The rank, which decides which of the reads sends counts.
+    rank: Rank,
+    /// Cumulative counts of the last read that included them, with the generation of the group.
+    last_counts: Option<(Generation, ExpertCounts)>,
+    /// The effect of an order that is awaited, and until when.
+    awaited: Option<(AwaitedEffect, Instant)>,
+    /// The state in the last report that was sent.
+    last_state: Option<MapState>,
+}
+
+/// The effect of an order that the leader waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AwaitedEffect {
+    /// The copies for this map are complete.
+    Copied(Version),
+    /// This map is active.
+    Activated(Version),
+}
+
+/// The part of a report that tells how far a switch is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct MapState {
+    generation: Generation,
+    open: bool,
+    active_map: Version,
+    prepared_map: Option<Version>,
+    armed_map: Option<Version>,
+    hold_step: Option<Step>,
+}
+
+impl MapState {
+    fn new(report: &EngineReport) -> Self {
+        Self {
+            generation: report.generation,
+            open: report.open,
+            active_map: report.active_map,
+            prepared_map: report.prepared_map,
+            armed_map: report.armed_map,
+            hold_step: report.hold_step,
+        }
+    }
+
+    fn shows(&self, effect: AwaitedEffect) -> bool {
+        match effect {
+            AwaitedEffect::Copied(version) => self.prepared_map == Some(version),
+            AwaitedEffect::Activated(version) => self.active_map == version,
+        }
+    }
 }
 
 impl Watch {
@@ -79,10 +152,19 @@
             follower: Follower::new(&local, control_addresses, false).without_config(),
             local,
             next_read_at: Instant(0),
+            next_regular_read_at: Instant(0),
+            is_regular_read: false,
+            reported_order: 0,
             read_started_at: None,
             last_known_order: 0,
             last_known_order_at_read: 0,
             experts: None,
+            reads: 0,
+            reads_per_counts: 1,
+            rank: Rank(0),
+            last_counts: None,
+            awaited: None,
+            last_state: None,
         }
     }
 
@@ -107,6 +189,7 @@
                 }
                 Message::Rank(message) => {
                     if let rank::Message::Order(order) = *message {
+                        self.await_effect(now, &order);
                         out.push(Output::Order(order));
                     }
                 }
@@ -137,17 +220,87 @@
         if self.read_started_at.is_some_and(in_progress) || now < self.next_read_at {
             return;
         }
-        self.next_read_at = now + READ_INTERVAL;
+        self.awaited = self.awaited.filter(|(_, until)| now < *until);
+        let is_regular = now >= self.next_regular_read_at;
+        self.is_regular_read = is_regular;
+        if is_regular {
+            self.next_regular_read_at = now + READ_INTERVAL;
+            self.reads += 1;
+        }
+        self.next_read_at = match self.awaited {
+            Some(_) => self.next_regular_read_at.min(now + AWAITING_READ_INTERVAL),
+            None => self.next_regular_read_at,
+        };
         self.read_started_at = Some(now);
         self.last_known_order_at_read = self.last_known_order;
         let known_map = self.experts.as_ref();
         let known_map = known_map.map(|(generation, version, _)| (*generation, *version));
-        out.push(Output::Read { known_map });
+        // The counts of a period are the difference of two consecutive reads.
+        let turn = self.counts_turn();
+        let reads_counts = is_regular && (turn == 0 || turn + 1 == self.reads_per_counts);
+        out.push(Output::Read {
+            known_map,
+            reads_counts,
+        });
+    }
+
+    /// Position of the latest regular read in the cycle of which the first read sends counts.
+    fn counts_turn(&self) -> u64 {
+        (self.reads + self.rank.0) % self.reads_per_counts
+    }
+
+    /// Reads the state more often until it shows the effect of an order.
+    fn await_effect(&mut self, now: Instant, order: &RankOrder) {
+        let effect = match &order.action {
+            RankAction::Prepare { version, .. } => AwaitedEffect::Copied(*version),
+            RankAction::Arm { version, .. } => AwaitedEffect::Activated(*version),
+            RankAction::Disarm { .. } | RankAction::Hold { .. } | RankAction::Release { .. } => {
+                return;
+            }
+        };
+        self.awaited = Some((effect, now + AWAITING_MAX));
+    }
+
+    /// Replaces the cumulative counts of a report by those since the previous read, if it is this
+    /// rank's turn to send them.
+    fn replace_counts(&mut self, report: &mut EngineReport) {
+        let Some(counts) = report.counts.take() else {
+            return;
+        };
+        let bytes = counts.selections.len() as f64 / READ_INTERVAL.as_secs_f64();
+        self.rank = report.rank;
+        self.reads_per_counts = (bytes / COUNTS_RATE_MAX).ceil().max(1.0) as u64;
+        let latest = (report.generation, counts.clone());
+        let Some((generation, previous)) = self.last_counts.replace(latest) else {
+            return;
+        };
+        let continues = generation == report.generation && counts.step > previous.step;
+        if !continues || self.counts_turn() != 0 {
+            return;
+        }
+        let pairs = counts.selections.iter().zip(&previous.selections);
+        let selections: Option<Vec<u64>> = pairs
+            .map(|(now, before)| now.checked_sub(*before))
+            .collect();
+        report.counts = selections.map(|selections| ExpertCounts {
+            step: counts.step,
+            selections,
+            since: Some(previous.step),
+        });
     }
 
     /// Completes a report, with remembered experts if they were not read, and sends it to the
-    /// leader.
+    /// leader; an additional read is reported only if it shows a change.
     fn report_state(&mut self, mut report: EngineReport, out: &mut Vec<Output>) {
+        let state = MapState::new(&report);
+        self.awaited = self.awaited.filter(|(effect, _)| !state.shows(*effect));
+        let is_new = self.last_state.replace(state) != Some(state);
+        let knows_more = self.last_known_order_at_read > self.reported_order;
+        if !is_new && !knows_more && !self.is_regular_read {
+            return;
+        }
+        self.reported_order = self.last_known_order_at_read;
+        self.replace_counts(&mut report);
         if report.experts.is_empty() {
             if let Some((generation, version, experts)) = &self.experts
                 && (*generation, *version) == (report.generation, report.active_map)
--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -10,16 +10,15 @@
 
 use eelgrassdyke_core::config::{Document, ExpertLayout, GroupSpec};
 use eelgrassdyke_core::event::Event;
-use eelgrassdyke_core::id::{Generation, Group, Rank, Service, Step, Term};
+use eelgrassdyke_core::id::{Generation, Group, Rank, Service, Term};
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::group::LoadReport;
-use eelgrassdyke_core::wire::rank::{
-    EngineReport, ExpertCounts, RankOrder, RankOrderResult, SlowEngine,
-};
+use eelgrassdyke_core::wire::rank::{EngineReport, RankOrder, RankOrderResult, SlowEngine};
 use eelgrassdyke_group::barrier::{self, Controller};
+use eelgrassdyke_group::cost::CopyCost;
 use eelgrassdyke_group::forecast::Forecast;
 use eelgrassdyke_group::load::LoadEstimator;
-use eelgrassdyke_group::plan::{CopyCost, Planner, RankLocation};
+use eelgrassdyke_group::plan::{Planner, RankLocation};
 
 /// Time between two plans: long enough to include the counts of a few steps.
 const PLAN_INTERVAL: Duration = Duration::from_millis(150);
@@ -27,16 +26,6 @@
 /// Minimum time between two switches, since copying experts slows the steps down.
 const SWITCH_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Fraction by which steps are longer while ranks copy experts.
-const COPY_SLOWDOWN: f64 = 0.15;
-
-/// Price of copying as many experts as all layers have, in seconds of mean step time.
-const COPY_ALL_PRICE_SECONDS: f64 = 1.5;
-
-/// Price of a switch, in seconds of mean step time: the group stalls if the leader or a watch process
-/// is lost between hold and release.
-const SWITCH_PRICE_SECONDS: f64 = 0.3;
-
 /// Slowness from which an engine counts as slow, in thousandths, where 1000 is the published speed;
 /// engines of the same make differ by less.
 const MIN_SLOW_PERMILLE: u32 = 1300;
@@ -72,8 +61,6 @@
     service: Service,
     controller: Controller,
     loads: LoadEstimator,
-    /// Cumulative counts in the last report of each rank.
-    last_counts: BTreeMap<Rank, ExpertCounts>,
     /// Number of running requests of each rank.
     running: BTreeMap<Rank, u32>,
     /// Slowness last reported by each rank, with the time of the report.
@@ -94,7 +81,6 @@
             service: report.service.clone(),
             controller: Controller::new(group, barrier::Options::default()),
             loads: LoadEstimator::adaptive(),
-            last_counts: BTreeMap::new(),
             running: BTreeMap::new(),
             slowness: BTreeMap::new(),
             generation: report.generation,
@@ -107,12 +93,11 @@
         }
     }
 
-    /// Adds the expert choices of a rank since its last report; `experts` is their number per layer.
+    /// Adds the expert choices that a rank reports; `experts` is the number of experts per layer.
     fn record_counts(&mut self, report: &EngineReport, experts: usize) {
         if report.generation != self.generation {
             self.generation = report.generation;
             self.loads = LoadEstimator::adaptive();
-            self.last_counts.clear();
         }
         self.running.insert(report.rank, report.running);
         self.loads.set_rank_cost(
@@ -122,40 +107,40 @@
         let Some(counts) = &report.counts else {
             return;
         };
-        if let Some(before) = self.last_counts.get(&report.rank)
-            && let Some(chosen) = choices_between(before, counts)
-        {
-            let load_report = LoadReport {
-                steps: (before.step.next(), counts.step),
-                expert_tokens: chosen.chunks(experts).map(<[u64]>::to_vec).collect(),
-                ..LoadReport::default()
-            };
-            self.loads.record_report(report.rank, &load_report);
-        }
-        self.last_counts.insert(report.rank, counts.clone());
+        let Some(since) = counts.since else {
+            return;
+        };
+        let load_report = LoadReport {
+            steps: (since.next(), counts.step),
+            expert_tokens: counts
+                .selections
+                .chunks(experts)
+                .map(<[u64]>::to_vec)
+                .collect(),
+            ..LoadReport::default()
+        };
+        self.loads.record_report(report.rank, &load_report);
     }
 
     /// What copies cost, and how long they are of use; copying matters less the fewer slots are occupied.
     fn copy_cost(&self, now: Instant, slots: u32, experts: &ExpertLayout) -> CopyCost {
-        let total = f64::from(slots.max(1)) * self.running.len().max(1) as f64;
-        let occupied = f64::from(self.running.values().sum::<u32>());
-        let all_experts = f64::from(experts.layers) * f64::from(experts.experts);
-        let price = COPY_ALL_PRICE_SECONDS / all_experts.max(1.0);
+        let slots = f64::from(slots.max(1)) * self.running.len().max(1) as f64;
+        let occupied = f64::from(self.running.values().sum::<u32>().max(1));
         let copy_seconds = experts.expert_bytes.0 as f64 / experts.copy_rate.0.max(1) as f64;
-        CopyCost {
-            copy_time: Duration::from_secs_f64(copy_seconds),
-            switch_time: self.controller.switch_time(),
-            demand_life: self.forecast.remaining_life(now),
-            usual_life: self.forecast.life(),
-            switch_price: SWITCH_PRICE_SECONDS,
-            optimism: self.forecast.optimism(),
-            rise: self.forecast.rise(),
-            slowdown: COPY_SLOWDOWN,
-            price: price * total / occupied.max(1.0),
-        }
+        CopyCost::new(
+            Duration::from_secs_f64(copy_seconds),
+            self.controller.switch_time(),
+            experts.layers as usize * experts.experts as usize,
+            occupied / slots,
+            &self.forecast,
+            now,
+        )
     }
 
-    /// Plans the next map and begins the switch to it, if the gain is sufficient.
+    /// Plans the next map and begins the switch to it, if it saves more than it costs.
+    ///
+    /// A switch whose copies are under way is replaced only after a change of demand, and only if the new
+    /// map is copied sooner or the old one is of no use any more.
     fn plan_switch(
         &mut self,
         now: Instant,
@@ -187,29 +172,21 @@
             self.forecast.record_skew(skew, smoothed_skew);
         }
         let cost = self.copy_cost(now, slots, experts);
-        // A switch whose copies are under way is replaced only if demand has changed since.
-        let mut min_saving = 0.0;
-        if let Some((layers, started_at, copy_time)) = self.controller.copying() {
-            if self.forecast.changed_at() <= started_at {
+        let Some(plan) = planner.plan_copies(&self.loads, &present, &members, &cost) else {
+            return;
+        };
+        let copy_time = cost.copy_time * plan.copies_of_busiest_rank as u32;
+        if let Some((layers, started_at, expected)) = self.controller.copying() {
+            let rest = expected.saturating_sub(now.since(started_at));
+            let is_of_use = planner.skew(&self.loads, layers, &members) < plan.skew.0;
+            if self.forecast.changed_at() <= started_at || is_of_use && rest < copy_time {
                 return;
             }
-            let skew = (
-                planner.skew(&self.loads, &present, &members),
-                planner.skew(&self.loads, layers, &members),
-            );
-            let rest = copy_time.saturating_sub(now.since(started_at));
-            min_saving = cost.saved_by_completing(skew, rest).max(0.0);
         }
-        let plan = planner.plan_copies(&self.loads, &present, &members, &cost);
-        let Some(plan) = plan.filter(|plan| plan.saved_seconds > min_saving) else {
-            return;
-        };
-        self.planned = (now, plan.skew.1);
         out.push(barrier::Output::Event(
             plan.event(self.controller.group(), self.forecast.map()),
         ));
         self.next_plan = now + SWITCH_INTERVAL;
-        let copy_time = cost.copy_time * plan.copies_of_busiest_rank as u32;
         let layers = plan.layers;
         let input = barrier::Input::StartSwitch { layers, copy_time };
         self.controller.handle(now, input, out);
@@ -340,17 +317,6 @@
     Some((engine.slots, engine.experts.as_ref()?))
 }
 
-/// Expert choices between two cumulative counts; none if `after` does not continue `before`.
-fn choices_between(before: &ExpertCounts, after: &ExpertCounts) -> Option<Vec<u64>> {
-    if after.step <= before.step || after.step == Step(0) {
-        return None;
-    }
-    let pairs = before.selections.iter().zip(&after.selections);
-    pairs
-        .map(|(before, after)| after.checked_sub(*before))
-        .collect()
-}
-
 /// A planner for a group in which each rank runs on a host of its own.
 fn build_planner(service: &Service, size: u32, experts: &ExpertLayout) -> Planner {
     let spec = GroupSpec {
--- a/crates/core/src/wire/rank.rs
+++ b/crates/core/src/wire/rank.rs
@@ -67,9 +67,12 @@
     pub struct ExpertCounts {
         /// The last step included.
         pub step: Step,
-        /// Selections since the start of the rank, by expert, layer after layer.
+        /// Number of selections by expert, layer after layer.
         #[serde(rename = "chosen")]
         pub selections: Vec<u64>,
+        /// The last step that is not included; none if the selections count from the start of the rank.
+        #[serde(default)]
+        pub since: Option<Step>,
     }
 
     /// An order to one engine.
--- a/crates/group/src/forecast.rs
+++ b/crates/group/src/forecast.rs
@@ -9,8 +9,7 @@
 
 use eelgrassdyke_core::time::Instant;
 
-/// Time between two changes of demand that is assumed until some have been measured. It is short, so
-/// that the first plans are small and soon in force; they are followed by others.
+/// Time between two changes of demand that is assumed until some have been measured.
 const INITIAL_LIFE: Duration = Duration::from_secs(10);
 
 /// Minimum time between two changes of demand: one change is visible in several intervals.
--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -15,6 +15,7 @@
 #![warn(rust_2018_idioms)]
 
 pub mod barrier;
+pub mod cost;
 pub mod forecast;
 pub mod gate;
 pub mod layer;
--- a/crates/group/src/load.rs
+++ b/crates/group/src/load.rs
@@ -23,6 +23,10 @@
 /// demand is steady.
 const STEADY_DEVIATION: f64 = 1.3;
 
+/// Part of a deviation that noise does not explain from which demand counts as changed; a false change
+/// shortens the expected life of demand, and with it the gain of every plan.
+const CHANGE_EXCESS: f64 = 0.8;
+
 /// Weight of the latest report in the smoothed cost of a rank.
 const COST_SMOOTHING: f64 = 0.3;
 
@@ -161,7 +165,7 @@
         let excess =
             (1.0 - STEADY_DEVIATION * expected / deviation.max(f64::MIN_POSITIVE)).max(0.0);
         let weight = STEADY_SMOOTHING + (1.0 - STEADY_SMOOTHING) * excess;
-        (weight, excess > 0.5)
+        (weight, excess > CHANGE_EXCESS)
     }
 
     /// Tokens that a rank routes to each expert in a step, by layer and expert.
--- a/crates/group/src/plan.rs
+++ b/crates/group/src/plan.rs
@@ -14,6 +14,7 @@
 use eelgrassdyke_core::unit::Bytes;
 use eelgrassdyke_core::wire::group::ExpertPlacement;
 
+use crate::cost::CopyCost;
 use crate::forecast::MapRecord;
 use crate::layer::{LayerPlacement, LayerProblem};
 use crate::load::LoadEstimator;
@@ -29,9 +30,6 @@
 /// Number of hosts that should hold each expert, by default.
 const MIN_HOSTS_PER_EXPERT: usize = 2;
 
-/// Fraction of the time of a switch that a smaller limit on the copies must be able to save.
-const NOTICEABLE_FRACTION: f64 = 0.1;
-
 /// Number of turns in which the copies of a plan are distributed among the layers.
 const BUDGET_DIVISOR: usize = 8;
 
@@ -59,73 +57,6 @@
     }
 }
 
-/// What the copies of a plan cost, and for how long they are of use.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct CopyCost {
-    /// Time in which a rank copies one expert.
-    pub copy_time: Duration,
-    /// Time that a switch takes in addition to its copies.
-    pub switch_time: Duration,
-    /// Expected time until demand changes.
-    pub demand_life: Duration,
-    /// Fraction by which steps are longer while ranks copy.
-    pub slowdown: f64,
-    /// Price of copying one expert: the time that it has to save, in seconds of mean step time.
-    pub price: f64,
-    /// Price of a switch whatever it copies, in seconds of mean step time.
-    pub switch_price: f64,
-    /// Usual difference between the skew of a map and its prediction.
-    pub optimism: f64,
-    /// Usual increase of the skew by a change of demand.
-    pub rise: f64,
-    /// Usual time between two changes of demand.
-    pub usual_life: Duration,
-}
-
-impl CopyCost {
-    /// Limits on the copies of a rank to compare, the largest first; small ones are left out where
-    /// they would not shorten the switch noticeably.
-    fn copy_limits(&self, limit_max: usize) -> Vec<usize> {
-        let mut limits = vec![limit_max.max(1)];
-        let noticeable = self.switch_time.as_secs_f64() * NOTICEABLE_FRACTION;
-        while let Some(limit) = limits.last().copied()
-            && limit > 1
-            && self.copy_time.as_secs_f64() * limit as f64 > noticeable
-        {
-            limits.push(limit.div_ceil(2));
-        }
-        limits
-    }
-
-    /// Seconds for which a map is expected to be of use if each rank copies `copies` experts for it.
-    fn time_in_force(&self, copies: usize) -> f64 {
-        let life = self.demand_life.as_secs_f64() - self.switch_time.as_secs_f64();
-        life - self.copy_time.as_secs_f64() * copies as f64
-    }
-
-    /// What completing a switch is expected to save whose copies take another `copying`, in seconds of
-    /// mean step time, if it changes the skew from `skew.0` to `skew.1`.
-    pub fn saved_by_completing(&self, skew: (f64, f64), copying: Duration) -> f64 {
-        let wait = copying + self.switch_time;
-        (skew.0 - skew.1) * (self.demand_life.as_secs_f64() - wait.as_secs_f64())
-    }
-
-    /// What a plan is expected to save, in seconds of mean step time.
-    fn saved_seconds(&self, plan: &Plan, copies: u64) -> f64 {
-        let copying = self.copy_time.as_secs_f64() * plan.copies_of_busiest_rank as f64;
-        let gain = plan.skew.0 - plan.skew.1 - self.optimism;
-        let saved = gain * self.time_in_force(plan.copies_of_busiest_rank as usize);
-        // If demand changes during the switch, the next plan waits for half of it on average.
-        let switching = copying + self.switch_time.as_secs_f64();
-        let delay = switching * switching / 2.0 / self.usual_life.as_secs_f64().max(switching);
-        saved
-            - self.switch_price
-            - self.slowdown * plan.skew.0 * copying
-            - self.rise * delay
-            - self.price * copies as f64
-    }
-}
-
 /// Where a rank runs.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RankLocation {
--- a/crates/node/src/role/watch.rs
+++ b/crates/node/src/role/watch.rs
@@ -62,10 +62,13 @@
 
     fn execute(self: &Rc<Self>, output: Output) {
         match output {
-            Output::Read { known_map } => {
+            Output::Read {
+                known_map,
+                reads_counts,
+            } => {
                 let role = self.clone();
                 monoio::spawn(async move {
-                    let report = role.read_engine(known_map).await;
+                    let report = role.read_engine(known_map, reads_counts).await;
                     role.handle_input(Input::ReadResult(report.map(Box::new)));
                 });
             }
@@ -81,10 +84,18 @@
         }
     }
 
-    /// Reads the engine's report; the experts only if its generation or active map is not `known`.
-    async fn read_engine(&self, known: Option<(Generation, Version)>) -> Option<EngineReport> {
+    /// Reads the engine's report, with the expert counts if `reads_counts` is set; the experts only if its
+    /// generation or active map is not `known`.
+    async fn read_engine(
+        &self,
+        known: Option<(Generation, Version)>,
+        reads_counts: bool,
+    ) -> Option<EngineReport> {
         let state = self.fetch(EngineEndpoint::State).await?;
-        let counts = self.fetch(EngineEndpoint::Counts).await;
+        let counts = match reads_counts {
+            true => self.fetch(EngineEndpoint::Counts).await,
+            false => None,
+        };
         let report = self.decode_report(&state, counts.as_deref(), None)?;
         if known == Some((report.generation, report.active_map)) {
             return Some(report);
--- a/crates/testkit/src/model/mod.rs
+++ b/crates/testkit/src/model/mod.rs
@@ -5,6 +5,7 @@
 //! results measure the decisions; they don't include the cost of sockets, disks or processors.
 
 mod engine;
+pub mod group;
 mod load;
 mod naive;
 pub mod policy;
