--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -26,6 +26,9 @@
 /// Minimum time between two switches, since copying experts slows the steps down.
 const SWITCH_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Increase of the skew after which another plan is attempted.
+const SKEW_INCREASE_MIN: f64 = 0.1;
+
 /// Slowness from which an engine counts as slow, in thousandths, where 1000 is the published speed;
 /// engines of the same make differ by less.
 const MIN_SLOW_PERMILLE: u32 = 1300;
@@ -73,6 +76,8 @@
     /// When the last map was planned, and its predicted skew.
     planned: (Instant, f64),
     completed_switches: u64,
+    /// Skew, last change of demand and number of switches when a plan was last attempted.
+    last_attempt: Option<(f64, Instant, u64)>,
 }
 
 impl GroupState {
@@ -90,6 +95,7 @@
             forecast: Forecast::new(now),
             planned: (now, 1.0),
             completed_switches: 0,
+            last_attempt: None,
         }
     }
 
@@ -122,6 +128,23 @@
         self.loads.record_report(report.rank, &load_report);
     }
 
+    /// Whether a plan may save something though the last attempt found none: demand or the map has
+    /// changed, or the skew has increased. Planning takes much of a small process's processor time.
+    fn may_gain(&mut self, attempt: (f64, Instant, u64)) -> bool {
+        let (skew, changed_at, switches) = attempt;
+        let may_gain = self
+            .last_attempt
+            .is_none_or(|(last_skew, last_change, last_switches)| {
+                changed_at != last_change
+                    || switches != last_switches
+                    || skew >= last_skew + SKEW_INCREASE_MIN
+            });
+        if may_gain {
+            self.last_attempt = Some(attempt);
+        }
+        may_gain
+    }
+
     /// What copies cost, and how long they are of use; copying matters less the fewer slots are occupied.
     fn copy_cost(&self, now: Instant, slots: u32, experts: &ExpertLayout) -> CopyCost {
         let slots = f64::from(slots.max(1)) * self.running.len().max(1) as f64;
@@ -171,6 +194,14 @@
             let smoothed_skew = planner.skew(&self.loads, &present, &members);
             self.forecast.record_skew(skew, smoothed_skew);
         }
+        let attempt = (
+            planner.skew(&self.loads, &present, &members),
+            self.forecast.changed_at(),
+            self.completed_switches,
+        );
+        if !self.may_gain(attempt) {
+            return;
+        }
         let cost = self.copy_cost(now, slots, experts);
         let Some(plan) = planner.plan_copies(&self.loads, &present, &members, &cost) else {
             return;
--- a/crates/group/src/barrier.rs
+++ b/crates/group/src/barrier.rs
@@ -44,6 +44,10 @@
 /// Weight of the latest order in the smoothed fraction of unanswered orders.
 const UNANSWERED_SMOOTHING: f64 = 0.05;
 
+/// Minimum span over which the step time is measured: two reports shortly after each other may show
+/// two steps.
+const STEP_TIME_SPAN_MIN: Duration = Duration::from_millis(90);
+
 /// Upper bound of a measured step time, in seconds.
 const STEP_TIME_MAX_SECONDS: f64 = 0.5;
 
@@ -73,6 +77,10 @@
 /// Weight of the latest switch in the smoothed switch time.
 const SWITCH_TIME_SMOOTHING: f64 = 0.3;
 
+/// Upper bound of a measured switch time, in seconds. Longer ones have a cause of their own, such as a
+/// lost process, and would prevent every later plan.
+const SWITCH_TIME_MAX_SECONDS: f64 = 1.0;
+
 /// Time of a switch, without the copies, that is assumed until one has been measured.
 const INITIAL_SWITCH_TIME: Duration = Duration::from_millis(400);
 
@@ -157,6 +165,8 @@
     watch: SocketAddr,
     report: EngineReport,
     received_at: Instant,
+    /// A step with the time at which it was reported, from which the step time is measured.
+    step_base: (Step, Instant),
 }
 
 /// Orders of one phase, at most one for each rank.
@@ -415,11 +425,15 @@
         for version in reported_versions.into_iter().flatten() {
             self.highest_version = self.highest_version.max(version);
         }
+        let mut step_base = (report.step, now);
         if let Some(previous) = self.ranks.get(&report.rank) {
-            let steps = report.step.0.saturating_sub(previous.report.step.0);
-            let elapsed = now.since(previous.received_at).as_secs_f64();
-            if steps > 0 && elapsed > 0.0 {
-                let step_time = (elapsed / steps as f64).min(STEP_TIME_MAX_SECONDS);
+            let (base_step, base_at) = previous.step_base;
+            let steps = report.step.0.saturating_sub(base_step.0);
+            let elapsed = now.since(base_at);
+            if steps == 0 || elapsed < STEP_TIME_SPAN_MIN {
+                step_base = previous.step_base;
+            } else {
+                let step_time = (elapsed.as_secs_f64() / steps as f64).min(STEP_TIME_MAX_SECONDS);
                 self.step_time_seconds +=
                     (step_time - self.step_time_seconds) * STEP_TIME_SMOOTHING;
             }
@@ -429,6 +443,7 @@
             watch,
             report,
             received_at: now,
+            step_base,
         };
         self.ranks.insert(rank, entry);
     }
@@ -693,7 +708,8 @@
                     let seconds = now
                         .since(started_at)
                         .saturating_sub(copy_time)
-                        .as_secs_f64();
+                        .as_secs_f64()
+                        .min(SWITCH_TIME_MAX_SECONDS);
                     self.switch_seconds += (seconds - self.switch_seconds) * SWITCH_TIME_SMOOTHING;
                     let detail = format!("version {version} at step {step}");
                     self.emit_event(Code::MapInForce, detail, out);
--- a/crates/group/src/cost.rs
+++ b/crates/group/src/cost.rs
@@ -15,6 +15,9 @@
 /// Fraction of the time of a switch that a smaller limit on the copies must be able to save.
 const NOTICEABLE_FRACTION: f64 = 0.1;
 
+/// Maximum fraction of the expected life of demand that the copies for a map may take.
+const COPYING_FRACTION_MAX: f64 = 0.3;
+
 /// Fraction by which steps are longer while ranks copy experts.
 const COPY_SLOWDOWN: f64 = 0.15;
 
@@ -74,18 +77,24 @@
         }
     }
 
-    /// Limits on the copies of a rank to compare, the largest first; small ones are left out where
-    /// they would not shorten the switch noticeably.
+    /// Limits on the copies of a rank to compare, the smaller first: the largest one whose copies take a
+    /// small part of the life of demand, and half of it if that would shorten the switch noticeably.
     pub fn copy_limits(&self, limit_max: usize) -> Vec<usize> {
-        let mut limits = vec![limit_max.max(1)];
+        let seconds = |limit: usize| self.copy_time.as_secs_f64() * limit as f64;
+        let mut limit = limit_max.max(1);
+        while limit > 1 && seconds(limit) > self.demand_life.as_secs_f64() * COPYING_FRACTION_MAX {
+            limit = limit.div_ceil(2);
+        }
         let noticeable = self.switch_time.as_secs_f64() * NOTICEABLE_FRACTION;
-        while let Some(limit) = limits.last().copied()
-            && limit > 1
-            && self.copy_time.as_secs_f64() * limit as f64 > noticeable
-        {
-            limits.push(limit.div_ceil(2));
+        match limit > 1 && seconds(limit) > noticeable {
+            true => vec![limit.div_ceil(2), limit],
+            false => vec![limit],
         }
-        limits
+    }
+
+    /// What any plan can save at most if the active map has this skew, in seconds of mean step time.
+    pub fn saved_seconds_max(&self, skew: f64) -> f64 {
+        (skew - 1.0 - self.optimism) * self.time_in_force(1) - self.switch_price
     }
 
     /// Seconds for which a map is expected to be of use if each rank copies `copies` experts for it.
--- a/crates/group/src/plan.rs
+++ b/crates/group/src/plan.rs
@@ -31,7 +31,10 @@
 const MIN_HOSTS_PER_EXPERT: usize = 2;
 
 /// Number of turns in which the copies of a plan are distributed among the layers.
-const BUDGET_DIVISOR: usize = 8;
+const BUDGET_DIVISOR: usize = 2;
+
+/// Factor by which the budget of a layer grows if it was too small for any gain.
+const BUDGET_GROWTH: u64 = 4;
 
 /// Options of a planner.
 #[derive(Clone, Debug, PartialEq)]
@@ -207,6 +210,9 @@
         let before = problem.layer_placements(active);
         let limit_max = self.options.max_new_experts.saturating_mul(before.len());
         let mut best: Option<Plan> = None;
+        if cost.saved_seconds_max(problem.skew(&before)) <= 0.0 {
+            return None;
+        }
         for limit in cost.copy_limits(limit_max) {
             let window = cost.time_in_force(limit);
             let price = cost.price * problem.mean_time(&before) / window;
@@ -224,8 +230,12 @@
             );
             let copies = plan.bytes_to_load.0 / self.spec.expert_bytes.0.max(1);
             plan.saved_seconds = cost.saved_seconds(&plan, copies);
-            if plan.saved_seconds > best.as_ref().map_or(0.0, |best| best.saved_seconds) {
+            let best_so_far = best.as_ref().map_or(0.0, |best| best.saved_seconds);
+            if plan.saved_seconds > best_so_far {
                 best = Some(plan);
+            } else if best.is_some() {
+                // Larger limits take longer still.
+                break;
             }
         }
         best
@@ -266,7 +276,7 @@
             let old = layers[index].clone();
             let layer_problem = problem.layer_problem(index);
             if layers[index].improve(&layer_problem, price, budgets[index]) == 0 {
-                budgets[index] *= 2;
+                budgets[index] *= BUDGET_GROWTH;
                 continue;
             }
             budgets[index] = min_budget;
--- a/crates/group/tests/barrier.rs
+++ b/crates/group/tests/barrier.rs
@@ -488,3 +488,27 @@
     world.drive_controller(0, Input::OrderResult(overtaken));
     assert!(world.leaders[0].is_leader());
 }
+
+/// A watch process reports a change within milliseconds, so that two reports shortly after each other may
+/// show two steps. An activation step chosen by such a step time would be seconds away.
+#[test]
+fn reports_shortly_after_each_other_do_not_shorten_the_step_time() {
+    let mut world = World::new(4, Ignored::Nothing, 0.0);
+    world.drive_controller(0, Input::LeadershipGained(Term(1)));
+    for _ in 0..400 {
+        world.now = world.now + STEP_TIME;
+        for delay in [0, 2] {
+            world.now = world.now + Duration::from_millis(delay);
+            world.step = world.step.next();
+            let report = world.report(Rank(0));
+            let watch = address(Rank(0));
+            world.drive_controller(0, Input::Report { watch, report });
+        }
+    }
+    // Two steps in 52 ms.
+    let step_time = world.leaders[0].step_time();
+    assert!(
+        step_time >= Duration::from_millis(20) && step_time <= Duration::from_millis(32),
+        "{step_time:?}"
+    );
+}
