control: the predicted skew of a plan is recorded when its switch begins

Found by reading the diff; the model did not show it, as it records plans itself. No test of its own yet: it needs Groups in front of simulated ranks.

--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -214,6 +214,7 @@
                 return;
             }
         }
+        self.planned = (now, plan.skew.1);
         out.push(barrier::Output::Event(
             plan.event(self.controller.group(), self.forecast.map()),
         ));
