--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -77,6 +77,8 @@
     Operation;
     /// A caller's idempotency key, unique within its team.
     IdempotencyKey;
+    /// A part of a prompt that several requests may share.
+    PromptPart;
 }
 
 quantity! {
--- a/crates/entry/src/direct/events.rs
+++ b/crates/entry/src/direct/events.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use eelgrassdyke_core::event::{Code, Event};
+use eelgrassdyke_core::id::PromptPart;
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::refusal::{Reason, Refusal};
 
@@ -37,8 +38,28 @@
         if let Some(team) = &request.team {
             event = event.team(team);
         }
+        if !request.prompt_parts.is_empty() {
+            let parts: Vec<&str> = request
+                .prompt_parts
+                .iter()
+                .map(PromptPart::as_str)
+                .collect();
+            event = event.with_fact("parts", parts.join(" "));
+        }
         match &request.stage {
-            Stage::Running { server, .. } => event.server(server),
+            Stage::Running {
+                server,
+                started_at,
+                first_event_at,
+                ..
+            } => {
+                event = event.server(server);
+                event = event.with_fact("running_ms", now.since(*started_at));
+                match first_event_at {
+                    Some(at) => event.with_fact("writing_ms", now.since(*at)),
+                    None => event,
+                }
+            }
             Stage::Queued { .. } => event,
         }
     }
--- a/crates/entry/src/direct/flight.rs
+++ b/crates/entry/src/direct/flight.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use eelgrassdyke_core::config::MountSpec;
-use eelgrassdyke_core::id::{Incarnation, Server, Service, Team};
+use eelgrassdyke_core::id::{Incarnation, PromptPart, Server, Service, Team};
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::refusal::RunStatus;
 
@@ -28,6 +28,7 @@
     pub service: Service,
     pub team: Option<Team>,
     pub priority: u8,
+    pub prompt_parts: Vec<PromptPart>,
     /// When the request was received.
     pub received_at: Instant,
     pub deadline: Instant,
@@ -58,6 +59,8 @@
         started_at: Instant,
         /// When an event was last forwarded, or the request was sent.
         last_progress: Instant,
+        /// When the first event of this attempt was forwarded.
+        first_event_at: Option<Instant>,
     },
 }
 
--- a/crates/entry/src/direct/io.rs
+++ b/crates/entry/src/direct/io.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use eelgrassdyke_core::event::Event;
-use eelgrassdyke_core::id::{Incarnation, Server, Team, Ticket};
+use eelgrassdyke_core::id::{Incarnation, PromptPart, Server, Team, Ticket};
 use eelgrassdyke_core::settings;
 use eelgrassdyke_core::unit::Permille;
 use eelgrassdyke_core::wire::refusal::Refusal;
@@ -25,6 +25,8 @@
     pub time_left: Option<Duration>,
     /// Token counts of the request.
     pub tokens: TokenCounts,
+    /// The parts of its prompt that other requests may share, in order.
+    pub prompt_parts: Vec<PromptPart>,
 }
 
 /// Token counts of a request to an engine; zero for other requests.
--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -206,6 +206,7 @@
         Ok(DirectRequest {
             call_id: call.id.clone(),
             service: self.draw_service(&mount),
+            prompt_parts: call.prompt_parts.clone(),
             priority: self.mounts.priority(&mount, team.as_ref()),
             mount,
             team,
@@ -347,6 +348,7 @@
             incarnation: choice.incarnation,
             started_at: now,
             last_progress: now,
+            first_event_at: None,
         };
         self.insert_request(ticket, request);
         None
@@ -389,10 +391,12 @@
         if let Stage::Running {
             server,
             last_progress,
+            first_event_at,
             ..
         } = &mut request.stage
         {
             *last_progress = now;
+            first_event_at.get_or_insert(now);
             self.pool.record_progress(now, server);
         }
         self.insert_request(ticket, request);
