--- a/crates/testkit/src/model/mod.rs
+++ b/crates/testkit/src/model/mod.rs
@@ -4,6 +4,7 @@
 //! [`NaiveBalancer`] runs a simple balancer in front of the same engines, under the same load. The
 //! results measure the decisions; they don't include the cost of sockets, disks or processors.
 
+pub mod crash;
 mod engine;
 pub mod group;
 mod load;
