--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -16,6 +16,7 @@
 use eelgrassdyke_core::wire::{self, Message, Sender, rank};
 
 use crate::confirm::Confirmations;
+use crate::crashes::CrashRelay;
 use crate::directory::Directory;
 use crate::fence::OrderSender;
 use crate::followers::{Follower, Followers};
@@ -62,6 +63,7 @@
     /// Engines that are slow or whose group is closed, according to the leader.
     pub(crate) slow_engines: Vec<rank::SlowEngine>,
     pub(crate) next_slow_engines_update: Instant,
+    pub(crate) crashes: CrashRelay,
     ledger: UsageLedger,
     /// Whether the usage counters of the other control processes have been requested.
     resync_requested: bool,
@@ -101,6 +103,7 @@
             groups: Groups::default(),
             slow_engines: Vec::new(),
             next_slow_engines_update: now,
+            crashes: CrashRelay::default(),
             ledger: UsageLedger::default(),
             resync_requested: false,
             order_sender: OrderSender::default(),
@@ -225,6 +228,7 @@
                 );
             }
             Message::Rank(message) => self.handle_rank_message(now, *message, out),
+            Message::CrashSync(sync) => self.handle_crash_sync(now, from, &sync, out),
             Message::ActiveEntries(entries) => self.followers.record_remote_entries(now, entries),
             _ => {}
         }
--- /dev/null
+++ b/crates/core/src/crash.rs
@@ -0,0 +1,431 @@
+//! Prompt parts that servers end on, and how long requests with them are held back.
+//!
+//! Some content ends every server that begins to write a response to it. Each retry, and each new
+//! request with the same part of a prompt, then ends another server. A [`CrashLedger`] records, for each
+//! service and part, the servers that ended while a request with the part was about to write. Entries
+//! and control processes exchange these [`CrashRecord`]s and merge them: crashes are identified by
+//! server and incarnation, so reports of several entries about one crash count once, and the order and
+//! number of merges doesn't matter. A part on which a server has written without ending is sound, which
+//! clears its crashes.
+//!
+//! A part is quarantined once its crashes can't be explained otherwise: servers that end at the same
+//! moment have a common cause and count once, and crashes of a part are ignored if they are also
+//! crashes of a quarantined part that has more of them.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use crate::data;
+use crate::id::{Incarnation, PromptPart, Server, Service};
+use crate::time::Instant;
+
+/// Crashes after which a part is quarantined if it explains all crashes of the service meanwhile. One
+/// may be a coincidence.
+const CRASHES_MIN: usize = 2;
+
+/// Crashes after which a part is quarantined if servers ended without it meanwhile.
+const CRASHES_AMONG_OTHERS_MIN: usize = 3;
+
+/// Crashes after which a part that many requests carry is quarantined: it is in flight at most servers,
+/// whatever ends them.
+const COMMON_CRASHES_MIN: usize = 4;
+
+/// Servers that end within this time of each other have a common cause, such as the loss of a rack.
+const COMMON_CAUSE_TIME: Duration = Duration::from_millis(200);
+
+/// Length of the first quarantine of a part.
+const QUARANTINE_MIN: Duration = Duration::from_secs(60);
+
+/// Factor by which each further crash extends the quarantine.
+const QUARANTINE_FACTOR: u32 = 8;
+
+/// Maximum length of a quarantine.
+const QUARANTINE_MAX: Duration = Duration::from_secs(3600);
+
+/// Time after its last crash, or its quarantine, at which a record is dropped.
+const RETENTION: Duration = Duration::from_secs(600);
+
+/// Maximum number of records.
+pub const RECORDS_MAX: usize = 256;
+
+/// Maximum number of crashes in a record.
+const RECORD_CRASHES_MAX: usize = 8;
+
+data! {
+    /// Crashes during which requests with one prompt part were about to write.
+    #[derive(Eq)]
+    pub struct CrashRecord {
+        /// The service.
+        pub service: Service,
+        /// The part.
+        pub part: PromptPart,
+        /// Whether a considerable fraction of the requests carry the part.
+        pub is_common: bool,
+        /// The crashes.
+        pub crashes: Vec<Crash>,
+    }
+
+    /// The end of one incarnation of a server.
+    #[derive(Eq)]
+    pub struct Crash {
+        /// The server.
+        pub server: Server,
+        /// Its incarnation.
+        pub incarnation: Incarnation,
+        /// Time since the crash, in milliseconds.
+        pub age_ms: u64,
+        /// Whether the part has been found sound since, or the operator lifted its quarantine.
+        pub is_cleared: bool,
+    }
+
+    /// Records from one ledger to another.
+    #[derive(Default, Eq)]
+    pub struct CrashSync {
+        /// The records.
+        pub records: Vec<CrashRecord>,
+        /// Whether these are all records of the sender, which asks for those that it lacks.
+        pub is_complete: bool,
+    }
+}
+
+/// A quarantine of a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Quarantine {
+    /// When it ends.
+    pub until: Instant,
+    /// Number of crashes that led to it.
+    pub crashes: usize,
+}
+
+/// A service and a part of the prompts of its requests.
+pub type PartKey = (Service, PromptPart);
+
+/// The server that ended, and its incarnation.
+type CrashId = (Server, Incarnation);
+
+/// When servers ended.
+type CrashTimes = BTreeMap<CrashId, Instant>;
+
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct PartState {
+    is_common: bool,
+    crashes: BTreeMap<CrashId, CrashState>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct CrashState {
+    at: Instant,
+    is_cleared: bool,
+}
+
+impl PartState {
+    /// The crashes that count against the part, except the `explained` ones.
+    fn counted(&self, explained: &BTreeSet<CrashId>) -> Vec<(&CrashId, Instant)> {
+        let mut counted = Vec::new();
+        for (id, crash) in &self.crashes {
+            if !crash.is_cleared && !explained.contains(id) {
+                counted.push((id, crash.at));
+            }
+        }
+        counted
+    }
+
+    /// Number of crashes after which the part is quarantined; `others` are the unexplained crashes of
+    /// the service.
+    fn crashes_min(&self, counted: &[(&CrashId, Instant)], others: &CrashTimes) -> usize {
+        if self.is_common {
+            return COMMON_CRASHES_MIN;
+        }
+        let times = || counted.iter().map(|(_, at)| *at);
+        let (Some(first), Some(last)) = (times().min(), times().max()) else {
+            return CRASHES_MIN;
+        };
+        let is_meanwhile =
+            |at: &&Instant| **at + COMMON_CAUSE_TIME >= first && **at <= last + COMMON_CAUSE_TIME;
+        match others.values().filter(is_meanwhile).count() > counted.len() {
+            true => CRASHES_AMONG_OTHERS_MIN,
+            false => CRASHES_MIN,
+        }
+    }
+
+    fn last_crash(&self) -> Instant {
+        let times = self.crashes.values().map(|crash| crash.at);
+        times.max().unwrap_or_default()
+    }
+}
+
+/// Number of crashes, of which those with a common cause count once.
+fn count_causes(times: impl Iterator<Item = Instant>) -> usize {
+    let times: BTreeSet<Instant> = times.collect();
+    let mut count = 0;
+    let mut last: Option<Instant> = None;
+    for at in times {
+        if last.is_none_or(|last| at.since(last) > COMMON_CAUSE_TIME) {
+            count += 1;
+            last = Some(at);
+        }
+    }
+    count
+}
+
+/// Crashes by service and part, and the quarantines that follow from them.
+#[derive(Clone, Debug)]
+pub struct CrashLedger {
+    parts: BTreeMap<PartKey, PartState>,
+    quarantines: BTreeMap<PartKey, Quarantine>,
+    /// Parts with crashes that no quarantine explains.
+    suspected: BTreeSet<PartKey>,
+    /// Factor by which the quarantines of this ledger are longer.
+    stretch: f64,
+}
+
+impl Default for CrashLedger {
+    fn default() -> Self {
+        Self::new(1.0)
+    }
+}
+
+impl CrashLedger {
+    /// An empty ledger whose quarantines are longer by the factor `stretch`. Entries use different
+    /// factors, so that a harmful part whose quarantine ends is tried by one of them first.
+    pub fn new(stretch: f64) -> Self {
+        Self {
+            parts: BTreeMap::new(),
+            quarantines: BTreeMap::new(),
+            suspected: BTreeSet::new(),
+            stretch,
+        }
+    }
+
+    /// Whether there are no records.
+    pub fn is_empty(&self) -> bool {
+        self.parts.is_empty()
+    }
+
+    /// Records that a server ended while a request with the part was about to write; returns whether
+    /// that is new.
+    pub fn record_crash(
+        &mut self,
+        now: Instant,
+        key: &PartKey,
+        is_common: bool,
+        server: &Server,
+        incarnation: Incarnation,
+    ) -> bool {
+        let crash = Crash {
+            server: server.clone(),
+            incarnation,
+            age_ms: 0,
+            is_cleared: false,
+        };
+        self.merge(
+            now,
+            &CrashRecord {
+                service: key.0.clone(),
+                part: key.1.clone(),
+                is_common,
+                crashes: vec![crash],
+            },
+        )
+    }
+
+    /// Merges a record; returns whether it changed anything.
+    pub fn merge(&mut self, now: Instant, record: &CrashRecord) -> bool {
+        let key = (record.service.clone(), record.part.clone());
+        let state = self.parts.entry(key.clone()).or_default();
+        let before = state.clone();
+        state.is_common |= record.is_common;
+        for crash in record.crashes.iter().take(RECORD_CRASHES_MAX) {
+            let id = (crash.server.clone(), crash.incarnation);
+            let reported = CrashState {
+                at: now - Duration::from_millis(crash.age_ms),
+                is_cleared: crash.is_cleared,
+            };
+            let known = state.crashes.entry(id).or_insert(reported);
+            known.is_cleared |= crash.is_cleared;
+        }
+        while state.crashes.len() > RECORD_CRASHES_MAX {
+            let oldest = state.crashes.iter().min_by_key(|(_, crash)| crash.at);
+            let Some(id) = oldest.map(|(id, _)| id.clone()) else {
+                break;
+            };
+            state.crashes.remove(&id);
+        }
+        if state.crashes.is_empty() {
+            self.parts.remove(&key);
+            return false;
+        }
+        let changed = *state != before;
+        if changed {
+            self.drop_excess(&key);
+            self.judge();
+        }
+        changed
+    }
+
+    /// Drops the record whose last crash is the oldest if there are too many.
+    fn drop_excess(&mut self, kept: &PartKey) {
+        if self.parts.len() <= RECORDS_MAX {
+            return;
+        }
+        let others = self.parts.iter().filter(|(key, _)| *key != kept);
+        let oldest = others
+            .min_by_key(|(key, state)| (self.quarantines.contains_key(*key), state.last_crash()));
+        if let Some(key) = oldest.map(|(key, _)| key.clone()) {
+            self.parts.remove(&key);
+        }
+    }
+
+    /// Records that a part is sound; returns whether that clears a crash.
+    pub fn clear(&mut self, key: &PartKey) -> bool {
+        let Some(state) = self.parts.get_mut(key) else {
+            return false;
+        };
+        let mut changed = false;
+        for crash in state.crashes.values_mut() {
+            changed |= !crash.is_cleared;
+            crash.is_cleared = true;
+        }
+        if changed {
+            self.judge();
+        }
+        changed
+    }
+
+    /// Determines the quarantines and the suspected parts.
+    fn judge(&mut self) {
+        self.quarantines.clear();
+        self.suspected.clear();
+        let services: BTreeSet<Service> = self.parts.keys().map(|key| key.0.clone()).collect();
+        for service in services {
+            self.judge_service(&service);
+        }
+    }
+
+    fn judge_service(&mut self, service: &Service) {
+        let none = BTreeSet::new();
+        let mut parts = Vec::new();
+        let mut crash_times = CrashTimes::new();
+        for (key, state) in self.parts.iter().filter(|(key, _)| key.0 == *service) {
+            let times = state
+                .crashes
+                .iter()
+                .map(|(id, crash)| (id.clone(), crash.at));
+            crash_times.extend(times);
+            let counted = state.counted(&none);
+            let causes = count_causes(counted.iter().map(|(_, at)| *at));
+            let total = Reverse((causes, counted.len()));
+            parts.push((state.is_common, total, key, state));
+        }
+        // Common parts come last, so that rarer ones with as many crashes explain theirs.
+        parts.sort_by_key(|(is_common, total, ..)| (*is_common, *total));
+        let mut explained = BTreeSet::new();
+        // Parts with equally many crashes don't explain those of each other.
+        let mut explained_next = BTreeSet::new();
+        let mut previous_count = Reverse((usize::MAX, usize::MAX));
+        for (is_common, total, key, state) in parts {
+            if is_common || total != previous_count {
+                crash_times.retain(|id, _| !explained_next.contains(id));
+                explained.append(&mut explained_next);
+                previous_count = total;
+            }
+            let counted = state.counted(&explained);
+            let count = count_causes(counted.iter().map(|(_, at)| *at));
+            if count > 0 && !is_common {
+                self.suspected.insert(key.clone());
+            }
+            let crashes_min = state.crashes_min(&counted, &crash_times);
+            if count < crashes_min {
+                continue;
+            }
+            let extensions = (count - crashes_min) as u32;
+            let length = QUARANTINE_MIN
+                .saturating_mul(QUARANTINE_FACTOR.saturating_pow(extensions))
+                .min(QUARANTINE_MAX);
+            let last = counted.iter().map(|(_, at)| *at).max();
+            let quarantine = Quarantine {
+                until: last.unwrap_or_default() + length.mul_f64(self.stretch),
+                crashes: count,
+            };
+            explained_next.extend(counted.into_iter().map(|(id, _)| id.clone()));
+            self.quarantines.insert(key.clone(), quarantine);
+        }
+    }
+
+    /// The quarantine of a part, if there is one at `now`.
+    pub fn quarantine(&self, now: Instant, key: &PartKey) -> Option<Quarantine> {
+        let quarantine = self.quarantines.get(key).copied();
+        quarantine.filter(|quarantine| now < quarantine.until)
+    }
+
+    /// The parts in quarantine at `now`.
+    pub fn quarantines(&self, now: Instant) -> impl Iterator<Item = (&PartKey, Quarantine)> {
+        let all = self.quarantines.iter();
+        all.map(|(key, quarantine)| (key, *quarantine))
+            .filter(move |(_, quarantine)| now < quarantine.until)
+    }
+
+    /// Whether a part may end servers, though too little is known to quarantine it.
+    pub fn is_suspected(&self, key: &PartKey) -> bool {
+        self.suspected.contains(key)
+    }
+
+    /// When the last crash that counts against a part happened.
+    pub fn last_uncleared_crash(&self, key: &PartKey) -> Option<Instant> {
+        let state = self.parts.get(key)?;
+        let uncleared = state.crashes.values().filter(|crash| !crash.is_cleared);
+        uncleared.map(|crash| crash.at).max()
+    }
+
+    /// The record of a part.
+    pub fn record(&self, now: Instant, key: &PartKey) -> Option<CrashRecord> {
+        let state = self.parts.get(key)?;
+        let mut crashes = Vec::new();
+        for ((server, incarnation), crash) in &state.crashes {
+            crashes.push(Crash {
+                server: server.clone(),
+                incarnation: *incarnation,
+                age_ms: now.since(crash.at).as_millis() as u64,
+                is_cleared: crash.is_cleared,
+            });
+        }
+        Some(CrashRecord {
+            service: key.0.clone(),
+            part: key.1.clone(),
+            is_common: state.is_common,
+            crashes,
+        })
+    }
+
+    /// All records.
+    pub fn records(&self, now: Instant) -> Vec<CrashRecord> {
+        let keys = self.parts.keys();
+        keys.filter_map(|key| self.record(now, key)).collect()
+    }
+
+    /// The records of which `other`, a list of records, lacks something.
+    pub fn records_beyond(&self, now: Instant, other: &[CrashRecord]) -> Vec<CrashRecord> {
+        let mut held = Self::default();
+        for record in other.iter().take(RECORDS_MAX) {
+            held.merge(now, record);
+        }
+        let mut records = self.records(now);
+        records.retain(|record| held.merge(now, record));
+        records
+    }
+
+    /// Drops the records that are too old to matter.
+    pub fn expire(&mut self, now: Instant) {
+        let quarantines = &self.quarantines;
+        let count = self.parts.len();
+        self.parts.retain(|key, state| {
+            let until = quarantines.get(key).map(|quarantine| quarantine.until);
+            let last = state.last_crash().max(until.unwrap_or_default());
+            now.since(last) < RETENTION
+        });
+        if self.parts.len() != count {
+            self.judge();
+        }
+    }
+}
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -102,6 +102,9 @@
     320 ServerEjected "An entry stopped routing to a failing server.";
     321 ServerReturned "An entry routes to an ejected server again, with a slow start.";
     322 EnginesSlow "An entry received a new list of engines that are slow or whose group is closed.";
+    323 ServerCrashed "An entry found that a server ended while it ran requests; the facts name the prompt parts that it was about to write on.";
+    324 PartQuarantined "Requests with a prompt part on which several servers ended are refused for a time.";
+    325 PartCleared "A prompt part on which a server ended was found sound, or an operator lifted its quarantine.";
     400 AttemptQueued "An agent queued an attempt.";
     401 AttemptStarted "An agent forwarded an attempt to its server.";
     402 AttemptEnded "An attempt ended.";
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod books;
 pub mod config;
+pub mod crash;
 pub mod digest;
 pub mod event;
 pub mod follow;
--- a/crates/core/src/wire/mod.rs
+++ b/crates/core/src/wire/mod.rs
@@ -113,6 +113,9 @@
         ServerLeft(crate::id::Server),
         /// Between control and the watch processes beside the engines of a group.
         Rank(Box<rank::Message>),
+        /// Between entries and control, and between control processes: the servers that ended, and the
+        /// prompt parts that were in flight.
+        CrashSync(crate::crash::CrashSync),
         /// Between control processes: the entries that poll the sender.
         #[serde(rename = "Entries")]
         ActiveEntries(Vec<crate::id::Process>),
--- a/crates/core/src/wire/refusal.rs
+++ b/crates/core/src/wire/refusal.rs
@@ -67,6 +67,8 @@
         ServerFailed,
         /// The caller closed the connection.
         CallerGone,
+        /// Servers ended on a part of the prompt.
+        Quarantined,
     }
 
     /// A refusal.
@@ -122,7 +124,7 @@
 
 impl Reason {
     /// All reasons, in the order of the enum.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         Self::Malformed,
         Self::TooLarge,
         Self::Unauthenticated,
@@ -143,6 +145,7 @@
         Self::NoControl,
         Self::ServerFailed,
         Self::CallerGone,
+        Self::Quarantined,
     ];
 
     /// The text used in refusals, reports and metrics.
@@ -168,6 +171,7 @@
             Self::NoControl => "no_control",
             Self::ServerFailed => "server_failed",
             Self::CallerGone => "caller_gone",
+            Self::Quarantined => "quarantined",
         }
     }
 
@@ -194,6 +198,9 @@
             Self::NoControl => "come back after Retry-After",
             Self::ServerFailed => "ask again with the same key",
             Self::CallerGone => "ask again with the same key",
+            Self::Quarantined => {
+                "come back after Retry-After or change the prompt: servers ended on a part of it"
+            }
         }
     }
 
@@ -216,7 +223,8 @@
             | Self::WrongIncarnation
             | Self::KeySealed
             | Self::NotReady
-            | Self::NoControl => 503,
+            | Self::NoControl
+            | Self::Quarantined => 503,
             Self::Deadline => 504,
         }
     }
--- /dev/null
+++ b/crates/entry/src/direct/crash.rs
@@ -0,0 +1,362 @@
+//! Detection of prompt parts that servers end on.
+//!
+//! When the connection of an attempt breaks off, the shell checks whether the server still accepts
+//! connections. If it refuses them, it has ended, and each part of the requests that it was about to
+//! write on may be the cause, unless a server has written on the part recently. Whatever leaves the
+//! server running (a reset connection, a lost rank of its group, a truncated response) and whatever
+//! makes it silent (a cut link, the loss of its host) is no evidence, and neither is the end of a server
+//! that had announced that it leaves.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+use eelgrassdyke_core::crash::{CrashLedger, CrashRecord, CrashSync, PartKey, Quarantine};
+use eelgrassdyke_core::id::{Incarnation, PromptPart, Server, Service};
+use eelgrassdyke_core::time::Instant;
+
+use super::flight::{DirectRequest, Stage};
+
+/// Time for which a part that was found sound is not suspected.
+const SOUND_PERIOD: Duration = Duration::from_secs(60);
+
+/// Time for which broken connections of a server are taken together.
+const BREAK_RETENTION: Duration = Duration::from_secs(5);
+
+/// A part that more than this fraction of the requests carry is common.
+const COMMON_FRACTION: f64 = 0.125;
+
+/// Requests of a service after which the fraction is meaningful.
+const COMMON_REQUESTS_MIN: u32 = 32;
+
+/// Most parts whose use is recorded, in each of two generations.
+const PARTS_MAX: usize = 4096;
+
+/// Most parts that one crash is reported for.
+const REPORTED_PARTS_MAX: usize = 32;
+
+/// Interval at which the ledger is compared with that of a control process.
+const SYNC_INTERVAL: Duration = Duration::from_secs(5);
+
+/// The same until a control process has answered.
+const STARTUP_SYNC_INTERVAL: Duration = Duration::from_secs(1);
+
+/// A server at which a connection broke off.
+#[derive(Clone, Debug)]
+struct BrokenServer {
+    broken_at: Instant,
+    service: Service,
+    /// Whether the server has ended; none until that has been checked.
+    has_ended: Option<bool>,
+    /// Parts of the requests that it was about to write on.
+    parts: BTreeSet<PromptPart>,
+}
+
+/// Use of a part by recent requests.
+#[derive(Clone, Copy, Debug, Default)]
+struct PartUse {
+    requests: u32,
+    /// When a server was last found to write on it without ending.
+    sound_at: Option<Instant>,
+}
+
+/// Recently used parts, in two generations: the older one is dropped when the newer one is full.
+#[derive(Clone, Debug, Default)]
+struct PartUses {
+    current: HashMap<PartKey, PartUse>,
+    previous: HashMap<PartKey, PartUse>,
+    /// Requests by service, over both generations.
+    requests: BTreeMap<Service, u32>,
+}
+
+impl PartUses {
+    fn get(&self, key: &PartKey) -> PartUse {
+        let found = self.current.get(key).or_else(|| self.previous.get(key));
+        found.copied().unwrap_or_default()
+    }
+
+    fn update(&mut self, key: PartKey, change: impl FnOnce(&mut PartUse)) {
+        if self.current.len() >= PARTS_MAX && !self.current.contains_key(&key) {
+            self.previous = std::mem::take(&mut self.current);
+        }
+        let mut part_use = self.get(&key);
+        change(&mut part_use);
+        self.current.insert(key, part_use);
+    }
+
+    fn is_common(&self, key: &PartKey) -> bool {
+        let total = self.requests.get(&key.0).copied().unwrap_or_default();
+        let share = f64::from(self.get(key).requests) / f64::from(total.max(1));
+        total >= COMMON_REQUESTS_MIN && share > COMMON_FRACTION
+    }
+}
+
+/// Whether a request may be sent, as far as its prompt is concerned.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Nothing is known against it.
+    Sound,
+    /// A server ended on a request like it: it is sent apart from others like it.
+    Suspected,
+    /// Servers ended on this part.
+    Quarantined(PromptPart, Quarantine),
+}
+
+/// A crash that was found, with the parts that may be its cause.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FoundCrash {
+    /// The service of the server.
+    pub service: Service,
+    /// The parts.
+    pub parts: Vec<PromptPart>,
+    /// Number of parts that are known to be sound.
+    pub sound_count: usize,
+}
+
+/// Evidence of this entry, and the ledger that it shares with the other processes.
+#[derive(Clone, Debug)]
+pub struct CrashWatch {
+    ledger: CrashLedger,
+    uses: PartUses,
+    broken: BTreeMap<(Server, Incarnation), BrokenServer>,
+    /// Records that changed here and have not been sent.
+    changed: BTreeSet<PartKey>,
+    next_sync: Instant,
+    sync_count: usize,
+    has_synced: bool,
+}
+
+impl CrashWatch {
+    /// A watch without evidence; see [`CrashLedger::new`] for `stretch`.
+    pub fn new(stretch: f64) -> Self {
+        Self {
+            ledger: CrashLedger::new(stretch),
+            uses: PartUses::default(),
+            broken: BTreeMap::new(),
+            changed: BTreeSet::new(),
+            next_sync: Instant(0),
+            sync_count: 0,
+            has_synced: false,
+        }
+    }
+
+    /// Records the use of the parts of a new request.
+    pub fn record_request(&mut self, request: &DirectRequest) {
+        if request.prompt_parts.is_empty() {
+            return;
+        }
+        let total = self
+            .uses
+            .requests
+            .entry(request.service.clone())
+            .or_default();
+        *total = total.saturating_add(1);
+        for key in part_keys(request) {
+            self.uses.update(key, |part_use| {
+                part_use.requests = part_use.requests.saturating_add(1)
+            });
+        }
+    }
+
+    /// Whether a request may be sent.
+    pub fn verdict(&self, now: Instant, request: &DirectRequest) -> Verdict {
+        if self.ledger.is_empty() && self.broken.is_empty() {
+            return Verdict::Sound;
+        }
+        for key in part_keys(request) {
+            if let Some(quarantine) = self.ledger.quarantine(now, &key) {
+                return Verdict::Quarantined(key.1, quarantine);
+            }
+        }
+        let is_suspected = part_keys(request).any(|key| self.ledger.is_suspected(&key));
+        let may_have_caused = self.count_ended(request) > 0 && !request.prompt_parts.is_empty();
+        match is_suspected || may_have_caused {
+            true => Verdict::Suspected,
+            false => Verdict::Sound,
+        }
+    }
+
+    /// Number of servers of ended attempts of this request that have ended, or may have.
+    pub fn count_ended(&self, request: &DirectRequest) -> usize {
+        let has_ended = |server: &&Server| {
+            let broken = self.broken.iter().filter(|((name, _), _)| name == *server);
+            broken
+                .into_iter()
+                .any(|(_, broken)| broken.has_ended != Some(false))
+        };
+        request.possibly_run_at.iter().filter(has_ended).count()
+    }
+
+    /// Records that the connection of the running attempt of `request` broke off; returns whether the
+    /// shell must check the server.
+    pub fn record_break(&mut self, now: Instant, request: &DirectRequest) -> bool {
+        let Stage::Running {
+            server,
+            incarnation,
+            ..
+        } = &request.stage
+        else {
+            return false;
+        };
+        self.broken
+            .retain(|_, broken| now.since(broken.broken_at) < BREAK_RETENTION);
+        let id = (server.clone(), *incarnation);
+        let is_new = !self.broken.contains_key(&id);
+        let broken = self.broken.entry(id.clone()).or_insert(BrokenServer {
+            broken_at: now,
+            service: request.service.clone(),
+            has_ended: None,
+            parts: BTreeSet::new(),
+        });
+        if request.has_written() {
+            return is_new;
+        }
+        broken.parts.extend(request.prompt_parts.iter().cloned());
+        if broken.has_ended == Some(true) {
+            self.blame(now, &request.service, &id, &request.prompt_parts);
+        }
+        is_new
+    }
+
+    /// Whether two requests share a part that is suspected.
+    pub fn share_suspected_part(&self, one: &DirectRequest, other: &DirectRequest) -> bool {
+        let mut shared = part_keys(one)
+            .filter(|key| other.service == key.0 && other.prompt_parts.contains(&key.1));
+        shared.any(|key| self.ledger.is_suspected(&key))
+    }
+
+    /// Records whether a server has ended; returns the crash if it has.
+    pub fn record_check(
+        &mut self,
+        now: Instant,
+        server: &Server,
+        incarnation: Incarnation,
+        has_ended: bool,
+    ) -> Option<FoundCrash> {
+        let id = (server.clone(), incarnation);
+        let broken = self.broken.get_mut(&id)?;
+        broken.has_ended = Some(has_ended);
+        if !has_ended {
+            return None;
+        }
+        let service = broken.service.clone();
+        let parts: Vec<PromptPart> = broken.parts.iter().cloned().collect();
+        let blamed = self.blame(now, &service, &id, &parts);
+        Some(FoundCrash {
+            service,
+            sound_count: parts.len() - blamed.len(),
+            parts: blamed,
+        })
+    }
+
+    /// Records the crash against those of the parts that are not known to be sound; returns them.
+    fn blame(
+        &mut self,
+        now: Instant,
+        service: &Service,
+        (server, incarnation): &(Server, Incarnation),
+        parts: &[PromptPart],
+    ) -> Vec<PromptPart> {
+        let mut blamed = Vec::new();
+        for part in parts {
+            let key = (service.clone(), part.clone());
+            if self.is_sound_at(&key, now) || blamed.len() >= REPORTED_PARTS_MAX {
+                continue;
+            }
+            let is_common = self.uses.is_common(&key);
+            if self
+                .ledger
+                .record_crash(now, &key, is_common, server, *incarnation)
+            {
+                self.changed.insert(key);
+            }
+            blamed.push(part.clone());
+        }
+        blamed
+    }
+
+    fn is_sound_at(&self, key: &PartKey, at: Instant) -> bool {
+        let sound_at = self.uses.get(key).sound_at;
+        sound_at.is_some_and(|sound_at| at.since(sound_at) < SOUND_PERIOD)
+    }
+
+    /// Records an event of a stream; returns the parts whose crashes it clears.
+    pub fn record_event(&mut self, now: Instant, request: &DirectRequest) -> Vec<PartKey> {
+        match request.has_written() {
+            true => self.record_sound(now, request),
+            false => Vec::new(),
+        }
+    }
+
+    /// Records that a server wrote on the parts of a request without ending; returns the parts whose
+    /// crashes that clears.
+    pub fn record_sound(&mut self, now: Instant, request: &DirectRequest) -> Vec<PartKey> {
+        let mut cleared = Vec::new();
+        for key in part_keys(request) {
+            self.uses
+                .update(key.clone(), |part_use| part_use.sound_at = Some(now));
+            if self.ledger.clear(&key) {
+                self.changed.insert(key.clone());
+                cleared.push(key);
+            }
+        }
+        cleared
+    }
+
+    /// Merges records of another process; returns whether the ledger changed.
+    pub fn merge(&mut self, now: Instant, records: &[CrashRecord]) -> bool {
+        self.has_synced = true;
+        let mut changed = false;
+        for record in records {
+            let key = (record.service.clone(), record.part.clone());
+            changed |= self.ledger.merge(now, record);
+            let crash = self.ledger.last_uncleared_crash(&key);
+            if crash.is_some_and(|at| self.is_sound_at(&key, at)) && self.ledger.clear(&key) {
+                self.changed.insert(key);
+            }
+        }
+        changed
+    }
+
+    /// The parts in quarantine.
+    pub fn quarantines(&self, now: Instant) -> BTreeMap<PartKey, Quarantine> {
+        let quarantines = self.ledger.quarantines(now);
+        quarantines.map(|(key, q)| (key.clone(), q)).collect()
+    }
+
+    /// The records that changed here since the last call.
+    pub fn take_changed(&mut self, now: Instant) -> Vec<CrashRecord> {
+        let keys = std::mem::take(&mut self.changed);
+        let records = keys.iter().filter_map(|key| self.ledger.record(now, key));
+        records.collect()
+    }
+
+    /// The complete ledger, if it is time to compare it, and a number that selects the control process.
+    pub fn next_sync(&mut self, now: Instant) -> Option<(usize, CrashSync)> {
+        if now < self.next_sync {
+            return None;
+        }
+        self.ledger.expire(now);
+        self.sync_count += 1;
+        self.next_sync = now
+            + match self.has_synced {
+                true => SYNC_INTERVAL,
+                false => STARTUP_SYNC_INTERVAL,
+            };
+        let sync = CrashSync {
+            records: self.ledger.records(now),
+            is_complete: true,
+        };
+        Some((self.sync_count, sync))
+    }
+
+    /// When [`CrashWatch::next_sync`] next returns the ledger.
+    pub fn next_deadline(&self) -> Instant {
+        self.next_sync
+    }
+}
+
+/// The parts of a request, with its service.
+fn part_keys(request: &DirectRequest) -> impl Iterator<Item = PartKey> + '_ {
+    let parts = request.prompt_parts.iter();
+    parts.map(|part| (request.service.clone(), part.clone()))
+}
--- a/crates/entry/src/direct/flight.rs
+++ b/crates/entry/src/direct/flight.rs
@@ -20,6 +20,10 @@
 /// longer.
 const RETRY_AFTER_FRACTION_MAX: f64 = 0.3;
 
+/// Time for which a server must have written to show that the prompt is sound: a server may send the
+/// head of a response, and the first event, before it ends.
+const SOUND_AFTER: Duration = Duration::from_secs(1);
+
 /// A request in progress.
 #[derive(Clone, Debug)]
 pub struct DirectRequest {
@@ -42,6 +46,8 @@
     pub response_started: bool,
     /// Whether the next attempt must still be charged to the retry budget.
     pub retry_unpaid: bool,
+    /// Whether the running attempt was sent apart from others, as servers ended on requests like it.
+    pub sent_as_suspect: bool,
 }
 
 /// Progress of a request.
@@ -90,6 +96,18 @@
         }
     }
 
+    /// Whether the running attempt shows that the prompt ends no server.
+    pub fn has_written(&self) -> bool {
+        match &self.stage {
+            Stage::Running {
+                first_event_at: Some(first_event_at),
+                last_progress,
+                ..
+            } => last_progress.since(*first_event_at) >= SOUND_AFTER,
+            Stage::Running { .. } | Stage::Queued { .. } => false,
+        }
+    }
+
     /// Records that the current attempt may have run.
     pub fn mark_possibly_run(&mut self) {
         if let Stage::Running { server, .. } = &self.stage {
--- a/crates/entry/src/direct/io.rs
+++ b/crates/entry/src/direct/io.rs
@@ -69,6 +69,15 @@
         /// The outcome.
         outcome: AttemptOutcome,
     },
+    /// The result of [`Output::CheckServer`].
+    ServerChecked {
+        /// The server.
+        server: Server,
+        /// Its incarnation.
+        incarnation: Incarnation,
+        /// Whether it has ended, as it refuses connections.
+        has_ended: bool,
+    },
     /// A message from another process.
     Message {
         /// The sender.
@@ -140,6 +149,15 @@
         /// The parameters of the attempt.
         spec: AttemptSpec,
     },
+    /// Open a connection to a server, without sending anything, and feed back whether it refuses.
+    CheckServer {
+        /// The server.
+        server: Server,
+        /// Its incarnation.
+        incarnation: Incarnation,
+        /// Address for requests.
+        address: SocketAddr,
+    },
     /// Cancel the running attempt.
     Cancel {
         /// The caller.
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -9,12 +9,14 @@
 //! response by ticket.
 
 mod budget;
+mod crash;
 mod events;
 mod flight;
 mod io;
 mod line;
 mod path;
 mod pool;
+mod quarantine;
 mod report;
 mod retry;
 mod table;
--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -1,5 +1,6 @@
 //! The state machine of the direct path: admission, queueing, dispatch and timers.
 
+use std::borrow::Cow;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -16,6 +17,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::budget::RetryWindow;
+use super::crash::{CrashWatch, Verdict};
 use super::events::QueueEstimate;
 use super::flight::{DirectRequest, Stage, retry_after};
 use super::io::{AttemptOutcome, AttemptSpec, Call, Input, NotRunReason, Options, Output};
@@ -41,6 +43,9 @@
 /// Range of the random factor by which retry-after times are multiplied.
 const RETRY_AFTER_JITTER_FACTOR: std::ops::Range<f64> = 0.6..1.1;
 
+/// Range of the factor by which the quarantines of an entry are longer than those of control.
+const QUARANTINE_STRETCH: std::ops::Range<f64> = 1.0..1.5;
+
 /// The direct path of one entry.
 pub struct Direct {
     pub(super) options: Options,
@@ -54,6 +59,7 @@
     pub(super) next_queue_retry: Instant,
     pub(super) requests: BTreeMap<Ticket, DirectRequest>,
     pub(super) timers: BTreeSet<(Instant, Ticket)>,
+    pub(super) crashes: CrashWatch,
     pub(super) usage: UsageReporter,
     pub(super) rng: ChaCha8Rng,
     pub(super) draining_since: Option<Instant>,
@@ -62,7 +68,10 @@
 impl Direct {
     /// A direct path without configuration, servers or requests.
     pub fn new(now: Instant, local: &Sender, options: Options) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
+        let stretch = rng.random_range(QUARANTINE_STRETCH);
         Self {
+            crashes: CrashWatch::new(stretch),
             follower: Follower::new(local, options.control_addresses.clone(), true),
             mounts: MountTable::default(),
             pool: ServerPool::default(),
@@ -73,7 +82,7 @@
             requests: BTreeMap::new(),
             timers: BTreeSet::new(),
             usage: UsageReporter::new(local, ReportSource::Entry, &options.control_addresses),
-            rng: ChaCha8Rng::seed_from_u64(options.seed),
+            rng,
             draining_since: None,
             options,
         }
@@ -83,7 +92,7 @@
     pub fn handle(&mut self, now: Instant, input: Input, out: &mut Vec<Output>) {
         // Progress is recorded before the timers check for attempts without progress.
         if let Input::EventForwarded { ticket, attempt } = input {
-            self.handle_event_forwarded(now, ticket, attempt);
+            self.handle_event_forwarded(now, ticket, attempt, out);
         }
         self.run_timers(now, out);
         match input {
@@ -95,6 +104,11 @@
                 attempt,
                 outcome,
             } => self.handle_attempt_end(now, ticket, attempt, outcome, out),
+            Input::ServerChecked {
+                server,
+                incarnation,
+                has_ended,
+            } => self.handle_server_check(now, &server, incarnation, has_ended, out),
             Input::Message { from, message } => self.handle_message(now, &from, message, out),
             Input::Tick => {}
             Input::Drain => {
@@ -106,6 +120,7 @@
             out.push(Output::Send { to, message });
         }
         self.send_usage_pages(now, out);
+        self.send_crash_records(now, out);
         if now >= self.next_queue_retry {
             self.next_queue_retry = Instant::NEVER;
             self.send_all_queued(now, out);
@@ -122,6 +137,7 @@
         next_timer
             .min(self.follower.next_deadline())
             .min(self.usage.next_deadline())
+            .min(self.crashes.next_deadline())
             .min(self.next_queue_retry)
     }
 
@@ -174,6 +190,7 @@
             .or_default();
         window.record_request(now, self.options.retry_window);
         self.count_received(&request);
+        self.crashes.record_request(&request);
         self.send_or_enqueue(now, ticket, request, out);
     }
 
@@ -221,6 +238,7 @@
             excluded_servers: Vec::new(),
             response_started: false,
             retry_unpaid: false,
+            sent_as_suspect: false,
         })
     }
 
@@ -246,6 +264,10 @@
         request: DirectRequest,
         out: &mut Vec<Output>,
     ) {
+        if let Verdict::Quarantined(_, quarantine) = self.crashes.verdict(now, &request) {
+            self.refuse_quarantined(now, ticket, request, quarantine, out);
+            return;
+        }
         let queue_is_empty = self.queue(&request.service).is_empty();
         let Some(request) = (match queue_is_empty || request.attempts > 0 {
             true => self.try_send(now, ticket, request, out),
@@ -314,10 +336,21 @@
         out: &mut Vec<Output>,
     ) -> Option<DirectRequest> {
         let entry_count = self.follower.entry_count();
-        let (service, excluded_servers) = (&request.service, &request.excluded_servers);
-        let choice =
-            self.pool
-                .choose_server(now, service, entry_count, excluded_servers, &mut self.rng);
+        let is_suspect = self.crashes.verdict(now, &request) != Verdict::Sound;
+        let excluded_servers = match is_suspect {
+            false => Cow::Borrowed(&request.excluded_servers),
+            true => match self.servers_kept_from_suspect(&request) {
+                Some(servers) => Cow::Owned(servers),
+                None => return Some(request),
+            },
+        };
+        let choice = self.pool.choose_server(
+            now,
+            &request.service,
+            entry_count,
+            &excluded_servers,
+            &mut self.rng,
+        );
         let Some(choice) = choice else {
             return Some(request);
         };
@@ -329,6 +362,7 @@
             self.count_forwarded(now, &request);
         }
         request.attempts += 1;
+        request.sent_as_suspect = is_suspect;
         self.pool.record_start(now, &choice.server);
         let spec = AttemptSpec {
             attempt: request.attempts,
@@ -369,7 +403,8 @@
             let Some(mut request) = self.try_send(now, ticket, request, out) else {
                 continue;
             };
-            let has_exclusions = !request.excluded_servers.is_empty();
+            let has_exclusions = !request.excluded_servers.is_empty()
+                || self.crashes.verdict(now, &request) != Verdict::Sound;
             self.queue(service).requeue(queue_key, ticket);
             request.stage = stage;
             self.insert_request(ticket, request);
@@ -380,7 +415,13 @@
         }
     }
 
-    fn handle_event_forwarded(&mut self, now: Instant, ticket: Ticket, attempt: u32) {
+    fn handle_event_forwarded(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        attempt: u32,
+        out: &mut Vec<Output>,
+    ) {
         let Some(mut request) = self.remove_if_current(ticket, attempt) else {
             return;
         };
@@ -399,6 +440,8 @@
             first_event_at.get_or_insert(now);
             self.pool.record_progress(now, server);
         }
+        let cleared = self.crashes.record_event(now, &request);
+        self.record_cleared_parts(&cleared, out);
         self.insert_request(ticket, request);
     }
 
@@ -415,6 +458,7 @@
             return;
         };
         let service = request.service.clone();
+        self.record_crash_evidence(now, &request, outcome, out);
         self.record_outcome(now, &request, outcome, out);
         match outcome {
             AttemptOutcome::Responded(status) => {
--- a/crates/entry/src/direct/pool.rs
+++ b/crates/entry/src/direct/pool.rs
@@ -230,6 +230,21 @@
         server.is_slow && slow_count as f64 <= available_count as f64 * SLOW_FRACTION_MAX
     }
 
+    /// Address of a server that runs requests now: it has not announced that it leaves, its group is not
+    /// closed, and no other incarnation has replaced it.
+    pub fn active_address(
+        &self,
+        now: Instant,
+        name: &Server,
+        incarnation: Incarnation,
+    ) -> Option<SocketAddr> {
+        let server = self.servers.get(name)?;
+        let is_active = server.incarnation == incarnation
+            && server.state == ServerState::Up
+            && now >= server.group_closed_until;
+        is_active.then_some(server.address)
+    }
+
     /// Names of the servers in the pool.
     pub fn server_names(&self) -> Vec<Server> {
         self.servers.keys().cloned().collect()
--- a/crates/entry/src/direct/retry.rs
+++ b/crates/entry/src/direct/retry.rs
@@ -17,6 +17,9 @@
 /// as well.
 const ATTEMPTS_MAX: u32 = 6;
 
+/// Maximum number of servers that may end while they run one request.
+const REQUEST_CRASHES_MAX: usize = 2;
+
 impl Direct {
     /// Forwards a response, or retries at another server if it is an error that may be retried.
     pub(super) fn handle_response(
@@ -109,7 +112,9 @@
     fn may_retry(&self, now: Instant, request: &DirectRequest) -> bool {
         let within_limits =
             now < request.deadline && (request.response_started || request.attempts < ATTEMPTS_MAX);
-        within_limits && request.possibly_run_at.len() < request.mount.max_attempts as usize
+        within_limits
+            && request.possibly_run_at.len() < request.mount.max_attempts as usize
+            && self.crashes.count_ended(request) < REQUEST_CRASHES_MAX
     }
 
     /// Charges the budget for a retry; returns whether the request may be retried or queued. A
--- a/crates/entry/src/direct/updates.rs
+++ b/crates/entry/src/direct/updates.rs
@@ -26,6 +26,10 @@
                 self.usage.record_ack(from, &ack);
                 return;
             }
+            Message::CrashSync(sync) => {
+                self.handle_crash_records(now, &sync.records, out);
+                return;
+            }
             _ => return,
         };
         let includes_slow_engines = update.has_quorum && update.directory.is_some();
--- a/crates/node/src/role/direct.rs
+++ b/crates/node/src/role/direct.rs
@@ -2,11 +2,13 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use eelgrassdyke_core::event::{Code, Event};
-use eelgrassdyke_core::id::Ticket;
+use eelgrassdyke_core::id::{Incarnation, Server, Ticket};
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::refusal::Refusal;
 use eelgrassdyke_entry::direct::{
@@ -28,6 +30,9 @@
 /// Divisor of the remaining time that gives the time limit for connecting.
 const CONNECT_TIME_DIVISOR: u32 = 3;
 
+/// Delay before a server is checked: a process that ends closes its sockets in any order.
+const CHECK_DELAY: Duration = Duration::from_millis(10);
+
 /// Maximum size of a response that is not streamed, in bytes.
 const RESPONSE_BYTES_MAX: usize = 8 << 20;
 
@@ -156,6 +161,13 @@
                     open_call.cancel = None;
                 }
             }
+            Output::CheckServer {
+                server,
+                incarnation,
+                address,
+            } => {
+                monoio::spawn(self.clone().check_server(server, incarnation, address));
+            }
             Output::Deliver { ticket } => {
                 if let Some(open_call) = self.finish(ticket, latency::Outcome::Answered)
                     && let Some(response) = open_call.response
@@ -177,6 +189,27 @@
         }
     }
 
+    /// Checks whether a server whose connections broke off refuses new ones.
+    async fn check_server(
+        self: Rc<Self>,
+        server: Server,
+        incarnation: Incarnation,
+        address: SocketAddr,
+    ) {
+        monoio::time::sleep(CHECK_DELAY).await;
+        let has_ended = match Connection::open(address).await {
+            Err(crate::http::Error::Io(error)) => {
+                error.kind() == std::io::ErrorKind::ConnectionRefused
+            }
+            _ => false,
+        };
+        self.handle_input(Input::ServerChecked {
+            server,
+            incarnation,
+            has_ended,
+        });
+    }
+
     /// Removes a request that ended and records its duration.
     fn finish(&self, ticket: Ticket, outcome: latency::Outcome) -> Option<OpenCall> {
         let open_call = self.open_calls.borrow_mut().remove(&ticket)?;
--- a/crates/testkit/src/model/crash.rs
+++ b/crates/testkit/src/model/crash.rs
@@ -10,10 +10,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use eelgrassdyke_control::crashes::CrashRelay;
 use eelgrassdyke_core::config::{
     Document, MountSpec, RetryPolicy, ServiceSpec, TeamSpec, WeightedService,
 };
+use eelgrassdyke_core::crash::CrashSync;
 use eelgrassdyke_core::digest::Sha256;
+use eelgrassdyke_core::event::{self, Code};
 use eelgrassdyke_core::follow::poll_number_base;
 use eelgrassdyke_core::id::{Incarnation, PromptPart, Server, Ticket, Version};
 use eelgrassdyke_core::time::Instant;
@@ -21,7 +24,7 @@
 use eelgrassdyke_core::wire::directory::{ServerInfo, ServerState};
 use eelgrassdyke_core::wire::follow::{ConfigUpdate, DirectoryRevision, DirectoryUpdate, Update};
 use eelgrassdyke_core::wire::rank::SlowEngine;
-use eelgrassdyke_core::wire::refusal::{Refusal, RunStatus};
+use eelgrassdyke_core::wire::refusal::{Reason, Refusal, RunStatus};
 use eelgrassdyke_core::wire::{Message, Sender};
 use eelgrassdyke_entry::direct::{
     AttemptOutcome, AttemptSpec, Call, Direct, Input, NotRunReason, Options as EntryOptions, Output,
@@ -35,6 +38,9 @@
 /// Time from the start of a request at a server to its first event.
 const FIRST_EVENT_TIME: Duration = Duration::from_millis(150);
 
+/// Time until the check of a server has a result.
+const CHECK_TIME: Duration = Duration::from_millis(12);
+
 /// Time between two events of a response.
 const EVENT_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -71,6 +77,13 @@
 /// Number of control processes.
 const CONTROLS: usize = 3;
 
+/// The kinds of events that [`Outcome::crash_events`] holds.
+const CRASH_CODES: [Code; 3] = [
+    Code::ServerCrashed,
+    Code::PartQuarantined,
+    Code::PartCleared,
+];
+
 /// The team key of every caller.
 const API_KEY: &str = "key";
 
@@ -133,6 +146,30 @@
     CutControl(Duration),
 }
 
+/// Random faults that end servers or break connections for other reasons than a prompt, one every two to
+/// five seconds.
+pub fn other_faults(options: &Options) -> Vec<(Duration, Fault)> {
+    let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
+    let mut faults = Vec::new();
+    let mut at = Duration::from_secs(8);
+    while at < Duration::from_secs(60) {
+        let first = rng.random_range(0..options.servers);
+        let rack: Vec<usize> = (first..options.servers.min(first + 3)).collect();
+        faults.push((
+            at,
+            match rng.random_range(0..6) {
+                0 | 1 => Fault::EndServers(vec![first]),
+                2 => Fault::EndServers(rack),
+                3 => Fault::ReplaceServers(rack),
+                4 => Fault::ResetConnections(rng.random_range(0..options.entries)),
+                _ => Fault::RestartEntry(rng.random_range(0..options.entries)),
+            },
+        ));
+        at += Duration::from_millis(rng.random_range(2000..5000));
+    }
+    faults
+}
+
 /// What happened in a simulation.
 #[derive(Clone, Debug, Default)]
 pub struct Outcome {
@@ -142,6 +179,8 @@
     pub harmful_ends: Vec<Instant>,
     /// When a request with that part reached a server.
     pub harmful_arrivals: Vec<Instant>,
+    /// Events about crashes and quarantines, with the index of the entry.
+    pub crash_events: Vec<(Instant, usize, event::Event)>,
 }
 
 /// One attempt of a caller.
@@ -179,6 +218,16 @@
         late.count()
     }
 
+    /// Number of sound attempts that were refused because of a quarantine.
+    pub fn quarantined_sound(&self) -> usize {
+        let is_quarantined = |attempt: &&CallerAttempt| {
+            let refusal = attempt.refusal;
+            refusal.is_some_and(|refusal| refusal.reason == Reason::Quarantined)
+        };
+        let sound = self.attempts.iter().filter(|attempt| !attempt.is_harmful);
+        sound.filter(is_quarantined).count()
+    }
+
     /// Fraction of the sound requests sent within `from..until` that began at their first attempt.
     pub fn begun_fraction(&self, from: Instant, until: Instant) -> f64 {
         let is_counted = |attempt: &&CallerAttempt| {
@@ -202,6 +251,8 @@
     StallEnd(usize),
     Update,
     EntryTick(usize),
+    ServerChecked(usize, Server, Incarnation, SocketAddr),
+    CrashRecords(usize, usize, CrashSync),
     Fault(usize),
 }
 
@@ -235,6 +286,8 @@
     stalled_until: Vec<Instant>,
     document: Arc<Document>,
     revision: u64,
+    /// By control process.
+    relays: Vec<CrashRelay>,
     control_cut_until: Instant,
     outcome: Outcome,
 }
@@ -290,6 +343,7 @@
             stalled_until: vec![Instant(0); groups],
             document: Arc::new(document()),
             revision: 0,
+            relays: vec![CrashRelay::default(); CONTROLS],
             control_cut_until: Instant(0),
             outcome: Outcome::default(),
             options,
@@ -354,6 +408,21 @@
                 self.entry_ticks[entry] = Instant::NEVER;
                 self.feed(entry, Input::Tick);
             }
+            Event::ServerChecked(entry, server, incarnation, address) => {
+                let position = usize::from(address.port()) - 1000;
+                let has_ended = !self.servers[position].is_alive;
+                let input = Input::ServerChecked {
+                    server,
+                    incarnation,
+                    has_ended,
+                };
+                self.feed(entry, input);
+            }
+            Event::CrashRecords(entry, control, sync) => {
+                let from = control_sender(control);
+                let message = Message::CrashSync(sync);
+                self.feed(entry, Input::Message { from, message });
+            }
             Event::Fault(index) => self.inject(self.options.faults[index].1.clone()),
         }
     }
@@ -381,7 +450,7 @@
                 self.feed(entry, Input::Tick);
                 self.update_entry(entry);
             }
-            Fault::RestartControl(_) => {}
+            Fault::RestartControl(control) => self.relays[control] = CrashRelay::default(),
             Fault::CutControl(length) => self.control_cut_until = self.now + length,
         }
     }
@@ -531,11 +600,46 @@
                 self.retry_call(index, delay);
             }
             Output::Send { to, message } => self.deliver_to_control(entry, to, message),
+            Output::CheckServer {
+                server,
+                incarnation,
+                address,
+            } => {
+                let event = Event::ServerChecked(entry, server, incarnation, address);
+                self.schedule(CHECK_TIME, event);
+            }
+            Output::Event(event) if CRASH_CODES.contains(&event.code) => {
+                self.outcome.crash_events.push((self.now, entry, event));
+            }
             Output::Event(_) => {}
         }
     }
 
-    fn deliver_to_control(&mut self, _entry: usize, _to: SocketAddr, _message: Message) {}
+    /// Passes crash records to the control process at `to`, which relays them to its entries.
+    fn deliver_to_control(&mut self, entry: usize, to: SocketAddr, message: Message) {
+        let Message::CrashSync(sync) = message else {
+            return;
+        };
+        if self.now < self.control_cut_until {
+            return;
+        }
+        let control = usize::from(to.port()) - 1000;
+        let changed = self.relays[control].merge(self.now, &sync.records);
+        if sync.is_complete {
+            let response = self.relays[control].response(self.now, &sync);
+            self.schedule(LINK_DELAY, Event::CrashRecords(entry, control, response));
+        }
+        for other in (0..self.entries.len()).filter(|e| e % CONTROLS == control && *e != entry) {
+            if changed.is_empty() {
+                break;
+            }
+            let sync = CrashSync {
+                records: changed.clone(),
+                is_complete: false,
+            };
+            self.schedule(LINK_DELAY * 2, Event::CrashRecords(other, control, sync));
+        }
+    }
 
     fn group(&self, server: usize) -> usize {
         server / self.options.group_size
--- a/crates/testkit/tests/crash.rs
+++ b/crates/testkit/tests/crash.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use eelgrassdyke_core::time::Instant;
-use eelgrassdyke_testkit::model::crash::{Options, Outcome, Simulation};
+use eelgrassdyke_testkit::model::crash::{Fault, Options, Outcome, Simulation, other_faults};
 use test_case::test_case;
 
 /// The platform's `contact_ms`.
@@ -48,3 +48,53 @@
 fn part_that_ends_servers_is_kept_from_further_servers(options: Options) {
     check_harm_is_contained(&Simulation::new(options).run());
 }
+
+#[test_case(shape(4, 12, 12, 12, 40.0); "one group")]
+#[test_case(shape(4, 12, 1, 12, 40.0); "servers without a group")]
+#[test_case(shape(14, 72, 24, 10, 120.0); "three groups")]
+fn servers_that_end_for_other_causes_quarantine_no_part(options: Options) {
+    let options = Options {
+        harmful_period: None,
+        faults: other_faults(&options),
+        ..options
+    };
+    let outcome = Simulation::new(options).run();
+    assert_eq!(outcome.quarantined_sound(), 0);
+}
+
+#[test_case(shape(4, 12, 12, 12, 40.0); "one group")]
+#[test_case(shape(4, 12, 1, 12, 40.0); "servers without a group")]
+#[test_case(shape(14, 72, 24, 10, 120.0); "three groups")]
+fn part_that_ends_servers_is_found_among_servers_that_end_for_other_causes(options: Options) {
+    let options = Options {
+        faults: other_faults(&options),
+        ..options
+    };
+    let outcome = Simulation::new(options).run();
+    let arrivals = outcome.harmful_arrivals_after(5, CONTACT_TIME);
+    let ends = outcome.harmful_ends.len();
+    assert!(
+        arrivals <= 3,
+        "{arrivals} arrivals after five ends, {ends} ends"
+    );
+    assert_eq!(outcome.quarantined_sound(), 0);
+}
+
+#[test]
+fn quarantine_survives_restarts_of_entries_and_control_and_cuts_between_them() {
+    let mut faults = Vec::new();
+    for second in 0..12_usize {
+        let at = Duration::from_millis(13_000 + 4_000 * second as u64);
+        faults.push((at, Fault::RestartEntry(second % 4)));
+        faults.push((at, Fault::RestartControl(second % 3)));
+    }
+    faults.push((
+        Duration::from_secs(14),
+        Fault::CutControl(Duration::from_secs(6)),
+    ));
+    let options = Options {
+        faults,
+        ..Options::default()
+    };
+    check_harm_is_contained(&Simulation::new(options).run());
+}
