core, entry: of parts with as many crashes, the rarest explain those of the others

A record now holds the number of requests with the part; parts in more requests than another with the same crashes are explained by it, since those requests did no harm. Ruled out: a factor of two between the numbers; harmful requests are so many that the first part is at 1.8 times.

--- a/crates/core/src/crash.rs
+++ b/crates/core/src/crash.rs
@@ -62,6 +62,8 @@
         pub part: PromptPart,
         /// Whether a considerable fraction of the requests carry the part.
         pub is_common: bool,
+        /// Number of requests with the part, as counted by the entry that has seen the most.
+        pub requests: u32,
         /// The crashes.
         pub crashes: Vec<Crash>,
     }
@@ -110,6 +112,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 struct PartState {
     is_common: bool,
+    requests: u32,
     crashes: BTreeMap<CrashId, CrashState>,
 }
 
@@ -203,39 +206,13 @@
         self.parts.is_empty()
     }
 
-    /// Records that a server ended while a request with the part was about to write; returns whether
-    /// that is new.
-    pub fn record_crash(
-        &mut self,
-        now: Instant,
-        key: &PartKey,
-        is_common: bool,
-        server: &Server,
-        incarnation: Incarnation,
-    ) -> bool {
-        let crash = Crash {
-            server: server.clone(),
-            incarnation,
-            age_ms: 0,
-            is_cleared: false,
-        };
-        self.merge(
-            now,
-            &CrashRecord {
-                service: key.0.clone(),
-                part: key.1.clone(),
-                is_common,
-                crashes: vec![crash],
-            },
-        )
-    }
-
     /// Merges a record; returns whether it changed anything.
     pub fn merge(&mut self, now: Instant, record: &CrashRecord) -> bool {
         let key = (record.service.clone(), record.part.clone());
         let state = self.parts.entry(key.clone()).or_default();
         let before = state.clone();
         state.is_common |= record.is_common;
+        state.requests = state.requests.max(record.requests);
         for crash in record.crashes.iter().take(RECORD_CRASHES_MAX) {
             let id = (crash.server.clone(), crash.incarnation);
             let reported = CrashState {
@@ -256,7 +233,8 @@
             self.parts.remove(&key);
             return false;
         }
-        let changed = *state != before;
+        // A count alone is passed on with the next crash.
+        let changed = (state.is_common, &state.crashes) != (before.is_common, &before.crashes);
         if changed {
             self.drop_excess(&key);
             self.judge();
@@ -264,6 +242,16 @@
         changed
     }
 
+    /// Sets the number of requests with a part, if it has a record and the number is greater than known.
+    pub fn record_requests(&mut self, key: &PartKey, requests: u32) {
+        let state = self.parts.get_mut(key);
+        let Some(state) = state.filter(|state| state.requests < requests) else {
+            return;
+        };
+        state.requests = requests;
+        self.judge();
+    }
+
     /// Drops the record whose last crash is the oldest if there are too many.
     fn drop_excess(&mut self, kept: &PartKey) {
         if self.parts.len() <= RECORDS_MAX {
@@ -316,19 +304,20 @@
             let counted = state.counted(&none);
             let causes = count_causes(counted.iter().map(|(_, at)| *at));
             let total = Reverse((causes, counted.len()));
-            parts.push((state.is_common, total, key, state));
+            parts.push((state.is_common, total, state.requests, key, state));
         }
         // Common parts come last, so that rarer ones with as many crashes explain theirs.
-        parts.sort_by_key(|(is_common, total, ..)| (*is_common, *total));
+        parts.sort_by_key(|(is_common, total, requests, ..)| (*is_common, *total, *requests));
         let mut explained = BTreeSet::new();
-        // Parts with equally many crashes don't explain those of each other.
+        // Of parts with as many crashes, the rarest explain those of the others, which also occur in
+        // requests that did no harm.
         let mut explained_next = BTreeSet::new();
-        let mut previous_count = Reverse((usize::MAX, usize::MAX));
-        for (is_common, total, key, state) in parts {
-            if is_common || total != previous_count {
+        let mut previous = (Reverse((usize::MAX, usize::MAX)), 0);
+        for (is_common, total, requests, key, state) in parts {
+            if is_common || (total, requests) != previous {
                 crash_times.retain(|id, _| !explained_next.contains(id));
                 explained.append(&mut explained_next);
-                previous_count = total;
+                previous = (total, requests);
             }
             let counted = state.counted(&explained);
             let count = count_causes(counted.iter().map(|(_, at)| *at));
@@ -394,6 +383,7 @@
             service: key.0.clone(),
             part: key.1.clone(),
             is_common: state.is_common,
+            requests: state.requests,
             crashes,
         })
     }
--- a/crates/entry/src/direct/crash.rs
+++ b/crates/entry/src/direct/crash.rs
@@ -10,7 +10,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
-use eelgrassdyke_core::crash::{CrashLedger, CrashRecord, CrashSync, PartKey, Quarantine};
+use eelgrassdyke_core::crash::{Crash, CrashLedger, CrashRecord, CrashSync, PartKey, Quarantine};
 use eelgrassdyke_core::id::{Incarnation, PromptPart, Server, Service};
 use eelgrassdyke_core::time::Instant;
 
@@ -151,9 +151,13 @@
             .or_default();
         *total = total.saturating_add(1);
         for key in part_keys(request) {
-            self.uses.update(key, |part_use| {
+            self.uses.update(key.clone(), |part_use| {
                 part_use.requests = part_use.requests.saturating_add(1)
             });
+            if !self.ledger.is_empty() {
+                let requests = self.uses.get(&key).requests;
+                self.ledger.record_requests(&key, requests);
+            }
         }
     }
 
@@ -262,11 +266,20 @@
             if self.is_sound_at(&key, now) || blamed.len() >= REPORTED_PARTS_MAX {
                 continue;
             }
-            let is_common = self.uses.is_common(&key);
-            if self
-                .ledger
-                .record_crash(now, &key, is_common, server, *incarnation)
-            {
+            let crash = Crash {
+                server: server.clone(),
+                incarnation: *incarnation,
+                age_ms: 0,
+                is_cleared: false,
+            };
+            let record = CrashRecord {
+                service: service.clone(),
+                part: part.clone(),
+                is_common: self.uses.is_common(&key),
+                requests: self.uses.get(&key).requests,
+                crashes: vec![crash],
+            };
+            if self.ledger.merge(now, &record) {
                 self.changed.insert(key);
             }
             blamed.push(part.clone());
--- a/crates/testkit/src/model/crash.rs
+++ b/crates/testkit/src/model/crash.rs
@@ -71,9 +71,12 @@
 /// Prompt parts, other than the first one, that the requests of one class share.
 const SUBJECTS: usize = 60;
 
-/// Classes of requests; the requests of a class share the first part of their prompts.
+/// Classes of requests.
 const CLASSES: usize = 3;
 
+/// Callers; the requests of one caller and class share the first part of their prompts.
+const CALLERS: usize = 10;
+
 /// Number of control processes.
 const CONTROLS: usize = 3;
 
@@ -140,6 +143,8 @@
     ResetConnections(usize),
     /// An entry is killed and restarts without its state.
     RestartEntry(usize),
+    /// All entries and control processes are killed and restart without their state.
+    RestartAll,
     /// A control process is killed and restarts without its state.
     RestartControl(usize),
     /// No message passes between entries and control for this long.
@@ -192,8 +197,8 @@
     pub is_first: bool,
     /// Whether its prompt contains the part that ends servers.
     pub is_harmful: bool,
-    /// Class of the request.
-    pub class: usize,
+    /// Whether it has the caller, the class and the first part of the harmful ones.
+    pub resembles_harmful: bool,
     /// When its first event was forwarded.
     pub began_at: Option<Instant>,
     /// Whether its response was completed.
@@ -228,11 +233,13 @@
         sound.filter(is_quarantined).count()
     }
 
-    /// Fraction of the sound requests sent within `from..until` that began at their first attempt.
+    /// Fraction of the sound requests with the caller and first part of the harmful ones, sent within
+    /// `from..until`, that began at their first attempt.
     pub fn begun_fraction(&self, from: Instant, until: Instant) -> f64 {
         let is_counted = |attempt: &&CallerAttempt| {
             let in_time = attempt.sent_at >= from && attempt.sent_at < until;
-            in_time && attempt.is_first && !attempt.is_harmful
+            let is_sound = attempt.resembles_harmful && !attempt.is_harmful;
+            in_time && attempt.is_first && is_sound
         };
         let sent: Vec<_> = self.attempts.iter().filter(is_counted).collect();
         let begun = sent.iter().filter(|attempt| attempt.began_at.is_some());
@@ -438,23 +445,31 @@
                 self.update_entries();
             }
             Fault::ResetConnections(entry) => self.lose_work(|_, attempt| attempt.entry == entry),
-            Fault::RestartEntry(entry) => {
-                for server in &mut self.servers {
-                    let attempts = &self.outcome.attempts;
-                    let stays = |key: &RunKey| attempts[key.0].entry != entry;
-                    server.running.retain(|key, _| stays(key));
-                    server.waiting.retain(stays);
+            Fault::RestartEntry(entry) => self.restart_entry(entry),
+            Fault::RestartAll => {
+                self.relays = vec![CrashRelay::default(); CONTROLS];
+                for entry in 0..self.entries.len() {
+                    self.restart_entry(entry);
                 }
-                self.entry_incarnations[entry] += 1;
-                self.entries[entry] = self.new_entry(entry);
-                self.feed(entry, Input::Tick);
-                self.update_entry(entry);
             }
             Fault::RestartControl(control) => self.relays[control] = CrashRelay::default(),
             Fault::CutControl(length) => self.control_cut_until = self.now + length,
         }
     }
 
+    fn restart_entry(&mut self, entry: usize) {
+        for server in &mut self.servers {
+            let attempts = &self.outcome.attempts;
+            let stays = |key: &RunKey| attempts[key.0].entry != entry;
+            server.running.retain(|key, _| stays(key));
+            server.waiting.retain(stays);
+        }
+        self.entry_incarnations[entry] += 1;
+        self.entries[entry] = self.new_entry(entry);
+        self.feed(entry, Input::Tick);
+        self.update_entry(entry);
+    }
+
     /// Breaks off the work that `is_lost` selects.
     fn lose_work(&mut self, is_lost: impl Fn(usize, &CallerAttempt) -> bool) {
         let mut lost = Vec::new();
@@ -493,22 +508,27 @@
         let in_period = |(from, until): (Duration, Duration)| elapsed >= from && elapsed < until;
         let is_harmful = self.options.harmful_period.is_some_and(in_period)
             && self.rng.random_range(0.0..1.0) < self.options.harmful_fraction;
-        let class = self.rng.random_range(0..CLASSES);
+        // Harmful requests have one caller and class, as have some of the sound ones.
+        let (mut class, mut caller) = (0, 0);
+        if !is_harmful {
+            class = self.rng.random_range(0..CLASSES);
+            caller = self.rng.random_range(0..CALLERS);
+        }
         // Subjects of low number are far more frequent than those of high number.
         let skew: f64 = self.rng.random_range(0.0..1.0);
         let subject = (skew * skew * SUBJECTS as f64) as usize;
-        let mut parts = vec![
-            part(format!("class-{class}")),
-            part(format!("s-{class}-{subject}")),
-        ];
+        let mut parts = vec![part(format!("first-{caller}-{class}"))];
+        if self.rng.random_range(0..2) == 0 {
+            parts.push(part(format!("subject-{class}-{subject}")));
+        }
         if is_harmful {
-            parts.insert(self.rng.random_range(1..=2), harmful_part());
+            parts.insert(self.rng.random_range(1..=parts.len()), harmful_part());
         }
         let attempt = CallerAttempt {
             sent_at: self.now,
             is_first: true,
             is_harmful,
-            class,
+            resembles_harmful: class == 0 && caller == 0,
             began_at: None,
             is_complete: false,
             refusal: None,
--- a/crates/testkit/tests/crash.rs
+++ b/crates/testkit/tests/crash.rs
@@ -98,3 +98,13 @@
     };
     check_harm_is_contained(&Simulation::new(options).run());
 }
+
+#[test_case(shape(4, 12, 12, 12, 40.0); "one group")]
+#[test_case(shape(4, 12, 1, 12, 40.0); "servers without a group")]
+fn first_part_of_harmful_requests_is_served_after_all_evidence_is_lost(options: Options) {
+    let options = Options {
+        faults: vec![(Duration::from_secs(20), Fault::RestartAll)],
+        ..options
+    };
+    check_harm_is_contained(&Simulation::new(options).run());
+}
