control, eelgrassctl: operators see and lift quarantines of prompt parts

eelgrassctl quarantine list and lift, GET /v1/quarantines and POST /v1/quarantines/lift, and the gauge eelgrassdyke_quarantined_parts of control. A lift marks the crashes as cleared, which reaches all processes like any other record and can't be undone by older ones. Tests: two on three control processes (relay, restart, lift), one of the command line.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -126,6 +126,11 @@
                 let response = self.query(now, query);
                 out.push(Output::Respond { ticket, response });
             }
+            Input::LiftQuarantine {
+                ticket,
+                service,
+                part,
+            } => self.lift_quarantine(now, ticket, (service, part), out),
             Input::Publish {
                 ticket,
                 publication,
@@ -182,6 +187,11 @@
         self.replica.has_quorum(now) && self.replica.has_caught_up()
     }
 
+    /// The records of servers that ended, and the quarantines that follow from them.
+    pub fn crashes(&self) -> &CrashRelay {
+        &self.crashes
+    }
+
     /// Whether this replica leads with a quorum, or has recent contact with a leader.
     pub fn has_quorum(&self, now: Instant) -> bool {
         self.replica.has_quorum(now)
@@ -598,6 +608,7 @@
             },
             Query::Status => OperatorResponse::Status(self.status(now)),
             Query::Report => OperatorResponse::Report(self.ledger.lines(now)),
+            Query::Quarantines => OperatorResponse::Quarantines(self.crashes.status(now)),
         }
     }
 
--- a/crates/control/src/crashes.rs
+++ b/crates/control/src/crashes.rs
@@ -5,11 +5,13 @@
 //! it lacks. A control process that has restarted learns the records from the entries.
 
 use eelgrassdyke_core::crash::{CrashLedger, CrashRecord, CrashSync, PartKey};
+use eelgrassdyke_core::event::{Code, Event};
+use eelgrassdyke_core::id::Ticket;
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::{Message, Sender};
 
 use crate::control::Control;
-use crate::io::Output;
+use crate::io::{OperatorResponse, Output, QuarantineStatus};
 
 /// The records of one control process.
 #[derive(Clone, Debug, Default)]
@@ -45,6 +47,27 @@
         }
     }
 
+    /// The parts that crashes count against.
+    pub fn status(&self, now: Instant) -> Vec<QuarantineStatus> {
+        let mut parts = Vec::new();
+        for record in self.ledger.records(now) {
+            let key = (record.service, record.part);
+            let quarantine = self.ledger.quarantine(now, &key);
+            let mut crashes = record.crashes;
+            crashes.retain(|crash| !crash.is_cleared);
+            if crashes.is_empty() {
+                continue;
+            }
+            parts.push(QuarantineStatus {
+                service: key.0,
+                part: key.1,
+                crashes,
+                left_ms: quarantine.map(|q| q.until.since(now).as_millis() as u64),
+            });
+        }
+        parts
+    }
+
     /// Lifts the quarantine of a part; returns its record, if there is one.
     pub fn lift(&mut self, now: Instant, key: &PartKey) -> Option<CrashRecord> {
         self.ledger.clear(key);
@@ -71,6 +94,31 @@
         }
     }
 
+    /// Lifts the quarantine of a part at an operator's request.
+    pub(crate) fn lift_quarantine(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        key: PartKey,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(record) = self.crashes.lift(now, &key) else {
+            let response = OperatorResponse::Refused {
+                problem: format!("no server of {} is known to have ended on {}", key.0, key.1),
+                remedy: "see `eelgrassctl quarantine list`".to_owned(),
+            };
+            out.push(Output::Respond { ticket, response });
+            return;
+        };
+        let event = Event::new(Code::PartCleared, key.1.as_str())
+            .with_fact("service", key.0.as_str())
+            .with_fact("by", "operator");
+        out.push(Output::Event(event));
+        self.relay_crash_records(now, None, vec![record], out);
+        let response = OperatorResponse::Quarantines(self.crashes.status(now));
+        out.push(Output::Respond { ticket, response });
+    }
+
     /// Sends records to the entries that follow this process and to the other control processes.
     pub(crate) fn relay_crash_records(
         &mut self,
--- a/crates/control/src/io.rs
+++ b/crates/control/src/io.rs
@@ -4,9 +4,12 @@
 use std::net::SocketAddr;
 
 use eelgrassdyke_core::config::{Document, EngineOrder, Publication, Submission, Verdict};
+use eelgrassdyke_core::crash::Crash;
 use eelgrassdyke_core::data;
 use eelgrassdyke_core::event::Event;
-use eelgrassdyke_core::id::{Operation, Process, Server, Term, Ticket, Version};
+use eelgrassdyke_core::id::{
+    Operation, Process, PromptPart, Server, Service, Term, Ticket, Version,
+};
 use eelgrassdyke_core::time::WallTime;
 use eelgrassdyke_core::wire::directory::{Heartbeat, ServerInfo, ServerLoad};
 use eelgrassdyke_core::wire::log::Members;
@@ -86,6 +89,15 @@
         /// Contents of the data folder.
         recovered: Box<RecoveredState>,
     },
+    /// An operator lifts the quarantine of a prompt part.
+    LiftQuarantine {
+        /// Identifies the operator's request.
+        ticket: Ticket,
+        /// The service.
+        service: Service,
+        /// The part.
+        part: PromptPart,
+    },
     /// An operator queries this process.
     Query {
         /// Identifies the operator's request.
@@ -117,6 +129,8 @@
     Status,
     /// The usage report.
     Report,
+    /// The prompt parts on which servers ended.
+    Quarantines,
 }
 
 /// An effect that the caller carries out.
@@ -190,6 +204,22 @@
         Order(order::OrderResponse),
         /// The usage report, one line for each team and service.
         Report(Vec<UsageLine>),
+        /// The prompt parts on which servers ended, and their quarantines.
+        Quarantines(Vec<QuarantineStatus>),
+    }
+
+    /// A prompt part on which servers ended.
+    #[derive(Eq)]
+    pub struct QuarantineStatus {
+        /// The service.
+        pub service: Service,
+        /// The part.
+        pub part: PromptPart,
+        /// The crashes that count against it.
+        pub crashes: Vec<Crash>,
+        /// Remaining time of its quarantine, in milliseconds; none if it is only suspected. Entries
+        /// extend it by up to half.
+        pub left_ms: Option<u64>,
     }
 
     /// The stored publication, as an operator reads it back.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -29,6 +29,6 @@
 
 pub use control::Control;
 pub use io::{
-    FollowerStatus, Input, OperatorResponse, Options, Output, Query, ServerNotice, Status,
-    StoredPublication,
+    FollowerStatus, Input, OperatorResponse, Options, Output, QuarantineStatus, Query,
+    ServerNotice, Status, StoredPublication,
 };
--- a/crates/control/tests/log_control.rs
+++ b/crates/control/tests/log_control.rs
@@ -9,8 +9,11 @@
 
 use eelgrassdyke_control::log::Options as LogOptions;
 use eelgrassdyke_control::store::Store;
-use eelgrassdyke_control::{Control, Input, OperatorResponse, Options, Output, Query, Status};
+use eelgrassdyke_control::{
+    Control, Input, OperatorResponse, Options, Output, QuarantineStatus, Query, Status,
+};
 use eelgrassdyke_core::config::{Change, Patch, Submission, TeamSpec, Verdict};
+use eelgrassdyke_core::crash::{Crash, CrashRecord, CrashSync};
 use eelgrassdyke_core::digest::Sha256;
 use eelgrassdyke_core::id::{Incarnation, Replica as Id, Ticket, Version};
 use eelgrassdyke_core::time::{Instant, WallTime};
@@ -499,3 +502,96 @@
         cluster.status(leader).version
     );
 }
+
+fn crash_record(server: &str) -> CrashRecord {
+    CrashRecord {
+        service: "draft".parse().unwrap(),
+        part: "harmful".parse().unwrap(),
+        is_common: false,
+        requests: 1,
+        crashes: vec![Crash {
+            server: server.parse().unwrap(),
+            incarnation: Incarnation(1),
+            age_ms: 0,
+            is_cleared: false,
+        }],
+    }
+}
+
+impl Cluster {
+    /// Sends crash records from the client; returns those that it receives.
+    fn sync_crashes(
+        &mut self,
+        to: usize,
+        records: Vec<CrashRecord>,
+        is_complete: bool,
+    ) -> Vec<CrashRecord> {
+        self.received.clear();
+        let sync = CrashSync {
+            records,
+            is_complete,
+        };
+        self.send_from_client(to, Message::CrashSync(sync));
+        let received = self.received.drain(..).filter_map(|message| match message {
+            Message::CrashSync(sync) => Some(sync.records),
+            _ => None,
+        });
+        received.flatten().collect()
+    }
+
+    fn quarantines(&mut self, number: usize) -> Vec<QuarantineStatus> {
+        let query = Query::Quarantines;
+        match self.request(number, |ticket| Input::Query { ticket, query }) {
+            Some(OperatorResponse::Quarantines(parts)) => parts,
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+#[test]
+fn crash_records_reach_all_control_processes_and_entries_that_restarted() {
+    let mut cluster = Cluster::new();
+    cluster.sync_crashes(0, vec![crash_record("server-1")], false);
+    cluster.sync_crashes(1, vec![crash_record("server-2")], false);
+    for number in 0..3 {
+        let parts = cluster.quarantines(number);
+        assert_eq!(parts.len(), 1);
+        assert_eq!(parts[0].crashes.len(), 2);
+        assert!(parts[0].left_ms.is_some(), "no quarantine at {number}");
+    }
+    // An entry that has restarted sends an empty ledger.
+    let received = cluster.sync_crashes(2, Vec::new(), true);
+    assert_eq!(received[0].crashes.len(), 2);
+    // A control process that has restarted learns the records from an entry.
+    cluster.kill(0);
+    cluster.start(0);
+    cluster.run(3000);
+    assert!(cluster.quarantines(0).is_empty());
+    assert!(cluster.sync_crashes(0, received, true).is_empty());
+    assert!(cluster.quarantines(0)[0].left_ms.is_some());
+}
+
+#[test]
+fn operator_lifts_a_quarantine_at_all_processes() {
+    let mut cluster = Cluster::new();
+    let records = [crash_record("server-1"), crash_record("server-2")];
+    for record in records.clone() {
+        cluster.sync_crashes(0, vec![record], false);
+    }
+    let lift = |part: &str, ticket| Input::LiftQuarantine {
+        ticket,
+        service: "draft".parse().unwrap(),
+        part: part.parse().unwrap(),
+    };
+    let unknown = cluster.request(1, |ticket| lift("another", ticket));
+    assert!(matches!(unknown, Some(OperatorResponse::Refused { .. })));
+    let lifted = cluster.request(1, |ticket| lift("harmful", ticket));
+    assert_eq!(lifted, Some(OperatorResponse::Quarantines(Vec::new())));
+    for number in 0..3 {
+        assert!(cluster.quarantines(number).is_empty());
+    }
+    // An entry that has not heard of it learns it, and its older records change nothing.
+    let received = cluster.sync_crashes(2, records.to_vec(), true);
+    assert!(received[0].crashes.iter().all(|crash| crash.is_cleared));
+    assert!(cluster.quarantines(2).is_empty());
+}
--- a/crates/eelgrassctl/src/client.rs
+++ b/crates/eelgrassctl/src/client.rs
@@ -117,6 +117,11 @@
         }
     }
 
+    /// Addresses of the control processes.
+    pub fn control_addresses(&self) -> &[SocketAddr] {
+        &self.control
+    }
+
     /// Queries one control process.
     pub async fn query(&self, to: SocketAddr, path: &str) -> Result<OperatorResponse> {
         self.request_json(to, Request::get(path)).await
--- a/crates/eelgrassctl/src/command.rs
+++ b/crates/eelgrassctl/src/command.rs
@@ -5,7 +5,8 @@
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use eelgrassdyke_core::id::{
-    Group, Model, Operation, Process, Replica, RequestId, Server, Team, Version,
+    Group, Model, Operation, Process, PromptPart, Replica, RequestId, Server, Service, Team,
+    Version,
 };
 
 const EXIT_CODES: &str = "\
@@ -84,6 +85,9 @@
     /// Send an order to an engine, such as to load a model.
     #[command(after_help = EXIT_CODES)]
     Order(OrderArgs),
+    /// Show or lift quarantines of prompt parts on which servers ended.
+    #[command(subcommand)]
+    Quarantine(QuarantineCommand),
     /// Change the members of the control log.
     #[command(subcommand)]
     Control(MemberCommand),
@@ -242,6 +246,20 @@
     },
 }
 
+/// What to do about quarantines.
+#[derive(Clone, Debug, Subcommand)]
+pub enum QuarantineCommand {
+    /// List the prompt parts on which servers ended, with the crashes that count against them.
+    List,
+    /// Serve requests with a part again: its crashes so far no longer count.
+    Lift {
+        /// The service.
+        service: Service,
+        /// The part.
+        part: PromptPart,
+    },
+}
+
 /// A membership change of the control log; `status` prints the replicas.
 #[derive(Clone, Copy, Debug, Subcommand)]
 pub enum MemberCommand {
--- a/crates/eelgrassctl/src/lib.rs
+++ b/crates/eelgrassctl/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod errors;
 pub mod order;
 pub mod output;
+pub mod quarantine;
 pub mod report;
 pub mod status;
 pub mod submission;
@@ -45,6 +46,7 @@
             Command::Timeline(options) => timeline::print(&client, &options, json).await,
             Command::Drain(options) => drain::drain(&client, &options, json).await,
             Command::Order(options) => order::submit(&client, &options, json).await,
+            Command::Quarantine(command) => quarantine::run(&client, command, json).await,
             Command::Control(change) => control::change_members(&client, change, json).await,
             // Handled above: these commands contact no process.
             Command::Trace(_) | Command::Token(_) => Ok(ExitStatus::Success),
--- a/crates/eelgrassctl/tests/operate.rs
+++ b/crates/eelgrassctl/tests/operate.rs
@@ -284,3 +284,13 @@
         1,
     );
 }
+
+#[test]
+fn quarantine_lists_nothing_at_first_and_an_unknown_part_cannot_be_lifted() {
+    let site = Site::start();
+    assert_eq!(site.run_json(0, &["quarantine", "list"]), json!([]));
+    let output = site.run(&["quarantine", "lift", "draft", "5c1e07a2"]);
+    assert_ne!(output.status.code(), Some(0));
+    let stderr = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(stderr.contains("no server of draft is known to have ended on 5c1e07a2"));
+}
--- a/crates/node/src/gauges.rs
+++ b/crates/node/src/gauges.rs
@@ -30,6 +30,9 @@
         set_version("control", control.read(|control| control.version()));
         let quorum = control.read(|control| control.has_quorum(now));
         gauge!("eelgrassdyke_quorum").set(bool_value(quorum));
+        let quarantines =
+            control.read(|control| control.crashes().ledger().quarantines(now).count());
+        gauge!("eelgrassdyke_quarantined_parts").set(quarantines as f64);
     }
 }
 
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -4,7 +4,7 @@
 use eelgrassdyke_control::state::order::OrderResponse;
 use eelgrassdyke_control::{OperatorResponse, Query};
 use eelgrassdyke_core::config::{self, Submission, Verdict};
-use eelgrassdyke_core::id::{Operation, Server};
+use eelgrassdyke_core::id::{Operation, PromptPart, Server, Service};
 use eelgrassdyke_core::jsonc;
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 
@@ -31,6 +31,8 @@
         (&Method::GET, "/v1/config") => query_control(node, Query::Config, responder),
         (&Method::GET, "/v1/status") => query_control(node, Query::Status, responder),
         (&Method::GET, "/v1/report") => query_control(node, Query::Report, responder),
+        (&Method::GET, "/v1/quarantines") => query_control(node, Query::Quarantines, responder),
+        (&Method::POST, "/v1/quarantines/lift") => lift_quarantine(node, &request, responder),
         (&Method::GET, "/v1/process") => respond_json(responder, StatusCode::OK, &node.status()),
         (&Method::GET, "/v1/timeline") => read_timeline(node, &request, responder),
         (&Method::POST, "/v1/drain") => {
@@ -130,6 +132,31 @@
     }
 }
 
+/// An operator's request to lift the quarantine of a prompt part.
+#[derive(Debug, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LiftRequest {
+    /// The service.
+    pub service: Service,
+    /// The part.
+    pub part: PromptPart,
+}
+
+fn lift_quarantine(node: &Node, request: &Request, responder: Responder) {
+    let Some(control) = node.control() else {
+        respond_no_control(responder);
+        return;
+    };
+    match parse_strictly::<LiftRequest>(&request.body) {
+        Ok(lift) => control.lift_quarantine(lift, responder),
+        Err(problem) => reject_body(
+            responder,
+            &problem,
+            "send {\"service\": NAME, \"part\": ID}; see docs/OPERATIONS.md",
+        ),
+    }
+}
+
 fn query_control(node: &Node, query: Query, responder: Responder) {
     match node.control() {
         Some(control) => control.query(query, responder),
@@ -185,6 +212,7 @@
         | OperatorResponse::NoticeAccepted
         | OperatorResponse::Status(_)
         | OperatorResponse::Report(_)
+        | OperatorResponse::Quarantines(_)
         | OperatorResponse::Members(_) => StatusCode::OK,
     };
     respond_json(responder, status, answer);
--- a/crates/node/src/role/control.rs
+++ b/crates/node/src/role/control.rs
@@ -126,6 +126,16 @@
         self.handle_input(Input::ChangeMembers { ticket, change });
     }
 
+    /// Lifts the quarantine of a prompt part.
+    pub fn lift_quarantine(self: &Rc<Self>, lift: operator::LiftRequest, responder: Responder) {
+        let ticket = self.pending.insert(responder);
+        self.handle_input(Input::LiftQuarantine {
+            ticket,
+            service: lift.service,
+            part: lift.part,
+        });
+    }
+
     /// Runs an operator's query.
     pub fn query(self: &Rc<Self>, query: Query, responder: Responder) {
         let ticket = self.pending.insert(responder);
