--- a/crates/core/src/crash.rs
+++ b/crates/core/src/crash.rs
@@ -47,7 +47,7 @@
 const RETENTION: Duration = Duration::from_secs(600);
 
 /// Maximum number of records.
-pub const RECORDS_MAX: usize = 256;
+pub const RECORDS_MAX: usize = 64;
 
 /// Maximum number of crashes in a record.
 const RECORD_CRASHES_MAX: usize = 8;
--- a/crates/core/tests/crash.rs
+++ b/crates/core/tests/crash.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
-use eelgrassdyke_core::crash::{Crash, CrashLedger, CrashRecord, PartKey, RECORDS_MAX};
+use eelgrassdyke_core::crash::{Crash, CrashLedger, CrashRecord, CrashSync, PartKey, RECORDS_MAX};
 use eelgrassdyke_core::id::Incarnation;
 use eelgrassdyke_core::time::Instant;
+use eelgrassdyke_core::wire;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
@@ -120,6 +121,25 @@
     assert!(ledger.quarantine(at(2000), &key("harmful")).is_some());
 }
 
+#[test]
+fn exchange_of_a_full_ledger_fits_the_bandwidth_of_control() {
+    // 13 KB/s may be spent for control on a host; the ledger is sent every 5 s.
+    const BYTES_MAX: usize = 13_000 * 5;
+    let mut ledger = CrashLedger::default();
+    for part in 0..2 * RECORDS_MAX as u64 {
+        for server in 0..20 {
+            let now = at(part * 1000 + server * 10);
+            ledger.merge(now, &record(&format!("{part:012x}"), &[server], 1, 0));
+        }
+    }
+    let sync = CrashSync {
+        records: ledger.records(at(0)),
+        is_complete: true,
+    };
+    let bytes = wire::encode(&sync).unwrap().len();
+    assert!(bytes <= BYTES_MAX, "{bytes} bytes");
+}
+
 /// Ledgers that exchange their records end up with the same quarantines, in whatever order and however
 /// often the records arrive, and however late.
 #[test]
