entry, platform: servers that say that they leave, or ask for a pause, get no requests

An entry now remembers both by server and incarnation, also while the server is missing in the directory. A service whose servers all want pauses refuses at once, as not run, with the time until the first wants requests. Not done: telling other entries, the state in eelgrassctl, the model of a rolling replacement, real processes.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -105,6 +105,8 @@
     323 ServerCrashed "An entry found that a server ended while it ran requests; the facts name the prompt parts that it was about to write on.";
     324 PartQuarantined "Requests with a prompt part on which several servers ended are refused for a time.";
     325 PartCleared "A prompt part on which a server ended was found sound, or an operator lifted its quarantine.";
+    326 ServerLeaving "A server said in a response that it leaves; it gets no new requests.";
+    327 ServerPaused "A server turned a request away and wants no requests for a time.";
     400 AttemptQueued "An agent queued an attempt.";
     401 AttemptStarted "An agent forwarded an attempt to its server.";
     402 AttemptEnded "An attempt ended.";
--- a/crates/entry/src/direct/io.rs
+++ b/crates/entry/src/direct/io.rs
@@ -38,6 +38,24 @@
     pub response_max: u32,
 }
 
+/// What a server says about itself in the head of a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ServerSignal {
+    /// Whether it leaves.
+    pub is_leaving: bool,
+    /// For how long it wants no requests.
+    pub pause: Option<Pause>,
+}
+
+/// The time for which a server wants no requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Pause {
+    /// This long.
+    For(Duration),
+    /// It stated a time that can't be read.
+    Unreadable,
+}
+
 /// An input to the state machine.
 #[derive(Clone, Debug)]
 pub enum Input {
@@ -69,6 +87,15 @@
         /// The outcome.
         outcome: AttemptOutcome,
     },
+    /// A server said something about itself in a response.
+    ServerSignal {
+        /// The server.
+        server: Server,
+        /// Its incarnation.
+        incarnation: Incarnation,
+        /// What it said.
+        signal: ServerSignal,
+    },
     /// The result of [`Output::CheckServer`].
     ServerChecked {
         /// The server.
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -19,12 +19,14 @@
 mod quarantine;
 mod report;
 mod retry;
+mod signal;
 mod table;
 mod updates;
 
 pub use budget::{RetryLimit, RetryWindow};
 pub use io::{
-    AttemptOutcome, AttemptSpec, Call, Input, NotRunReason, Options, Output, TokenCounts,
+    AttemptOutcome, AttemptSpec, Call, Input, NotRunReason, Options, Output, Pause, ServerSignal,
+    TokenCounts,
 };
 pub use path::Direct;
 pub use pool::{HealthSignal, ServerPool};
--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -104,6 +104,11 @@
                 attempt,
                 outcome,
             } => self.handle_attempt_end(now, ticket, attempt, outcome, out),
+            Input::ServerSignal {
+                server,
+                incarnation,
+                signal,
+            } => self.handle_server_signal(now, &server, incarnation, signal, out),
             Input::ServerChecked {
                 server,
                 incarnation,
@@ -277,6 +282,12 @@
             }
             Verdict::Suspected | Verdict::Sound => {}
         }
+        if let Some(pause_end) = self.pool.all_paused_until(now, &request.service)
+            && !request.response_started
+        {
+            self.refuse_paused(now, ticket, request, pause_end, out);
+            return;
+        }
         let queue_is_empty = self.queue(&request.service).is_empty();
         let Some(request) = (match queue_is_empty || request.attempts > 0 {
             true => self.try_send(now, ticket, request, out),
--- a/crates/entry/src/direct/pool.rs
+++ b/crates/entry/src/direct/pool.rs
@@ -4,7 +4,7 @@
 //! of the server's slots. Failing servers are ejected for a limited time that doubles with each
 //! consecutive failure; if too many are ejected, they are selected nevertheless.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -45,6 +45,9 @@
 /// report every second, and may itself fail.
 const GROUP_CLOSED_TTL: Duration = Duration::from_millis(2500);
 
+/// Most servers that are remembered as leaving.
+const LEAVING_MAX: usize = 256;
+
 /// Maximum fraction of the servers of a service that may be ejected.
 const EJECTED_FRACTION_MAX: f64 = 0.5;
 
@@ -78,6 +81,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct ServerPool {
     servers: BTreeMap<Server, PooledServer>,
+    /// Servers that said that they leave, oldest first; they may be missing in the directory for a while.
+    leaving: VecDeque<(Server, Incarnation)>,
     health_by_service: BTreeMap<Service, ServiceHealth>,
 }
 
@@ -126,6 +131,10 @@
     failure_rate: f64,
     ejected_until: Instant,
     full_until: Instant,
+    /// Whether the server said in a response that it leaves.
+    is_leaving: bool,
+    /// Until when the server wants no requests.
+    paused_until: Instant,
     /// When the server last responded or sent an event.
     last_activity: Instant,
     /// Whether control reports the server as slow: its share of the work delays its whole group.
@@ -193,6 +202,8 @@
                     failure_rate: 0.0,
                     ejected_until: Instant(0),
                     full_until: Instant(0),
+                    is_leaving: self.leaving.contains(&(name.clone(), info.incarnation)),
+                    paused_until: Instant(0),
                     last_activity: now,
                     is_slow: false,
                     group_closed_until: Instant(0),
@@ -242,10 +253,54 @@
         let server = self.servers.get(name)?;
         let is_active = server.incarnation == incarnation
             && server.state == ServerState::Up
+            && !server.is_leaving
             && now >= server.group_closed_until;
         is_active.then_some(server.address)
     }
 
+    /// Records that an incarnation of a server leaves; returns whether that is new.
+    pub fn record_leaving(&mut self, name: &Server, incarnation: Incarnation) -> bool {
+        let id = (name.clone(), incarnation);
+        if self.leaving.contains(&id) {
+            return false;
+        }
+        self.leaving.push_back(id);
+        if self.leaving.len() > LEAVING_MAX {
+            self.leaving.pop_front();
+        }
+        let server = self.servers.get_mut(name);
+        if let Some(server) = server.filter(|server| server.incarnation == incarnation) {
+            server.is_leaving = true;
+        }
+        true
+    }
+
+    /// Records that a server wants no requests for a time; returns whether it is in the pool.
+    pub fn record_pause(
+        &mut self,
+        now: Instant,
+        name: &Server,
+        incarnation: Incarnation,
+        pause: Duration,
+    ) -> bool {
+        let server = self.servers.get_mut(name);
+        let Some(server) = server.filter(|server| server.incarnation == incarnation) else {
+            return false;
+        };
+        server.paused_until = server.paused_until.max(now + pause);
+        true
+    }
+
+    /// When the first server of a service wants requests again; none if one wants some now, or none is
+    /// paused.
+    pub fn all_paused_until(&self, now: Instant, service: &Service) -> Option<Instant> {
+        let active = self.servers.values().filter(|server| {
+            server.service == *service && server.state == ServerState::Up && !server.is_leaving
+        });
+        let pause_end = active.map(|server| server.paused_until).min()?;
+        (now < pause_end).then_some(pause_end)
+    }
+
     /// Names of the servers in the pool.
     pub fn server_names(&self) -> Vec<Server> {
         self.servers.keys().cloned().collect()
@@ -410,14 +465,17 @@
         false
     }
 
-    /// The servers of a service that are up and whose group is not closed.
+    /// The servers of a service that are up and want requests, and whose group is not closed.
     fn available_servers<'a>(
         &'a self,
         now: Instant,
         service: &'a Service,
     ) -> impl Iterator<Item = (&'a Server, &'a PooledServer)> {
         let accepts_work = move |server: &PooledServer| {
-            server.state == ServerState::Up && now >= server.group_closed_until
+            server.state == ServerState::Up
+                && !server.is_leaving
+                && now >= server.group_closed_until
+                && now >= server.paused_until
         };
         let all = self.servers.iter();
         all.filter(move |(_, server)| server.service == *service && accepts_work(server))
--- a/crates/entry/src/direct/retry.rs
+++ b/crates/entry/src/direct/retry.rs
@@ -6,6 +6,7 @@
 use eelgrassdyke_core::id::Ticket;
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::refusal::{Reason, Refusal, RunStatus};
+use rand::RngExt as _;
 
 use super::budget::RetryLimit;
 use super::events::QueueEstimate;
@@ -17,6 +18,10 @@
 /// as well.
 const ATTEMPTS_MAX: u32 = 6;
 
+/// Range of the random factor by which the time until a server wants requests again is multiplied for
+/// the callers that it is told to.
+const PAUSE_JITTER_FACTOR: std::ops::Range<f64> = 1.0..1.2;
+
 /// Maximum number of servers that may end while they run one request.
 const REQUEST_CRASHES_MAX: usize = 2;
 
@@ -185,6 +190,28 @@
         self.refuse(now, ticket, &request, refusal, None, out);
     }
 
+    /// Refuses a request while all servers of its service want no requests; the first one wants some
+    /// again at `pause_end`.
+    pub(super) fn refuse_paused(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        request: DirectRequest,
+        pause_end: Instant,
+        out: &mut Vec<Output>,
+    ) {
+        let run_status = request.run_status();
+        let delay = pause_end
+            .since(now)
+            .mul_f64(self.rng.random_range(PAUSE_JITTER_FACTOR));
+        let refusal = Refusal {
+            reason: Reason::Overload,
+            run_status,
+            retry_after_ms: (run_status == RunStatus::No).then_some(delay.as_millis() as u64),
+        };
+        self.refuse(now, ticket, &request, refusal, None, out);
+    }
+
     /// Refuses a request; `estimate` is set if no slot was available in time.
     pub(super) fn refuse(
         &mut self,
--- a/crates/entry/tests/direct.rs
+++ b/crates/entry/tests/direct.rs
@@ -18,7 +18,8 @@
 use eelgrassdyke_core::wire::report::{ReportPage, UsageCounts};
 use eelgrassdyke_core::wire::{Message, Sender};
 use eelgrassdyke_entry::direct::{
-    AttemptOutcome, AttemptSpec, Call, Direct, Input, NotRunReason, Options, Output,
+    AttemptOutcome, AttemptSpec, Call, Direct, Input, NotRunReason, Options, Output, Pause,
+    ServerSignal,
 };
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
@@ -1022,3 +1023,114 @@
     }
     assert!(sent_attempt(&submit_prompt(&mut harness, 4, &["a"])).is_some());
 }
+
+fn signal(harness: &mut Harness, spec: &AttemptSpec, signal: ServerSignal) {
+    harness.feed(Input::ServerSignal {
+        server: spec.server.clone(),
+        incarnation: spec.incarnation,
+        signal,
+    });
+}
+
+const LEAVING: ServerSignal = ServerSignal {
+    is_leaving: true,
+    pause: None,
+};
+
+fn pause(length: Duration) -> ServerSignal {
+    ServerSignal {
+        is_leaving: false,
+        pause: Some(Pause::For(length)),
+    }
+}
+
+fn server_infos(count: usize, incarnation: u64) -> Vec<ServerInfo> {
+    let infos = (1..=count).map(|number| server_info(number, incarnation, ServerState::Up));
+    infos.collect()
+}
+
+#[test]
+fn server_that_says_it_leaves_gets_nothing_until_a_new_incarnation_registers() {
+    let mut harness = Harness::new(2, Options::default());
+    let first = sent_attempt(&harness.submit_call(1, "idempotent")).unwrap();
+    signal(&mut harness, &first, LEAVING);
+    // Neither a heartbeat nor a gap in the directory brings it back.
+    harness.apply_update(None, server_infos(2, 1));
+    harness.apply_update(None, Vec::new());
+    harness.apply_update(None, server_infos(2, 1));
+    for number in 2..=1 + u64::from(SLOTS) {
+        let attempt = sent_attempt(&harness.submit_call(number, "idempotent")).unwrap();
+        assert_ne!(attempt.server, first.server);
+    }
+    // The request that it runs ends as usual.
+    let out = harness.end_attempt(1, 1, AttemptOutcome::Responded(200));
+    assert!(
+        out.iter()
+            .any(|output| matches!(output, Output::Deliver { .. }))
+    );
+    harness.apply_update(None, server_infos(2, 2));
+    let mut servers = BTreeSet::new();
+    for number in 20..28 {
+        servers.extend(sent_attempt(&harness.submit_call(number, "idempotent")).map(|a| a.server));
+    }
+    assert!(servers.contains(&first.server));
+}
+
+#[test]
+fn requests_are_refused_as_not_run_when_all_servers_leave() {
+    let mut harness = Harness::new(2, Options::default());
+    for number in 1..=2 {
+        let attempt = sent_attempt(&harness.submit_call(number, "idempotent")).unwrap();
+        signal(&mut harness, &attempt, LEAVING);
+    }
+    let mut out = harness.submit_call(3, "idempotent");
+    out.extend(harness.advance(Duration::from_millis(400)));
+    assert_eq!(refusal(&out), Some((Reason::Overload, RunStatus::No)));
+    assert!(sent_attempt(&out).is_none());
+}
+
+#[test]
+fn server_that_asks_for_a_pause_gets_nothing_until_it_ends() {
+    let mut harness = Harness::new(2, Options::default());
+    let first = sent_attempt(&harness.submit_call(1, "idempotent")).unwrap();
+    signal(&mut harness, &first, pause(Duration::from_secs(3)));
+    harness.end_attempt(1, 1, AttemptOutcome::NotRun(NotRunReason::Rejected));
+    assert_ne!(last_attempt(&harness, 1).server, first.server);
+    harness.end_attempt(1, 2, AttemptOutcome::Responded(200));
+    for number in 2..30 {
+        let attempt = sent_attempt(&harness.submit_call(number, "idempotent")).unwrap();
+        assert_ne!(attempt.server, first.server);
+        harness.end_attempt(number, 1, AttemptOutcome::Responded(200));
+        harness.advance(Duration::from_millis(100));
+    }
+    harness.advance(Duration::from_millis(300));
+    let mut servers = BTreeSet::new();
+    for number in 30..36 {
+        servers.extend(sent_attempt(&harness.submit_call(number, "idempotent")).map(|a| a.server));
+    }
+    assert!(servers.contains(&first.server));
+}
+
+#[test]
+fn requests_are_refused_at_once_while_all_servers_ask_for_pauses() {
+    let mut harness = Harness::new(2, Options::default());
+    let mut paused = BTreeSet::new();
+    for number in 1..=2 {
+        let attempt = sent_attempt(&harness.submit_call(number, "idempotent")).unwrap();
+        let length = Duration::from_secs(if paused.is_empty() { 2 } else { 50 });
+        signal(&mut harness, &attempt, pause(length));
+        paused.insert(attempt.server);
+    }
+    assert_eq!(paused.len(), 2);
+    let out = harness.submit_call(3, "idempotent");
+    let refused = out.iter().find_map(|output| match output {
+        Output::Refuse { refusal, .. } => Some(*refusal),
+        _ => None,
+    });
+    let refused = refused.unwrap();
+    assert_eq!(refused.run_status, RunStatus::No);
+    // The first of the two wants requests again after two seconds.
+    assert!((2000..=2400).contains(&refused.retry_after_ms.unwrap()));
+    harness.advance(Duration::from_millis(2001));
+    assert!(sent_attempt(&harness.submit_call(4, "idempotent")).is_some());
+}
--- a/crates/node/src/adapter.rs
+++ b/crates/node/src/adapter.rs
@@ -12,7 +12,7 @@
 use eelgrassdyke_core::id::Service;
 use eelgrassdyke_core::wire::rank::{self, EngineReport};
 use eelgrassdyke_core::wire::refusal::Refusal;
-use eelgrassdyke_entry::direct::{AttemptSpec, Call};
+use eelgrassdyke_entry::direct::{AttemptSpec, Call, ServerSignal};
 use http::{HeaderMap, StatusCode, Uri};
 
 use crate::http::client;
@@ -39,6 +39,9 @@
         headers: &HeaderMap,
     ) -> ResponseClass;
 
+    /// What a backend server says about itself in the head of a response.
+    fn server_signal(&self, status: StatusCode, headers: &HeaderMap) -> ServerSignal;
+
     /// Id of the event after which the caller resumes a stream; none for a stream from its start.
     fn resume_after(&self, request: &Request) -> Option<u64>;
 
--- a/crates/node/src/role/direct.rs
+++ b/crates/node/src/role/direct.rs
@@ -12,7 +12,7 @@
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::refusal::Refusal;
 use eelgrassdyke_entry::direct::{
-    AttemptOutcome, AttemptSpec, Direct, Input, NotRunReason, Output,
+    AttemptOutcome, AttemptSpec, Direct, Input, NotRunReason, Output, ServerSignal,
 };
 use futures_channel::oneshot;
 use futures_util::future::{Either, select};
@@ -347,6 +347,16 @@
         let spec = &attempt.spec;
         connection.send(request).await?;
         let mut server_response = connection.receive_response().await?;
+        let signal = self
+            .adapter
+            .server_signal(server_response.status, &server_response.headers);
+        if signal != ServerSignal::default() {
+            self.handle_input(Input::ServerSignal {
+                server: spec.server.clone(),
+                incarnation: spec.incarnation,
+                signal,
+            });
+        }
         let class = self.adapter.classify_response(
             &attempt.request,
             server_response.status,
