entry: a server that was found running is checked again when its connections break off once more

Test: server_that_was_found_running_is_checked_again_when_it_breaks_off_once_more failed before ('the server is not checked'). Old results are now also dropped without a further break.

--- a/crates/entry/src/direct/crash.rs
+++ b/crates/entry/src/direct/crash.rs
@@ -201,16 +201,23 @@
         else {
             return false;
         };
-        self.broken
-            .retain(|_, broken| now.since(broken.broken_at) < BREAK_RETENTION);
+        self.drop_old_breaks(now);
         let id = (server.clone(), *incarnation);
-        let is_new = !self.broken.contains_key(&id);
-        let broken = self.broken.entry(id.clone()).or_insert(BrokenServer {
-            broken_at: now,
-            service: request.service.clone(),
-            has_ended: None,
-            parts: BTreeSet::new(),
-        });
+        // A server that was found to run may have ended since.
+        let known = self.broken.get(&id);
+        let is_new = known.is_none_or(|broken| broken.has_ended == Some(false));
+        if is_new {
+            let broken = BrokenServer {
+                broken_at: now,
+                service: request.service.clone(),
+                has_ended: None,
+                parts: BTreeSet::new(),
+            };
+            self.broken.insert(id.clone(), broken);
+        }
+        let Some(broken) = self.broken.get_mut(&id) else {
+            return is_new;
+        };
         if request.has_written() {
             return is_new;
         }
@@ -236,6 +243,11 @@
         })
     }
 
+    fn drop_old_breaks(&mut self, now: Instant) {
+        self.broken
+            .retain(|_, broken| now.since(broken.broken_at) < BREAK_RETENTION);
+    }
+
     /// Whether two requests share a part that is suspected.
     pub fn share_suspected_part(&self, one: &DirectRequest, other: &DirectRequest) -> bool {
         let mut shared = part_keys(one)
@@ -364,6 +376,7 @@
             return None;
         }
         self.ledger.expire(now);
+        self.drop_old_breaks(now);
         self.sync_count += 1;
         self.next_sync = now
             + match self.has_synced {
--- a/crates/entry/tests/direct.rs
+++ b/crates/entry/tests/direct.rs
@@ -958,6 +958,20 @@
     assert!(sent_attempt(&submit_prompt(&mut harness, 9, &["first"])).is_some());
 }
 
+#[test]
+fn server_that_was_found_running_is_checked_again_when_it_breaks_off_once_more() {
+    let mut harness = Harness::new(1, Options::default());
+    for (number, has_ended) in [(1, false), (2, true)] {
+        submit_prompt(&mut harness, number, &["a"]);
+        let attempt = last_attempt(&harness, number);
+        break_off(&mut harness, number, &attempt, has_ended);
+        harness.feed(Input::CallerGone {
+            ticket: Ticket(number),
+        });
+        harness.advance(Duration::from_secs(1));
+    }
+}
+
 #[test]
 fn server_that_ends_after_it_announced_that_it_leaves_is_no_evidence() {
     let mut harness = Harness::new(3, Options::default());
