entry, platform: the rate of requests that a server names is decoded and logged (event 328)

Cause: Server-Limit was not decoded, so the logs could not tell whether a server had named a limit. Nothing acts on it yet.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -107,6 +107,7 @@
     325 PartCleared "A prompt part on which a server ended was found sound, or an operator lifted its quarantine.";
     326 ServerLeaving "A server said in a response that it leaves; it gets no new requests.";
     327 ServerPaused "A server turned a request away and wants no requests for a time.";
+    328 ServerLimited "A server named, changed or withdrew the rate of requests that it takes from all entries.";
     400 AttemptQueued "An agent queued an attempt.";
     401 AttemptStarted "An agent forwarded an attempt to its server.";
     402 AttemptEnded "An attempt ended.";
--- a/crates/entry/src/direct/io.rs
+++ b/crates/entry/src/direct/io.rs
@@ -6,7 +6,7 @@
 use eelgrassdyke_core::event::Event;
 use eelgrassdyke_core::id::{Incarnation, PromptPart, Server, Team, Ticket};
 use eelgrassdyke_core::settings;
-use eelgrassdyke_core::unit::Permille;
+use eelgrassdyke_core::unit::{MilliRequestRate, Permille};
 use eelgrassdyke_core::wire::refusal::Refusal;
 use eelgrassdyke_core::wire::{Message, Sender};
 
@@ -45,6 +45,22 @@
     pub is_leaving: bool,
     /// For how long it wants no requests.
     pub pause: Option<Pause>,
+    /// What it says about the rate of requests that it takes.
+    pub limit: LimitNotice,
+}
+
+/// What the head of a response says about the rate of requests that its server takes from all callers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LimitNotice {
+    /// Nothing: the response may be another server's.
+    #[default]
+    Unknown,
+    /// The server names no limit.
+    Unlimited,
+    /// It takes this rate.
+    Limited(MilliRequestRate),
+    /// It names a limit that can't be read.
+    Unreadable,
 }
 
 /// The time for which a server wants no requests.
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -25,8 +25,8 @@
 
 pub use budget::{RetryLimit, RetryWindow};
 pub use io::{
-    AttemptOutcome, AttemptSpec, Call, Input, NotRunReason, Options, Output, Pause, ServerSignal,
-    TokenCounts,
+    AttemptOutcome, AttemptSpec, Call, Input, LimitNotice, NotRunReason, Options, Output, Pause,
+    ServerSignal, TokenCounts,
 };
 pub use path::Direct;
 pub use pool::{HealthSignal, ServerPool};
--- a/crates/entry/src/direct/pool.rs
+++ b/crates/entry/src/direct/pool.rs
@@ -12,6 +12,7 @@
 use eelgrassdyke_core::follow::ServerStatus;
 use eelgrassdyke_core::id::{Incarnation, Server, Service};
 use eelgrassdyke_core::time::Instant;
+use eelgrassdyke_core::unit::MilliRequestRate;
 use eelgrassdyke_core::wire::directory::ServerState;
 use eelgrassdyke_core::wire::rank::SlowEngine;
 use rand::{Rng, RngExt as _};
@@ -135,6 +136,8 @@
     is_leaving: bool,
     /// Until when the server wants no requests.
     paused_until: Instant,
+    /// The rate of requests that the server takes from all entries, if it names one.
+    limit: Option<MilliRequestRate>,
     /// When the server last responded or sent an event.
     last_activity: Instant,
     /// Whether control reports the server as slow: its share of the work delays its whole group.
@@ -204,6 +207,7 @@
                     full_until: Instant(0),
                     is_leaving: self.leaving.contains(&(name.clone(), info.incarnation)),
                     paused_until: Instant(0),
+                    limit: None,
                     last_activity: now,
                     is_slow: false,
                     group_closed_until: Instant(0),
@@ -291,6 +295,24 @@
         true
     }
 
+    /// Records the rate of requests that a server takes, or that it names none; returns whether that is
+    /// new.
+    pub fn record_limit(
+        &mut self,
+        name: &Server,
+        incarnation: Incarnation,
+        limit: Option<MilliRequestRate>,
+    ) -> bool {
+        let server = self.servers.get_mut(name);
+        let server = server.filter(|server| server.incarnation == incarnation);
+        server.is_some_and(|server| std::mem::replace(&mut server.limit, limit) != limit)
+    }
+
+    /// The rate of requests that a server takes from all entries, if it names one.
+    pub fn limit(&self, name: &Server) -> Option<MilliRequestRate> {
+        self.servers.get(name)?.limit
+    }
+
     /// When the first server of a service wants requests again; none if one wants some now, or none is
     /// paused.
     pub fn all_paused_until(&self, now: Instant, service: &Service) -> Option<Instant> {
--- a/crates/entry/src/direct/signal.rs
+++ b/crates/entry/src/direct/signal.rs
@@ -7,7 +7,7 @@
 use eelgrassdyke_core::id::{Incarnation, Server};
 use eelgrassdyke_core::time::Instant;
 
-use super::io::{Output, Pause, ServerSignal};
+use super::io::{LimitNotice, Output, Pause, ServerSignal};
 use super::path::Direct;
 
 /// Maximum time for which a server is sent nothing because it asked for it; a longer one is taken for
@@ -27,6 +27,7 @@
             let event = Event::new(Code::ServerLeaving, format!("incarnation {incarnation}"));
             out.push(Output::Event(event.server(server)));
         }
+        self.handle_limit_notice(server, incarnation, signal.limit, out);
         let pause = match signal.pause {
             None => return,
             Some(Pause::For(pause)) if pause <= PAUSE_MAX => pause,
@@ -46,6 +47,44 @@
     }
 }
 
+impl Direct {
+    /// Whether a server is known to take a limited rate of requests.
+    pub fn is_limited(&self, server: &Server) -> bool {
+        self.pool.limit(server).is_some()
+    }
+
+    fn handle_limit_notice(
+        &mut self,
+        server: &Server,
+        incarnation: Incarnation,
+        notice: LimitNotice,
+        out: &mut Vec<Output>,
+    ) {
+        let limit = match notice {
+            LimitNotice::Unknown => return,
+            LimitNotice::Unlimited => None,
+            LimitNotice::Limited(limit) => Some(limit),
+            LimitNotice::Unreadable => {
+                let event = Event::new(Code::InputRefused, "limit of a server: not a rate");
+                out.push(Output::Event(event.server(server)));
+                return;
+            }
+        };
+        if !self.pool.record_limit(server, incarnation, limit) {
+            return;
+        }
+        let event = match limit {
+            Some(limit) => {
+                Event::new(Code::ServerLimited, "limited").with_fact("limit_milli_per_s", limit.0)
+            }
+            None => Event::new(Code::ServerLimited, "no limit"),
+        };
+        out.push(Output::Event(
+            event.server(server).with_fact("life", incarnation.0),
+        ));
+    }
+}
+
 fn record_bad_pause(server: &Server, problem: &str, out: &mut Vec<Output>) {
     let event = Event::new(Code::InputRefused, format!("retry-after time: {problem}"));
     out.push(Output::Event(event.server(server)));
--- a/crates/entry/tests/direct.rs
+++ b/crates/entry/tests/direct.rs
@@ -18,8 +18,8 @@
 use eelgrassdyke_core::wire::report::{ReportPage, UsageCounts};
 use eelgrassdyke_core::wire::{Message, Sender};
 use eelgrassdyke_entry::direct::{
-    AttemptOutcome, AttemptSpec, Call, Direct, Input, NotRunReason, Options, Output, Pause,
-    ServerSignal,
+    AttemptOutcome, AttemptSpec, Call, Direct, Input, LimitNotice, NotRunReason, Options, Output,
+    Pause, ServerSignal,
 };
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
@@ -1049,12 +1049,14 @@
 const LEAVING: ServerSignal = ServerSignal {
     is_leaving: true,
     pause: None,
+    limit: LimitNotice::Unknown,
 };
 
 fn pause(length: Duration) -> ServerSignal {
     ServerSignal {
         is_leaving: false,
         pause: Some(Pause::For(length)),
+        limit: LimitNotice::Unknown,
     }
 }
 
--- a/crates/node/src/role/direct.rs
+++ b/crates/node/src/role/direct.rs
@@ -12,7 +12,7 @@
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::refusal::Refusal;
 use eelgrassdyke_entry::direct::{
-    AttemptOutcome, AttemptSpec, Direct, Input, NotRunReason, Output, ServerSignal,
+    AttemptOutcome, AttemptSpec, Direct, Input, LimitNotice, NotRunReason, Output, ServerSignal,
 };
 use futures_channel::oneshot;
 use futures_util::future::{Either, select};
@@ -347,9 +347,20 @@
         let spec = &attempt.spec;
         connection.send(request).await?;
         let mut server_response = connection.receive_response().await?;
-        let signal = self
+        let class = self.adapter.classify_response(
+            &attempt.request,
+            server_response.status,
+            &server_response.headers,
+        );
+        let mut signal = self
             .adapter
             .server_signal(server_response.status, &server_response.headers);
+        // A limit ends with a verified response without one; most servers have none.
+        let ends_limit = class != ResponseClass::Unverified
+            && self.read(|direct| direct.is_limited(&spec.server));
+        if signal.limit == LimitNotice::Unlimited && !ends_limit {
+            signal.limit = LimitNotice::Unknown;
+        }
         if signal != ServerSignal::default() {
             self.handle_input(Input::ServerSignal {
                 server: spec.server.clone(),
@@ -357,11 +368,6 @@
                 signal,
             });
         }
-        let class = self.adapter.classify_response(
-            &attempt.request,
-            server_response.status,
-            &server_response.headers,
-        );
         let outcome = match class {
             ResponseClass::Valid => None,
             ResponseClass::NotRun => Some(AttemptOutcome::NotRun(NotRunReason::Rejected)),
