--- a/crates/testkit/src/model/crash.rs
+++ b/crates/testkit/src/model/crash.rs
@@ -32,6 +32,8 @@
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
+use super::limit::{Arrival, LimitPeriod};
+
 /// One-way delay between any two processes.
 const LINK_DELAY: Duration = Duration::from_millis(1);
 
@@ -111,6 +113,10 @@
     pub length: Duration,
     /// Faults, with their times.
     pub faults: Vec<(Duration, Fault)>,
+    /// Servers that name limits.
+    pub limits: Vec<LimitPeriod>,
+    /// Relative traffic of each entry; empty if it is even.
+    pub entry_weights: Vec<f64>,
     /// Seed of the random number generator.
     pub seed: u64,
 }
@@ -127,6 +133,8 @@
             harmful_period: Some((Duration::from_secs(12), Duration::from_secs(60))),
             length: Duration::from_secs(70),
             faults: Vec::new(),
+            limits: Vec::new(),
+            entry_weights: Vec::new(),
             seed: 1,
         }
     }
@@ -188,6 +196,10 @@
     pub restarts: Vec<Instant>,
     /// Events about crashes and quarantines, with the index of the entry.
     pub crash_events: Vec<(Instant, usize, event::Event)>,
+    /// Requests that reached servers.
+    pub arrivals: Vec<Arrival>,
+    /// By entry and server: when the entry first received a response that names a limit.
+    pub(super) limit_seen_at: BTreeMap<(usize, usize), Instant>,
 }
 
 /// One attempt of a caller.
@@ -275,8 +287,8 @@
 type RunKey = (usize, u32);
 
 #[derive(Clone, Debug, Default)]
-struct SimServer {
-    incarnation: u64,
+pub(super) struct SimServer {
+    pub(super) incarnation: u64,
     is_alive: bool,
     is_draining: bool,
     ended_at: Instant,
@@ -286,15 +298,15 @@
 
 /// The simulation.
 pub struct Simulation {
-    options: Options,
-    now: Instant,
+    pub(super) options: Options,
+    pub(super) now: Instant,
     rng: ChaCha8Rng,
     events: BTreeMap<(Instant, u64), Event>,
     event_sequence: u64,
-    entries: Vec<Direct>,
+    pub(super) entries: Vec<Direct>,
     entry_incarnations: Vec<u64>,
     entry_ticks: Vec<Instant>,
-    servers: Vec<SimServer>,
+    pub(super) servers: Vec<SimServer>,
     /// By group: when it was last complete; none while a rank is missing.
     group_complete_at: Vec<Option<Instant>>,
     /// By group: until when its work stalls.
@@ -304,7 +316,7 @@
     /// By control process.
     relays: Vec<CrashRelay>,
     control_cut_until: Instant,
-    outcome: Outcome,
+    pub(super) outcome: Outcome,
 }
 
 fn entry_sender(index: usize, incarnation: u64) -> Sender {
@@ -474,6 +486,7 @@
             server.waiting.retain(stays);
         }
         self.entry_incarnations[entry] += 1;
+        self.outcome.limit_seen_at.retain(|(e, _), _| *e != entry);
         self.entries[entry] = self.new_entry(entry);
         self.feed(entry, Input::Tick);
         self.update_entry(entry);
@@ -533,6 +546,7 @@
         if is_harmful {
             parts.insert(self.rng.random_range(1..=parts.len()), harmful_part());
         }
+        let entry = self.draw_entry();
         let attempt = CallerAttempt {
             sent_at: self.now,
             is_first: true,
@@ -542,13 +556,29 @@
             is_complete: false,
             refusal: None,
             parts,
-            entry: self.rng.random_range(0..self.entries.len()),
+            entry,
             reached: Vec::new(),
         };
         self.outcome.attempts.push(attempt);
         self.send_call(self.outcome.attempts.len() - 1);
     }
 
+    /// The entry that a new request arrives at.
+    fn draw_entry(&mut self) -> usize {
+        if self.options.entry_weights.is_empty() {
+            return self.rng.random_range(0..self.entries.len());
+        }
+        let weights = &self.options.entry_weights;
+        let mut draw = self.rng.random_range(0.0..weights.iter().sum());
+        for (entry, weight) in weights.iter().enumerate() {
+            if draw < *weight {
+                return entry;
+            }
+            draw -= weight;
+        }
+        weights.len() - 1
+    }
+
     fn send_call(&mut self, index: usize) {
         let attempt = &mut self.outcome.attempts[index];
         attempt.sent_at = self.now;
@@ -584,7 +614,7 @@
         self.schedule(delay, Event::Send(index));
     }
 
-    fn feed(&mut self, entry: usize, input: Input) {
+    pub(super) fn feed(&mut self, entry: usize, input: Input) {
         let mut out = Vec::new();
         self.entries[entry].handle(self.now, input, &mut out);
         for output in out {
@@ -689,23 +719,25 @@
         let name = server_name(position, self.servers[position].incarnation);
         let stalled_until = self.stalled_until[self.group(position)];
         let is_open = self.is_open(position);
-        let server = &mut self.servers[position];
         let not_run = |reason| Event::AttemptEnded(key, AttemptOutcome::NotRun(reason));
-        if !server.is_alive {
+        if !self.servers[position].is_alive {
             return self.schedule(LINK_DELAY, not_run(NotRunReason::NotSent));
         }
         if spec.server != name {
             return self.schedule(LINK_DELAY, not_run(NotRunReason::OtherServer));
         }
         self.outcome.attempts[index].reached.push(position);
+        let entry = self.outcome.attempts[index].entry;
+        self.record_arrival(entry, position);
         if self.outcome.attempts[index].is_harmful {
             self.outcome.harmful_arrivals.push(self.now);
         }
         let is_closed = !is_open && self.now >= stalled_until;
-        if is_closed || server.waiting.len() >= SERVER_QUEUE {
+        if is_closed || self.servers[position].waiting.len() >= SERVER_QUEUE {
+            self.signal_limit(entry, position);
             return self.schedule(LINK_DELAY, not_run(NotRunReason::Rejected));
         }
-        server.waiting.insert(key);
+        self.servers[position].waiting.insert(key);
         if is_open {
             self.start_waiting(position);
         }
@@ -741,11 +773,14 @@
         }
         let events = self.servers[position].running.entry(key).or_default();
         *events += 1;
-        let is_last = *events == EVENTS;
+        let (is_first, is_last) = (*events == 1, *events == EVENTS);
         let attempt = &mut self.outcome.attempts[key.0];
         attempt.began_at.get_or_insert(self.now);
         let (entry, ticket) = (attempt.entry, Ticket(key.0 as u64));
         let attempt = key.1;
+        if is_first {
+            self.signal_limit(entry, position);
+        }
         self.feed(entry, Input::EventForwarded { ticket, attempt });
         if is_last {
             self.remove_work(key);
@@ -898,7 +933,7 @@
     }
 }
 
-fn server_name(position: usize, incarnation: u64) -> Server {
+pub(super) fn server_name(position: usize, incarnation: u64) -> Server {
     let name = format!("server-{position}-{incarnation}");
     name.parse().expect("a valid name")
 }
--- a/crates/testkit/src/model/mod.rs
+++ b/crates/testkit/src/model/mod.rs
@@ -7,6 +7,7 @@
 pub mod crash;
 mod engine;
 pub mod group;
+pub mod limit;
 mod load;
 mod naive;
 pub mod policy;
