--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -16,7 +16,7 @@
 use eelgrassdyke_core::wire::{self, Message, Sender, rank};
 
 use crate::confirm::Confirmations;
-use crate::crashes::CrashRelay;
+use crate::crashes::FactRelay;
 use crate::directory::Directory;
 use crate::fence::OrderSender;
 use crate::followers::{Follower, Followers};
@@ -63,7 +63,7 @@
     /// Engines that are slow or whose group is closed, according to the leader.
     pub(crate) slow_engines: Vec<rank::SlowEngine>,
     pub(crate) next_slow_engines_update: Instant,
-    pub(crate) crashes: CrashRelay,
+    pub(crate) crashes: FactRelay,
     ledger: UsageLedger,
     /// Whether the usage counters of the other control processes have been requested.
     resync_requested: bool,
@@ -103,7 +103,7 @@
             groups: Groups::default(),
             slow_engines: Vec::new(),
             next_slow_engines_update: now,
-            crashes: CrashRelay::default(),
+            crashes: FactRelay::default(),
             ledger: UsageLedger::default(),
             resync_requested: false,
             order_sender: OrderSender::default(),
@@ -188,7 +188,7 @@
     }
 
     /// The records of servers that ended, and the quarantines that follow from them.
-    pub fn crashes(&self) -> &CrashRelay {
+    pub fn crashes(&self) -> &FactRelay {
         &self.crashes
     }
 
@@ -238,8 +238,9 @@
                 );
             }
             Message::Rank(message) => self.handle_rank_message(now, *message, out),
-            Message::CrashSync(sync) => self.handle_crash_sync(now, from, &sync, out),
+            Message::FactSync(sync) => self.handle_fact_sync(now, from, &sync, out),
             Message::ActiveEntries(entries) => self.followers.record_remote_entries(now, entries),
+            Message::EntryDemands(demands) => self.followers.record_remote_demands(now, demands),
             _ => {}
         }
     }
@@ -582,6 +583,10 @@
             self.followers
                 .record_sent_directory(process, directory.revision.clone());
         }
+        let shares = match poll.wants_directory && self.replica.has_quorum(now) {
+            true => self.followers.shares(now, process),
+            false => Vec::new(),
+        };
         let update = Update {
             committed_version: self.version(),
             confirmed: reason == UpdateReason::ConfirmedPoll,
@@ -593,6 +598,7 @@
             leader: self.replica.leader_address(),
             slow_engines: self.slow_engines.clone(),
             entry_count: self.followers.count_entries(now),
+            shares,
         };
         out.push(Output::Send {
             to: follower.address,
@@ -649,15 +655,20 @@
         out.extend(self.directory.expire(now).into_iter().map(Output::Event));
     }
 
-    /// Announces the entries that follow this process to the other control processes, whose followers
-    /// receive the number of all entries.
+    /// Announces the entries that follow this process, and the demand at them, to the other control
+    /// processes, whose followers receive the number of all entries and their shares.
     fn announce_entries(&mut self, now: Instant, out: &mut Vec<Output>) {
         let Some(entries) = self.followers.entries_to_announce(now) else {
             return;
         };
+        let demands = self.followers.local_demands(now);
         for to in self.replica.peer_addresses() {
             let message = Message::ActiveEntries(entries.clone());
             out.push(Output::Send { to, message });
+            if !demands.is_empty() {
+                let message = Message::EntryDemands(demands.clone());
+                out.push(Output::Send { to, message });
+            }
         }
     }
 
--- a/crates/control/src/crashes.rs
+++ b/crates/control/src/crashes.rs
@@ -1,12 +1,14 @@
-//! Relay of the entries' records of crashes, see [`eelgrassdyke_core::crash`].
+//! Relay of the entries' records of crashes and limits, see [`eelgrassdyke_core::crash`] and
+//! [`eelgrassdyke_core::limit`].
 //!
 //! The records are soft state: every control process merges what entries send, passes what is new to it
 //! on to its followers and to the other control processes, and tells an entry that has restarted what
 //! it lacks. A control process that has restarted learns the records from the entries.
 
-use eelgrassdyke_core::crash::{CrashLedger, CrashRecord, CrashSync, PartKey};
+use eelgrassdyke_core::crash::{CrashLedger, CrashRecord, FactSync, PartKey};
 use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::id::Ticket;
+use eelgrassdyke_core::limit::LimitLedger;
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::{Message, Sender};
 
@@ -15,35 +17,49 @@
 
 /// The records of one control process.
 #[derive(Clone, Debug, Default)]
-pub struct CrashRelay {
+pub struct FactRelay {
     ledger: CrashLedger,
+    limits: LimitLedger,
 }
 
-impl CrashRelay {
+impl FactRelay {
     /// The ledger.
     pub fn ledger(&self) -> &CrashLedger {
         &self.ledger
     }
 
     /// Merges records; returns those that changed.
-    pub fn merge(&mut self, now: Instant, records: &[CrashRecord]) -> Vec<CrashRecord> {
-        let mut changed = Vec::new();
-        for record in records {
+    pub fn merge(&mut self, now: Instant, sync: &FactSync) -> FactSync {
+        let mut changed = FactSync::default();
+        for record in &sync.records {
             if !self.ledger.merge(now, record) {
                 continue;
             }
             let key = (record.service.clone(), record.part.clone());
-            changed.extend(self.ledger.record(now, &key));
+            changed.records.extend(self.ledger.record(now, &key));
+        }
+        for record in &sync.limits {
+            if self.limits.merge(now, record) {
+                changed
+                    .limits
+                    .extend(self.limits.record(now, &record.server));
+            }
         }
         changed
     }
 
     /// The response to the complete ledger of an entry: the records that it lacks.
-    pub fn response(&mut self, now: Instant, sync: &CrashSync) -> CrashSync {
+    pub fn response(&mut self, now: Instant, sync: &FactSync) -> FactSync {
         self.ledger.expire(now);
-        CrashSync {
+        self.limits.expire(now);
+        let limits_differ = self.limits.digest() != sync.limits_digest;
+        FactSync {
             records: self.ledger.records_beyond(now, &sync.records),
-            is_complete: false,
+            limits: match limits_differ {
+                true => self.limits.next_page(now),
+                false => Vec::new(),
+            },
+            ..FactSync::default()
         }
     }
 
@@ -77,19 +93,19 @@
 
 impl Control {
     /// Merges records and passes on what is new.
-    pub(crate) fn handle_crash_sync(
+    pub(crate) fn handle_fact_sync(
         &mut self,
         now: Instant,
         from: &Sender,
-        sync: &CrashSync,
+        sync: &FactSync,
         out: &mut Vec<Output>,
     ) {
-        let changed = self.crashes.merge(now, &sync.records);
-        self.relay_crash_records(now, Some(from), changed, out);
+        let changed = self.crashes.merge(now, sync);
+        self.relay_facts(now, Some(from), changed, out);
         if sync.is_complete {
             out.push(Output::Send {
                 to: from.address,
-                message: Message::CrashSync(self.crashes.response(now, sync)),
+                message: Message::FactSync(self.crashes.response(now, sync)),
             });
         }
     }
@@ -114,20 +130,24 @@
             .with_fact("service", key.0.as_str())
             .with_fact("by", "operator");
         out.push(Output::Event(event));
-        self.relay_crash_records(now, None, vec![record], out);
+        let sync = FactSync {
+            records: vec![record],
+            ..FactSync::default()
+        };
+        self.relay_facts(now, None, sync, out);
         let response = OperatorResponse::Quarantines(self.crashes.status(now));
         out.push(Output::Respond { ticket, response });
     }
 
     /// Sends records to the entries that follow this process and to the other control processes.
-    pub(crate) fn relay_crash_records(
+    pub(crate) fn relay_facts(
         &mut self,
         now: Instant,
         from: Option<&Sender>,
-        records: Vec<CrashRecord>,
+        sync: FactSync,
         out: &mut Vec<Output>,
     ) {
-        if records.is_empty() {
+        if sync.is_empty() {
             return;
         }
         let followers = self.followers.subscribed(now).into_iter();
@@ -136,11 +156,7 @@
         receivers.extend(self.replica.peer_addresses());
         receivers.retain(|address| from.is_none_or(|from| from.address != *address));
         for to in receivers {
-            let sync = CrashSync {
-                records: records.clone(),
-                is_complete: false,
-            };
-            let message = Message::CrashSync(sync);
+            let message = Message::FactSync(sync.clone());
             out.push(Output::Send { to, message });
         }
     }
--- a/crates/control/src/followers.rs
+++ b/crates/control/src/followers.rs
@@ -7,8 +7,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use eelgrassdyke_core::id::Process;
+use eelgrassdyke_core::id::{Process, Service};
+use eelgrassdyke_core::limit::{ServiceDemand, ServiceShare, Share};
 use eelgrassdyke_core::time::Instant;
+use eelgrassdyke_core::unit::MilliRequestRate;
 use eelgrassdyke_core::wire::Sender;
 use eelgrassdyke_core::wire::follow::{DirectoryRevision, PollRequest};
 
@@ -38,6 +40,8 @@
     by_process: BTreeMap<Process, Follower>,
     /// Entries that follow other control processes, with the time of the last message about each.
     remote_entries: BTreeMap<Process, Instant>,
+    /// The demand at those entries, for services with limited servers.
+    remote_demands: BTreeMap<Process, (Instant, Vec<ServiceDemand>)>,
     next_entries_message: Instant,
 }
 
@@ -66,6 +70,70 @@
         }
     }
 
+    /// Records the demand at entries that follow another control process.
+    pub fn record_remote_demands(
+        &mut self,
+        now: Instant,
+        demands: Vec<(Process, Vec<ServiceDemand>)>,
+    ) {
+        for (entry, demands) in demands {
+            self.remote_demands.insert(entry, (now, demands));
+        }
+    }
+
+    /// The demand at the local entries that named one.
+    pub fn local_demands(&self, now: Instant) -> Vec<(Process, Vec<ServiceDemand>)> {
+        let entries = self.local_entries(now);
+        let demands = entries.map(|process| (process, &self.by_process[process].poll.demands));
+        let named = demands.filter(|(_, demands)| !demands.is_empty());
+        named
+            .map(|(process, demands)| (process.clone(), demands.clone()))
+            .collect()
+    }
+
+    /// The shares of an entry of the services that it named a demand for.
+    pub fn shares(&self, now: Instant, process: &Process) -> Vec<ServiceShare> {
+        let Some(follower) = self.by_process.get(process) else {
+            return Vec::new();
+        };
+        if follower.poll.demands.is_empty() {
+            return Vec::new();
+        }
+        let entries = self.entries(now);
+        let Some(index) = entries.iter().position(|entry| *entry == process) else {
+            return Vec::new();
+        };
+        let mut shares = Vec::new();
+        for ServiceDemand { service, .. } in &follower.poll.demands {
+            let rates: Vec<_> = (entries.iter())
+                .map(|entry| self.demand(now, entry, service))
+                .collect();
+            shares.push(ServiceShare {
+                service: service.clone(),
+                share: Share::divide(&rates, index),
+            });
+        }
+        shares
+    }
+
+    /// The demand for a service at an entry, if it named one recently.
+    fn demand(&self, now: Instant, entry: &Process, service: &Service) -> Option<MilliRequestRate> {
+        let is_recent = |at: Instant| now.since(at) < SUBSCRIPTION_PERIOD;
+        let local = self.by_process.get(entry);
+        let local = local.filter(|f| f.poll.wants_directory && is_recent(f.polled_at));
+        let remote = self
+            .remote_demands
+            .get(entry)
+            .filter(|(at, _)| is_recent(*at));
+        let demands = match (local, remote) {
+            (Some(follower), _) => &follower.poll.demands,
+            (None, Some((_, demands))) => demands,
+            (None, None) => return None,
+        };
+        let found = demands.iter().find(|demand| demand.service == *service)?;
+        Some(found.rate)
+    }
+
     /// The local entries, when it is time to announce them to the other control processes.
     pub fn entries_to_announce(&mut self, now: Instant) -> Option<Vec<Process>> {
         if now < self.next_entries_message {
@@ -78,11 +146,16 @@
 
     /// Number of entries that follow any control process.
     pub fn count_entries(&self, now: Instant) -> u32 {
+        self.entries(now).len() as u32
+    }
+
+    /// The entries that follow any control process, by name.
+    fn entries(&self, now: Instant) -> BTreeSet<&Process> {
         let is_recent = |at: &Instant| now.since(*at) < SUBSCRIPTION_PERIOD;
         let remote_entries = self.remote_entries.iter().filter(|(_, at)| is_recent(at));
         let mut all: BTreeSet<&Process> = remote_entries.map(|(process, _)| process).collect();
         all.extend(self.local_entries(now));
-        all.len() as u32
+        all
     }
 
     /// Entries that follow this control process.
@@ -99,6 +172,8 @@
     pub fn expire(&mut self, now: Instant) {
         self.remote_entries
             .retain(|_, at| now.since(*at) < RETENTION);
+        self.remote_demands
+            .retain(|_, (at, _)| now.since(*at) < RETENTION);
         self.by_process
             .retain(|_, follower| now.since(follower.polled_at) < RETENTION);
     }
--- a/crates/control/tests/claims_cores.rs
+++ b/crates/control/tests/claims_cores.rs
@@ -370,6 +370,7 @@
                     leader: None,
                     slow_engines: Vec::new(),
                     entry_count: 1,
+                    shares: Vec::new(),
                 };
                 let from_control = sender(ProcessRef::Control, 1);
                 self.send(from_control, from.address, Message::Update(update));
--- a/crates/control/tests/directory.rs
+++ b/crates/control/tests/directory.rs
@@ -70,6 +70,7 @@
         leader: None,
         slow_engines: Vec::new(),
         entry_count: 1,
+        shares: Vec::new(),
     }
 }
 
--- a/crates/control/tests/follow.rs
+++ b/crates/control/tests/follow.rs
@@ -38,6 +38,7 @@
         leader: None,
         slow_engines: Vec::new(),
         entry_count: 1,
+        shares: Vec::new(),
     }
 }
 
--- a/crates/control/tests/log_control.rs
+++ b/crates/control/tests/log_control.rs
@@ -13,7 +13,7 @@
     Control, Input, OperatorResponse, Options, Output, QuarantineStatus, Query, Status,
 };
 use eelgrassdyke_core::config::{Change, Patch, Submission, TeamSpec, Verdict};
-use eelgrassdyke_core::crash::{Crash, CrashRecord, CrashSync};
+use eelgrassdyke_core::crash::{Crash, CrashRecord, FactSync};
 use eelgrassdyke_core::digest::Sha256;
 use eelgrassdyke_core::id::{Incarnation, Replica as Id, Ticket, Version};
 use eelgrassdyke_core::time::{Instant, WallTime};
@@ -222,6 +222,7 @@
         wants_config: true,
         wants_confirmation: true,
         poll_number: 1,
+        demands: Vec::new(),
     }
 }
 
@@ -527,13 +528,14 @@
         is_complete: bool,
     ) -> Vec<CrashRecord> {
         self.received.clear();
-        let sync = CrashSync {
+        let sync = FactSync {
             records,
             is_complete,
+            ..FactSync::default()
         };
-        self.send_from_client(to, Message::CrashSync(sync));
+        self.send_from_client(to, Message::FactSync(sync));
         let received = self.received.drain(..).filter_map(|message| match message {
-            Message::CrashSync(sync) => Some(sync.records),
+            Message::FactSync(sync) => Some(sync.records),
             _ => None,
         });
         received.flatten().collect()
--- a/crates/control/tests/state_config.rs
+++ b/crates/control/tests/state_config.rs
@@ -240,6 +240,7 @@
             leader: None,
             slow_engines: Vec::new(),
             entry_count: 1,
+            shares: Vec::new(),
         };
         in_flight.push(update);
         for _ in 0..rng.random_range(0..3) {
@@ -274,6 +275,7 @@
             leader: None,
             slow_engines: Vec::new(),
             entry_count: 1,
+            shares: Vec::new(),
         };
         follower.apply(now, &from, update);
     }
--- a/crates/core/src/crash.rs
+++ b/crates/core/src/crash.rs
@@ -18,6 +18,7 @@
 
 use crate::data;
 use crate::id::{Incarnation, PromptPart, Server, Service};
+use crate::limit::LimitRecord;
 use crate::time::Instant;
 
 /// Crashes after which a part is quarantined if it explains all crashes of the service meanwhile. One
@@ -81,16 +82,30 @@
         pub is_cleared: bool,
     }
 
-    /// Records from one ledger to another.
+    /// What one process tells another about crashes and limits of servers.
     #[derive(Default, Eq)]
-    pub struct CrashSync {
-        /// The records.
+    pub struct FactSync {
+        /// Records of crashes.
         pub records: Vec<CrashRecord>,
-        /// Whether these are all records of the sender, which asks for those that it lacks.
+        /// Records of limits.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub limits: Vec<LimitRecord>,
+        /// [Digest](crate::limit::LimitLedger::digest) of all limits that the sender knows, if it asks for
+        /// those that it lacks.
+        #[serde(default)]
+        pub limits_digest: u64,
+        /// Whether `records` are all that the sender has, and it asks for what it lacks.
         pub is_complete: bool,
     }
 }
 
+impl FactSync {
+    /// Whether it tells nothing.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty() && self.limits.is_empty()
+    }
+}
+
 /// A quarantine of a part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Quarantine {
--- a/crates/core/src/follow.rs
+++ b/crates/core/src/follow.rs
@@ -12,7 +12,8 @@
 
 use crate::config::{DigestedDocument, Document};
 use crate::digest::Sha256;
-use crate::id::{Process, Server, Version};
+use crate::id::{Process, Server, Service, Version};
+use crate::limit::{ServiceDemand, ServiceShare, Share};
 use crate::time::Instant;
 use crate::wire::Sender;
 use crate::wire::directory::{ServerInfo, ServerLoad};
@@ -34,6 +35,12 @@
 /// Time until the next poll after a control process has reported that it has no quorum.
 const FAILOVER_DELAY: Duration = Duration::from_millis(200);
 
+/// Time for which a share from control holds: less than control counts a follower that no longer polls.
+const SHARE_LEASE: Duration = POLL_TIMEOUT;
+
+/// Number of entries assumed until control reports it.
+pub const ENTRY_COUNT_ASSUMED: u32 = 16;
+
 /// Time between two load reports of a server.
 const LOAD_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -62,11 +69,15 @@
 /// Replica of the configuration and the directory in one process.
 #[derive(Clone, Debug)]
 pub struct Follower {
+    /// Name of this process.
+    name: Process,
     /// Control processes named in the settings.
     seed_addresses: Vec<SocketAddr>,
     /// The seed addresses and the control processes that control has reported.
     control_addresses: Vec<SocketAddr>,
     entry_count: u32,
+    /// When shares were last received, with them and the number of entries.
+    shares: Option<(Instant, Vec<ServiceShare>, u32)>,
     leader: Option<SocketAddr>,
     slow_engines: Vec<SlowEngine>,
     wants_directory: bool,
@@ -102,9 +113,11 @@
     pub fn new(local: &Sender, control_addresses: Vec<SocketAddr>, wants_directory: bool) -> Self {
         let random_seed = random_seed(local);
         Self {
+            name: local.process.clone(),
             seed_addresses: control_addresses.clone(),
             control_addresses,
             entry_count: 0,
+            shares: None,
             leader: None,
             slow_engines: Vec::new(),
             wants_directory,
@@ -159,6 +172,29 @@
         self.entry_count
     }
 
+    /// The share of a service that this process may use. Without a recent one from control it is no wider
+    /// than an equal share, so that those that have contact may use the rest.
+    pub fn share(&self, now: Instant, service: &Service) -> Share {
+        let of_service = |share: &&ServiceShare| share.service == *service;
+        let held = self
+            .shares
+            .as_ref()
+            .and_then(|(received_at, shares, entry_count)| {
+                let share = shares.iter().find(of_service)?.share;
+                Some(match now.since(*received_at) < SHARE_LEASE {
+                    true => share,
+                    false => share.narrowed(*entry_count),
+                })
+            });
+        held.unwrap_or_else(|| {
+            let entry_count = match self.entry_count {
+                0 => ENTRY_COUNT_ASSUMED,
+                reported => reported,
+            };
+            Share::placed_by_name(self.name.as_str(), entry_count)
+        })
+    }
+
     /// Engines that are slow or whose group is closed.
     pub fn slow_engines(&self) -> &[SlowEngine] {
         &self.slow_engines
@@ -189,6 +225,15 @@
 
     /// The next poll that is due and the control process to send it to; call until it returns none.
     pub fn next_poll(&mut self, now: Instant) -> Option<(SocketAddr, PollRequest)> {
+        self.next_poll_with(now, Vec::new)
+    }
+
+    /// The same, with the demand that the poll names.
+    pub fn next_poll_with(
+        &mut self,
+        now: Instant,
+        demands: impl FnOnce() -> Vec<ServiceDemand>,
+    ) -> Option<(SocketAddr, PollRequest)> {
         if self.control_addresses.is_empty() {
             return None;
         }
@@ -233,6 +278,7 @@
             wants_config: self.wants_config,
             wants_confirmation: !self.confirmed,
             poll_number: self.poll_number,
+            demands: demands(),
         };
         Some((
             self.control_addresses[self.polled_index % self.control_addresses.len()],
@@ -257,6 +303,7 @@
             wants_config: self.wants_config,
             wants_confirmation: false,
             poll_number: self.poll_number,
+            demands: Vec::new(),
         };
         Some((to, request))
     }
@@ -271,6 +318,9 @@
             self.fail_over(now);
         }
         self.entry_count = update.entry_count;
+        if update.has_quorum && !update.shares.is_empty() {
+            self.shares = Some((now, update.shares, update.entry_count));
+        }
         if update.has_quorum {
             self.leader = update.leader.or(self.leader);
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod follow;
 pub mod id;
 pub mod jsonc;
+pub mod limit;
 pub mod settings;
 pub mod time;
 pub mod unit;
--- a/crates/core/src/wire/follow.rs
+++ b/crates/core/src/wire/follow.rs
@@ -10,6 +10,7 @@
 use crate::data;
 use crate::digest::Sha256;
 use crate::id::{Operation, Server, Version};
+use crate::limit::{ServiceDemand, ServiceShare};
 use crate::wire::directory::{ServerInfo, ServerLoad};
 
 data! {
@@ -34,6 +35,9 @@
         /// Number of the poll; distinct, with high probability, over the incarnations of the follower.
         #[serde(rename = "question")]
         pub poll_number: u64,
+        /// Requests that the follower receives, for the services with limited servers.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub demands: Vec<ServiceDemand>,
     }
 
     /// A revision of the directory of one control process.
@@ -83,6 +87,9 @@
         #[serde(default)]
         #[serde(rename = "entries")]
         pub entry_count: u32,
+        /// The follower's shares of the services that it named a demand for.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub shares: Vec<ServiceShare>,
     }
 
     /// A newer configuration.
--- a/crates/core/src/wire/mod.rs
+++ b/crates/core/src/wire/mod.rs
@@ -114,11 +114,14 @@
         /// Between control and the watch processes beside the engines of a group.
         Rank(Box<rank::Message>),
         /// Between entries and control, and between control processes: the servers that ended, and the
-        /// prompt parts that were in flight.
-        CrashSync(crate::crash::CrashSync),
+        /// prompt parts that were in flight, and the limits of servers.
+        #[serde(rename = "CrashSync")]
+        FactSync(crate::crash::FactSync),
         /// Between control processes: the entries that poll the sender.
         #[serde(rename = "Entries")]
         ActiveEntries(Vec<crate::id::Process>),
+        /// Between control processes: the demand at the entries that poll the sender.
+        EntryDemands(Vec<(crate::id::Process, Vec<crate::limit::ServiceDemand>)>),
     }
 }
 
--- a/crates/core/tests/crash.rs
+++ b/crates/core/tests/crash.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use eelgrassdyke_core::crash::{Crash, CrashLedger, CrashRecord, CrashSync, PartKey, RECORDS_MAX};
+use eelgrassdyke_core::crash::{Crash, CrashLedger, CrashRecord, FactSync, PartKey, RECORDS_MAX};
 use eelgrassdyke_core::id::Incarnation;
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire;
@@ -132,9 +132,10 @@
             ledger.merge(now, &record(&format!("{part:012x}"), &[server], 1, 0));
         }
     }
-    let sync = CrashSync {
+    let sync = FactSync {
         records: ledger.records(at(0)),
         is_complete: true,
+        ..FactSync::default()
     };
     let bytes = wire::encode(&sync).unwrap().len();
     assert!(bytes <= BYTES_MAX, "{bytes} bytes");
--- a/crates/core/tests/decode.rs
+++ b/crates/core/tests/decode.rs
@@ -46,6 +46,7 @@
         wants_config: true,
         wants_confirmation: true,
         poll_number: 1,
+        demands: Vec::new(),
     };
     Batch {
         from: Sender {
--- a/crates/entry/src/direct/budget.rs
+++ b/crates/entry/src/direct/budget.rs
@@ -8,6 +8,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use eelgrassdyke_core::follow::ENTRY_COUNT_ASSUMED;
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::unit::Permille;
 
@@ -15,9 +16,6 @@
 /// while its retries are still inside the window.
 const SLACK_FRACTION: f64 = 0.7;
 
-/// Number of entries assumed until control reports it.
-const ENTRY_COUNT_ASSUMED: u32 = 16;
-
 /// The limit on retries.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryLimit {
--- a/crates/entry/src/direct/crash.rs
+++ b/crates/entry/src/direct/crash.rs
@@ -10,7 +10,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
-use eelgrassdyke_core::crash::{Crash, CrashLedger, CrashRecord, CrashSync, PartKey, Quarantine};
+use eelgrassdyke_core::crash::{Crash, CrashLedger, CrashRecord, PartKey, Quarantine};
 use eelgrassdyke_core::id::{Incarnation, PromptPart, Server, Service};
 use eelgrassdyke_core::time::Instant;
 
@@ -370,8 +370,8 @@
         records.collect()
     }
 
-    /// The complete ledger, if it is time to compare it, and a number that selects the control process.
-    pub fn next_sync(&mut self, now: Instant) -> Option<(usize, CrashSync)> {
+    /// All records, if it is time to compare them, and a number that selects the control process.
+    pub fn next_sync(&mut self, now: Instant) -> Option<(usize, Vec<CrashRecord>)> {
         if now < self.next_sync {
             return None;
         }
@@ -383,11 +383,7 @@
                 true => SYNC_INTERVAL,
                 false => STARTUP_SYNC_INTERVAL,
             };
-        let sync = CrashSync {
-            records: self.ledger.records(now),
-            is_complete: true,
-        };
-        Some((self.sync_count, sync))
+        Some((self.sync_count, self.ledger.records(now)))
     }
 
     /// When [`CrashWatch::next_sync`] next returns the ledger.
--- a/crates/entry/src/direct/line.rs
+++ b/crates/entry/src/direct/line.rs
@@ -19,6 +19,36 @@
 /// Period over which completions are counted.
 const COMPLETION_WINDOW: Duration = Duration::from_millis(500);
 
+/// What the servers of a service can do for this entry.
+#[derive(Clone, Debug, Default)]
+pub struct Capacity {
+    /// Whether there is any server.
+    pub has_servers: bool,
+    /// Slots at servers that take any rate of requests.
+    pub slots: u32,
+    /// Slots at each of the others, and the requests a second that it takes.
+    pub limited: Vec<(u32, f64)>,
+}
+
+impl Capacity {
+    /// Slots at all servers.
+    pub fn total_slots(&self) -> u32 {
+        let limited = self.limited.iter().map(|(slots, _)| slots);
+        self.slots + limited.sum::<u32>()
+    }
+
+    /// Requests a second that servers complete if each occupies a slot for `service_time_s`.
+    fn completion_rate(&self, service_time_s: f64) -> f64 {
+        if !self.has_servers {
+            // A server may be about to announce itself.
+            return 1.0 / service_time_s;
+        }
+        let limited = self.limited.iter();
+        let limited = limited.map(|(slots, rate)| rate.min(f64::from(*slots) / service_time_s));
+        f64::from(self.slots) / service_time_s + limited.sum::<f64>()
+    }
+}
+
 /// Queued requests in dispatch order.
 #[derive(Clone, Debug)]
 pub struct WaitQueue {
@@ -82,14 +112,14 @@
         self.prune(now);
     }
 
-    /// Expected queueing time of a new request of this priority with `slot_limit` slots.
+    /// Expected queueing time of a new request of this priority.
     ///
     /// While requests are queued, the recent rate of completions is more reliable than the mean
     /// service time: stalled servers free no slots.
-    pub fn expected_wait(&mut self, now: Instant, priority: u8, slot_limit: u32) -> Duration {
+    pub fn expected_wait(&mut self, now: Instant, priority: u8, capacity: &Capacity) -> Duration {
         self.prune(now);
         let position = self.count_ahead(priority) + 1;
-        let usual_rate = f64::from(slot_limit.max(1)) / self.service_time_s.max(1e-3);
+        let usual_rate = capacity.completion_rate(self.service_time_s.max(1e-3));
         let rate = match self.waiting.is_empty() {
             true => usual_rate,
             false => usual_rate
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -13,6 +13,7 @@
 mod events;
 mod flight;
 mod io;
+mod limit;
 mod line;
 mod path;
 mod pool;
--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -8,7 +8,8 @@
 use eelgrassdyke_core::config::MountSpec;
 use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::follow::Follower;
-use eelgrassdyke_core::id::{Service, Ticket, Version};
+use eelgrassdyke_core::id::{Server, Service, Ticket, Version};
+use eelgrassdyke_core::limit::ServiceDemand;
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::refusal::{Reason, Refusal, RunStatus};
 use eelgrassdyke_core::wire::report::ReportSource;
@@ -21,6 +22,7 @@
 use super::events::QueueEstimate;
 use super::flight::{DirectRequest, Stage, retry_after};
 use super::io::{AttemptOutcome, AttemptSpec, Call, Input, NotRunReason, Options, Output};
+use super::limit::DemandMeter;
 use super::line::WaitQueue;
 use super::pool::{HealthSignal, ServerPool};
 use super::table::MountTable;
@@ -54,12 +56,15 @@
     pub(super) pool: ServerPool,
     pub(super) queues: BTreeMap<Service, WaitQueue>,
     pub(super) retry_windows: BTreeMap<Service, RetryWindow>,
+    pub(super) demands: BTreeMap<Service, DemandMeter>,
     pub(super) started_at: Instant,
     /// When the queued requests are next tried, even if no attempt ends.
     pub(super) next_queue_retry: Instant,
     pub(super) requests: BTreeMap<Ticket, DirectRequest>,
     pub(super) timers: BTreeSet<(Instant, Ticket)>,
     pub(super) crashes: CrashWatch,
+    /// Servers whose limits changed here and have not been sent.
+    pub(super) changed_limits: BTreeSet<Server>,
     pub(super) usage: UsageReporter,
     pub(super) rng: ChaCha8Rng,
     pub(super) draining_since: Option<Instant>,
@@ -72,11 +77,13 @@
         let stretch = rng.random_range(QUARANTINE_STRETCH);
         Self {
             crashes: CrashWatch::new(stretch),
+            changed_limits: BTreeSet::new(),
             follower: Follower::new(local, options.control_addresses.clone(), true),
             mounts: MountTable::default(),
             pool: ServerPool::default(),
             queues: BTreeMap::new(),
             retry_windows: BTreeMap::new(),
+            demands: BTreeMap::new(),
             started_at: now,
             next_queue_retry: Instant::NEVER,
             requests: BTreeMap::new(),
@@ -120,12 +127,15 @@
                 self.draining_since.get_or_insert(now);
             }
         }
-        while let Some((to, poll)) = self.follower.next_poll(now) {
+        while let Some((to, poll)) = self
+            .follower
+            .next_poll_with(now, || limited_demands(now, &self.pool, &mut self.demands))
+        {
             let message = Message::Poll(poll);
             out.push(Output::Send { to, message });
         }
         self.send_usage_pages(now, out);
-        self.send_crash_records(now, out);
+        self.send_facts(now, out);
         if now >= self.next_queue_retry {
             self.next_queue_retry = Instant::NEVER;
             self.send_all_queued(now, out);
@@ -194,6 +204,10 @@
             .entry(request.service.clone())
             .or_default();
         window.record_request(now, self.options.retry_window);
+        self.demands
+            .entry(request.service.clone())
+            .or_default()
+            .record_request(now);
         self.count_received(&request);
         self.crashes.record_request(&request);
         self.send_or_enqueue(now, ticket, request, out);
@@ -300,17 +314,17 @@
             true => latency_target.mul_f64(QUEUE_WAIT_FRACTION),
             false => NO_SERVER_WAIT,
         };
-        let slot_limit = self
+        let capacity = self
             .pool
-            .slot_limit(now, &request.service, self.follower.entry_count());
+            .capacity(now, &request.service, self.follower.entry_count());
         let priority = request.priority;
         let wait = self
             .queue(&request.service)
-            .expected_wait(now, priority, slot_limit);
+            .expected_wait(now, priority, &capacity);
         let estimate = QueueEstimate {
             wait,
             wait_max,
-            slot_limit,
+            slot_limit: capacity.total_slots(),
         };
         if wait > wait_max && request.attempts == 0 {
             let refusal = Refusal {
@@ -367,6 +381,9 @@
                 None => return Some(request),
             },
         };
+        self.pool.refill(now, &request.service, || {
+            self.follower.share(now, &request.service)
+        });
         let choice = self.pool.choose_server(
             now,
             &request.service,
@@ -669,3 +686,17 @@
         self.requests.insert(ticket, request);
     }
 }
+
+/// The demand for the services with limited servers.
+fn limited_demands(
+    now: Instant,
+    pool: &ServerPool,
+    demands: &mut BTreeMap<Service, DemandMeter>,
+) -> Vec<ServiceDemand> {
+    let services = pool.limited_services().into_iter();
+    let demands = services.map(|service| ServiceDemand {
+        rate: demands.entry(service.clone()).or_default().report(now),
+        service,
+    });
+    demands.collect()
+}
--- a/crates/entry/src/direct/pool.rs
+++ b/crates/entry/src/direct/pool.rs
@@ -1,22 +1,25 @@
 //! The servers of each service and the selection of one for a request.
 //!
 //! Each entry knows its own requests at a server and the number of entries, and uses only its share
-//! of the server's slots. Failing servers are ejected for a limited time that doubles with each
+//! of the server's slots and of the rate of requests that it takes, if that is limited. Failing servers are ejected for a limited time that doubles with each
 //! consecutive failure; if too many are ejected, they are selected nevertheless.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use eelgrassdyke_core::digest::Sha256;
 use eelgrassdyke_core::follow::ServerStatus;
 use eelgrassdyke_core::id::{Incarnation, Server, Service};
+use eelgrassdyke_core::limit::{LimitLedger, LimitRecord, Share};
 use eelgrassdyke_core::time::Instant;
-use eelgrassdyke_core::unit::MilliRequestRate;
 use eelgrassdyke_core::wire::directory::ServerState;
 use eelgrassdyke_core::wire::rank::SlowEngine;
 use rand::{Rng, RngExt as _};
 
+use super::limit::RateLimiter;
+use super::line::Capacity;
+
 /// Requests that all entries together may send per slot of a server: callers are spread unevenly
 /// over the entries, and the excess waits briefly at the server.
 const SLOT_OVERCOMMIT: f64 = 1.3;
@@ -84,6 +87,8 @@
     servers: BTreeMap<Server, PooledServer>,
     /// Servers that said that they leave, oldest first; they may be missing in the directory for a while.
     leaving: VecDeque<(Server, Incarnation)>,
+    /// Limits of servers; they may be missing in the directory for a while.
+    limits: LimitLedger,
     health_by_service: BTreeMap<Service, ServiceHealth>,
 }
 
@@ -136,8 +141,8 @@
     is_leaving: bool,
     /// Until when the server wants no requests.
     paused_until: Instant,
-    /// The rate of requests that the server takes from all entries, if it names one.
-    limit: Option<MilliRequestRate>,
+    /// Limits the requests to the server, if it takes a limited rate.
+    limiter: Option<RateLimiter>,
     /// When the server last responded or sent an event.
     last_activity: Instant,
     /// Whether control reports the server as slow: its share of the work delays its whole group.
@@ -207,12 +212,13 @@
                     full_until: Instant(0),
                     is_leaving: self.leaving.contains(&(name.clone(), info.incarnation)),
                     paused_until: Instant(0),
-                    limit: None,
+                    limiter: None,
                     last_activity: now,
                     is_slow: false,
                     group_closed_until: Instant(0),
                 };
                 self.servers.insert(name.clone(), server);
+                self.apply_limit(now, name);
             }
         }
     }
@@ -295,22 +301,63 @@
         true
     }
 
-    /// Records the rate of requests that a server takes, or that it names none; returns whether that is
-    /// new.
-    pub fn record_limit(
-        &mut self,
-        name: &Server,
-        incarnation: Incarnation,
-        limit: Option<MilliRequestRate>,
-    ) -> bool {
-        let server = self.servers.get_mut(name);
-        let server = server.filter(|server| server.incarnation == incarnation);
-        server.is_some_and(|server| std::mem::replace(&mut server.limit, limit) != limit)
+    /// Records what a server said about the rate of requests that it takes; returns whether that is new.
+    pub fn record_limit(&mut self, now: Instant, record: &LimitRecord) -> bool {
+        let is_news = self.limits.merge(now, record);
+        if is_news {
+            self.apply_limit(now, &record.server);
+        }
+        is_news
+    }
+
+    /// Puts the limit of a server in force.
+    fn apply_limit(&mut self, now: Instant, name: &Server) {
+        let Some(server) = self.servers.get_mut(name) else {
+            return;
+        };
+        let limit = self.limits.limit(name, server.incarnation);
+        match (limit, &mut server.limiter) {
+            (Some(limit), Some(limiter)) => limiter.set_limit(limit),
+            (limit, limiter) => {
+                *limiter = limit.and_then(|limit| RateLimiter::new(now, name, limit))
+            }
+        }
+    }
+
+    /// Whether a server takes a limited rate of requests.
+    pub fn is_limited(&self, name: &Server) -> bool {
+        let server = self.servers.get(name);
+        server.is_some_and(|server| self.limits.limit(name, server.incarnation).is_some())
     }
 
-    /// The rate of requests that a server takes from all entries, if it names one.
-    pub fn limit(&self, name: &Server) -> Option<MilliRequestRate> {
-        self.servers.get(name)?.limit
+    /// The limits of servers.
+    pub fn limits(&mut self) -> &mut LimitLedger {
+        &mut self.limits
+    }
+
+    /// The services of servers that take a limited rate of requests.
+    pub fn limited_services(&self) -> BTreeSet<Service> {
+        let limited = self
+            .servers
+            .values()
+            .filter(|server| server.limiter.is_some());
+        limited.map(|server| server.service.clone()).collect()
+    }
+
+    /// Adds the tokens for requests to limited servers of a service, of which this entry has `share`.
+    pub fn refill(&mut self, now: Instant, service: &Service, share: impl FnOnce() -> Share) {
+        let servers = self.servers.values_mut();
+        let mut limiters = servers
+            .filter(|server| server.service == *service)
+            .filter_map(|server| server.limiter.as_mut())
+            .peekable();
+        if limiters.peek().is_none() {
+            return;
+        }
+        let share = share();
+        for limiter in limiters {
+            limiter.refill(now, share);
+        }
     }
 
     /// When the first server of a service wants requests again; none if one wants some now, or none is
@@ -333,12 +380,18 @@
         self.available_servers(now, service).next().is_some()
     }
 
-    /// Number of slots that this entry may use at the servers of a service.
-    pub fn slot_limit(&self, now: Instant, service: &Service, entry_count: u32) -> u32 {
-        let limits = self
-            .available_servers(now, service)
-            .map(|(_, server)| server.slot_limit(entry_count));
-        limits.sum()
+    /// The capacity of the servers of a service that this entry may use.
+    pub fn capacity(&self, now: Instant, service: &Service, entry_count: u32) -> Capacity {
+        let mut capacity = Capacity::default();
+        for (_, server) in self.available_servers(now, service) {
+            let slots = server.slot_limit(entry_count);
+            capacity.has_servers = true;
+            match &server.limiter {
+                None => capacity.slots += slots,
+                Some(limiter) => capacity.limited.push((slots, limiter.rate())),
+            }
+        }
+        capacity
     }
 
     /// Selects the server for the next request of a service; none if no server has a free slot.
@@ -367,15 +420,23 @@
         for (name, server) in available {
             let is_skipped =
                 skips_ejected && server.is_ejected(now) || skips_slow && server.is_slow;
-            let is_full =
-                now < server.full_until || server.running >= server.slot_limit(entry_count);
+            let has_token = server.limiter.as_ref().is_none_or(RateLimiter::has_token);
+            let is_full = now < server.full_until
+                || server.running >= server.slot_limit(entry_count)
+                || !has_token;
             if is_skipped || is_full || excluded_servers.contains(name) {
                 continue;
             }
             // A random fraction of a slot keeps entries from all selecting the same server.
             let jitter = rng.random_range(0.0..1.0) / f64::from(server.slots.max(1));
             let score = match affinity {
-                None => server.utilisation() + jitter,
+                None => {
+                    let factor = server
+                        .limiter
+                        .as_ref()
+                        .map_or(1.0, RateLimiter::load_factor);
+                    (server.utilisation() + jitter) * factor
+                }
                 Some(text) => rendezvous_score(text, name),
             };
             if best
@@ -401,6 +462,9 @@
             return;
         };
         server.running += 1;
+        if let Some(limiter) = &mut server.limiter {
+            limiter.take_token();
+        }
         let health = self
             .health_by_service
             .entry(server.service.clone())
--- a/crates/entry/src/direct/quarantine.rs
+++ b/crates/entry/src/direct/quarantine.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use eelgrassdyke_core::crash::{CrashRecord, CrashSync, PartKey, Quarantine};
+use eelgrassdyke_core::crash::{CrashRecord, FactSync, PartKey, Quarantine};
 use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::id::{Incarnation, Server, Ticket};
 use eelgrassdyke_core::time::Instant;
@@ -213,25 +213,33 @@
         }
     }
 
-    /// Sends the records that changed to every control process, and from time to time all records to
-    /// one of them, which responds with those that this entry lacks.
-    pub(super) fn send_crash_records(&mut self, now: Instant, out: &mut Vec<Output>) {
-        let records = self.crashes.take_changed(now);
+    /// Sends what changed to every control process, and from time to time all crash records and a digest
+    /// of the limits to one of them, which responds with what this entry lacks.
+    pub(super) fn send_facts(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let changed = FactSync {
+            records: self.crashes.take_changed(now),
+            limits: self.take_changed_limits(now),
+            ..FactSync::default()
+        };
         let addresses = self.follower.control_addresses();
-        if !records.is_empty() {
+        if !changed.is_empty() {
             for to in addresses {
-                let sync = CrashSync {
-                    records: records.clone(),
-                    is_complete: false,
-                };
-                let message = Message::CrashSync(sync);
+                let message = Message::FactSync(changed.clone());
                 out.push(Output::Send { to: *to, message });
             }
         }
-        if let Some((number, sync)) = self.crashes.next_sync(now)
+        if let Some((number, records)) = self.crashes.next_sync(now)
             && let Some(to) = addresses.get(number % addresses.len().max(1))
         {
-            let message = Message::CrashSync(sync);
+            let limits = self.pool.limits();
+            limits.expire(now);
+            let sync = FactSync {
+                records,
+                limits_digest: limits.digest(),
+                is_complete: true,
+                ..FactSync::default()
+            };
+            let message = Message::FactSync(sync);
             out.push(Output::Send { to: *to, message });
         }
     }
--- a/crates/entry/src/direct/signal.rs
+++ b/crates/entry/src/direct/signal.rs
@@ -1,10 +1,11 @@
-//! Handling of what servers say about themselves in their responses: that they leave, or that they want
-//! no requests for a time.
+//! Handling of what servers say about themselves in their responses: that they leave, that they want no
+//! requests for a time, or that they take a limited rate of requests.
 
 use std::time::Duration;
 
 use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::id::{Incarnation, Server};
+use eelgrassdyke_core::limit::LimitRecord;
 use eelgrassdyke_core::time::Instant;
 
 use super::io::{LimitNotice, Output, Pause, ServerSignal};
@@ -27,7 +28,7 @@
             let event = Event::new(Code::ServerLeaving, format!("incarnation {incarnation}"));
             out.push(Output::Event(event.server(server)));
         }
-        self.handle_limit_notice(server, incarnation, signal.limit, out);
+        self.handle_limit_notice(now, server, incarnation, signal.limit, out);
         let pause = match signal.pause {
             None => return,
             Some(Pause::For(pause)) if pause <= PAUSE_MAX => pause,
@@ -50,11 +51,12 @@
 impl Direct {
     /// Whether a server is known to take a limited rate of requests.
     pub fn is_limited(&self, server: &Server) -> bool {
-        self.pool.limit(server).is_some()
+        self.pool.is_limited(server)
     }
 
     fn handle_limit_notice(
         &mut self,
+        now: Instant,
         server: &Server,
         incarnation: Incarnation,
         notice: LimitNotice,
@@ -70,21 +72,64 @@
                 return;
             }
         };
-        if !self.pool.record_limit(server, incarnation, limit) {
-            return;
+        let record = LimitRecord {
+            server: server.clone(),
+            incarnation,
+            limit,
+            age_ms: 0,
+        };
+        if self.pool.record_limit(now, &record) {
+            self.changed_limits.insert(server.clone());
+            record_limit_event(&record, "response", out);
+            self.send_all_queued(now, out);
         }
-        let event = match limit {
-            Some(limit) => {
-                Event::new(Code::ServerLimited, "limited").with_fact("limit_milli_per_s", limit.0)
+    }
+
+    /// Merges what other processes know about the limits of servers.
+    pub(super) fn handle_limit_records(
+        &mut self,
+        now: Instant,
+        records: &[LimitRecord],
+        out: &mut Vec<Output>,
+    ) {
+        let mut changed = false;
+        for record in records {
+            if self.pool.record_limit(now, record) {
+                record_limit_event(record, "control", out);
+                changed = true;
             }
-            None => Event::new(Code::ServerLimited, "no limit"),
-        };
-        out.push(Output::Event(
-            event.server(server).with_fact("life", incarnation.0),
-        ));
+        }
+        if changed {
+            self.send_all_queued(now, out);
+        }
+    }
+
+    /// The limits that changed here since the last call.
+    pub(super) fn take_changed_limits(&mut self, now: Instant) -> Vec<LimitRecord> {
+        let servers = std::mem::take(&mut self.changed_limits);
+        let limits = self.pool.limits();
+        let records = servers
+            .iter()
+            .filter_map(|server| limits.record(now, server));
+        records.collect()
     }
 }
 
+fn record_limit_event(record: &LimitRecord, source: &str, out: &mut Vec<Output>) {
+    let event = match record.limit {
+        Some(limit) => {
+            Event::new(Code::ServerLimited, "limited").with_fact("limit_milli_per_s", limit.0)
+        }
+        None => Event::new(Code::ServerLimited, "no limit"),
+    };
+    let event = event
+        .server(&record.server)
+        .with_fact("life", record.incarnation.0)
+        .with_fact("source", source)
+        .with_fact("age_ms", record.age_ms);
+    out.push(Output::Event(event));
+}
+
 fn record_bad_pause(server: &Server, problem: &str, out: &mut Vec<Output>) {
     let event = Event::new(Code::InputRefused, format!("retry-after time: {problem}"));
     out.push(Output::Event(event.server(server)));
--- a/crates/entry/src/direct/updates.rs
+++ b/crates/entry/src/direct/updates.rs
@@ -26,8 +26,9 @@
                 self.usage.record_ack(from, &ack);
                 return;
             }
-            Message::CrashSync(sync) => {
+            Message::FactSync(sync) => {
                 self.handle_crash_records(now, &sync.records, out);
+                self.handle_limit_records(now, &sync.limits, out);
                 return;
             }
             _ => return,
--- a/crates/entry/tests/direct.rs
+++ b/crates/entry/tests/direct.rs
@@ -10,7 +10,7 @@
 use eelgrassdyke_core::digest::Sha256;
 use eelgrassdyke_core::id::{Incarnation, Server, Ticket, Version};
 use eelgrassdyke_core::time::Instant;
-use eelgrassdyke_core::unit::{Permille, TokenRate};
+use eelgrassdyke_core::unit::{MilliRequestRate, Permille, TokenRate};
 use eelgrassdyke_core::wire::directory::{ServerInfo, ServerState};
 use eelgrassdyke_core::wire::follow::{ConfigUpdate, DirectoryRevision, DirectoryUpdate, Update};
 use eelgrassdyke_core::wire::rank::SlowEngine;
@@ -196,6 +196,7 @@
             leader: None,
             slow_engines: self.slow_engines.clone(),
             entry_count: 1,
+            shares: Vec::new(),
         };
         let from = sender("control-1");
         let message = Message::Update(update);
@@ -1150,3 +1151,57 @@
     harness.advance(Duration::from_millis(2001));
     assert!(sent_attempt(&harness.submit_call(4, "idempotent")).is_some());
 }
+
+fn limit(rate: u64) -> ServerSignal {
+    ServerSignal {
+        limit: LimitNotice::Limited(MilliRequestRate(rate)),
+        ..ServerSignal::default()
+    }
+}
+
+#[test]
+fn requests_beyond_the_limits_of_all_servers_are_refused_at_once_as_not_run() {
+    let mut harness = Harness::new(2, Options::default());
+    for number in 1..=2 {
+        let attempt = sent_attempt(&harness.submit_call(number, "idempotent")).unwrap();
+        signal(&mut harness, &attempt, limit(1000));
+    }
+    let mut sent = 0;
+    for number in 3..303 {
+        let out = harness.submit_call(number, "idempotent");
+        if sent_attempt(&out).is_some() {
+            sent += 1;
+            harness.end_attempt(number, 1, AttemptOutcome::Responded(200));
+        } else {
+            assert_eq!(refusal(&out), Some((Reason::Overload, RunStatus::No)));
+        }
+        harness.advance(Duration::from_millis(100));
+    }
+    // Two servers take one request a second each, for 30 s; nine tenths of that are to be used.
+    assert!((54..=62).contains(&sent), "{sent} requests were sent");
+}
+
+#[test]
+fn retry_does_not_exceed_the_limit_of_a_server() {
+    let mut harness = Harness::new(2, Options::default());
+    for number in 1..=2 {
+        let attempt = sent_attempt(&harness.submit_call(number, "idempotent")).unwrap();
+        signal(&mut harness, &attempt, limit(0));
+    }
+    let out = harness.end_attempt(1, 1, AttemptOutcome::ResponseLost);
+    assert_eq!(sent_attempt(&out), None);
+    assert_eq!(
+        refusal(&harness.advance(Duration::from_millis(400))),
+        Some((Reason::Overload, RunStatus::Unknown))
+    );
+}
+
+#[test]
+fn limit_ends_with_a_new_incarnation() {
+    let mut harness = Harness::new(1, Options::default());
+    let attempt = sent_attempt(&harness.submit_call(1, "idempotent")).unwrap();
+    signal(&mut harness, &attempt, limit(0));
+    assert!(sent_attempt(&harness.submit_call(2, "idempotent")).is_none());
+    harness.apply_update(None, server_infos(1, 2));
+    assert!(sent_attempt(&harness.submit_call(3, "idempotent")).is_some());
+}
--- a/crates/entry/tests/once.rs
+++ b/crates/entry/tests/once.rs
@@ -293,6 +293,7 @@
             leader: None,
             slow_engines: Vec::new(),
             entry_count: 1,
+            shares: Vec::new(),
         });
         let from = control();
         self.feed_entry(index, Input::Message { from, message });
@@ -751,6 +752,7 @@
         leader: None,
         slow_engines: Vec::new(),
         entry_count: 1,
+        shares: Vec::new(),
     };
     let input = AgentInput::Message {
         from: control(),
--- a/crates/entry/tests/whole.rs
+++ b/crates/entry/tests/whole.rs
@@ -122,6 +122,7 @@
             leader: None,
             slow_engines: Vec::new(),
             entry_count: 1,
+            shares: Vec::new(),
         };
         let message = Message::Update(update);
         harness.feed(
--- a/crates/testkit/src/model/crash.rs
+++ b/crates/testkit/src/model/crash.rs
@@ -10,11 +10,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use eelgrassdyke_control::crashes::CrashRelay;
+use eelgrassdyke_control::crashes::FactRelay;
+use eelgrassdyke_control::followers::Followers;
 use eelgrassdyke_core::config::{
     Document, MountSpec, RetryPolicy, ServiceSpec, TeamSpec, WeightedService,
 };
-use eelgrassdyke_core::crash::CrashSync;
+use eelgrassdyke_core::crash::FactSync;
 use eelgrassdyke_core::digest::Sha256;
 use eelgrassdyke_core::event::{self, Code};
 use eelgrassdyke_core::follow::poll_number_base;
@@ -279,7 +280,7 @@
     Update,
     EntryTick(usize),
     ServerChecked(usize, Server, Incarnation, SocketAddr),
-    CrashRecords(usize, usize, CrashSync),
+    CrashRecords(usize, usize, FactSync),
     Fault(usize),
 }
 
@@ -304,7 +305,7 @@
     events: BTreeMap<(Instant, u64), Event>,
     event_sequence: u64,
     pub(super) entries: Vec<Direct>,
-    entry_incarnations: Vec<u64>,
+    pub(super) entry_incarnations: Vec<u64>,
     entry_ticks: Vec<Instant>,
     pub(super) servers: Vec<SimServer>,
     /// By group: when it was last complete; none while a rank is missing.
@@ -314,12 +315,16 @@
     document: Arc<Document>,
     revision: u64,
     /// By control process.
-    relays: Vec<CrashRelay>,
+    relays: Vec<FactRelay>,
+    /// By control process: the entries that poll it.
+    pub(super) followers: Vec<Followers>,
+    /// By entry: the control process that it follows.
+    pub(super) followed_controls: Vec<usize>,
     control_cut_until: Instant,
     pub(super) outcome: Outcome,
 }
 
-fn entry_sender(index: usize, incarnation: u64) -> Sender {
+pub(super) fn entry_sender(index: usize, incarnation: u64) -> Sender {
     Sender {
         process: format!("entry-{index}").parse().expect("a valid name"),
         incarnation: Incarnation(incarnation),
@@ -370,7 +375,9 @@
             stalled_until: vec![Instant(0); groups],
             document: Arc::new(document()),
             revision: 0,
-            relays: vec![CrashRelay::default(); CONTROLS],
+            relays: vec![FactRelay::default(); CONTROLS],
+            followers: vec![Followers::default(); CONTROLS],
+            followed_controls: vec![0; options.entries],
             control_cut_until: Instant(0),
             outcome: Outcome::default(),
             options,
@@ -428,6 +435,7 @@
             Event::ServerEnd(server) => self.end_server(server),
             Event::StallEnd(group) => self.end_stall(group),
             Event::Update => {
+                self.exchange_demands();
                 self.update_entries();
                 self.schedule(UPDATE_INTERVAL, Event::Update);
             }
@@ -447,7 +455,7 @@
             }
             Event::CrashRecords(entry, control, sync) => {
                 let from = control_sender(control);
-                let message = Message::CrashSync(sync);
+                let message = Message::FactSync(sync);
                 self.feed(entry, Input::Message { from, message });
             }
             Event::Fault(index) => self.inject(self.options.faults[index].1.clone()),
@@ -468,12 +476,16 @@
             Fault::RestartEntry(entry) => self.restart_entry(entry),
             Fault::RestartAll => {
                 self.outcome.restarts.push(self.now);
-                self.relays = vec![CrashRelay::default(); CONTROLS];
+                self.relays = vec![FactRelay::default(); CONTROLS];
+                self.followers = vec![Followers::default(); CONTROLS];
                 for entry in 0..self.entries.len() {
                     self.restart_entry(entry);
                 }
             }
-            Fault::RestartControl(control) => self.relays[control] = CrashRelay::default(),
+            Fault::RestartControl(control) => {
+                self.relays[control] = FactRelay::default();
+                self.followers[control] = Followers::default();
+            }
             Fault::CutControl(length) => self.control_cut_until = self.now + length,
         }
     }
@@ -676,14 +688,16 @@
 
     /// Passes crash records to the control process at `to`, which relays them to its entries.
     fn deliver_to_control(&mut self, entry: usize, to: SocketAddr, message: Message) {
-        let Message::CrashSync(sync) = message else {
-            return;
-        };
         if self.now < self.control_cut_until {
             return;
         }
         let control = usize::from(to.port()) - 1000;
-        let changed = self.relays[control].merge(self.now, &sync.records);
+        let sync = match message {
+            Message::FactSync(sync) => sync,
+            Message::Poll(poll) => return self.record_poll(entry, control, poll),
+            _ => return,
+        };
+        let changed = self.relays[control].merge(self.now, &sync);
         if sync.is_complete {
             let response = self.relays[control].response(self.now, &sync);
             self.schedule(LINK_DELAY, Event::CrashRecords(entry, control, response));
@@ -692,10 +706,7 @@
             if changed.is_empty() {
                 break;
             }
-            let sync = CrashSync {
-                records: changed.clone(),
-                is_complete: false,
-            };
+            let sync = changed.clone();
             self.schedule(LINK_DELAY * 2, Event::CrashRecords(other, control, sync));
         }
     }
@@ -905,6 +916,7 @@
             leader: None,
             slow_engines,
             entry_count: self.entries.len() as u32,
+            shares: self.shares(entry),
         };
         let message = Message::Update(update);
         let from = control;
--- a/crates/testkit/src/model/limit.rs
+++ b/crates/testkit/src/model/limit.rs
@@ -3,11 +3,13 @@
 use std::time::Duration;
 
 use eelgrassdyke_core::id::Incarnation;
+use eelgrassdyke_core::limit::ServiceShare;
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::unit::MilliRequestRate;
+use eelgrassdyke_core::wire::follow::PollRequest;
 use eelgrassdyke_entry::direct::{Input, LimitNotice, ServerSignal};
 
-use super::crash::{Outcome, Simulation, server_name};
+use super::crash::{Outcome, Simulation, entry_sender, server_name};
 
 /// Length of the windows in which the platform counts the requests at a server.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -143,4 +145,35 @@
         };
         self.feed(entry, input);
     }
+
+    /// Records the poll of an entry at a control process.
+    pub(super) fn record_poll(&mut self, entry: usize, control: usize, poll: PollRequest) {
+        let from = entry_sender(entry, self.entry_incarnations[entry]);
+        if poll.wants_directory {
+            self.followed_controls[entry] = control;
+        }
+        self.followers[control].record_poll(self.now, &from, poll);
+    }
+
+    /// Control processes tell each other the entries that poll them and the demand there.
+    pub(super) fn exchange_demands(&mut self) {
+        let now = self.now;
+        for control in 0..self.followers.len() {
+            let Some(entries) = self.followers[control].entries_to_announce(now) else {
+                continue;
+            };
+            let demands = self.followers[control].local_demands(now);
+            for other in (0..self.followers.len()).filter(|other| *other != control) {
+                self.followers[other].record_remote_entries(now, entries.clone());
+                self.followers[other].record_remote_demands(now, demands.clone());
+            }
+        }
+    }
+
+    /// The shares that an entry is assigned by the control process that it follows.
+    pub(super) fn shares(&self, entry: usize) -> Vec<ServiceShare> {
+        let control = self.followed_controls[entry];
+        let process = entry_sender(entry, self.entry_incarnations[entry]).process;
+        self.followers[control].shares(self.now, &process)
+    }
 }
--- a/crates/testkit/src/model/world.rs
+++ b/crates/testkit/src/model/world.rs
@@ -297,6 +297,7 @@
             leader: None,
             slow_engines: Vec::new(),
             entry_count: 1,
+            shares: Vec::new(),
         }
     }
 
