--- a/crates/entry/src/direct/limit.rs
+++ b/crates/entry/src/direct/limit.rs
@@ -18,12 +18,6 @@
 /// entries may use different divisions.
 const DEMAND_PERIOD: Duration = Duration::from_secs(4);
 
-/// Relative change of the demand that is reported.
-const CHANGE_FRACTION: f64 = 0.25;
-
-/// Standard deviations of the measured demand by which it must differ as well.
-const CHANGE_DEVIATIONS: f64 = 3.0;
-
 /// Token bucket for the requests of this entry to one server.
 #[derive(Clone, Debug)]
 pub struct RateLimiter {
@@ -99,12 +93,11 @@
     }
 }
 
-/// Smoothed rate of the requests for a service, and the rate that is reported.
+/// Smoothed rate of the requests for a service.
 #[derive(Clone, Debug, Default)]
 pub struct DemandMeter {
     per_second: f64,
     updated_at: Instant,
-    reported: f64,
 }
 
 impl DemandMeter {
@@ -114,16 +107,9 @@
         self.updated_at = now;
     }
 
-    /// The rate to report. It stays the same while the difference may be by chance, as each change moves
-    /// units of limits from one entry to another.
-    pub fn report(&mut self, now: Instant) -> MilliRequestRate {
-        let rate = self.rate_at(now);
-        let deviation = (self.reported / (2.0 * DEMAND_PERIOD.as_secs_f64())).sqrt();
-        let tolerance = (CHANGE_FRACTION * self.reported).max(CHANGE_DEVIATIONS * deviation);
-        if (rate - self.reported).abs() > tolerance {
-            self.reported = rate;
-        }
-        MilliRequestRate((self.reported * 1000.0) as u64)
+    /// The rate.
+    pub fn rate(&self, now: Instant) -> MilliRequestRate {
+        MilliRequestRate((self.rate_at(now) * 1000.0) as u64)
     }
 
     fn rate_at(&self, now: Instant) -> f64 {
--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -129,7 +129,7 @@
         }
         while let Some((to, poll)) = self
             .follower
-            .next_poll_with(now, || limited_demands(now, &self.pool, &mut self.demands))
+            .next_poll_with(now, || limited_demands(now, &self.pool, &self.demands))
         {
             let message = Message::Poll(poll);
             out.push(Output::Send { to, message });
@@ -691,12 +691,15 @@
 fn limited_demands(
     now: Instant,
     pool: &ServerPool,
-    demands: &mut BTreeMap<Service, DemandMeter>,
+    demands: &BTreeMap<Service, DemandMeter>,
 ) -> Vec<ServiceDemand> {
     let services = pool.limited_services().into_iter();
-    let demands = services.map(|service| ServiceDemand {
-        rate: demands.entry(service.clone()).or_default().report(now),
-        service,
+    let demands = services.map(|service| {
+        let meter = demands.get(&service);
+        ServiceDemand {
+            rate: meter.map(|meter| meter.rate(now)).unwrap_or_default(),
+            service,
+        }
     });
     demands.collect()
 }
