--- a/crates/core/src/crash.rs
+++ b/crates/core/src/crash.rs
@@ -14,9 +14,11 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 use std::time::Duration;
 
 use crate::data;
+use crate::digest::Sha256;
 use crate::id::{Incarnation, PromptPart, Server, Service};
 use crate::limit::LimitRecord;
 use crate::time::Instant;
@@ -106,6 +108,35 @@
     }
 }
 
+/// Identifies requests with the same content from the same caller. It holds nothing of the content.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Fingerprint(u64);
+
+impl Fingerprint {
+    /// The fingerprint of a request with these components.
+    pub fn of(components: &[&[u8]]) -> Self {
+        let mut digests = Vec::with_capacity(16 * components.len());
+        for component in components {
+            let (first, second) = Sha256::of(component).first_128_bits();
+            digests.extend(first.to_be_bytes());
+            digests.extend(second.to_be_bytes());
+        }
+        Self(Sha256::of(&digests).first_128_bits().0)
+    }
+
+    /// The fingerprint of the same request of a certain caller.
+    #[must_use]
+    pub fn of_caller(self, caller: &str) -> Self {
+        Self::of(&[&self.0.to_be_bytes(), caller.as_bytes()])
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// A quarantine of a part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Quarantine {
--- a/crates/entry/src/direct/events.rs
+++ b/crates/entry/src/direct/events.rs
@@ -34,6 +34,7 @@
             .with_fact("attempt", u64::from(request.attempts))
             .with_fact("age_ms", now.since(request.received_at))
             .with_fact("left_ms", request.deadline.since(now))
+            .with_fact("fingerprint", request.fingerprint.to_string())
             .with_fact("config_version", self.follower.version().0);
         if let Some(team) = &request.team {
             event = event.team(team);
--- a/crates/entry/src/direct/io.rs
+++ b/crates/entry/src/direct/io.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use eelgrassdyke_core::crash::Fingerprint;
 use eelgrassdyke_core::event::Event;
 use eelgrassdyke_core::id::{Incarnation, PromptPart, Server, Team, Ticket};
 use eelgrassdyke_core::settings;
@@ -27,6 +28,8 @@
     pub tokens: TokenCounts,
     /// The parts of its prompt that other requests may share, in order.
     pub prompt_parts: Vec<PromptPart>,
+    /// Fingerprint of method, path, query and body.
+    pub fingerprint: Fingerprint,
 }
 
 /// Token counts of a request to an engine; zero for other requests.
--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -239,8 +239,10 @@
         if time_left.is_zero() {
             return Err(Reason::Deadline);
         }
+        let caller = team.as_ref().map_or("", |team| team.as_str());
         Ok(DirectRequest {
             call_id: call.id.clone(),
+            fingerprint: call.fingerprint.of_caller(caller),
             service: self.draw_service(&mount),
             prompt_parts: call.prompt_parts.clone(),
             priority: self.mounts.priority(&mount, team.as_ref()),
