--- a/crates/testkit/src/model/crash.rs
+++ b/crates/testkit/src/model/crash.rs
@@ -15,7 +15,7 @@
 use eelgrassdyke_core::config::{
     Document, MountSpec, RetryPolicy, ServiceSpec, TeamSpec, WeightedService,
 };
-use eelgrassdyke_core::crash::FactSync;
+use eelgrassdyke_core::crash::{FactSync, Fingerprint};
 use eelgrassdyke_core::digest::Sha256;
 use eelgrassdyke_core::event::{self, Code};
 use eelgrassdyke_core::follow::poll_number_base;
@@ -106,7 +106,11 @@
     pub slots: u32,
     /// Requests per second.
     pub rate: f64,
-    /// Fraction of the requests whose prompt contains the part that ends servers.
+    /// What ends servers.
+    pub harm: Harm,
+    /// Whether requests may be repeated.
+    pub retry_policy: RetryPolicy,
+    /// Fraction of the requests that end servers.
     pub harmful_fraction: f64,
     /// When requests with that part come, if any do.
     pub harmful_period: Option<(Duration, Duration)>,
@@ -130,6 +134,8 @@
             group_size: 12,
             slots: 12,
             rate: 40.0,
+            harm: Harm::Part,
+            retry_policy: RetryPolicy::Resumable,
             harmful_fraction: 0.04,
             harmful_period: Some((Duration::from_secs(12), Duration::from_secs(60))),
             length: Duration::from_secs(70),
@@ -141,6 +147,15 @@
     }
 }
 
+/// Content on which servers end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Harm {
+    /// One part of the prompt, in requests that differ otherwise.
+    Part,
+    /// The whole of a request without prompt parts, which comes again and again.
+    Request,
+}
+
 /// A fault that does not depend on the contents of requests.
 #[derive(Clone, Debug)]
 pub enum Fault {
@@ -221,6 +236,7 @@
     /// The refusal that ended it.
     pub refusal: Option<Refusal>,
     parts: Vec<PromptPart>,
+    subject: usize,
     entry: usize,
     /// Servers that its attempts reached.
     pub reached: Vec<usize>,
@@ -373,7 +389,7 @@
             servers: vec![server; options.servers],
             group_complete_at: vec![Some(Instant(0)); groups],
             stalled_until: vec![Instant(0); groups],
-            document: Arc::new(document()),
+            document: Arc::new(document(options.retry_policy)),
             revision: 0,
             relays: vec![FactRelay::default(); CONTROLS],
             followers: vec![Followers::default(); CONTROLS],
@@ -555,7 +571,9 @@
         if self.rng.random_range(0..2) == 0 {
             parts.push(part(format!("subject-{class}-{subject}")));
         }
-        if is_harmful {
+        if self.options.harm == Harm::Request {
+            parts.clear();
+        } else if is_harmful {
             parts.insert(self.rng.random_range(1..=parts.len()), harmful_part());
         }
         let entry = self.draw_entry();
@@ -564,6 +582,7 @@
             is_first: true,
             is_harmful,
             resembles_harmful: class == 0 && caller == 0,
+            subject,
             began_at: None,
             is_complete: false,
             refusal: None,
@@ -594,7 +613,14 @@
     fn send_call(&mut self, index: usize) {
         let attempt = &mut self.outcome.attempts[index];
         attempt.sent_at = self.now;
+        // Requests for one subject are the same if they name no parts.
+        let content = match (self.options.harm, attempt.is_harmful) {
+            (Harm::Request, true) => "harmful".to_owned(),
+            (Harm::Request, false) => format!("sound {}", attempt.subject),
+            (Harm::Part, _) => index.to_string(),
+        };
         let call = Call {
+            fingerprint: Fingerprint::of(&[content.as_bytes()]),
             id: index.to_string(),
             host: "draft.example".to_owned(),
             path: "/draft/x".to_owned(),
@@ -950,8 +976,8 @@
     name.parse().expect("a valid name")
 }
 
-/// A configuration with one service, whose streams may be resumed.
-fn document() -> Document {
+/// A configuration with one service.
+fn document(retry_policy: RetryPolicy) -> Document {
     let spec: ServiceSpec = serde_json::from_str(r#"{"kind": "plain"}"#).expect("a valid service");
     let team = TeamSpec {
         tokens: vec![Sha256::of(API_KEY.as_bytes())],
@@ -961,7 +987,7 @@
     let mount = MountSpec {
         host: "draft.example".to_owned(),
         prefix: "/draft/".to_owned(),
-        retry_policy: RetryPolicy::Resumable,
+        retry_policy,
         timeout_ms: CALLER_TIMEOUT.as_millis() as u64,
         latency_target_ms: 400,
         gap_target_ms: 120,
--- a/crates/testkit/tests/crash.rs
+++ b/crates/testkit/tests/crash.rs
@@ -3,8 +3,9 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use eelgrassdyke_core::config::RetryPolicy;
 use eelgrassdyke_core::time::Instant;
-use eelgrassdyke_testkit::model::crash::{Fault, Options, Outcome, Simulation, other_faults};
+use eelgrassdyke_testkit::model::crash::{Fault, Harm, Options, Outcome, Simulation, other_faults};
 use test_case::test_case;
 
 /// The platform's `contact_ms`.
@@ -112,3 +113,56 @@
     };
     check_harm_is_contained(&Simulation::new(options).run());
 }
+
+/// Options in which one request that names no prompt parts ends each server that runs it, and comes again.
+fn harmful_request(servers: usize, slots: u32, rate: f64, retry_policy: RetryPolicy) -> Options {
+    Options {
+        harm: Harm::Request,
+        harmful_fraction: 0.3,
+        retry_policy,
+        ..shape(4, servers, 1, slots, rate)
+    }
+}
+
+#[test_case(harmful_request(3, 6, 4.0, RetryPolicy::Resumable); "three servers")]
+#[test_case(harmful_request(3, 6, 4.0, RetryPolicy::Never); "three servers and a request that may not be repeated")]
+#[test_case(harmful_request(12, 12, 20.0, RetryPolicy::Idempotent); "twelve servers")]
+fn request_that_ends_servers_is_sent_at_most_three_times_after_the_third_end(options: Options) {
+    for seed in 1..=5 {
+        let outcome = Simulation::new(Options {
+            seed,
+            ..options.clone()
+        })
+        .run();
+        let arrivals = outcome.harmful_arrivals_after(3, CONTACT_TIME);
+        let ends = outcome.harmful_ends.len();
+        assert!(ends > 0, "seed {seed}: no server ended");
+        assert!(
+            arrivals <= 3,
+            "seed {seed}: {arrivals} sends later than contact_ms after the third of {ends} ends, at {:?}",
+            outcome.harmful_arrivals
+        );
+        let usual = outcome.begun_fraction(at(2), at(12));
+        let meanwhile = outcome.begun_fraction(at(24), at(60));
+        assert!(
+            meanwhile >= 0.9 * usual,
+            "seed {seed}: {meanwhile} of the sound requests began at their first attempt, {usual} before"
+        );
+    }
+}
+
+#[test_case(harmful_request(3, 6, 4.0, RetryPolicy::Resumable); "three servers")]
+#[test_case(harmful_request(12, 12, 20.0, RetryPolicy::Never); "twelve servers")]
+fn servers_that_end_for_other_causes_quarantine_no_request(options: Options) {
+    for seed in 1..=5 {
+        let options = Options {
+            harmful_period: None,
+            seed,
+            ..options.clone()
+        };
+        let faults = other_faults(&options);
+        let outcome = Simulation::new(Options { faults, ..options }).run();
+        let quarantined = outcome.quarantined_sound_parts();
+        assert!(quarantined.is_empty(), "seed {seed}: {quarantined:?}");
+    }
+}
