--- a/crates/control/src/crashes.rs
+++ b/crates/control/src/crashes.rs
@@ -5,7 +5,7 @@
 //! on to its followers and to the other control processes, and tells an entry that has restarted what
 //! it lacks. A control process that has restarted learns the records from the entries.
 
-use eelgrassdyke_core::crash::{CrashLedger, CrashRecord, FactSync, PartKey};
+use eelgrassdyke_core::crash::{ContentKey, CrashLedger, CrashRecord, FactSync};
 use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::id::Ticket;
 use eelgrassdyke_core::limit::LimitLedger;
@@ -35,7 +35,7 @@
             if !self.ledger.merge(now, record) {
                 continue;
             }
-            let key = (record.service.clone(), record.part.clone());
+            let key = (record.service.clone(), record.content.clone());
             changed.records.extend(self.ledger.record(now, &key));
         }
         for record in &sync.limits {
@@ -67,7 +67,7 @@
     pub fn status(&self, now: Instant) -> Vec<QuarantineStatus> {
         let mut parts = Vec::new();
         for record in self.ledger.records(now) {
-            let key = (record.service, record.part);
+            let key = (record.service, record.content);
             let quarantine = self.ledger.quarantine(now, &key);
             let mut crashes = record.crashes;
             crashes.retain(|crash| !crash.is_cleared);
@@ -85,7 +85,7 @@
     }
 
     /// Lifts the quarantine of a part; returns its record, if there is one.
-    pub fn lift(&mut self, now: Instant, key: &PartKey) -> Option<CrashRecord> {
+    pub fn lift(&mut self, now: Instant, key: &ContentKey) -> Option<CrashRecord> {
         self.ledger.clear(key);
         self.ledger.record(now, key)
     }
@@ -115,7 +115,7 @@
         &mut self,
         now: Instant,
         ticket: Ticket,
-        key: PartKey,
+        key: ContentKey,
         out: &mut Vec<Output>,
     ) {
         let Some(record) = self.crashes.lift(now, &key) else {
@@ -126,7 +126,7 @@
             out.push(Output::Respond { ticket, response });
             return;
         };
-        let event = Event::new(Code::PartCleared, key.1.as_str())
+        let event = Event::new(Code::PartCleared, key.1.to_string())
             .with_fact("service", key.0.as_str())
             .with_fact("by", "operator");
         out.push(Output::Event(event));
--- a/crates/control/src/io.rs
+++ b/crates/control/src/io.rs
@@ -4,12 +4,10 @@
 use std::net::SocketAddr;
 
 use eelgrassdyke_core::config::{Document, EngineOrder, Publication, Submission, Verdict};
-use eelgrassdyke_core::crash::Crash;
+use eelgrassdyke_core::crash::{Content, Crash};
 use eelgrassdyke_core::data;
 use eelgrassdyke_core::event::Event;
-use eelgrassdyke_core::id::{
-    Operation, Process, PromptPart, Server, Service, Term, Ticket, Version,
-};
+use eelgrassdyke_core::id::{Operation, Process, Server, Service, Term, Ticket, Version};
 use eelgrassdyke_core::time::WallTime;
 use eelgrassdyke_core::wire::directory::{Heartbeat, ServerInfo, ServerLoad};
 use eelgrassdyke_core::wire::log::Members;
@@ -96,7 +94,7 @@
         /// The service.
         service: Service,
         /// The part.
-        part: PromptPart,
+        part: Content,
     },
     /// An operator queries this process.
     Query {
@@ -214,7 +212,7 @@
         /// The service.
         pub service: Service,
         /// The part.
-        pub part: PromptPart,
+        pub part: Content,
         /// The crashes that count against it.
         pub crashes: Vec<Crash>,
         /// Remaining time of its quarantine, in milliseconds; none if it is only suspected. Entries
--- a/crates/control/tests/log_control.rs
+++ b/crates/control/tests/log_control.rs
@@ -507,7 +507,7 @@
 fn crash_record(server: &str) -> CrashRecord {
     CrashRecord {
         service: "draft".parse().unwrap(),
-        part: "harmful".parse().unwrap(),
+        content: "harmful".parse().unwrap(),
         is_common: false,
         requests: 1,
         crashes: vec![Crash {
--- a/crates/core/src/crash.rs
+++ b/crates/core/src/crash.rs
@@ -1,25 +1,29 @@
-//! Prompt parts that servers end on, and how long requests with them are held back.
+//! Content that servers end on, and how long requests with it are held back.
 //!
 //! Some content ends every server that begins to write a response to it. Each retry, and each new
-//! request with the same part of a prompt, then ends another server. A [`CrashLedger`] records, for each
-//! service and part, the servers that ended while a request with the part was about to write. Entries
-//! and control processes exchange these [`CrashRecord`]s and merge them: crashes are identified by
-//! server and incarnation, so reports of several entries about one crash count once, and the order and
-//! number of merges doesn't matter. A part on which a server has written without ending is sound, which
-//! clears its crashes.
+//! request with it, then ends another server. [`Content`] is a part of a prompt, which requests that
+//! differ otherwise may share, or a whole request, which its caller repeats. A [`CrashLedger`] records,
+//! for each service and content, the servers that ended while a request with the content was about to
+//! write. Entries and control processes exchange these [`CrashRecord`]s and merge them: crashes are
+//! identified by server and incarnation, so reports of several entries about one crash count once, and
+//! the order and number of merges doesn't matter. Content on which a server has written without ending is
+//! sound, which clears its crashes.
 //!
-//! A part is quarantined once its crashes can't be explained otherwise: servers that end at the same
-//! moment have a common cause and count once, and crashes of a part are ignored if they are also
-//! crashes of a quarantined part that has more of them.
+//! Content is quarantined once its crashes can't be explained otherwise: servers that end at the same
+//! moment have a common cause and count once, and crashes are ignored if they are also crashes of
+//! quarantined content that has more of them.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
+use std::str::FromStr;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::data;
 use crate::digest::Sha256;
-use crate::id::{Incarnation, PromptPart, Server, Service};
+use crate::id::{self, Incarnation, PromptPart, Server, Service};
 use crate::limit::LimitRecord;
 use crate::time::Instant;
 
@@ -30,6 +34,10 @@
 /// Crashes after which a part is quarantined if servers ended without it meanwhile.
 const CRASHES_AMONG_OTHERS_MIN: usize = 3;
 
+/// Crashes after which a request is quarantined. Servers that end for other causes may do so under one
+/// request and under its retry.
+const REQUEST_CRASHES_MIN: usize = 3;
+
 /// Crashes after which a part that many requests carry is quarantined: it is in flight at most servers,
 /// whatever ends them.
 const COMMON_CRASHES_MIN: usize = 4;
@@ -56,13 +64,14 @@
 const RECORD_CRASHES_MAX: usize = 8;
 
 data! {
-    /// Crashes during which requests with one prompt part were about to write.
+    /// Crashes during which requests with one content were about to write.
     #[derive(Eq)]
     pub struct CrashRecord {
         /// The service.
         pub service: Service,
-        /// The part.
-        pub part: PromptPart,
+        /// The content.
+        #[serde(rename = "part")]
+        pub content: Content,
         /// Whether a considerable fraction of the requests carry the part.
         pub is_common: bool,
         /// Number of requests with the part, as counted by the entry that has seen the most.
@@ -137,6 +146,62 @@
     }
 }
 
+/// Prefix that tells a request's text form from that of a prompt part.
+const REQUEST_PREFIX: &str = "request:";
+
+/// Content that several requests may share, and that may end servers.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub enum Content {
+    /// A part of their prompts.
+    Part(PromptPart),
+    /// All of it: they are repeats of one request of one caller.
+    Request(Fingerprint),
+}
+
+impl Content {
+    /// The content that consists of a prompt part; none if its name is that of a request, which callers
+    /// must not choose.
+    pub fn from_part(part: PromptPart) -> Option<Self> {
+        (!part.as_str().starts_with(REQUEST_PREFIX)).then_some(Self::Part(part))
+    }
+}
+
+impl fmt::Display for Content {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Part(part) => part.fmt(f),
+            Self::Request(fingerprint) => write!(f, "{REQUEST_PREFIX}{fingerprint}"),
+        }
+    }
+}
+
+impl FromStr for Content {
+    type Err = id::Error;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let digits = text.strip_prefix(REQUEST_PREFIX);
+        match digits.and_then(|digits| u64::from_str_radix(digits, 16).ok()) {
+            Some(number) => Ok(Self::Request(Fingerprint(number))),
+            None => Ok(Self::Part(text.parse()?)),
+        }
+    }
+}
+
+impl TryFrom<String> for Content {
+    type Error = id::Error;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
+
+impl From<Content> for String {
+    fn from(content: Content) -> Self {
+        content.to_string()
+    }
+}
+
 /// A quarantine of a part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Quarantine {
@@ -146,8 +211,8 @@
     pub crashes: usize,
 }
 
-/// A service and a part of the prompts of its requests.
-pub type PartKey = (Service, PromptPart);
+/// A service and content of requests for it.
+pub type ContentKey = (Service, Content);
 
 /// The server that ended, and its incarnation.
 type CrashId = (Server, Incarnation);
@@ -156,7 +221,7 @@
 type CrashTimes = BTreeMap<CrashId, Instant>;
 
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-struct PartState {
+struct ContentState {
     is_common: bool,
     requests: u32,
     crashes: BTreeMap<CrashId, CrashState>,
@@ -168,7 +233,7 @@
     is_cleared: bool,
 }
 
-impl PartState {
+impl ContentState {
     /// The crashes that count against the part, except the `explained` ones.
     fn counted(&self, explained: &BTreeSet<CrashId>) -> Vec<(&CrashId, Instant)> {
         let mut counted = Vec::new();
@@ -182,7 +247,15 @@
 
     /// Number of crashes after which the part is quarantined; `others` are the unexplained crashes of
     /// the service.
-    fn crashes_min(&self, counted: &[(&CrashId, Instant)], others: &CrashTimes) -> usize {
+    fn crashes_min(
+        &self,
+        content: &Content,
+        counted: &[(&CrashId, Instant)],
+        others: &CrashTimes,
+    ) -> usize {
+        if let Content::Request(_) = content {
+            return REQUEST_CRASHES_MIN;
+        }
         if self.is_common {
             return COMMON_CRASHES_MIN;
         }
@@ -221,10 +294,10 @@
 /// Crashes by service and part, and the quarantines that follow from them.
 #[derive(Clone, Debug)]
 pub struct CrashLedger {
-    parts: BTreeMap<PartKey, PartState>,
-    quarantines: BTreeMap<PartKey, Quarantine>,
+    parts: BTreeMap<ContentKey, ContentState>,
+    quarantines: BTreeMap<ContentKey, Quarantine>,
     /// Parts with crashes that no quarantine explains.
-    suspected: BTreeSet<PartKey>,
+    suspected: BTreeSet<ContentKey>,
     /// Factor by which the quarantines of this ledger are longer.
     stretch: f64,
 }
@@ -254,7 +327,7 @@
 
     /// Merges a record; returns whether it held news.
     pub fn merge(&mut self, now: Instant, record: &CrashRecord) -> bool {
-        let key = (record.service.clone(), record.part.clone());
+        let key = (record.service.clone(), record.content.clone());
         let state = self.parts.entry(key.clone()).or_default();
         let before = state.clone();
         state.is_common |= record.is_common;
@@ -285,7 +358,7 @@
             return false;
         }
         // A count or a time alone is passed on with the next crash.
-        let facts = |state: &PartState| {
+        let facts = |state: &ContentState| {
             let crashes = state.crashes.iter();
             let crashes = crashes.map(|(id, crash)| (id.clone(), crash.is_cleared));
             (state.is_common, crashes.collect::<Vec<_>>())
@@ -297,7 +370,7 @@
     }
 
     /// Sets the number of requests with a part, if it has a record and the number is greater than known.
-    pub fn record_requests(&mut self, key: &PartKey, requests: u32) {
+    pub fn record_requests(&mut self, key: &ContentKey, requests: u32) {
         let state = self.parts.get_mut(key);
         let Some(state) = state.filter(|state| state.requests < requests) else {
             return;
@@ -307,7 +380,7 @@
     }
 
     /// Drops the record whose last crash is the oldest if there are too many.
-    fn drop_excess(&mut self, kept: &PartKey) {
+    fn drop_excess(&mut self, kept: &ContentKey) {
         if self.parts.len() <= RECORDS_MAX {
             return;
         }
@@ -320,7 +393,7 @@
     }
 
     /// Records that a part is sound; returns whether that clears a crash.
-    pub fn clear(&mut self, key: &PartKey) -> bool {
+    pub fn clear(&mut self, key: &ContentKey) -> bool {
         let Some(state) = self.parts.get_mut(key) else {
             return false;
         };
@@ -374,12 +447,16 @@
                 previous = (total, requests);
             }
             let counted = state.counted(&explained);
-            let count = count_causes(counted.iter().map(|(_, at)| *at));
+            // A request runs at one server at a time, unless it is repeated: each end counts.
+            let count = match key.1 {
+                Content::Part(_) => count_causes(counted.iter().map(|(_, at)| *at)),
+                Content::Request(_) => counted.len(),
+            };
             if count > 0 && !is_common {
                 self.suspected.insert(key.clone());
             }
-            let crashes_min = state.crashes_min(&counted, &crash_times);
-            if count < crashes_min {
+            let crashes_min = state.crashes_min(&key.1, &counted, &crash_times);
+            if count < crashes_min || self.is_explained_by_request(key, &counted) {
                 continue;
             }
             let extensions = (count - crashes_min) as u32;
@@ -396,33 +473,48 @@
         }
     }
 
+    /// Whether one request ran at each of the servers that ended on a part: it, or what moved it from one
+    /// server to the next, may be the cause as well.
+    fn is_explained_by_request(&self, key: &ContentKey, counted: &[(&CrashId, Instant)]) -> bool {
+        if let Content::Request(_) = key.1 {
+            return false;
+        }
+        let contents = self.parts.iter().filter(|(other, _)| other.0 == key.0);
+        let mut requests = contents.filter(|(other, _)| matches!(other.1, Content::Request(_)));
+        requests.any(|(_, request)| {
+            counted
+                .iter()
+                .all(|(id, _)| request.crashes.contains_key(*id))
+        })
+    }
+
     /// The quarantine of a part, if there is one at `now`.
-    pub fn quarantine(&self, now: Instant, key: &PartKey) -> Option<Quarantine> {
+    pub fn quarantine(&self, now: Instant, key: &ContentKey) -> Option<Quarantine> {
         let quarantine = self.quarantines.get(key).copied();
         quarantine.filter(|quarantine| now < quarantine.until)
     }
 
     /// The parts in quarantine at `now`.
-    pub fn quarantines(&self, now: Instant) -> impl Iterator<Item = (&PartKey, Quarantine)> {
+    pub fn quarantines(&self, now: Instant) -> impl Iterator<Item = (&ContentKey, Quarantine)> {
         let all = self.quarantines.iter();
         all.map(|(key, quarantine)| (key, *quarantine))
             .filter(move |(_, quarantine)| now < quarantine.until)
     }
 
     /// Whether a part may end servers, though too little is known to quarantine it.
-    pub fn is_suspected(&self, key: &PartKey) -> bool {
+    pub fn is_suspected(&self, key: &ContentKey) -> bool {
         self.suspected.contains(key)
     }
 
     /// When the last crash that counts against a part happened.
-    pub fn last_uncleared_crash(&self, key: &PartKey) -> Option<Instant> {
+    pub fn last_uncleared_crash(&self, key: &ContentKey) -> Option<Instant> {
         let state = self.parts.get(key)?;
         let uncleared = state.crashes.values().filter(|crash| !crash.is_cleared);
         uncleared.map(|crash| crash.at).max()
     }
 
     /// The record of a part.
-    pub fn record(&self, now: Instant, key: &PartKey) -> Option<CrashRecord> {
+    pub fn record(&self, now: Instant, key: &ContentKey) -> Option<CrashRecord> {
         let state = self.parts.get(key)?;
         let mut crashes = Vec::new();
         for ((server, incarnation), crash) in &state.crashes {
@@ -435,7 +527,7 @@
         }
         Some(CrashRecord {
             service: key.0.clone(),
-            part: key.1.clone(),
+            content: key.1.clone(),
             is_common: state.is_common,
             requests: state.requests,
             crashes,
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -102,9 +102,9 @@
     320 ServerEjected "An entry stopped routing to a failing server.";
     321 ServerReturned "An entry routes to an ejected server again, with a slow start.";
     322 EnginesSlow "An entry received a new list of engines that are slow or whose group is closed.";
-    323 ServerCrashed "An entry found that a server ended while it ran requests; the facts name the prompt parts that it was about to write on.";
-    324 PartQuarantined "Requests with a prompt part on which several servers ended are refused for a time.";
-    325 PartCleared "A prompt part on which a server ended was found sound, or an operator lifted its quarantine.";
+    323 ServerCrashed "An entry found that a server ended while it ran requests; the facts name the prompt parts, and the fingerprints of the requests, that it was about to write on.";
+    324 PartQuarantined "Requests with a prompt part on which several servers ended, or repeats of a request that ended them, are refused for a time.";
+    325 PartCleared "A prompt part or request on which a server ended was found sound, or an operator lifted its quarantine.";
     326 ServerLeaving "A server said in a response that it leaves; it gets no new requests.";
     327 ServerPaused "A server turned a request away and wants no requests for a time.";
     328 ServerLimited "A server named, changed or withdrew the rate of requests that it takes from all entries.";
--- a/crates/core/tests/crash.rs
+++ b/crates/core/tests/crash.rs
@@ -2,14 +2,16 @@
 
 use std::time::Duration;
 
-use eelgrassdyke_core::crash::{Crash, CrashLedger, CrashRecord, FactSync, PartKey, RECORDS_MAX};
+use eelgrassdyke_core::crash::{
+    ContentKey, Crash, CrashLedger, CrashRecord, FactSync, RECORDS_MAX,
+};
 use eelgrassdyke_core::id::Incarnation;
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
-fn key(part: &str) -> PartKey {
+fn key(part: &str) -> ContentKey {
     ("draft".parse().unwrap(), part.parse().unwrap())
 }
 
@@ -26,7 +28,7 @@
     };
     CrashRecord {
         service: key(part).0,
-        part: key(part).1,
+        content: key(part).1,
         is_common: false,
         requests,
         crashes: servers.iter().map(crash).collect(),
--- a/crates/eelgrassctl/src/command.rs
+++ b/crates/eelgrassctl/src/command.rs
@@ -4,9 +4,9 @@
 use std::path::PathBuf;
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
+use eelgrassdyke_core::crash::Content;
 use eelgrassdyke_core::id::{
-    Group, Model, Operation, Process, PromptPart, Replica, RequestId, Server, Service, Team,
-    Version,
+    Group, Model, Operation, Process, Replica, RequestId, Server, Service, Team, Version,
 };
 
 const EXIT_CODES: &str = "\
@@ -256,7 +256,7 @@
         /// The service.
         service: Service,
         /// The part.
-        part: PromptPart,
+        part: Content,
     },
 }
 
--- a/crates/entry/src/direct/crash.rs
+++ b/crates/entry/src/direct/crash.rs
@@ -1,8 +1,8 @@
-//! Detection of prompt parts that servers end on.
+//! Detection of content that servers end on.
 //!
 //! When the connection of an attempt breaks off, the shell checks whether the server still accepts
-//! connections. If it refuses them, it has ended, and each part of the requests that it was about to
-//! write on may be the cause, unless a server has written on the part recently. Whatever leaves the
+//! connections. If it refuses them, it has ended, and each content of the requests that it was about to
+//! write on may be the cause, unless a server has written on it recently. Whatever leaves the
 //! server running (a reset connection, a lost rank of its group, a truncated response) and whatever
 //! makes it silent (a cut link, the loss of its host) is no evidence, and neither is the end of a server
 //! that had announced that it leaves.
@@ -10,8 +10,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
-use eelgrassdyke_core::crash::{Crash, CrashLedger, CrashRecord, PartKey, Quarantine};
-use eelgrassdyke_core::id::{Incarnation, PromptPart, Server, Service};
+use eelgrassdyke_core::crash::{Content, ContentKey, Crash, CrashLedger, CrashRecord, Quarantine};
+use eelgrassdyke_core::id::{Incarnation, Server, Service};
 use eelgrassdyke_core::time::Instant;
 
 use super::flight::{DirectRequest, Stage};
@@ -28,11 +28,11 @@
 /// Requests of a service after which the fraction is meaningful.
 const COMMON_REQUESTS_MIN: u32 = 32;
 
-/// Most parts whose use is recorded, in each of two generations.
-const PARTS_MAX: usize = 4096;
+/// Most parts, and most whole requests, whose use is recorded in each of two generations.
+const GENERATION_MAX: usize = 4096;
 
-/// Most parts that one crash is reported for.
-const REPORTED_PARTS_MAX: usize = 32;
+/// Most contents that one crash is reported for.
+const REPORTED_CONTENTS_MAX: usize = 32;
 
 /// Interval at which the ledger is compared with that of a control process.
 const SYNC_INTERVAL: Duration = Duration::from_secs(5);
@@ -47,68 +47,97 @@
     service: Service,
     /// Whether the server has ended; none until that has been checked.
     has_ended: Option<bool>,
-    /// Parts of the requests that it was about to write on.
-    parts: BTreeSet<PromptPart>,
+    /// Contents of the requests that it was about to write on.
+    contents: BTreeSet<Content>,
 }
 
-/// Use of a part by recent requests.
+/// Use of one content by recent requests.
 #[derive(Clone, Copy, Debug, Default)]
-struct PartUse {
+struct ContentUse {
     requests: u32,
     /// When a server was last found to write on it without ending.
     sound_at: Option<Instant>,
 }
 
-/// Recently used parts, in two generations: the older one is dropped when the newer one is full.
+/// Recently used content, in two generations: the older one is dropped when the newer one is full.
 #[derive(Clone, Debug, Default)]
-struct PartUses {
-    current: HashMap<PartKey, PartUse>,
-    previous: HashMap<PartKey, PartUse>,
-    /// Requests by service, over both generations.
-    requests: BTreeMap<Service, u32>,
+struct Generations {
+    current: HashMap<ContentKey, ContentUse>,
+    previous: HashMap<ContentKey, ContentUse>,
 }
 
-impl PartUses {
-    fn get(&self, key: &PartKey) -> PartUse {
+impl Generations {
+    fn get(&self, key: &ContentKey) -> ContentUse {
         let found = self.current.get(key).or_else(|| self.previous.get(key));
         found.copied().unwrap_or_default()
     }
 
-    fn update(&mut self, key: PartKey, change: impl FnOnce(&mut PartUse)) {
-        if self.current.len() >= PARTS_MAX && !self.current.contains_key(&key) {
+    fn update(&mut self, key: ContentKey, change: impl FnOnce(&mut ContentUse)) {
+        if self.current.len() >= GENERATION_MAX && !self.current.contains_key(&key) {
             self.previous = std::mem::take(&mut self.current);
         }
-        let mut part_use = self.get(&key);
-        change(&mut part_use);
-        self.current.insert(key, part_use);
+        let mut content_use = self.get(&key);
+        change(&mut content_use);
+        self.current.insert(key, content_use);
+    }
+}
+
+/// Use of content by recent requests. Whole requests, of which most come once, must not displace the parts
+/// of prompts.
+#[derive(Clone, Debug, Default)]
+struct ContentUses {
+    parts: Generations,
+    requests: Generations,
+    /// Requests with prompt parts by service, over both generations.
+    part_requests: BTreeMap<Service, u32>,
+}
+
+impl ContentUses {
+    fn get(&self, key: &ContentKey) -> ContentUse {
+        match key.1 {
+            Content::Part(_) => self.parts.get(key),
+            Content::Request(_) => self.requests.get(key),
+        }
+    }
+
+    fn update(&mut self, key: ContentKey, change: impl FnOnce(&mut ContentUse)) {
+        match key.1 {
+            Content::Part(_) => self.parts.update(key, change),
+            Content::Request(_) => self.requests.update(key, change),
+        }
     }
 
-    fn is_common(&self, key: &PartKey) -> bool {
-        let total = self.requests.get(&key.0).copied().unwrap_or_default();
+    /// Whether so many requests carry a part that it is in flight at most servers, whatever ends them. A
+    /// request that is repeated as often is answered, and thus known to be sound, unless it is harmful.
+    fn is_common(&self, key: &ContentKey) -> bool {
+        if let Content::Request(_) = key.1 {
+            return false;
+        }
+        let total = self.part_requests.get(&key.0).copied().unwrap_or_default();
         let share = f64::from(self.get(key).requests) / f64::from(total.max(1));
         total >= COMMON_REQUESTS_MIN && share > COMMON_FRACTION
     }
 }
 
-/// Whether a request may be sent, as far as its prompt is concerned.
+/// Whether a request may be sent, as far as its content is concerned.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
     /// Nothing is known against it.
     Sound,
     /// A server ended on a request like it: it is sent apart from others like it.
     Suspected,
-    /// Servers ended on this part.
-    Quarantined(PromptPart, Quarantine),
+    /// Servers ended on this content.
+    Quarantined(Content, Quarantine),
 }
 
-/// A crash that was found, with the parts that may be its cause.
+/// A crash that was found, with the contents that may be its cause.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FoundCrash {
     /// The service of the server.
     pub service: Service,
-    /// The parts.
-    pub parts: Vec<PromptPart>,
-    /// Number of parts that are known to be sound.
+    /// The contents.
+    pub contents: Vec<Content>,
+    /// Number of contents that are known to be sound.
     pub sound_count: usize,
 }
 
@@ -116,10 +145,10 @@
 #[derive(Clone, Debug)]
 pub struct CrashWatch {
     ledger: CrashLedger,
-    uses: PartUses,
+    uses: ContentUses,
     broken: BTreeMap<(Server, Incarnation), BrokenServer>,
     /// Records that changed here and have not been sent.
-    changed: BTreeSet<PartKey>,
+    changed: BTreeSet<ContentKey>,
     next_sync: Instant,
     sync_count: usize,
     has_synced: bool,
@@ -130,7 +159,7 @@
     pub fn new(stretch: f64) -> Self {
         Self {
             ledger: CrashLedger::new(stretch),
-            uses: PartUses::default(),
+            uses: ContentUses::default(),
             broken: BTreeMap::new(),
             changed: BTreeSet::new(),
             next_sync: Instant(0),
@@ -141,18 +170,15 @@
 
     /// Records the use of the parts of a new request.
     pub fn record_request(&mut self, request: &DirectRequest) {
-        if request.prompt_parts.is_empty() {
-            return;
+        let mut contents = request.contents.iter();
+        if contents.any(|content| matches!(content, Content::Part(_))) {
+            let totals = &mut self.uses.part_requests;
+            let total = totals.entry(request.service.clone()).or_default();
+            *total = total.saturating_add(1);
         }
-        let total = self
-            .uses
-            .requests
-            .entry(request.service.clone())
-            .or_default();
-        *total = total.saturating_add(1);
-        for key in part_keys(request) {
-            self.uses.update(key.clone(), |part_use| {
-                part_use.requests = part_use.requests.saturating_add(1)
+        for key in content_keys(request) {
+            self.uses.update(key.clone(), |content_use| {
+                content_use.requests = content_use.requests.saturating_add(1)
             });
             if !self.ledger.is_empty() {
                 let requests = self.uses.get(&key).requests;
@@ -166,14 +192,13 @@
         if !self.has_suspects() {
             return Verdict::Sound;
         }
-        for key in part_keys(request) {
+        for key in content_keys(request) {
             if let Some(quarantine) = self.ledger.quarantine(now, &key) {
                 return Verdict::Quarantined(key.1, quarantine);
             }
         }
-        let is_suspected = part_keys(request).any(|key| self.ledger.is_suspected(&key));
-        let may_have_caused = self.count_ended(request) > 0 && !request.prompt_parts.is_empty();
-        match is_suspected || may_have_caused {
+        let is_suspected = content_keys(request).any(|key| self.ledger.is_suspected(&key));
+        match is_suspected || self.count_ended(request) > 0 {
             true => Verdict::Suspected,
             false => Verdict::Sound,
         }
@@ -211,7 +236,7 @@
                 broken_at: now,
                 service: request.service.clone(),
                 has_ended: None,
-                parts: BTreeSet::new(),
+                contents: BTreeSet::new(),
             };
             self.broken.insert(id.clone(), broken);
         }
@@ -221,9 +246,9 @@
         if request.has_written() {
             return is_new;
         }
-        broken.parts.extend(request.prompt_parts.iter().cloned());
+        broken.contents.extend(request.contents.iter().cloned());
         if broken.has_ended == Some(true) {
-            self.blame(now, &request.service, &id, &request.prompt_parts);
+            self.blame(now, &request.service, &id, &request.contents);
         }
         is_new
     }
@@ -233,13 +258,13 @@
         !self.ledger.is_empty() || !self.broken.is_empty()
     }
 
-    /// The first suspected part of a request.
-    pub fn suspected_part<'a>(&self, request: &'a DirectRequest) -> Option<&'a PromptPart> {
+    /// The first suspected content of a request.
+    pub fn suspected_content<'a>(&self, request: &'a DirectRequest) -> Option<&'a Content> {
         let service = &request.service;
-        let mut parts = request.prompt_parts.iter();
-        parts.find(|part| {
+        let mut contents = request.contents.iter();
+        contents.find(|content| {
             self.ledger
-                .is_suspected(&(service.clone(), (*part).clone()))
+                .is_suspected(&(service.clone(), (*content).clone()))
         })
     }
 
@@ -248,10 +273,10 @@
             .retain(|_, broken| now.since(broken.broken_at) < BREAK_RETENTION);
     }
 
-    /// Whether two requests share a part that is suspected.
-    pub fn share_suspected_part(&self, one: &DirectRequest, other: &DirectRequest) -> bool {
-        let mut shared = part_keys(one)
-            .filter(|key| other.service == key.0 && other.prompt_parts.contains(&key.1));
+    /// Whether two requests share content that is suspected.
+    pub fn share_suspected_content(&self, one: &DirectRequest, other: &DirectRequest) -> bool {
+        let mut shared = content_keys(one)
+            .filter(|key| other.service == key.0 && other.contents.contains(&key.1));
         shared.any(|key| self.ledger.is_suspected(&key))
     }
 
@@ -270,27 +295,27 @@
             return None;
         }
         let service = broken.service.clone();
-        let parts: Vec<PromptPart> = broken.parts.iter().cloned().collect();
-        let blamed = self.blame(now, &service, &id, &parts);
+        let contents: Vec<Content> = broken.contents.iter().cloned().collect();
+        let blamed = self.blame(now, &service, &id, &contents);
         Some(FoundCrash {
             service,
-            sound_count: parts.len() - blamed.len(),
-            parts: blamed,
+            sound_count: contents.len() - blamed.len(),
+            contents: blamed,
         })
     }
 
-    /// Records the crash against those of the parts that are not known to be sound; returns them.
+    /// Records the crash against those of the contents that are not known to be sound; returns them.
     fn blame(
         &mut self,
         now: Instant,
         service: &Service,
         (server, incarnation): &(Server, Incarnation),
-        parts: &[PromptPart],
-    ) -> Vec<PromptPart> {
+        contents: &[Content],
+    ) -> Vec<Content> {
         let mut blamed = Vec::new();
-        for part in parts {
-            let key = (service.clone(), part.clone());
-            if self.is_sound_at(&key, now) || blamed.len() >= REPORTED_PARTS_MAX {
+        for content in contents {
+            let key = (service.clone(), content.clone());
+            if self.is_sound_at(&key, now) || blamed.len() >= REPORTED_CONTENTS_MAX {
                 continue;
             }
             let crash = Crash {
@@ -301,7 +326,7 @@
             };
             let record = CrashRecord {
                 service: service.clone(),
-                part: part.clone(),
+                content: content.clone(),
                 is_common: self.uses.is_common(&key),
                 requests: self.uses.get(&key).requests,
                 crashes: vec![crash],
@@ -309,18 +334,18 @@
             if self.ledger.merge(now, &record) {
                 self.changed.insert(key);
             }
-            blamed.push(part.clone());
+            blamed.push(content.clone());
         }
         blamed
     }
 
-    fn is_sound_at(&self, key: &PartKey, at: Instant) -> bool {
+    fn is_sound_at(&self, key: &ContentKey, at: Instant) -> bool {
         let sound_at = self.uses.get(key).sound_at;
         sound_at.is_some_and(|sound_at| at.since(sound_at) < SOUND_PERIOD)
     }
 
     /// Records an event of a stream; returns the parts whose crashes it clears.
-    pub fn record_event(&mut self, now: Instant, request: &DirectRequest) -> Vec<PartKey> {
+    pub fn record_event(&mut self, now: Instant, request: &DirectRequest) -> Vec<ContentKey> {
         match request.has_written() {
             true => self.record_sound(now, request),
             false => Vec::new(),
@@ -329,11 +354,11 @@
 
     /// Records that a server wrote on the parts of a request without ending; returns the parts whose
     /// crashes that clears.
-    pub fn record_sound(&mut self, now: Instant, request: &DirectRequest) -> Vec<PartKey> {
+    pub fn record_sound(&mut self, now: Instant, request: &DirectRequest) -> Vec<ContentKey> {
         let mut cleared = Vec::new();
-        for key in part_keys(request) {
+        for key in content_keys(request) {
             self.uses
-                .update(key.clone(), |part_use| part_use.sound_at = Some(now));
+                .update(key.clone(), |content_use| content_use.sound_at = Some(now));
             if self.ledger.clear(&key) {
                 self.changed.insert(key.clone());
                 cleared.push(key);
@@ -347,7 +372,7 @@
         self.has_synced = true;
         let mut changed = false;
         for record in records {
-            let key = (record.service.clone(), record.part.clone());
+            let key = (record.service.clone(), record.content.clone());
             changed |= self.ledger.merge(now, record);
             let crash = self.ledger.last_uncleared_crash(&key);
             if crash.is_some_and(|at| self.is_sound_at(&key, at)) && self.ledger.clear(&key) {
@@ -358,7 +383,7 @@
     }
 
     /// The parts in quarantine.
-    pub fn quarantines(&self, now: Instant) -> BTreeMap<PartKey, Quarantine> {
+    pub fn quarantines(&self, now: Instant) -> BTreeMap<ContentKey, Quarantine> {
         let quarantines = self.ledger.quarantines(now);
         quarantines.map(|(key, q)| (key.clone(), q)).collect()
     }
@@ -392,8 +417,8 @@
     }
 }
 
-/// The parts of a request, with its service.
-fn part_keys(request: &DirectRequest) -> impl Iterator<Item = PartKey> + '_ {
-    let parts = request.prompt_parts.iter();
-    parts.map(|part| (request.service.clone(), part.clone()))
+/// The contents of a request, with its service.
+fn content_keys(request: &DirectRequest) -> impl Iterator<Item = ContentKey> + '_ {
+    let contents = request.contents.iter();
+    contents.map(|content| (request.service.clone(), content.clone()))
 }
--- a/crates/entry/src/direct/events.rs
+++ b/crates/entry/src/direct/events.rs
@@ -3,8 +3,8 @@
 
 use std::time::Duration;
 
+use eelgrassdyke_core::crash::Content;
 use eelgrassdyke_core::event::{Code, Event};
-use eelgrassdyke_core::id::PromptPart;
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::refusal::{Reason, Refusal};
 
@@ -34,19 +34,12 @@
             .with_fact("attempt", u64::from(request.attempts))
             .with_fact("age_ms", now.since(request.received_at))
             .with_fact("left_ms", request.deadline.since(now))
-            .with_fact("fingerprint", request.fingerprint.to_string())
             .with_fact("config_version", self.follower.version().0);
         if let Some(team) = &request.team {
             event = event.team(team);
         }
-        if !request.prompt_parts.is_empty() {
-            let parts: Vec<&str> = request
-                .prompt_parts
-                .iter()
-                .map(PromptPart::as_str)
-                .collect();
-            event = event.with_fact("parts", parts.join(" "));
-        }
+        let contents: Vec<String> = request.contents.iter().map(Content::to_string).collect();
+        event = event.with_fact("parts", contents.join(" "));
         match &request.stage {
             Stage::Running {
                 server,
--- a/crates/entry/src/direct/flight.rs
+++ b/crates/entry/src/direct/flight.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use eelgrassdyke_core::config::MountSpec;
-use eelgrassdyke_core::crash::Fingerprint;
-use eelgrassdyke_core::id::{Incarnation, PromptPart, Server, Service, Team};
+use eelgrassdyke_core::crash::Content;
+use eelgrassdyke_core::id::{Incarnation, Server, Service, Team};
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::refusal::RunStatus;
 
@@ -33,9 +33,8 @@
     pub service: Service,
     pub team: Option<Team>,
     pub priority: u8,
-    pub prompt_parts: Vec<PromptPart>,
-    /// Identifies the requests of the same team with the same content.
-    pub fingerprint: Fingerprint,
+    /// What other requests may share: the parts of its prompt, and all of it.
+    pub contents: Vec<Content>,
     /// When the request was received.
     pub received_at: Instant,
     pub deadline: Instant,
--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -6,9 +6,10 @@
 
 use eelgrassdyke_core::books::UsageReporter;
 use eelgrassdyke_core::config::MountSpec;
+use eelgrassdyke_core::crash::Content;
 use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::follow::Follower;
-use eelgrassdyke_core::id::{Server, Service, Ticket, Version};
+use eelgrassdyke_core::id::{Server, Service, Team, Ticket, Version};
 use eelgrassdyke_core::limit::ServiceDemand;
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::refusal::{Reason, Refusal, RunStatus};
@@ -239,12 +240,11 @@
         if time_left.is_zero() {
             return Err(Reason::Deadline);
         }
-        let caller = team.as_ref().map_or("", |team| team.as_str());
+        let caller = team.as_ref().map_or("", Team::as_str);
         Ok(DirectRequest {
             call_id: call.id.clone(),
-            fingerprint: call.fingerprint.of_caller(caller),
+            contents: contents(call, caller),
             service: self.draw_service(&mount),
-            prompt_parts: call.prompt_parts.clone(),
             priority: self.mounts.priority(&mount, team.as_ref()),
             mount,
             team,
@@ -373,9 +373,9 @@
     ) -> Option<DirectRequest> {
         let entry_count = self.follower.entry_count();
         let is_suspect = self.crashes.verdict(now, &request) != Verdict::Sound;
-        // Of several entries with a suspected part, all risk the same server.
-        let affinity = self.crashes.suspected_part(&request);
-        let affinity = is_suspect.then_some(affinity).flatten();
+        // Of several entries with suspected content, all risk the same server.
+        let affinity = self.crashes.suspected_content(&request);
+        let affinity = affinity.filter(|_| is_suspect).map(Content::to_string);
         let excluded_servers = match is_suspect {
             false => Cow::Borrowed(&request.excluded_servers),
             true => match self.servers_kept_from_suspect(&request) {
@@ -391,7 +391,7 @@
             &request.service,
             entry_count,
             &excluded_servers,
-            affinity.map(|part| part.as_str()),
+            affinity.as_deref(),
             &mut self.rng,
         );
         let Some(choice) = choice else {
@@ -705,3 +705,11 @@
     });
     demands.collect()
 }
+
+/// The contents of a caller's request that servers may end on.
+fn contents(call: &Call, caller: &str) -> Vec<Content> {
+    let parts = call.prompt_parts.iter().cloned();
+    let mut contents: Vec<Content> = parts.filter_map(Content::from_part).collect();
+    contents.push(Content::Request(call.fingerprint.of_caller(caller)));
+    contents
+}
--- a/crates/entry/src/direct/quarantine.rs
+++ b/crates/entry/src/direct/quarantine.rs
@@ -1,8 +1,8 @@
-//! Handling of requests whose prompts servers end on: isolation, refusal, and the exchange of evidence.
+//! Handling of requests whose content servers end on: isolation, refusal, and the exchange of evidence.
 
 use std::collections::BTreeMap;
 
-use eelgrassdyke_core::crash::{CrashRecord, FactSync, PartKey, Quarantine};
+use eelgrassdyke_core::crash::{Content, ContentKey, CrashRecord, FactSync, Quarantine};
 use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::id::{Incarnation, Server, Ticket};
 use eelgrassdyke_core::time::Instant;
@@ -27,7 +27,7 @@
             let Stage::Running { server, .. } = &other.stage else {
                 continue;
             };
-            if self.crashes.share_suspected_part(request, other) {
+            if self.crashes.share_suspected_content(request, other) {
                 return None;
             }
             if other.sent_as_suspect && !other.has_written() {
@@ -58,7 +58,7 @@
                 let cleared = self.crashes.record_sound(now, request);
                 self.record_cleared_parts(&cleared, out);
             }
-            AttemptOutcome::ResponseLost if !request.prompt_parts.is_empty() => {
+            AttemptOutcome::ResponseLost => {
                 // A server that leaves ends anyway, and one whose group is closed writes nothing.
                 let Some(address) = self.pool.active_address(now, server, *incarnation) else {
                     return;
@@ -95,12 +95,12 @@
             self.send_all_queued(now, out);
             return;
         };
-        let parts: Vec<&str> = crash.parts.iter().map(|part| part.as_str()).collect();
+        let contents: Vec<String> = crash.contents.iter().map(Content::to_string).collect();
         let event = Event::new(Code::ServerCrashed, "refuses connections")
             .server(server)
             .with_fact("service", crash.service.as_str())
             .with_fact("life", incarnation.0)
-            .with_fact("parts", parts.join(" "))
+            .with_fact("parts", contents.join(" "))
             .with_fact("sound_parts", crash.sound_count as u64);
         out.push(Output::Event(event));
         self.enforce_quarantines(now, &before, out);
@@ -125,7 +125,7 @@
     fn enforce_quarantines(
         &mut self,
         now: Instant,
-        before: &BTreeMap<PartKey, Quarantine>,
+        before: &BTreeMap<ContentKey, Quarantine>,
         out: &mut Vec<Output>,
     ) {
         let quarantines = self.crashes.quarantines(now);
@@ -136,7 +136,7 @@
             if before.get(&(service.clone(), part.clone())) == Some(quarantine) {
                 continue;
             }
-            let event = Event::new(Code::PartQuarantined, part.as_str())
+            let event = Event::new(Code::PartQuarantined, part.to_string())
                 .with_fact("service", service.as_str())
                 .with_fact("crashes", quarantine.crashes as u64)
                 .with_fact("left_ms", quarantine.until.since(now));
@@ -205,10 +205,10 @@
     }
 
     /// Records that parts were found sound.
-    pub(super) fn record_cleared_parts(&self, cleared: &[PartKey], out: &mut Vec<Output>) {
+    pub(super) fn record_cleared_parts(&self, cleared: &[ContentKey], out: &mut Vec<Output>) {
         for (service, part) in cleared {
-            let event =
-                Event::new(Code::PartCleared, part.as_str()).with_fact("service", service.as_str());
+            let event = Event::new(Code::PartCleared, part.to_string())
+                .with_fact("service", service.as_str());
             out.push(Output::Event(event));
         }
     }
--- a/crates/entry/tests/direct.rs
+++ b/crates/entry/tests/direct.rs
@@ -7,8 +7,9 @@
 use eelgrassdyke_core::config::{
     Document, MountSpec, RetryPolicy, ServiceSpec, TeamSpec, WeightedService,
 };
+use eelgrassdyke_core::crash::{Content, Fingerprint};
 use eelgrassdyke_core::digest::Sha256;
-use eelgrassdyke_core::id::{Incarnation, Server, Ticket, Version};
+use eelgrassdyke_core::id::{Incarnation, PromptPart, Server, Ticket, Version};
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::unit::{MilliRequestRate, Permille, TokenRate};
 use eelgrassdyke_core::wire::directory::{ServerInfo, ServerState};
@@ -103,6 +104,7 @@
     direct: Direct,
     out: Vec<Output>,
     poll_number: u64,
+    version: u64,
     revision: u64,
     slow_engines: Vec<SlowEngine>,
     /// Usage report pages that were sent.
@@ -110,6 +112,23 @@
 }
 
 impl Harness {
+    /// A harness whose configuration has these keys and teams.
+    fn with_teams(servers: usize, teams: &[(&str, &str)]) -> Self {
+        let mut harness = Self::new(servers, Options::default());
+        let mut document = document();
+        for (key, team) in teams {
+            let spec = TeamSpec {
+                tokens: vec![Sha256::of(key.as_bytes())],
+                shares: BTreeMap::new(),
+                priority: None,
+            };
+            document.teams.insert(team.parse().unwrap(), spec);
+        }
+        harness.version = 2;
+        harness.apply_update(Some(document), server_infos(servers, 1));
+        harness
+    }
+
     fn new(servers: usize, options: Options) -> Self {
         let options = Options {
             control_addresses: vec!["10.0.0.9:7000".parse().unwrap()],
@@ -122,6 +141,7 @@
             direct: Direct::new(Instant(0), &sender("entry-1"), options),
             out: Vec::new(),
             poll_number: 0,
+            version: 1,
             revision: 0,
             slow_engines: Vec::new(),
             usage_pages: Vec::new(),
@@ -171,11 +191,11 @@
             load_number: 0,
         };
         let config = document.map(|document| ConfigUpdate::Snapshot {
-            version: Version(1),
+            version: Version(self.version),
             document: Arc::new(document),
         });
         let update = Update {
-            committed_version: Version(1),
+            committed_version: Version(self.version),
             has_quorum: true,
             confirmed: true,
             poll_number: self.poll_number,
@@ -210,6 +230,7 @@
             path: format!("/{path}/x"),
             api_key: Some(KEY.to_owned()),
             time_left: Some(Duration::from_millis(800)),
+            fingerprint: Fingerprint::of(&[&number.to_be_bytes()]),
             ..Call::default()
         }
     }
@@ -829,7 +850,10 @@
     assert!(sent_attempt(&out).is_some());
     harness.feed(Input::EventForwarded { ticket, attempt: 1 });
     let out = harness.end_attempt(1, 1, AttemptOutcome::ResponseLost);
-    assert!(out.is_empty(), "{out:?}");
+    assert!(
+        matches!(&out[..], [Output::CheckServer { .. }]),
+        "nothing but the check of the server is due: {out:?}"
+    );
     // The retries leave the window, so the budget recovers.
     let out = harness.advance(window + Duration::from_millis(100));
     assert_eq!(sent_attempt(&out).map(|spec| spec.attempt), Some(2));
@@ -1205,3 +1229,41 @@
     harness.apply_update(None, server_infos(1, 2));
     assert!(sent_attempt(&harness.submit_call(3, "idempotent")).is_some());
 }
+
+/// Sends a request that is the same each time.
+fn submit_repeat(harness: &mut Harness, number: u64, key: &str) -> Vec<Output> {
+    let call = Call {
+        fingerprint: Fingerprint::of(&[b"repeated"]),
+        api_key: Some(key.to_owned()),
+        ..harness.call(number, "never")
+    };
+    let ticket = Ticket(number);
+    harness.feed(Input::Call { ticket, call })
+}
+
+#[test]
+fn repeat_of_a_request_on_which_three_servers_ended_is_refused_for_its_caller_only() {
+    let mut harness = Harness::with_teams(5, &[(KEY, "salon"), ("other-key", "home")]);
+    for number in 1..=3 {
+        let attempt = sent_attempt(&submit_repeat(&mut harness, number, KEY)).unwrap();
+        break_off(&mut harness, number, &attempt, true);
+        harness.advance(Duration::from_millis(300));
+        harness.apply_update(None, server_infos(5, 1 + number));
+    }
+    let out = submit_repeat(&mut harness, 4, KEY);
+    assert_eq!(refusal(&out), Some((Reason::Quarantined, RunStatus::No)));
+    // Neither another request of the caller nor the same one of another team is concerned.
+    assert!(sent_attempt(&harness.submit_call(5, "never")).is_some());
+    harness.end_attempt(5, 1, AttemptOutcome::Responded(200));
+    let out = submit_repeat(&mut harness, 6, "other-key");
+    assert!(sent_attempt(&out).is_some(), "{out:?}");
+}
+
+#[test]
+fn prompt_part_named_like_a_request_does_not_stand_for_it() {
+    let part: PromptPart = "request:0123456789abcdef".parse().unwrap();
+    assert_eq!(Content::from_part(part), None);
+    let content: Content = "request:0123456789abcdef".parse().unwrap();
+    assert_eq!(content.to_string(), "request:0123456789abcdef");
+    assert!(matches!(content, Content::Request(_)));
+}
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -4,7 +4,8 @@
 use eelgrassdyke_control::state::order::OrderResponse;
 use eelgrassdyke_control::{OperatorResponse, Query};
 use eelgrassdyke_core::config::{self, Submission, Verdict};
-use eelgrassdyke_core::id::{Operation, PromptPart, Server, Service};
+use eelgrassdyke_core::crash::Content;
+use eelgrassdyke_core::id::{Operation, Server, Service};
 use eelgrassdyke_core::jsonc;
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 
@@ -139,7 +140,7 @@
     /// The service.
     pub service: Service,
     /// The part.
-    pub part: PromptPart,
+    pub part: Content,
 }
 
 fn lift_quarantine(node: &Node, request: &Request, responder: Responder) {
--- a/crates/testkit/examples/crash.rs
+++ b/crates/testkit/examples/crash.rs
@@ -1,4 +1,4 @@
-//! Surveys, over many seeds, what entries do about prompt parts that servers end on.
+//! Surveys, over many seeds, what entries do about prompt parts and requests that servers end on.
 //!
 //! `cargo run --release -p eelgrassdyke-testkit --example crash -- --seeds 50`
 
@@ -6,7 +6,7 @@
 
 use clap::Parser;
 use eelgrassdyke_core::time::Instant;
-use eelgrassdyke_testkit::model::crash::{Options, Outcome, Simulation, other_faults};
+use eelgrassdyke_testkit::model::crash::{Harm, Options, Outcome, Simulation, other_faults};
 
 /// The platform's `contact_ms`.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
@@ -44,16 +44,27 @@
         rate,
         ..Options::default()
     };
+    let harmful_request = |servers, slots, rate| Options {
+        harm: Harm::Request,
+        harmful_fraction: 0.3,
+        ..shape(4, servers, 1, slots, rate)
+    };
     for (name, shape) in [
+        ("request at 3 servers", harmful_request(3, 6, 4.0)),
+        ("request at 12 servers", harmful_request(12, 12, 20.0)),
         ("one group of 12", shape(4, 12, 12, 12, 40.0)),
         ("12 servers without a group", shape(4, 12, 1, 12, 40.0)),
         ("three groups of 24", shape(14, 72, 24, 10, 120.0)),
     ] {
         for (kind, has_part, has_other_faults) in [
-            ("part", true, false),
+            ("harmful content", true, false),
             ("other causes", false, true),
             ("both", true, true),
         ] {
+            let ends_max = match shape.harm {
+                Harm::Part => 5,
+                Harm::Request => 3,
+            };
             let mut totals = Totals::default();
             for seed in arguments.first..arguments.first + arguments.seeds {
                 let mut options = Options {
@@ -70,11 +81,11 @@
                 if arguments.events {
                     print_events(&outcome);
                 }
-                totals.add(seed, &outcome);
+                totals.add(seed, &outcome, ends_max);
             }
             println!(
-                "{name}, {kind}: at most {} ends, more than 3 arrivals after five in seeds {:?}, sound \
-                 parts quarantined in seeds {:?}, {:.3} of the sound ones began at once",
+                "{name}, {kind}: at most {} ends, more than 3 arrivals after {ends_max} in seeds {:?}, \
+                 sound content quarantined in seeds {:?}, {:.3} of the sound ones began at once",
                 totals.most_ends,
                 totals.seeds_over_the_bound,
                 totals.seeds_with_sound_quarantined,
@@ -85,9 +96,9 @@
 }
 
 impl Totals {
-    fn add(&mut self, seed: u64, outcome: &Outcome) {
+    fn add(&mut self, seed: u64, outcome: &Outcome, ends_max: usize) {
         self.most_ends = self.most_ends.max(outcome.harmful_ends.len());
-        if outcome.harmful_arrivals_after(5, CONTACT_TIME) > 3 {
+        if outcome.harmful_arrivals_after(ends_max, CONTACT_TIME) > 3 {
             self.seeds_over_the_bound.push(seed);
         }
         if !outcome.quarantined_sound_parts().is_empty() {
--- a/crates/testkit/src/model/crash.rs
+++ b/crates/testkit/src/model/crash.rs
@@ -15,7 +15,7 @@
 use eelgrassdyke_core::config::{
     Document, MountSpec, RetryPolicy, ServiceSpec, TeamSpec, WeightedService,
 };
-use eelgrassdyke_core::crash::{FactSync, Fingerprint};
+use eelgrassdyke_core::crash::{Content, FactSync, Fingerprint};
 use eelgrassdyke_core::digest::Sha256;
 use eelgrassdyke_core::event::{self, Code};
 use eelgrassdyke_core::follow::poll_number_base;
@@ -90,6 +90,9 @@
     Code::PartCleared,
 ];
 
+/// The team of every caller.
+const TEAM: &str = "salon";
+
 /// The team key of every caller.
 const API_KEY: &str = "key";
 
@@ -236,7 +239,7 @@
     /// The refusal that ended it.
     pub refusal: Option<Refusal>,
     parts: Vec<PromptPart>,
-    subject: usize,
+    fingerprint: Fingerprint,
     entry: usize,
     /// Servers that its attempts reached.
     pub reached: Vec<usize>,
@@ -259,15 +262,21 @@
         self.harmful_arrivals.iter().filter(is_counted).count()
     }
 
-    /// The parts that were quarantined, apart from the harmful one.
+    /// The contents that were quarantined, apart from the harmful part and the requests with it.
     pub fn quarantined_sound_parts(&self) -> BTreeSet<&str> {
-        let mut parts = BTreeSet::new();
+        let harmful = self.attempts.iter().filter(|attempt| attempt.is_harmful);
+        let fingerprints = harmful.map(|attempt| attempt.fingerprint.of_caller(TEAM));
+        let mut harmful: BTreeSet<String> = fingerprints
+            .map(|fingerprint| Content::Request(fingerprint).to_string())
+            .collect();
+        harmful.insert(harmful_part().to_string());
+        let mut contents = BTreeSet::new();
         for (_, _, event) in &self.crash_events {
-            if event.code == Code::PartQuarantined && event.detail != harmful_part().as_str() {
-                parts.insert(event.detail.as_str());
+            if event.code == Code::PartQuarantined && !harmful.contains(&event.detail) {
+                contents.insert(event.detail.as_str());
             }
         }
-        parts
+        contents
     }
 
     /// Fraction of the sound requests with the caller and first part of the harmful ones, sent within
@@ -576,13 +585,19 @@
         } else if is_harmful {
             parts.insert(self.rng.random_range(1..=parts.len()), harmful_part());
         }
+        // Requests for one subject are the same if they name no parts.
+        let content = match (self.options.harm, is_harmful) {
+            (Harm::Request, true) => "harmful".to_owned(),
+            (Harm::Request, false) => format!("sound {subject}"),
+            (Harm::Part, _) => self.outcome.attempts.len().to_string(),
+        };
         let entry = self.draw_entry();
         let attempt = CallerAttempt {
             sent_at: self.now,
             is_first: true,
             is_harmful,
             resembles_harmful: class == 0 && caller == 0,
-            subject,
+            fingerprint: Fingerprint::of(&[content.as_bytes()]),
             began_at: None,
             is_complete: false,
             refusal: None,
@@ -613,14 +628,8 @@
     fn send_call(&mut self, index: usize) {
         let attempt = &mut self.outcome.attempts[index];
         attempt.sent_at = self.now;
-        // Requests for one subject are the same if they name no parts.
-        let content = match (self.options.harm, attempt.is_harmful) {
-            (Harm::Request, true) => "harmful".to_owned(),
-            (Harm::Request, false) => format!("sound {}", attempt.subject),
-            (Harm::Part, _) => index.to_string(),
-        };
         let call = Call {
-            fingerprint: Fingerprint::of(&[content.as_bytes()]),
+            fingerprint: attempt.fingerprint,
             id: index.to_string(),
             host: "draft.example".to_owned(),
             path: "/draft/x".to_owned(),
@@ -1004,7 +1013,7 @@
     document.services.insert(service, spec);
     document
         .teams
-        .insert("salon".parse().expect("a valid name"), team);
+        .insert(TEAM.parse().expect("a valid name"), team);
     document
         .mounts
         .insert("draft".parse().expect("a valid name"), mount);
