node: responses without end are broken off after a bounded number of bytes

Cause: the decoder of the HTTP client buffers a head, a body with a length, a chunk or its size line without a limit; the server side had a limited reader, the client had none. A server whose bytes never end took the memory of an entry. Change: the client reads through the same limited reader: 32 KiB for a head with its interim responses, 8 MiB for each part of a backend server's body (64 MiB for peers); a longer content-length is refused before it is read. The connection is closed, the request counts as lost, as before for other broken responses.

Conclusion: a well-formed stream without end is bounded by the deadline of its request only.

--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -7,20 +7,23 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use eelgrassdyke_core::wire::BATCH_BYTES_MAX;
 use futures_util::FutureExt as _;
 use http::{HeaderMap, HeaderValue, Method, StatusCode, Version, header};
-use monoio::io::AsyncReadRent;
 use monoio::io::sink::SinkExt;
 use monoio::io::stream::Stream;
+use monoio::io::{AsyncReadRent, OwnedReadHalf, OwnedWriteHalf, Splitable as _};
 use monoio::net::TcpStream;
 use monoio_http::common::body::Body;
 use monoio_http::h1::BorrowFramedRead;
-use monoio_http::h1::codec::ClientCodec;
-use monoio_http::h1::codec::decoder::{ChunkedBodyDecoder, FixedBodyDecoder, PayloadDecoder};
+use monoio_http::h1::codec::decoder::{
+    ChunkedBodyDecoder, ClientResponseDecoder, FixedBodyDecoder, PayloadDecoder,
+};
+use monoio_http::h1::codec::encoder::GenericEncoder;
 use monoio_http::h1::payload::{FixedPayload, FramedPayload, Payload};
 
-use super::guard::check_body_length;
-use super::{Error, Result, has_no_body};
+use super::guard::{LimitedReader, ReadAllowance, check_body_length};
+use super::{Error, HEAD_BYTES_MAX, Result, has_no_body};
 
 /// Buffer size for reading a body that is delimited by the end of the connection, in bytes.
 const READ_BYTES: usize = 16 << 10;
@@ -62,12 +65,17 @@
     }
 }
 
+type Decoder = ClientResponseDecoder<LimitedReader<OwnedReadHalf<TcpStream>>>;
+
 /// An open connection to one peer.
 pub struct Connection {
-    codec: ClientCodec<TcpStream>,
+    encoder: GenericEncoder<OwnedWriteHalf<TcpStream>>,
+    decoder: Decoder,
     host: HeaderValue,
     /// Whether the last request was a `HEAD` request, whose response has no body.
     is_head: bool,
+    allowance: ReadAllowance,
+    part_bytes_max: usize,
     /// Idle timeout that the peer stated in its last `Keep-Alive` field, if any.
     keep_alive_timeout: Option<Duration>,
 }
@@ -79,6 +87,8 @@
     /// Header fields.
     pub headers: HeaderMap,
     body: ResponseBody<'a>,
+    allowance: ReadAllowance,
+    part_bytes_max: usize,
     keeps_alive: bool,
 }
 
@@ -87,9 +97,9 @@
     /// There is no body.
     Absent,
     /// Delimited by its length or chunked.
-    Framed(FramedPayload<&'a mut ClientCodec<TcpStream>>),
+    Framed(FramedPayload<&'a mut Decoder>),
     /// Delimited by the end of the connection.
-    UntilClose(&'a mut ClientCodec<TcpStream>),
+    UntilClose(&'a mut Decoder),
 }
 
 impl Connection {
@@ -102,14 +112,24 @@
         };
         stream.set_nodelay(true)?;
         let host = HeaderValue::from_str(&address.to_string()).map_err(Error::protocol)?;
+        let (read_half, write_half) = stream.into_split();
+        let (reader, allowance) = LimitedReader::new(read_half);
         Ok(Self {
-            codec: ClientCodec::new(stream),
+            encoder: GenericEncoder::new(write_half),
+            decoder: ClientResponseDecoder::new(reader),
             host,
             is_head: false,
+            allowance,
+            part_bytes_max: BATCH_BYTES_MAX,
             keep_alive_timeout: None,
         })
     }
 
+    /// Limits the parts of response bodies to this many bytes; a body with a length is one part.
+    pub fn limit_parts(&mut self, bytes: usize) {
+        self.part_bytes_max = bytes;
+    }
+
     /// Idle timeout that the peer stated in its last response, if any.
     pub fn keep_alive_timeout(&self) -> Option<Duration> {
         self.keep_alive_timeout
@@ -119,7 +139,8 @@
     ///
     /// Bytes that follow a complete response would be taken for the response to the next request.
     pub fn is_idle(&mut self) -> bool {
-        self.codec.next().now_or_never().is_none()
+        self.allowance.set(HEAD_BYTES_MAX);
+        self.decoder.next().now_or_never().is_none()
     }
 
     /// Sends `request`.
@@ -148,7 +169,7 @@
                 .insert(header::CONTENT_LENGTH, length);
         }
         self.is_head = http_request.method() == Method::HEAD;
-        self.codec
+        self.encoder
             .send_and_flush(http_request)
             .await
             .map_err(Error::protocol)
@@ -156,8 +177,10 @@
 
     /// Receives the head of the response; skips interim responses.
     pub async fn receive_response(&mut self) -> Result<Response<'_>> {
+        // Covers the interim responses as well, of which there may be any number.
+        self.allowance.set(HEAD_BYTES_MAX);
         let (head, decoder) = loop {
-            let response = match self.codec.next().await {
+            let response = match self.decoder.next().await {
                 Some(response) => response.map_err(Error::protocol)?,
                 None => return Err(Error::Closed),
             };
@@ -173,14 +196,18 @@
                 break (head, decoder);
             }
         };
-        check_body_length(&head.headers).map_err(|problem| Error::Protocol(problem.to_owned()))?;
+        let length = check_body_length(&head.headers)
+            .map_err(|problem| Error::Protocol(problem.to_owned()))?;
+        if length.is_some_and(|length| length > self.part_bytes_max) && !self.is_head {
+            return Err(body_too_large());
+        }
         self.keep_alive_timeout = parse_keep_alive(&head.headers);
         let framed = head.headers.contains_key(header::CONTENT_LENGTH)
             || head.headers.contains_key(header::TRANSFER_ENCODING);
         let body = match framed {
             _ if self.is_head || has_no_body(head.status) => ResponseBody::Absent,
-            true => ResponseBody::Framed(decoder.with_io(&mut self.codec)),
-            false => ResponseBody::UntilClose(&mut self.codec),
+            true => ResponseBody::Framed(decoder.with_io(&mut self.decoder)),
+            false => ResponseBody::UntilClose(&mut self.decoder),
         };
         let keeps_alive = head.version == Version::HTTP_11
             && !matches!(body, ResponseBody::UntilClose(_))
@@ -189,6 +216,8 @@
             status: head.status,
             headers: head.headers,
             body,
+            allowance: self.allowance.clone(),
+            part_bytes_max: self.part_bytes_max,
             keeps_alive,
         })
     }
@@ -197,12 +226,13 @@
 impl Response<'_> {
     /// Receives the next part of the body; none at its end.
     pub async fn next_part(&mut self) -> Result<Option<Bytes>> {
+        self.allowance.set(self.part_bytes_max);
         let part = match &mut self.body {
             ResponseBody::Absent => None,
             ResponseBody::Framed(payload) => payload.next_data().await,
-            ResponseBody::UntilClose(codec) => {
+            ResponseBody::UntilClose(decoder) => {
                 let buffer = Vec::with_capacity(READ_BYTES);
-                let (count, buffer) = codec.framed_mut().read(buffer).await;
+                let (count, buffer) = decoder.framed_mut().read(buffer).await;
                 return match count? {
                     0 => Ok(None),
                     _ => Ok(Some(buffer.into())),
@@ -212,10 +242,13 @@
         part.transpose().map_err(Error::protocol)
     }
 
-    /// Reads the rest of the body.
+    /// Reads the rest of the body; an error if it is longer than a part may be.
     pub async fn read_to_end(&mut self) -> Result<Bytes> {
         let mut body = Vec::new();
         while let Some(part) = self.next_part().await? {
+            if body.len() + part.len() > self.part_bytes_max {
+                return Err(body_too_large());
+            }
             body.extend_from_slice(&part);
         }
         Ok(body.into())
@@ -227,6 +260,10 @@
     }
 }
 
+fn body_too_large() -> Error {
+    Error::Protocol("the response body is too large".to_owned())
+}
+
 /// The timeout in a `Keep-Alive` header field.
 fn parse_keep_alive(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
--- a/crates/node/src/role/direct.rs
+++ b/crates/node/src/role/direct.rs
@@ -294,6 +294,7 @@
                 .attempt_headers(request, spec, attempt.last_event_id),
             body: request.body.clone(),
         };
+        connection.limit_parts(RESPONSE_BYTES_MAX);
         let exchange = self
             .send_and_receive(attempt, attempt_request, &mut connection)
             .await;
@@ -380,7 +381,7 @@
         };
         if let Some(outcome) = outcome {
             // The head proves that the request did not run, even if the body can't be read.
-            let is_complete = read_body(&mut server_response).await.is_ok();
+            let is_complete = server_response.read_to_end().await.is_ok();
             return Ok((outcome.into(), is_complete && server_response.keeps_alive()));
         }
         if spec.is_stream
@@ -391,7 +392,7 @@
             let reusable = outcome == AttemptOutcome::Streamed && server_response.keeps_alive();
             return Ok((outcome.into(), reusable));
         }
-        let body = read_body(&mut server_response).await?;
+        let body = server_response.read_to_end().await?;
         let response = Response {
             status: server_response.status,
             headers: end_to_end_headers(&server_response.headers),
@@ -489,20 +490,6 @@
     }
 }
 
-/// Reads the body of a response, up to the size limit.
-async fn read_body(server_response: &mut client::Response<'_>) -> crate::http::Result<Bytes> {
-    let mut body = Vec::new();
-    while let Some(part) = server_response.next_part().await? {
-        if body.len() + part.len() > RESPONSE_BYTES_MAX {
-            return Err(crate::http::Error::Protocol(
-                "the response body is too large".to_owned(),
-            ));
-        }
-        body.extend_from_slice(&part);
-    }
-    Ok(body.into())
-}
-
 /// The header fields of a response without the hop-by-hop ones.
 fn end_to_end_headers(headers: &HeaderMap) -> HeaderMap {
     let mut end_to_end = headers.clone();
