entry, control: an entry asks for crashes and limits each second until control has answered

Cause: the entry took any record that was passed on to it for the answer to its own question, and then waited 5 s before it asked again; where the first question was lost, as at a start, it knew only what had changed since. Change: the answer says that it is one.

Measured: entry_asks_again_each_second_until_control_has_answered_its_question failed before (one question in 4 s), passes.

--- a/crates/control/src/crashes.rs
+++ b/crates/control/src/crashes.rs
@@ -59,6 +59,7 @@
                 true => self.limits.next_page(now),
                 false => Vec::new(),
             },
+            is_response: true,
             ..FactSync::default()
         }
     }
--- a/crates/core/src/crash.rs
+++ b/crates/core/src/crash.rs
@@ -107,6 +107,9 @@
         pub limits_digest: u64,
         /// Whether `records` are all that the sender has, and it asks for what it lacks.
         pub is_complete: bool,
+        /// Whether it answers a message with `is_complete`.
+        #[serde(default)]
+        pub is_response: bool,
     }
 }
 
--- a/crates/entry/src/direct/crash.rs
+++ b/crates/entry/src/direct/crash.rs
@@ -369,7 +369,6 @@
 
     /// Merges records of another process; returns whether the ledger changed.
     pub fn merge(&mut self, now: Instant, records: &[CrashRecord]) -> bool {
-        self.has_synced = true;
         let mut changed = false;
         for record in records {
             let key = (record.service.clone(), record.content.clone());
@@ -382,6 +381,11 @@
         changed
     }
 
+    /// Records that a control process has told what this entry lacked.
+    pub fn record_response(&mut self) {
+        self.has_synced = true;
+    }
+
     /// The parts in quarantine.
     pub fn quarantines(&self, now: Instant) -> BTreeMap<ContentKey, Quarantine> {
         let quarantines = self.ledger.quarantines(now);
--- a/crates/entry/src/direct/updates.rs
+++ b/crates/entry/src/direct/updates.rs
@@ -27,6 +27,9 @@
                 return;
             }
             Message::FactSync(sync) => {
+                if sync.is_response {
+                    self.crashes.record_response();
+                }
                 self.handle_crash_records(now, &sync.records, out);
                 self.handle_limit_records(now, &sync.limits, out);
                 return;
--- a/crates/entry/tests/direct.rs
+++ b/crates/entry/tests/direct.rs
@@ -7,9 +7,10 @@
 use eelgrassdyke_core::config::{
     Document, MountSpec, RetryPolicy, ServiceSpec, TeamSpec, WeightedService,
 };
-use eelgrassdyke_core::crash::{Content, Fingerprint};
+use eelgrassdyke_core::crash::{Content, FactSync, Fingerprint};
 use eelgrassdyke_core::digest::Sha256;
 use eelgrassdyke_core::id::{Incarnation, PromptPart, Server, Ticket, Version};
+use eelgrassdyke_core::limit::LimitRecord;
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::unit::{MilliRequestRate, Permille, TokenRate};
 use eelgrassdyke_core::wire::directory::{ServerInfo, ServerState};
@@ -1267,3 +1268,62 @@
     assert_eq!(content.to_string(), "request:0123456789abcdef");
     assert!(matches!(content, Content::Request(_)));
 }
+
+/// The messages that tell control all that the entry knows, and ask for the rest.
+fn complete_syncs(out: &[Output]) -> Vec<FactSync> {
+    let syncs = out.iter().filter_map(|output| match output {
+        Output::Send {
+            message: Message::FactSync(sync),
+            ..
+        } => Some(sync.clone()),
+        _ => None,
+    });
+    syncs.filter(|sync| sync.is_complete).collect()
+}
+
+/// Lets the entry act for a time; returns all outputs, messages included.
+fn run_for(harness: &mut Harness, span: Duration) -> Vec<Output> {
+    let end = harness.now + span;
+    let mut out = Vec::new();
+    while harness.now < end {
+        harness.now = (harness.now + Duration::from_millis(50)).min(end);
+        harness.direct.handle(harness.now, Input::Tick, &mut out);
+    }
+    out
+}
+
+#[test]
+fn entry_asks_again_each_second_until_control_has_answered_its_question() {
+    let mut harness = Harness::new(2, Options::default());
+    let from = sender("control-1");
+    // A record that another entry reports is no answer.
+    let relayed = FactSync {
+        limits: vec![LimitRecord {
+            server: server(1),
+            incarnation: Incarnation(1),
+            limit: Some(MilliRequestRate(5000)),
+            age_ms: 0,
+        }],
+        ..FactSync::default()
+    };
+    let message = Message::FactSync(relayed);
+    harness.feed(Input::Message {
+        from: from.clone(),
+        message,
+    });
+    let out = run_for(&mut harness, Duration::from_secs(4));
+    assert!(
+        complete_syncs(&out).len() >= 3,
+        "{:?}",
+        complete_syncs(&out)
+    );
+    let answer = FactSync {
+        is_response: true,
+        ..FactSync::default()
+    };
+    let message = Message::FactSync(answer);
+    harness.feed(Input::Message { from, message });
+    run_for(&mut harness, Duration::from_secs(1));
+    let out = run_for(&mut harness, Duration::from_secs(10));
+    assert_eq!(complete_syncs(&out).len(), 2);
+}
