entry: a control process that has restarted learns the limits that entries know

Cause: entries sent limits only when they changed; a control process without them could not tell an entry that restarts later. Change: the comparison that an entry sends each 5 s carries a page of its limits.

Measured: entry_tells_a_restarted_control_process_the_limits_that_it_knows failed before (no limits in it), passes.

--- a/crates/entry/src/direct/quarantine.rs
+++ b/crates/entry/src/direct/quarantine.rs
@@ -213,8 +213,9 @@
         }
     }
 
-    /// Sends what changed to every control process, and from time to time all crash records and a digest
-    /// of the limits to one of them, which responds with what this entry lacks.
+    /// Sends what changed to every control process, and from time to time all crash records, a page of the
+    /// limits and their digest to one of them, which learns what it lacks if it has restarted, and responds
+    /// with what this entry lacks.
     pub(super) fn send_facts(&mut self, now: Instant, out: &mut Vec<Output>) {
         let changed = FactSync {
             records: self.crashes.take_changed(now),
@@ -235,6 +236,7 @@
             limits.expire(now);
             let sync = FactSync {
                 records,
+                limits: limits.next_page(now),
                 limits_digest: limits.digest(),
                 is_complete: true,
                 ..FactSync::default()
--- a/crates/entry/tests/direct.rs
+++ b/crates/entry/tests/direct.rs
@@ -10,7 +10,7 @@
 use eelgrassdyke_core::crash::{Content, FactSync, Fingerprint};
 use eelgrassdyke_core::digest::Sha256;
 use eelgrassdyke_core::id::{Incarnation, PromptPart, Server, Ticket, Version};
-use eelgrassdyke_core::limit::LimitRecord;
+use eelgrassdyke_core::limit::{LimitLedger, LimitRecord};
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::unit::{MilliRequestRate, Permille, TokenRate};
 use eelgrassdyke_core::wire::directory::{ServerInfo, ServerState};
@@ -1327,3 +1327,20 @@
     let out = run_for(&mut harness, Duration::from_secs(10));
     assert_eq!(complete_syncs(&out).len(), 2);
 }
+
+#[test]
+fn entry_tells_a_restarted_control_process_the_limits_that_it_knows() {
+    let mut harness = Harness::new(2, Options::default());
+    let attempt = sent_attempt(&harness.submit_call(1, "idempotent")).unwrap();
+    signal(&mut harness, &attempt, limit(2000));
+    let out = run_for(&mut harness, Duration::from_secs(6));
+    let syncs = complete_syncs(&out);
+    let last = syncs.last().unwrap();
+    assert_eq!(last.limits.len(), 1);
+    let mut ledger = LimitLedger::default();
+    assert!(ledger.merge(harness.now, &last.limits[0]));
+    assert_eq!(
+        ledger.limit(&attempt.server, attempt.incarnation),
+        Some(MilliRequestRate(2000))
+    );
+}
