control: voters that have all restarted elect a leader at once

Ruled out: a shorter election timeout (deposes a leader on a busy host), a persisted lease (a write for each heartbeat). Change: a restarted voter asks all others; if every one answers that it knows of no leader, the election starts. Connections between processes are given up after 0.4 s. Behind the setting elects_after_restart (off by default).

--- a/crates/control/src/log/election.rs
+++ b/crates/control/src/log/election.rs
@@ -1,17 +1,27 @@
 //! Elections: pre-votes, votes and the start of leadership.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::id::Term;
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::log::{Body, Message, Payload, Record};
+use rand::RngExt as _;
 
 use super::io::Output;
 use super::leader::Leader;
 use super::replica::{Replica, Role};
 
 impl Replica {
+    /// Draws a new election deadline.
+    pub(super) fn reset_election_timeout(&mut self, now: Instant) {
+        let shortest = self.options.election_timeout_min.as_micros() as u64;
+        let longest = (self.options.election_timeout_max.as_micros() as u64).max(shortest + 1);
+        let timeout_us = self.rng.random_range(shortest..longest);
+        self.election_deadline = now + Duration::from_micros(timeout_us);
+    }
+
     /// Requests pre-votes, which change no term and so don't disturb a leader that is alive.
     pub(super) fn start_pre_vote(&mut self, now: Instant, out: &mut Vec<Output>) {
         self.reset_election_timeout(now);
@@ -20,26 +30,37 @@
             pre_vote: true,
             votes: BTreeSet::from([self.id]),
         };
-        self.request_votes(true, out);
+        self.request_votes(true, false, out);
         self.count_votes(now, out);
     }
 
-    /// Starts a new term and requests votes in it.
-    fn start_election(&mut self, now: Instant, out: &mut Vec<Output>) {
+    /// Starts a new term and requests votes in it; see [`super::restart`] for `after_restart`.
+    pub(super) fn start_election(
+        &mut self,
+        now: Instant,
+        after_restart: bool,
+        out: &mut Vec<Output>,
+    ) {
         self.enter_term(self.hard_state.term.next(), Some(self.id));
         self.reset_election_timeout(now);
         self.role = Role::Candidate {
             pre_vote: false,
             votes: BTreeSet::new(),
         };
-        self.request_votes(false, out);
+        self.request_votes(false, after_restart, out);
     }
 
-    fn request_votes(&mut self, pre_vote: bool, out: &mut Vec<Output>) {
+    pub(super) fn request_votes(
+        &mut self,
+        pre_vote: bool,
+        after_restart: bool,
+        out: &mut Vec<Output>,
+    ) {
         let body = Body::RequestVote {
             pre_vote,
             last_index: self.log.last_index(),
             last_term: self.log.last_term(),
+            after_restart,
         };
         let voters: Vec<_> = self.log.members().voters.keys().copied().collect();
         for voter in voters {
@@ -78,7 +99,7 @@
             return;
         }
         match pre_vote {
-            true => self.start_election(now, out),
+            true => self.start_election(now, false, out),
             false => self.become_leader(now, out),
         }
     }
@@ -89,6 +110,7 @@
         let term = self.hard_state.term;
         let index = self.log.last_index().next();
         let leader = Leader::new(now, self.id, self.log.members(), index);
+        self.restart.end();
         self.role = Role::Leader(Box::new(leader));
         self.leader = Some(self.id);
         self.append(vec![Record {
@@ -111,12 +133,13 @@
             pre_vote,
             last_index,
             last_term,
+            after_restart,
         } = message.body
         else {
             return;
         };
         // Refusing votes while a leader is alive keeps its lease valid.
-        if self.has_recent_leader(now) {
+        if self.has_recent_leader(now) && !(after_restart && self.may_help_restart(now)) {
             return;
         }
         let local_last = (self.log.last_term(), self.log.last_index());
@@ -127,12 +150,12 @@
                 true => message.term,
                 false => self.hard_state.term,
             };
-            self.send_in_term(
-                term,
-                message.from,
-                Body::VoteResponse { pre_vote, granted },
-                out,
-            );
+            let body = Body::VoteResponse {
+                pre_vote,
+                granted,
+                after_restart,
+            };
+            self.send_in_term(term, message.from, body, out);
             return;
         }
         if message.term > self.hard_state.term {
@@ -144,8 +167,14 @@
             self.hard_state.vote = Some(message.from);
             self.persist_hard_state();
             self.reset_election_timeout(now);
+            self.restart.record_vote(now);
         }
-        self.send_durable(message.from, Body::VoteResponse { pre_vote, granted }, out);
+        let body = Body::VoteResponse {
+            pre_vote,
+            granted,
+            after_restart,
+        };
+        self.send_durable(message.from, body, out);
     }
 
     /// Whether this replica received a message from a leader within the shortest election timeout; a
@@ -166,7 +195,12 @@
         message: &Message,
         out: &mut Vec<Output>,
     ) {
-        let Body::VoteResponse { pre_vote, granted } = message.body else {
+        let Body::VoteResponse {
+            pre_vote,
+            granted,
+            after_restart,
+        } = message.body
+        else {
             return;
         };
         let requested_term = match pre_vote {
@@ -180,6 +214,10 @@
         if message.term != requested_term {
             return;
         }
+        if pre_vote && after_restart {
+            self.count_restart_grant(now, (message.from, message.term), out);
+            return;
+        }
         let Role::Candidate {
             pre_vote: in_pre_vote,
             votes,
--- a/crates/control/src/log/io.rs
+++ b/crates/control/src/log/io.rs
@@ -282,6 +282,9 @@
     pub snapshot_part_bytes: usize,
     /// Whether the leader adds, promotes and replaces members automatically.
     pub manages_members: bool,
+    /// Whether voters that all restart at once elect a leader without waiting for an earlier leader's
+    /// lease to end.
+    pub elects_after_restart: bool,
     /// Seed of the random election timeouts.
     pub timeout_seed: u64,
 }
@@ -304,6 +307,7 @@
             retained_records: 1000,
             snapshot_part_bytes: 256 << 10,
             manages_members: false,
+            elects_after_restart: false,
             timeout_seed: 0,
         }
     }
--- a/crates/control/src/log/mod.rs
+++ b/crates/control/src/log/mod.rs
@@ -19,6 +19,7 @@
 mod members;
 mod replica;
 mod replication;
+mod restart;
 
 pub use io::{
     HardState, Input, Job, MembershipChange, Options, Output, RecoveredState, Refusal,
--- a/crates/control/src/log/replica.rs
+++ b/crates/control/src/log/replica.rs
@@ -2,13 +2,12 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::id::{Index, Replica as Id, Term};
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::log::{Body, Members, Message};
-use rand::{RngExt as _, SeedableRng as _};
+use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 
 use super::durable::DurabilityMark;
@@ -19,6 +18,7 @@
 };
 use super::leader::Leader;
 use super::replication::IncomingSnapshot;
+use super::restart::RestartElection;
 
 /// One replica of the log.
 #[derive(Clone, Debug)]
@@ -41,6 +41,7 @@
     /// When the last message from a leader arrived, or this replica started.
     pub(super) last_leader_contact: Instant,
     pub(super) election_deadline: Instant,
+    pub(super) restart: RestartElection,
     pub(super) formation: Formation,
     pub(super) incoming_snapshot: Option<IncomingSnapshot>,
     /// Term and token of each uncommitted proposal made at this replica.
@@ -66,7 +67,7 @@
     /// Messages held back until the given job is durable.
     pub(super) held_messages: VecDeque<(u64, Id, Body)>,
     stop_reason: Option<String>,
-    rng: ChaCha8Rng,
+    pub(super) rng: ChaCha8Rng,
 }
 
 /// Role of a replica.
@@ -127,6 +128,7 @@
             leader: None,
             last_leader_contact: now,
             election_deadline: now,
+            restart: RestartElection::new(now),
             formation: Formation::default(),
             incoming_snapshot: None,
             proposal_tokens: BTreeMap::new(),
@@ -185,7 +187,10 @@
         match &self.role {
             Role::Unattached => self.formation.next_hello,
             Role::Leader(leader) => leader.next_round_at,
-            _ if self.is_voter() => self.election_deadline.min(self.next_hello_without_leader()),
+            _ if self.is_voter() => self
+                .election_deadline
+                .min(self.next_hello_without_leader())
+                .min(self.next_restart_request()),
             _ if self.had_quorum => self.last_leader_contact + self.options.election_timeout_max,
             _ => self.next_hello_without_leader(),
         }
@@ -376,6 +381,7 @@
                 if self.is_voter() && now >= self.election_deadline {
                     self.start_pre_vote(now, out);
                 }
+                self.request_restart_votes(now, out);
             }
         }
         let has_quorum = self.has_quorum(now);
@@ -449,14 +455,6 @@
         self.incoming_snapshot = None;
     }
 
-    /// Draws a new election deadline.
-    pub(super) fn reset_election_timeout(&mut self, now: Instant) {
-        let shortest = self.options.election_timeout_min.as_micros() as u64;
-        let longest = (self.options.election_timeout_max.as_micros() as u64).max(shortest + 1);
-        let timeout_us = self.rng.random_range(shortest..longest);
-        self.election_deadline = now + Duration::from_micros(timeout_us);
-    }
-
     /// Whether this replica is a voter by the latest membership record.
     pub(super) fn is_voter(&self) -> bool {
         self.hard_state.cluster != 0 && self.log.members().voters.contains_key(&self.id)
--- a/crates/control/src/log/replication.rs
+++ b/crates/control/src/log/replication.rs
@@ -153,6 +153,7 @@
         }
         self.become_follower(now, message.term, Some(message.from), out);
         self.last_leader_contact = now;
+        self.restart.end();
         self.reset_election_timeout(now);
         match message.body {
             Body::Append {
--- a/crates/control/tests/log_net/mod.rs
+++ b/crates/control/tests/log_net/mod.rs
@@ -147,7 +147,11 @@
             hosts,
             faults: NO_FAULTS,
             rng,
-            options: low_limits(),
+            // Histories are played with and without elections right after a restart.
+            options: Options {
+                elects_after_restart: seed.is_multiple_of(2),
+                ..low_limits()
+            },
             reference_log: Vec::new(),
             outcomes: BTreeMap::new(),
             change_outcomes: BTreeMap::new(),
--- a/crates/control/tests/log_steps.rs
+++ b/crates/control/tests/log_steps.rs
@@ -113,6 +113,7 @@
         pre_vote,
         last_index: Index(last_index),
         last_term: Term(last_term),
+        after_restart: false,
     }
 }
 
@@ -120,6 +121,7 @@
     Body::VoteResponse {
         pre_vote,
         granted: true,
+        after_restart: false,
     }
 }
 
--- a/crates/core/src/settings/mod.rs
+++ b/crates/core/src/settings/mod.rs
@@ -121,6 +121,9 @@
         /// Whether the leader adds, promotes and replaces members automatically.
         #[serde(rename = "keeps_members")]
         pub manages_members: bool,
+        /// Whether control processes that all restart at once elect a leader without waiting for an
+        /// earlier leader's lease to end.
+        pub elects_after_restart: bool,
         /// Heartbeat interval of servers, in milliseconds; the lease of a server lasts four of them.
         pub heartbeat_ms: u64,
     }
--- a/crates/core/src/settings/read.rs
+++ b/crates/core/src/settings/read.rs
@@ -286,6 +286,8 @@
     let remedy = "give \"join\", {\"found\": [\"IP:PORT\", ...]} or {\"seeds\": [...]}";
     let start: Option<ClusterStart> = section.required("start", remedy);
     let manages_members = section.value_or("keeps_members", false, "give true or false");
+    let elects_after_restart =
+        section.value_or("elects_after_restart", false, "give true or false");
     let heartbeat_ms = section.value_or("heartbeat_ms", DEFAULT_HEARTBEAT_MS, MILLISECONDS_REMEDY);
     section.report_unknown_fields();
     check_positive(section, "heartbeat_ms", heartbeat_ms);
@@ -306,6 +308,7 @@
         data: data?,
         start: start?,
         manages_members: manages_members?,
+        elects_after_restart: elects_after_restart?,
         heartbeat_ms: heartbeat_ms?,
     })
 }
--- a/crates/core/src/wire/log.rs
+++ b/crates/core/src/wire/log.rs
@@ -79,6 +79,10 @@
             last_index: Index,
             /// Term of the candidate's last record.
             last_term: Term,
+            /// Whether the candidate has just restarted and, if this is no pre-vote, every voter has
+            /// answered that it knows of no leader.
+            #[serde(default, skip_serializing_if = "is_false")]
+            after_restart: bool,
         },
         /// Response to [`Body::RequestVote`].
         #[serde(rename = "Voted")]
@@ -88,6 +92,9 @@
             pre_vote: bool,
             /// Whether the vote is granted.
             granted: bool,
+            /// Whether it responds to a request with that mark.
+            #[serde(default, skip_serializing_if = "is_false")]
+            after_restart: bool,
         },
         /// Replicates records; without records it is a heartbeat.
         Append {
@@ -197,3 +204,7 @@
         Ok(())
     }
 }
+
+fn is_false(value: &bool) -> bool {
+    !value
+}
--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -103,12 +103,17 @@
 }
 
 impl Connection {
-    /// Opens a connection to `address`.
+    /// Opens a connection to `address` within [`CONNECT_TIMEOUT`].
     pub async fn open(address: SocketAddr) -> Result<Self> {
+        Self::open_within(address, CONNECT_TIMEOUT).await
+    }
+
+    /// Opens a connection to `address` within `timeout`.
+    pub async fn open_within(address: SocketAddr, timeout: Duration) -> Result<Self> {
         let connecting = TcpStream::connect(address);
-        let stream = match monoio::time::timeout(CONNECT_TIMEOUT, connecting).await {
+        let stream = match monoio::time::timeout(timeout, connecting).await {
             Ok(stream) => stream?,
-            Err(_) => return Err(Error::Timeout(CONNECT_TIMEOUT)),
+            Err(_) => return Err(Error::Timeout(timeout)),
         };
         stream.set_nodelay(true)?;
         let host = HeaderValue::from_str(&address.to_string()).map_err(Error::protocol)?;
--- a/crates/node/src/http/pool.rs
+++ b/crates/node/src/http/pool.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use http::StatusCode;
 
-use super::client::{Connection, Request};
+use super::client::{CONNECT_TIMEOUT, Connection, Request};
 use super::{Error, Result};
 
 /// Maximum time for which an idle connection is kept.
@@ -26,17 +26,31 @@
 const IDLE_CONNECTIONS_MAX: usize = 64;
 
 /// Idle connections, by peer address.
-#[derive(Default)]
 pub struct Pool {
     idle: RefCell<HashMap<SocketAddr, Vec<(Instant, Connection)>>>,
+    connect_timeout: Duration,
+}
+
+impl Default for Pool {
+    fn default() -> Self {
+        Self::with_connect_timeout(CONNECT_TIMEOUT)
+    }
 }
 
 impl Pool {
+    /// An empty pool that opens connections within `connect_timeout`.
+    pub fn with_connect_timeout(connect_timeout: Duration) -> Self {
+        Self {
+            idle: RefCell::default(),
+            connect_timeout,
+        }
+    }
+
     /// Takes an idle connection to `address` from the pool, or opens a new one.
     pub async fn acquire(&self, address: SocketAddr) -> Result<Connection> {
         match self.acquire_idle(address) {
             Some(connection) => Ok(connection),
-            None => Connection::open(address).await,
+            None => Connection::open_within(address, self.connect_timeout).await,
         }
     }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -41,6 +41,10 @@
 /// are configurations from the platform's operators.
 const PUBLICATION_BYTES_MAX: usize = 8 << 20;
 
+/// Time for opening a connection to another process. A connection request to a host without power gets
+/// no answer; a short timeout lets the next one reach the host soon after its start.
+const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Interval of the checks whether a shutdown is complete.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -606,7 +610,7 @@
 
 fn build_context(settings: &Settings, me: Sender, secret: &PeerSecret) -> Context {
     let clock = Clock::default();
-    let pool = Rc::new(Pool::default());
+    let pool = Rc::new(Pool::with_connect_timeout(PEER_CONNECT_TIMEOUT));
     let timeline = Rc::new(Timeline::new(
         me.process.clone(),
         me.incarnation,
--- a/crates/node/src/role/control.rs
+++ b/crates/node/src/role/control.rs
@@ -211,6 +211,7 @@
         founders,
         seed_addresses: control.to_vec(),
         manages_members: settings.manages_members,
+        elects_after_restart: settings.elects_after_restart,
         timeout_seed: seed,
         ..Default::default()
     }
