control: orders to evacuate a data centre, in the configuration document

Cause: the platform's operators order that a data centre gets no more requests; control had no such state, and the calls get 404.

The document gets the section `data_centres`, not written while empty, so that digests and messages of existing documents are unchanged. An order is a patch whose base is the version that the leader has applied. A copy that is committed after another order for the same data centre conflicts, and the operator is told that the outcome is unknown.

Publications and whole documents leave the section alone: a configuration that was written before an order must not end an evacuation. A whole document that names other evacuated data centres is refused as invalid.

Replicas of earlier builds can't decode such a change and skip it, so all control processes must run this build before the first order.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -4,9 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use eelgrassdyke_core::config::Submission;
 use eelgrassdyke_core::event::{Code, Event};
-use eelgrassdyke_core::id::{Process, Server, Ticket, Version};
+use eelgrassdyke_core::id::{Process, Server, Version};
 use eelgrassdyke_core::time::{Instant, WallTime};
 use eelgrassdyke_core::wire::claim::ClaimRequest;
 use eelgrassdyke_core::wire::fence;
@@ -18,6 +17,7 @@
 use crate::confirm::Confirmations;
 use crate::crashes::FactRelay;
 use crate::directory::Directory;
+use crate::evacuation;
 use crate::fence::OrderSender;
 use crate::followers::{Follower, Followers};
 use crate::groups::Groups;
@@ -51,7 +51,7 @@
 /// The state machine of the control role.
 pub struct Control {
     options: Options,
-    local: Sender,
+    pub(crate) local: Sender,
     pub(crate) replica: Replica,
     proposals: Proposals,
     pub(crate) confirmations: Confirmations,
@@ -135,6 +135,7 @@
                 ticket,
                 publication,
             } => self.publish(now, ticket, publication, out),
+            Input::Evacuate { ticket, order } => self.evacuate(now, ticket, order, out),
             Input::ReadPublication { ticket } => self.read_publication(now, ticket, out),
             Input::Announce { ticket, notice } => self.announce(now, ticket, notice, out),
             Input::Order {
@@ -366,19 +367,6 @@
         }
     }
 
-    /// Proposes an operator's change of the configuration.
-    fn submit(
-        &mut self,
-        now: Instant,
-        ticket: Ticket,
-        submission: Submission,
-        out: &mut Vec<Output>,
-    ) {
-        let operation = submission.operation.clone();
-        let waiter = Waiter::Submission { ticket, operation };
-        self.propose(now, Action::Submit(submission), waiter, out);
-    }
-
     /// Proposes an entry's claim request.
     fn handle_claim_request(
         &mut self,
@@ -484,6 +472,10 @@
         match wire::decode::<Command>(command) {
             Ok(command) => {
                 let result = self.state.apply(&command);
+                if self.replica.is_leader() {
+                    let events = evacuation::events(&command.action, &result);
+                    out.extend(events.into_iter().map(Output::Event));
+                }
                 if let Some(token) = token {
                     self.proposals.complete(token, result, self.version(), out);
                 }
@@ -638,6 +630,7 @@
             version: self.version(),
             followers,
             orders: self.state.orders.recent(STATUS_ORDERS_MAX),
+            evacuated: self.evacuated_data_centres(),
             servers: self.directory.servers(),
         }
     }
--- a/crates/control/src/io.rs
+++ b/crates/control/src/io.rs
@@ -7,7 +7,9 @@
 use eelgrassdyke_core::crash::{Content, Crash};
 use eelgrassdyke_core::data;
 use eelgrassdyke_core::event::Event;
-use eelgrassdyke_core::id::{Operation, Process, Server, Service, Term, Ticket, Version};
+use eelgrassdyke_core::id::{
+    DataCentre, Operation, Process, Server, Service, Term, Ticket, Version,
+};
 use eelgrassdyke_core::time::WallTime;
 use eelgrassdyke_core::wire::directory::{Heartbeat, ServerInfo, ServerLoad};
 use eelgrassdyke_core::wire::log::Members;
@@ -41,6 +43,13 @@
         /// The configuration.
         publication: Publication,
     },
+    /// An operator orders to evacuate a data centre, or to end its evacuation, without a version.
+    Evacuate {
+        /// Identifies the operator's request.
+        ticket: Ticket,
+        /// The order.
+        order: EvacuationOrder,
+    },
     /// An operator reads the last publication; the response follows once a quorum has confirmed it.
     ReadPublication {
         /// Identifies the operator's request.
@@ -118,6 +127,17 @@
     Left(Server),
 }
 
+/// An operator's order about the evacuation of a data centre.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EvacuationOrder {
+    /// The data centre.
+    pub data_centre: DataCentre,
+    /// Whether to evacuate it, or to end its evacuation.
+    pub evacuated: bool,
+    /// Author of the order, for the audit trail.
+    pub author: String,
+}
+
 /// An operator's query.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Query {
@@ -253,6 +273,9 @@
         /// Open orders and those that ended last.
         #[serde(default)]
         pub orders: Vec<order::OrderStatus>,
+        /// Data centres whose servers get no requests.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub evacuated: Vec<DataCentre>,
         /// Servers in its directory, with their loads.
         pub servers: Vec<(ServerInfo, ServerLoad)>,
     }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod confirm;
 mod control;
+mod evacuation;
 mod io;
 mod proposals;
 mod publish;
@@ -29,6 +30,6 @@
 
 pub use control::Control;
 pub use io::{
-    FollowerStatus, Input, OperatorResponse, Options, Output, QuarantineStatus, Query,
-    ServerNotice, Status, StoredPublication,
+    EvacuationOrder, FollowerStatus, Input, OperatorResponse, Options, Output, QuarantineStatus,
+    Query, ServerNotice, Status, StoredPublication,
 };
--- a/crates/control/src/proposals.rs
+++ b/crates/control/src/proposals.rs
@@ -10,6 +10,7 @@
 use eelgrassdyke_core::wire::claim::{self, ClaimResult, TeamKey};
 use eelgrassdyke_core::wire::log::Members;
 
+use crate::evacuation;
 use crate::io::{OperatorResponse, Output};
 use crate::log::Refusal;
 use crate::state::CommandResult;
@@ -24,6 +25,13 @@
         /// The operation.
         operation: Operation,
     },
+    /// An operator's order to evacuate a data centre, or to end its evacuation.
+    Evacuation {
+        /// Identifies the operator's request.
+        ticket: Ticket,
+        /// The operation.
+        operation: Operation,
+    },
     /// An operator's change of the log members.
     MemberChange {
         /// Identifies the operator's request.
@@ -72,14 +80,13 @@
     ) {
         match (self.waiters.remove(&token), result) {
             (Some(Waiter::Submission { ticket, operation }), CommandResult::Verdict(verdict)) => {
-                let code = match &verdict {
-                    Verdict::Accepted { .. } => Code::ConfigAccepted,
-                    _ => Code::ConfigRefused,
-                };
-                let event = Event::new(code, format!("version {version}"));
-                out.push(Output::Event(event.operation(&operation)));
+                out.push(verdict_event(&operation, &verdict, version));
                 out.push(respond(ticket, OperatorResponse::Verdict(verdict)));
             }
+            (Some(Waiter::Evacuation { ticket, operation }), CommandResult::Verdict(verdict)) => {
+                out.push(verdict_event(&operation, &verdict, version));
+                out.push(respond(ticket, evacuation::response(verdict)));
+            }
             (Some(Waiter::Order { ticket }), CommandResult::Order(response)) => {
                 out.push(respond(ticket, OperatorResponse::Order(response)));
             }
@@ -119,6 +126,7 @@
         };
         match waiter {
             Waiter::Submission { ticket, .. }
+            | Waiter::Evacuation { ticket, .. }
             | Waiter::MemberChange { ticket }
             | Waiter::Order { ticket } => {
                 out.push(respond(ticket, response));
@@ -138,6 +146,7 @@
         match self.waiters.remove(&token) {
             Some(
                 Waiter::Submission { ticket, .. }
+                | Waiter::Evacuation { ticket, .. }
                 | Waiter::MemberChange { ticket }
                 | Waiter::Order { ticket },
             ) => {
@@ -151,6 +160,15 @@
     }
 }
 
+fn verdict_event(operation: &Operation, verdict: &Verdict, version: Version) -> Output {
+    let code = match verdict {
+        Verdict::Accepted { .. } => Code::ConfigAccepted,
+        _ => Code::ConfigRefused,
+    };
+    let event = Event::new(code, format!("version {version}"));
+    Output::Event(event.operation(operation))
+}
+
 fn respond(ticket: Ticket, response: OperatorResponse) -> Output {
     Output::Respond { ticket, response }
 }
--- a/crates/control/src/publish.rs
+++ b/crates/control/src/publish.rs
@@ -1,7 +1,7 @@
-//! Publications: whole configurations under a number chosen by the operator, and reads of the last
-//! one. Also handles the notices of servers without an agent.
+//! Submissions; publications, which are whole configurations under a number chosen by the operator, and
+//! reads of the last one. Also handles the notices of servers without an agent.
 
-use eelgrassdyke_core::config::Publication;
+use eelgrassdyke_core::config::{Publication, Submission};
 use eelgrassdyke_core::id::Ticket;
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::Message;
@@ -14,6 +14,19 @@
 use crate::state::Action;
 
 impl Control {
+    /// Proposes an operator's change of the configuration.
+    pub(crate) fn submit(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        submission: Submission,
+        out: &mut Vec<Output>,
+    ) {
+        let operation = submission.operation.clone();
+        let waiter = Waiter::Submission { ticket, operation };
+        self.propose(now, Action::Submit(submission), waiter, out);
+    }
+
     /// Proposes a publication.
     pub(crate) fn publish(
         &mut self,
--- a/crates/control/src/state/config.rs
+++ b/crates/control/src/state/config.rs
@@ -16,7 +16,7 @@
 use eelgrassdyke_core::id::{Operation, Version};
 use eelgrassdyke_core::wire::follow;
 
-use super::validate::validate;
+use super::validate::{evacuation_fault, validate};
 
 /// Most deltas stored to update followers without a snapshot.
 const DELTAS_MAX: usize = 1024;
@@ -192,6 +192,13 @@
     }
 
     fn decide(&mut self, submission: &Submission) -> Verdict {
+        if let Change::Replace(document) = &submission.change
+            && let Some(fault) = evacuation_fault(self.document.document(), document)
+        {
+            return Verdict::Invalid {
+                faults: vec![fault],
+            };
+        }
         let patch = match &submission.change {
             Change::Replace(document) => diff(self.document.document(), document),
             Change::Patch(patch) => patch.clone(),
@@ -329,6 +336,8 @@
     names.extend(patch.services.keys().map(|name| format!("services/{name}")));
     names.extend(patch.groups.keys().map(|name| format!("groups/{name}")));
     names.extend(patch.mounts.keys().map(|name| format!("mounts/{name}")));
+    let data_centres = patch.data_centres.keys();
+    names.extend(data_centres.map(|name| format!("data_centres/{name}")));
     names
 }
 
@@ -339,6 +348,7 @@
         services: only_removed(&patch.services),
         groups: only_removed(&patch.groups),
         mounts: only_removed(&patch.mounts),
+        data_centres: only_removed(&patch.data_centres),
     };
     object_names(&removed)
 }
@@ -348,13 +358,17 @@
     removed.map(|(name, _)| (name.clone(), None)).collect()
 }
 
-/// The patch that turns `old` into `new`.
+/// The patch that turns `old` into `new`, except for the orders to evacuate data centres.
+///
+/// These are given and withdrawn one by one. A configuration that was written before an order, or by
+/// someone who doesn't know of it, must not end an evacuation.
 fn diff(old: &Document, new: &Document) -> Patch {
     Patch {
         teams: changes(&old.teams, &new.teams),
         services: changes(&old.services, &new.services),
         groups: changes(&old.groups, &new.groups),
         mounts: changes(&old.mounts, &new.mounts),
+        data_centres: BTreeMap::new(),
     }
 }
 
--- a/crates/control/src/state/validate.rs
+++ b/crates/control/src/state/validate.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeMap;
 
 use eelgrassdyke_core::config::{
-    Document, DocumentFault, GroupSpec, MountSpec, ServiceKind, ServiceSpec, TeamSpec,
+    DataCentreSpec, Document, DocumentFault, GroupSpec, MountSpec, ServiceKind, ServiceSpec,
+    TeamSpec,
 };
 use eelgrassdyke_core::digest::Sha256;
-use eelgrassdyke_core::id::{Group, Mount, Rank, Server, Service, Team};
+use eelgrassdyke_core::id::{DataCentre, Group, Mount, Rank, Server, Service, Team};
 use eelgrassdyke_core::unit::{Bytes, Permille};
 
 /// Longest timeout that a service or mount may have.
@@ -43,9 +44,23 @@
     for (name, mount) in &document.mounts {
         validator.mount(name, mount);
     }
+    for (name, data_centre) in &document.data_centres {
+        validator.data_centre(name, *data_centre);
+    }
     validator.finish()
 }
 
+/// The fault of a document that is to replace `current` and names other evacuated data centres; one
+/// that names none leaves those of `current` as they are.
+pub fn evacuation_fault(current: &Document, replacement: &Document) -> Option<DocumentFault> {
+    let wanted = &replacement.data_centres;
+    (!wanted.is_empty() && *wanted != current.data_centres).then(|| DocumentFault {
+        path: "data_centres".to_owned(),
+        problem: "a whole document can't change which data centres are evacuated".to_owned(),
+        remedy: "leave the section out, and use `eelgrassctl evacuate` or `restore`".to_owned(),
+    })
+}
+
 /// A validation in progress.
 struct Validator<'a> {
     document: &'a Document,
@@ -261,6 +276,16 @@
         }
     }
 
+    fn data_centre(&mut self, name: &DataCentre, data_centre: DataCentreSpec) {
+        if !data_centre.evacuated {
+            self.add(
+                format!("data_centres.{name}.evacuated"),
+                "a data centre that is not evacuated has no entry".to_owned(),
+                "remove the entry",
+            );
+        }
+    }
+
     fn add(&mut self, path: String, problem: String, remedy: &str) {
         if self.faults.len() >= FAULTS_MAX {
             self.unlisted += 1;
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -79,6 +79,9 @@
     221 ConfigRefused "A configuration change was refused; nothing was applied.";
     222 ConfigApplied "A process applied a configuration version.";
     223 ConfigStale "A process received no update from control within the freshness lease.";
+    224 EvacuationOrdered "An operator's order to evacuate a data centre, or to end its evacuation, was accepted.";
+    225 EvacuationBegun "An entry sends nothing more to the servers of an evacuated data centre.";
+    226 EvacuationEnded "An entry routes to the servers of a data centre again, with a slow start.";
     240 ServerUp "A server became available.";
     241 ServerDraining "A server accepts no new requests.";
     242 ServerLeft "A server announced that it has left and was removed from the directory.";
