entry: servers in an evacuated data centre get nothing new

The filter through which every choice of the direct path passes leaves them out, so that no request, retry, resumption or probe of a stalled service reaches them, and the expected wait counts only the rest. A service whose servers are all evacuated refuses at once as not run, with a time to come back; queued requests too. A response that has started waits, because it can't be refused.

On the agent path a server in an evacuated data centre is treated like one that is not up; when it returns, the router's slow start applies.

Avoiding slow engines now needs an available server: without one, a stream on a slow engine would have been moved nowhere.

--- a/crates/entry/src/direct/limit.rs
+++ b/crates/entry/src/direct/limit.rs
@@ -1,12 +1,15 @@
 //! Requests to servers that take a limited rate, and the demand that the entry reports for its share.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use eelgrassdyke_core::id::Server;
-use eelgrassdyke_core::limit::{Share, unit_offset};
+use eelgrassdyke_core::id::{Server, Service};
+use eelgrassdyke_core::limit::{ServiceDemand, Share, unit_offset};
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::unit::MilliRequestRate;
 
+use super::pool::ServerPool;
+
 /// Interval of requests to a server whose limit allows fewer, or none: without any, the end of the limit
 /// would not be noticed.
 const TRIAL_INTERVAL: Duration = Duration::from_secs(5);
@@ -117,3 +120,20 @@
         self.per_second * (-elapsed).exp()
     }
 }
+
+/// The demand for the services with limited servers.
+pub fn limited_demands(
+    now: Instant,
+    pool: &ServerPool,
+    demands: &BTreeMap<Service, DemandMeter>,
+) -> Vec<ServiceDemand> {
+    let services = pool.limited_services().into_iter();
+    let demands = services.map(|service| {
+        let meter = demands.get(&service);
+        ServiceDemand {
+            rate: meter.map(|meter| meter.rate(now)).unwrap_or_default(),
+            service,
+        }
+    });
+    demands.collect()
+}
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -10,8 +10,10 @@
 
 mod budget;
 mod crash;
+mod evacuation;
 mod events;
 mod flight;
+mod health;
 mod io;
 mod limit;
 mod line;
--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -10,7 +10,6 @@
 use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::follow::Follower;
 use eelgrassdyke_core::id::{Server, Service, Team, Ticket, Version};
-use eelgrassdyke_core::limit::ServiceDemand;
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::refusal::{Reason, Refusal, RunStatus};
 use eelgrassdyke_core::wire::report::ReportSource;
@@ -21,9 +20,9 @@
 use super::budget::RetryWindow;
 use super::crash::{CrashWatch, Verdict};
 use super::events::QueueEstimate;
-use super::flight::{DirectRequest, Stage, retry_after};
+use super::flight::{DirectRequest, Stage, contents, retry_after};
 use super::io::{AttemptOutcome, AttemptSpec, Call, Input, NotRunReason, Options, Output};
-use super::limit::DemandMeter;
+use super::limit::{DemandMeter, limited_demands};
 use super::line::WaitQueue;
 use super::pool::{HealthSignal, ServerPool};
 use super::table::MountTable;
@@ -298,6 +297,10 @@
             }
             Verdict::Suspected | Verdict::Sound => {}
         }
+        if !request.response_started && self.pool.is_evacuated(&request.service) {
+            self.refuse_evacuated(now, ticket, request, out);
+            return;
+        }
         if let Some(pause_end) = self.pool.all_paused_until(now, &request.service)
             && !request.response_started
         {
@@ -688,28 +691,3 @@
         self.requests.insert(ticket, request);
     }
 }
-
-/// The demand for the services with limited servers.
-fn limited_demands(
-    now: Instant,
-    pool: &ServerPool,
-    demands: &BTreeMap<Service, DemandMeter>,
-) -> Vec<ServiceDemand> {
-    let services = pool.limited_services().into_iter();
-    let demands = services.map(|service| {
-        let meter = demands.get(&service);
-        ServiceDemand {
-            rate: meter.map(|meter| meter.rate(now)).unwrap_or_default(),
-            service,
-        }
-    });
-    demands.collect()
-}
-
-/// The contents of a caller's request that servers may end on.
-fn contents(call: &Call, caller: &str) -> Vec<Content> {
-    let parts = call.prompt_parts.iter().cloned();
-    let mut contents: Vec<Content> = parts.filter_map(Content::from_part).collect();
-    contents.push(Content::Request(call.fingerprint.of_caller(caller)));
-    contents
-}
--- a/crates/entry/src/direct/pool.rs
+++ b/crates/entry/src/direct/pool.rs
@@ -10,15 +10,18 @@
 
 use eelgrassdyke_core::digest::Sha256;
 use eelgrassdyke_core::follow::ServerStatus;
-use eelgrassdyke_core::id::{Incarnation, Server, Service};
+use eelgrassdyke_core::id::{DataCentre, Incarnation, Server, Service};
 use eelgrassdyke_core::limit::{LimitLedger, LimitRecord, Share};
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::directory::ServerState;
 use eelgrassdyke_core::wire::rank::SlowEngine;
 use rand::{Rng, RngExt as _};
 
+use super::evacuation::SlowStart;
+use super::health::ServiceHealth;
 use super::limit::RateLimiter;
 use super::line::Capacity;
+use crate::evacuation::Evacuation;
 
 /// Requests that all entries together may send per slot of a server: callers are spread unevenly
 /// over the entries, and the excess waits briefly at the server.
@@ -33,18 +36,6 @@
 /// Time for which a server that rejected a request as full gets no other.
 const FULL_BACKOFF: Duration = Duration::from_millis(100);
 
-/// Consecutive failures after which a service may count as stalled: with so many, more than one or
-/// two servers are at fault.
-const STALL_FAILURES: u32 = 3;
-
-/// Time without activity of any server after which a service counts as stalled: longer than the
-/// steps of a group with a slow rank, which produce events every 0.3 s.
-const STALL_TIMEOUT: Duration = Duration::from_millis(600);
-
-/// Interval between two requests to a stalled service: each rejected one is charged to the retry
-/// budget.
-const PROBE_INTERVAL: Duration = Duration::from_millis(300);
-
 /// Time for which a group counts as closed after control last reported it; control repeats the
 /// report every second, and may itself fail.
 const GROUP_CLOSED_TTL: Duration = Duration::from_millis(2500);
@@ -84,50 +75,24 @@
 /// The servers of the directory and the health of their services.
 #[derive(Clone, Debug, Default)]
 pub struct ServerPool {
-    servers: BTreeMap<Server, PooledServer>,
+    pub(super) servers: BTreeMap<Server, PooledServer>,
     /// Servers that said that they leave, oldest first; they may be missing in the directory for a while.
     leaving: VecDeque<(Server, Incarnation)>,
     /// Limits of servers; they may be missing in the directory for a while.
     limits: LimitLedger,
+    /// Data centres whose servers get no requests.
+    pub(super) evacuation: Evacuation,
     health_by_service: BTreeMap<Service, ServiceHealth>,
 }
 
-/// Whether any server of a service makes progress.
-#[derive(Clone, Debug, Default)]
-struct ServiceHealth {
-    /// When a server of the service last responded or sent an event.
-    last_activity: Instant,
-    /// Requests rejected or interrupted since then.
-    failures: u32,
-    /// When the next request may be sent to a stalled service.
-    next_probe: Instant,
-}
-
-impl ServiceHealth {
-    fn is_stalled(&self, now: Instant) -> bool {
-        self.failures >= STALL_FAILURES && now.since(self.last_activity) >= STALL_TIMEOUT
-    }
-
-    fn record_failure(&mut self, now: Instant) {
-        self.failures += 1;
-        if self.failures == STALL_FAILURES {
-            self.next_probe = now + PROBE_INTERVAL;
-        }
-    }
-
-    fn record_activity(&mut self, now: Instant) {
-        self.last_activity = now;
-        self.failures = 0;
-    }
-}
-
 /// State of one server.
 #[derive(Clone, Debug)]
-struct PooledServer {
-    service: Service,
+pub(super) struct PooledServer {
+    pub(super) service: Service,
+    pub(super) data_centre: DataCentre,
     address: SocketAddr,
     incarnation: Incarnation,
-    state: ServerState,
+    pub(super) state: ServerState,
     slots: u32,
     /// Requests of this entry at the server.
     running: u32,
@@ -138,7 +103,10 @@
     ejected_until: Instant,
     full_until: Instant,
     /// Whether the server said in a response that it leaves.
-    is_leaving: bool,
+    pub(super) is_leaving: bool,
+    /// Whether the server's data centre is evacuated.
+    pub(super) is_evacuated: bool,
+    pub(super) slow_start: SlowStart,
     /// Until when the server wants no requests.
     paused_until: Instant,
     /// Limits the requests to the server, if it takes a limited rate.
@@ -191,16 +159,20 @@
             self.servers.remove(name);
             return;
         };
+        let is_evacuated = self.evacuation.covers(&info.data_centre);
         let pooled = self.servers.get_mut(name);
         match pooled.filter(|pooled| pooled.incarnation == info.incarnation) {
             Some(pooled) => {
                 pooled.state = info.state;
                 pooled.slots = info.slots;
                 pooled.address = info.address;
+                pooled.data_centre = info.data_centre.clone();
+                pooled.set_evacuated(now, is_evacuated);
             }
             None => {
                 let server = PooledServer {
                     service: info.service.clone(),
+                    data_centre: info.data_centre.clone(),
                     address: info.address,
                     incarnation: info.incarnation,
                     state: info.state,
@@ -211,6 +183,8 @@
                     ejected_until: Instant(0),
                     full_until: Instant(0),
                     is_leaving: self.leaving.contains(&(name.clone(), info.incarnation)),
+                    is_evacuated,
+                    slow_start: SlowStart::default(),
                     paused_until: Instant(0),
                     limiter: None,
                     last_activity: now,
@@ -249,11 +223,13 @@
             .available_servers(now, &server.service)
             .filter(|(_, s)| s.is_slow)
             .count();
-        server.is_slow && slow_count as f64 <= available_count as f64 * SLOW_FRACTION_MAX
+        server.is_slow
+            && available_count > 0
+            && slow_count as f64 <= available_count as f64 * SLOW_FRACTION_MAX
     }
 
-    /// Address of a server that runs requests now: it has not announced that it leaves, its group is not
-    /// closed, and no other incarnation has replaced it.
+    /// Address of a server that runs requests now: it has not announced that it leaves, its data centre is
+    /// not evacuated, its group is not closed, and no other incarnation has replaced it.
     pub fn active_address(
         &self,
         now: Instant,
@@ -264,6 +240,7 @@
         let is_active = server.incarnation == incarnation
             && server.state == ServerState::Up
             && !server.is_leaving
+            && !server.is_evacuated
             && now >= server.group_closed_until;
         is_active.then_some(server.address)
     }
@@ -364,7 +341,10 @@
     /// paused.
     pub fn all_paused_until(&self, now: Instant, service: &Service) -> Option<Instant> {
         let active = self.servers.values().filter(|server| {
-            server.service == *service && server.state == ServerState::Up && !server.is_leaving
+            server.service == *service
+                && server.state == ServerState::Up
+                && !server.is_leaving
+                && !server.is_evacuated
         });
         let pause_end = active.map(|server| server.paused_until).min()?;
         (now < pause_end).then_some(pause_end)
@@ -408,7 +388,7 @@
         rng: &mut impl Rng,
     ) -> Option<ServerChoice> {
         let health = self.health_by_service.get(service);
-        if health.is_some_and(|health| health.is_stalled(now) && now < health.next_probe) {
+        if health.is_some_and(|health| health.blocks_requests(now)) {
             return None;
         }
         let available: Vec<_> = self.available_servers(now, service).collect();
@@ -435,7 +415,7 @@
                         .limiter
                         .as_ref()
                         .map_or(1.0, RateLimiter::load_factor);
-                    (server.utilisation() + jitter) * factor
+                    (server.utilisation() + jitter) * factor * server.slow_start.load_factor(now)
                 }
                 Some(text) => rendezvous_score(text, name),
             };
@@ -469,9 +449,7 @@
             .health_by_service
             .entry(server.service.clone())
             .or_default();
-        if health.is_stalled(now) {
-            health.next_probe = now + PROBE_INTERVAL;
-        }
+        health.record_start(now);
     }
 
     /// Records progress of a request at a server.
@@ -551,7 +529,8 @@
         false
     }
 
-    /// The servers of a service that are up and want requests, and whose group is not closed.
+    /// The servers of a service that are up and want requests, and whose data centre is not evacuated and
+    /// group not closed.
     fn available_servers<'a>(
         &'a self,
         now: Instant,
@@ -560,6 +539,7 @@
         let accepts_work = move |server: &PooledServer| {
             server.state == ServerState::Up
                 && !server.is_leaving
+                && !server.is_evacuated
                 && now >= server.group_closed_until
                 && now >= server.paused_until
         };
--- a/crates/entry/src/direct/updates.rs
+++ b/crates/entry/src/direct/updates.rs
@@ -40,10 +40,12 @@
         let effect = self.follower.apply(now, &from.process, update);
         self.usage
             .set_control_addresses(self.follower.control_addresses());
+        let mut evacuation_changed = false;
         if effect.config_changed {
             self.mounts = MountTable::new(self.follower.document());
             let detail = format!("version {}", self.follower.version());
             out.push(Output::Event(Event::new(Code::ConfigApplied, detail)));
+            evacuation_changed = self.apply_evacuation(now, out);
         }
         if effect.directory_changed {
             self.update_servers(now);
@@ -52,7 +54,10 @@
             self.pool
                 .update_slow_engines(now, self.follower.slow_engines());
         }
-        if effect.directory_changed || effect.slow_engines_changed {
+        if evacuation_changed || effect.directory_changed {
+            self.refuse_all_evacuated(now, out);
+        }
+        if evacuation_changed || effect.directory_changed || effect.slow_engines_changed {
             if effect.slow_engines_changed {
                 self.record_slow_engines(out);
                 self.move_streams_off_slow_engines(now, out);
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -9,10 +9,9 @@
 use eelgrassdyke_core::digest::Sha256;
 use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::follow::Follower;
-use eelgrassdyke_core::id::{RequestId, Server, Service, Team, Ticket, Version};
+use eelgrassdyke_core::id::{RequestId, Service, Team, Ticket, Version};
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::dispatch::ResponseHead;
-use eelgrassdyke_core::wire::follow::DirectoryUpdate;
 use eelgrassdyke_core::wire::refusal::{Reason, Refusal, RunStatus};
 use eelgrassdyke_core::wire::report::{ReportSource, UsageCounts};
 use eelgrassdyke_core::wire::{Message, Sender};
@@ -26,6 +25,7 @@
 use crate::io::{Call, Input, Options, Output};
 use crate::retry::RetryBudget;
 use crate::route::Router;
+use crate::updates::changed_servers;
 
 /// Minimum delay before a caller retries after a transient refusal.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -338,7 +338,7 @@
                 let changed = update.directory.as_ref().map(changed_servers);
                 let effect = self.follower.apply(now, &from.process, update);
                 if effect.config_changed {
-                    self.apply_config(out);
+                    self.apply_config(now, out);
                 }
                 if let (true, Some(changed)) = (effect.directory_changed, changed) {
                     self.apply_directory(now, changed);
@@ -351,27 +351,6 @@
         }
     }
 
-    fn apply_config(&mut self, out: &mut Vec<Output>) {
-        self.token_index = TokenIndex::new(self.follower.document());
-        let detail = format!("version {}", self.follower.version());
-        out.push(Output::Event(Event::new(Code::ConfigApplied, detail)));
-    }
-
-    /// Updates the router with the servers that changed, or with all after a directory snapshot.
-    fn apply_directory(&mut self, now: Instant, changed: Option<Vec<Server>>) {
-        let servers = self.follower.servers();
-        let changed = changed.unwrap_or_else(|| {
-            let mut all = self.router.server_names();
-            all.extend(servers.keys().cloned());
-            all
-        });
-        for server in changed {
-            let status = servers.get(&server);
-            let data_centre = &self.options.data_centre;
-            self.router.update_server(now, &server, status, data_centre);
-        }
-    }
-
     fn run_timers(&mut self, now: Instant, out: &mut Vec<Output>) {
         while let Some((at, number)) = self.timers.first().copied() {
             if at > now {
@@ -554,19 +533,6 @@
     }
 }
 
-/// The servers that a directory update changes; `None` for a snapshot, which replaces all.
-fn changed_servers(directory: &DirectoryUpdate) -> Option<Vec<Server>> {
-    directory.base_revision?;
-    let mut changed: Vec<Server> = directory.removed.clone();
-    for (info, _) in &directory.servers {
-        changed.push(info.server.clone());
-    }
-    for load in &directory.loads {
-        changed.push(load.server.clone());
-    }
-    Some(changed)
-}
-
 /// Digest of the fields that must be equal in two calls with the same idempotency key.
 fn call_digest(call: &Call, class: &RequestClass) -> Sha256 {
     let mut text = format!("{} {} {}\n", class.service, call.method, class.path).into_bytes();
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -12,13 +12,14 @@
 
 use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::follow::ServerStatus;
-use eelgrassdyke_core::id::{DataCentre, Incarnation, Server, Service};
+use eelgrassdyke_core::id::{DataCentre, Incarnation, Server, Service, Version};
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::directory::{ServerLoad, ServerState};
 use rand::RngExt as _;
 use rand_chacha::ChaCha8Rng;
 
 use crate::affinity::PrefixAffinity;
+use crate::evacuation::Evacuation;
 
 /// Cost added to a server in another data centre, as a fraction of its slots.
 const REMOTE_COST: f64 = 0.1;
@@ -112,11 +113,21 @@
     pools: BTreeMap<Service, ServicePool>,
     servers: BTreeMap<Server, TrackedServer>,
     affinity: PrefixAffinity,
+    evacuation: Evacuation,
     events: Vec<Event>,
 }
 
 impl Router {
-    /// Applies the directory entry of a server; removes the server if it has none or is not up.
+    /// Puts a new set of evacuated data centres in force; returns the events of the change. The caller
+    /// then applies the directory entries of all servers again.
+    pub fn set_evacuation(&mut self, evacuation: Evacuation, version: Version) -> Vec<Event> {
+        let changes = evacuation.changes_since(&self.evacuation, version);
+        self.evacuation = evacuation;
+        changes
+    }
+
+    /// Applies the directory entry of a server; removes the server if it has none, is not up or is in
+    /// an evacuated data centre.
     pub fn update_server(
         &mut self,
         now: Instant,
@@ -124,8 +135,11 @@
         status: Option<&ServerStatus>,
         data_centre: &DataCentre,
     ) {
-        let up = status.filter(|status| status.info.state == ServerState::Up);
-        let Some(status) = up else {
+        let available = status.filter(|status| {
+            let info = &status.info;
+            info.state == ServerState::Up && !self.evacuation.covers(&info.data_centre)
+        });
+        let Some(status) = available else {
             self.remove_server(server);
             return;
         };
