platform: decode the orders to evacuate a zone

POST /eelgrassdyke/evacuation/ZONE/start and /finish reach control as Input::Evacuate; a name that can't be parsed is a 400.

The order has no version, and the operator may have withdrawn it while its bytes waited in a frozen host. The HTTP server therefore reads ahead once before it hands a request over, and states whether the peer has closed its sending side; such an order is dropped and logged. The read is the one that the wait for the response begins with, so it costs no further system call.

--- a/crates/node/src/adapter.rs
+++ b/crates/node/src/adapter.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use eelgrassdyke_control::{OperatorResponse, ServerNotice};
 use eelgrassdyke_core::config::Publication;
-use eelgrassdyke_core::id::Service;
+use eelgrassdyke_core::id::{DataCentre, Service};
 use eelgrassdyke_core::wire::rank::{self, EngineReport};
 use eelgrassdyke_core::wire::refusal::Refusal;
 use eelgrassdyke_entry::direct::{AttemptSpec, Call, ServerSignal};
@@ -143,6 +143,14 @@
 pub enum ManagementRequest {
     /// Publishes a configuration.
     Publish(Publication),
+    /// Orders to evacuate a data centre, or to end its evacuation. The order has no version, so one whose
+    /// sender has closed the connection is dropped: it may have been withdrawn since.
+    Evacuate {
+        /// The data centre.
+        data_centre: DataCentre,
+        /// Whether to evacuate it.
+        evacuated: bool,
+    },
     /// Reads the published configuration.
     ReadPublication,
     /// Reports the state of a backend server.
--- a/crates/node/src/gauges.rs
+++ b/crates/node/src/gauges.rs
@@ -33,6 +33,8 @@
         let quarantines =
             control.read(|control| control.crashes().ledger().quarantines(now).count());
         gauge!("eelgrassdyke_quarantined_parts").set(quarantines as f64);
+        let evacuated = control.read(|control| control.evacuated_data_centres().len());
+        gauge!("eelgrassdyke_evacuated_data_centres").set(evacuated as f64);
     }
 }
 
--- a/crates/node/src/http/mod.rs
+++ b/crates/node/src/http/mod.rs
@@ -14,6 +14,7 @@
 pub mod events;
 pub mod guard;
 pub mod pool;
+mod respond;
 pub mod server;
 pub mod write;
 
--- a/crates/node/src/http/server.rs
+++ b/crates/node/src/http/server.rs
@@ -5,14 +5,15 @@
 //! through the responder, from any task of the thread. An invalid request is rejected with a 4xx
 //! status, and the connection is closed.
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
+use futures_channel::mpsc::{UnboundedSender, unbounded};
 use futures_util::future::{Either, select};
 use futures_util::{FutureExt, StreamExt};
 use http::header::{CONNECTION, EXPECT};
@@ -25,12 +26,11 @@
 use monoio_http::h1::codec::decoder::{FillPayload, RequestDecoder};
 
 use super::guard::{LimitedReader, ReadAllowance, check_body_length};
+use super::respond::{Exchange, ResponsePart, requests_close};
 use super::write::Framing;
 use super::{HEAD_BYTES_MAX, has_no_body, write};
 
-/// Maximum size of the unsent part of a stream, in bytes; beyond it, the connection is closed
-/// because the reader is too slow.
-const UNSENT_BYTES_MAX: usize = 4 << 20;
+pub use super::respond::Responder;
 
 /// Maximum number of bytes to read and discard after a rejected request.
 const DRAIN_BYTES_MAX: usize = 256 << 10;
@@ -83,89 +83,6 @@
 /// Handles the requests of a port.
 pub type Handler = Rc<dyn Fn(Request, Responder)>;
 
-/// A part of a response, queued for the connection.
-#[derive(Debug)]
-enum ResponsePart {
-    Complete(StatusCode, HeaderMap, Bytes),
-    Head(StatusCode, HeaderMap),
-    Data(Bytes),
-    End,
-}
-
-/// State shared by a connection and the responder of its current request.
-#[derive(Default)]
-struct Exchange {
-    unsent_bytes: Cell<usize>,
-    is_overflowed: Cell<bool>,
-    disconnected: Cell<bool>,
-    /// Whether the response states that the connection closes after it.
-    closes_connection: Cell<bool>,
-    on_disconnect: RefCell<Option<Box<dyn FnOnce()>>>,
-}
-
-impl Exchange {
-    fn set_disconnected(&self) {
-        if self.disconnected.replace(true) {
-            return;
-        }
-        let hook = self.on_disconnect.borrow_mut().take();
-        if let Some(hook) = hook {
-            hook();
-        }
-    }
-}
-
-/// Sends the response to a request; dropping it before the response is complete closes the
-/// connection.
-pub struct Responder {
-    parts: UnboundedSender<ResponsePart>,
-    exchange: Rc<Exchange>,
-}
-
-impl Responder {
-    /// Calls `hook` once if the peer disconnects before the response is complete.
-    pub fn on_disconnect(&self, hook: impl FnOnce() + 'static) {
-        *self.exchange.on_disconnect.borrow_mut() = Some(Box::new(hook));
-    }
-
-    /// Sends a complete response.
-    pub fn respond(self, status: StatusCode, headers: HeaderMap, body: impl Into<Bytes>) {
-        self.exchange
-            .closes_connection
-            .set(requests_close(&headers));
-        self.send_part(ResponsePart::Complete(status, headers, body.into()));
-    }
-
-    /// Starts a streamed response.
-    pub fn start_stream(&self, status: StatusCode, headers: HeaderMap) {
-        self.exchange
-            .closes_connection
-            .set(requests_close(&headers));
-        self.send_part(ResponsePart::Head(status, headers));
-    }
-
-    /// Sends the next part of a streamed response, without buffering.
-    pub fn send_data(&self, data: Bytes) {
-        let unsent_bytes = self.exchange.unsent_bytes.get() + data.len();
-        self.exchange.unsent_bytes.set(unsent_bytes);
-        if unsent_bytes > UNSENT_BYTES_MAX {
-            // Closed by the connection's task: the disconnect hook must not run within this call.
-            self.exchange.is_overflowed.set(true);
-        }
-        self.send_part(ResponsePart::Data(data));
-    }
-
-    /// Completes a streamed response.
-    pub fn end_stream(self) {
-        self.send_part(ResponsePart::End);
-    }
-
-    fn send_part(&self, part: ResponsePart) {
-        // Fails only if the connection is closed, which its task reports through the hook.
-        let _ = self.parts.unbounded_send(part);
-    }
-}
-
 /// Returns the maximum body size for a request with these header fields, in bytes.
 pub type BodyLimit = Rc<dyn Fn(&HeaderMap) -> usize>;
 
@@ -262,17 +179,13 @@
             };
             let close_requested = requests_close(&request.headers);
             let is_head = request.method == Method::HEAD;
-            let (parts, part_receiver) = unbounded();
             let exchange = Rc::new(Exchange::default());
-            handler(
-                request,
-                Responder {
-                    parts,
-                    exchange: exchange.clone(),
-                },
-            );
+            let answer = |parts| {
+                let exchange = exchange.clone();
+                handler(request, Responder { parts, exchange });
+            };
             match self
-                .respond(part_receiver, &exchange, is_head, close_requested)
+                .respond(answer, &exchange, is_head, close_requested)
                 .await
             {
                 Some(AfterResponse::ReadRequest(decoded)) => early_head = Some(decoded),
@@ -402,22 +315,36 @@
         })
     }
 
-    /// Writes the response while it reads ahead to detect that the peer disconnects.
+    /// Hands the request over with `answer` and writes the response, while it reads ahead to detect that
+    /// the peer disconnects.
     ///
     /// Returns none if the peer disconnects before the response is complete.
     async fn respond(
         &mut self,
-        mut parts: UnboundedReceiver<ResponsePart>,
+        answer: impl FnOnce(UnboundedSender<ResponsePart>),
         exchange: &Exchange,
         is_head: bool,
         close_requested: bool,
     ) -> Option<AfterResponse> {
         self.allowance.set(HEAD_BYTES_MAX);
         let mut next_head = pin!(self.decoder.next().fuse());
-        let mut early_head = None;
+        // What has arrived by now shows whether the peer has closed its sending side; the read that finds
+        // it is the same as below.
+        let mut early_head = match futures_util::poll!(next_head.as_mut()) {
+            Poll::Ready(decoded) => Some(decoded),
+            Poll::Pending => None,
+        };
+        let reset = matches!(early_head, Some(Some(Err(HttpError::IOError(_)))));
+        let ended = matches!(early_head, Some(None));
+        exchange.closed_early.set(reset || ended);
+        let is_cancelled = reset || ended && self.options.cancel_on_close;
+        let (part_sender, mut parts) = unbounded();
+        answer(part_sender);
         let mut without_body = is_head;
         loop {
             let next = match early_head.is_none() {
+                // A peer that has closed its sending side may still read what is ready.
+                false if is_cancelled => parts.next().now_or_never()?,
                 false => parts.next().await,
                 true => match select(parts.next(), next_head.as_mut()).await {
                     Either::Left((part, _)) => part,
@@ -539,8 +466,3 @@
     }
     Ok(Progress::Incomplete)
 }
-
-fn requests_close(headers: &HeaderMap) -> bool {
-    let value = headers.get(CONNECTION).and_then(|v| v.to_str().ok());
-    value.is_some_and(|text| text.eq_ignore_ascii_case("close"))
-}
--- a/crates/node/src/role/control.rs
+++ b/crates/node/src/role/control.rs
@@ -7,8 +7,11 @@
 use std::time::Duration;
 
 use eelgrassdyke_control::log::MembershipChange;
-use eelgrassdyke_control::{Control, Input, OperatorResponse, Options, Output, Query};
+use eelgrassdyke_control::{
+    Control, EvacuationOrder, Input, OperatorResponse, Options, Output, Query,
+};
 use eelgrassdyke_core::config::Submission;
+use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::id::Ticket;
 use eelgrassdyke_core::settings::{self, ClusterStart};
 use futures_channel::mpsc::UnboundedReceiver;
@@ -149,6 +152,19 @@
         mut request: Request,
         responder: Responder,
     ) {
+        if let ManagementRequest::Evacuate { .. } = command
+            && responder.is_peer_closed()
+        {
+            let detail = format!(
+                "evacuation order {} dropped: its sender {} has closed the connection",
+                request.uri.path(),
+                request.peer
+            );
+            let event = Event::new(Code::InputRefused, detail);
+            self.context.timeline.record_event(event);
+            return;
+        }
+        let author = request.peer.ip().to_string();
         let ticket = self.pending.insert(responder);
         request.body.clear();
         self.platform_requests.borrow_mut().insert(ticket, request);
@@ -157,6 +173,17 @@
                 ticket,
                 publication,
             },
+            ManagementRequest::Evacuate {
+                data_centre,
+                evacuated,
+            } => Input::Evacuate {
+                ticket,
+                order: EvacuationOrder {
+                    data_centre,
+                    evacuated,
+                    author,
+                },
+            },
             ManagementRequest::ReadPublication => Input::ReadPublication { ticket },
             ManagementRequest::Announce(notice) => Input::Announce { ticket, notice },
         });
