eelgrassctl: evacuate, restore; status lists evacuated data centres

The commands submit a patch and print the verdict as apply does. Control leaves the evacuations alone when a whole document has none, so diff shows none as removed.

--- a/crates/eelgrassctl/src/command.rs
+++ b/crates/eelgrassctl/src/command.rs
@@ -6,7 +6,8 @@
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use eelgrassdyke_core::crash::Content;
 use eelgrassdyke_core::id::{
-    Group, Model, Operation, Process, Replica, RequestId, Server, Service, Team, Version,
+    DataCentre, Group, Model, Operation, Process, Replica, RequestId, Server, Service, Team,
+    Version,
 };
 
 const EXIT_CODES: &str = "\
@@ -85,6 +86,12 @@
     /// Send an order to an engine, such as to load a model.
     #[command(after_help = EXIT_CODES)]
     Order(OrderArgs),
+    /// Send no more requests to the servers of a data centre.
+    #[command(after_help = EXIT_CODES)]
+    Evacuate(EvacuationArgs),
+    /// Withdraw the order to evacuate a data centre.
+    #[command(after_help = EXIT_CODES)]
+    Restore(EvacuationArgs),
     /// Show or lift quarantines of prompt parts on which servers ended.
     #[command(subcommand)]
     Quarantine(QuarantineCommand),
@@ -246,6 +253,19 @@
     },
 }
 
+/// Options of `evacuate` and `restore`.
+#[derive(Clone, Debug, Args)]
+pub struct EvacuationArgs {
+    /// The data centre, as printed by `status`.
+    pub data_centre: DataCentre,
+    /// Wait until every live process has the order in force; list those that do not.
+    #[arg(long)]
+    pub wait: bool,
+    /// Author recorded with the order.
+    #[arg(long, env = "USER", default_value = "operator")]
+    pub author: String,
+}
+
 /// What to do about quarantines.
 #[derive(Clone, Debug, Subcommand)]
 pub enum QuarantineCommand {
--- a/crates/eelgrassctl/src/config.rs
+++ b/crates/eelgrassctl/src/config.rs
@@ -21,15 +21,26 @@
 
 /// Submits a change; with `--wait`, waits until it is in force.
 pub async fn apply(client: &Client, options: &ApplyArgs, json: bool) -> Result<ExitStatus> {
-    let deadline = client.deadline();
     let submission = build_submission(client, options).await?;
-    let (operation, base) = (submission.operation.clone(), submission.base);
+    let (operation, base) = (&submission.operation, submission.base);
 
     // Printed before sending, so that the change can be resent if the response is lost.
     eprintln!(
         "operation {operation} from base {base}; resend it with --operation {operation} --base {base}"
     );
-    let body = serde_json::to_vec(&submission).map_err(Error::invalid_response)?;
+    submit(client, &submission, options.wait, json).await
+}
+
+/// Submits a change and prints the verdict; with `wait`, waits until it is in force.
+pub async fn submit(
+    client: &Client,
+    submission: &Submission,
+    wait: bool,
+    json: bool,
+) -> Result<ExitStatus> {
+    let deadline = client.deadline();
+    let (operation, base) = (&submission.operation, submission.base);
+    let body = serde_json::to_vec(submission).map_err(Error::invalid_response)?;
     let verdict = match client
         .submit_to_leader(&Request::post("/v1/config", body))
         .await?
@@ -37,7 +48,7 @@
         OperatorResponse::Verdict(verdict) => verdict,
         answer => return Err(unexpected_answer(&answer)),
     };
-    let rollout = match (&verdict, options.wait) {
+    let rollout = match (&verdict, wait) {
         (Verdict::Accepted { version }, true) => {
             Some(wait::wait_until_in_force(client, *version, deadline).await)
         }
@@ -200,6 +211,11 @@
     let input = ConfigInput::read(&options.file, options.patch)?;
     let config = client.newest_config().await?;
     let wanted = match input.change() {
+        // Control leaves the section alone if a whole document has none.
+        Change::Replace(document) if document.data_centres.is_empty() => Document {
+            data_centres: config.document.data_centres.clone(),
+            ..document.clone()
+        },
         Change::Replace(document) => document.clone(),
         Change::Patch(patch) => apply_patch(&config.document, patch),
     };
--- a/crates/eelgrassctl/src/lib.rs
+++ b/crates/eelgrassctl/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod control;
 pub mod drain;
 pub mod errors;
+pub mod evacuation;
 pub mod order;
 pub mod output;
 pub mod quarantine;
@@ -46,6 +47,8 @@
             Command::Timeline(options) => timeline::print(&client, &options, json).await,
             Command::Drain(options) => drain::drain(&client, &options, json).await,
             Command::Order(options) => order::submit(&client, &options, json).await,
+            Command::Evacuate(options) => evacuation::evacuate(&client, &options, json).await,
+            Command::Restore(options) => evacuation::restore(&client, &options, json).await,
             Command::Quarantine(command) => quarantine::run(&client, command, json).await,
             Command::Control(change) => control::change_members(&client, change, json).await,
             // Handled above: these commands contact no process.
--- a/crates/eelgrassctl/src/status.rs
+++ b/crates/eelgrassctl/src/status.rs
@@ -4,7 +4,7 @@
 
 use eelgrassdyke_control::log::ReplicaStatus;
 use eelgrassdyke_control::{FollowerStatus, Status};
-use eelgrassdyke_core::id::Server;
+use eelgrassdyke_core::id::{DataCentre, Server};
 use eelgrassdyke_core::wire::directory::{ServerInfo, ServerLoad};
 use serde_json::json;
 
@@ -22,6 +22,7 @@
     let all: Vec<Status> = statuses.iter().map(|(_, status)| status.clone()).collect();
     let followers = newest_followers(&all);
     let servers = merge_servers(&all);
+    let evacuated = newest_evacuated(&all);
     if json {
         let unreachable: BTreeMap<String, String> = errors
             .iter()
@@ -30,11 +31,12 @@
         let servers: Vec<&(ServerInfo, ServerLoad)> = servers.values().collect();
         output::print_json(&json!({
             "quorum": quorum, "control": all, "unreachable": unreachable,
-            "followers": followers, "servers": servers,
+            "followers": followers, "evacuated": evacuated, "servers": servers,
         }))?;
     } else {
         print_control(&statuses, &errors);
         print_followers(&followers);
+        print_evacuated(&evacuated);
         print_servers(&servers);
     }
     match quorum {
@@ -44,7 +46,7 @@
 }
 
 /// The backend servers known to any control process; the leader's view takes precedence.
-fn merge_servers(statuses: &[Status]) -> BTreeMap<Server, (ServerInfo, ServerLoad)> {
+pub fn merge_servers(statuses: &[Status]) -> BTreeMap<Server, (ServerInfo, ServerLoad)> {
     let mut servers = BTreeMap::new();
     let (leaders, others): (Vec<&Status>, Vec<&Status>) =
         statuses.iter().partition(|status| status.is_leader);
@@ -56,6 +58,20 @@
     servers
 }
 
+/// The evacuated data centres according to the control process with the newest configuration.
+fn newest_evacuated(statuses: &[Status]) -> Vec<DataCentre> {
+    let newest = statuses.iter().max_by_key(|status| status.version);
+    newest.map_or(Vec::new(), |status| status.evacuated.clone())
+}
+
+fn print_evacuated(evacuated: &[DataCentre]) {
+    for data_centre in evacuated {
+        output::print_line(format_args!(
+            "{data_centre} is evacuated: its servers get no requests until `eelgrassctl restore {data_centre}`"
+        ));
+    }
+}
+
 fn print_control(
     statuses: &[(std::net::SocketAddr, Status)],
     errors: &[(std::net::SocketAddr, Error)],
