control: coordinators of rank groups

Messages CoordinatorPoll and CoordinatorGrant, Update.coordinators for watch processes, events 506 to 509. Ruled out: renewing a lapsed lease in the same coordination term, because the controller's tokens and order numbers start anew; a lapsed lease gets a new term. No figures: not run in a deployment.

--- a/crates/agent/src/watch.rs
+++ b/crates/agent/src/watch.rs
@@ -1,9 +1,11 @@
 //! The watch beside an engine that entries call directly.
 //!
 //! The watch runs on the engine's host, where reading the engine's state is fast and cheap. It
-//! reports that state to the control leader and passes the leader's orders on to the engine. It
+//! reports that state to the coordinator of the engine's group, which is the control leader unless the
+//! leader assigned the group to another control process, and passes its orders on to the engine. It
 //! keeps no durable state: what a restarted watch has lost can be read from the engine again.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -30,6 +32,10 @@
 /// cause (docs/CAPACITY.md).
 const COUNTS_RATE_MAX: f64 = 13_000.0;
 
+/// Maximum number of orders whose senders are remembered until their results are known. An order that is
+/// forgotten is answered to the coordinator of the group.
+const ORDER_SENDERS_MAX: usize = 64;
+
 /// Time after which a read without a result counts as lost.
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -103,6 +109,8 @@
     awaited: Option<(AwaitedEffect, Instant)>,
     /// The state in the last report that was sent.
     last_state: Option<MapState>,
+    /// Senders of the orders whose results are outstanding, by number.
+    order_senders: BTreeMap<u64, SocketAddr>,
 }
 
 /// The effect of an order that the leader waits for.
@@ -165,6 +173,7 @@
             last_counts: None,
             awaited: None,
             last_state: None,
+            order_senders: BTreeMap::new(),
         }
     }
 
@@ -174,14 +183,16 @@
             Input::ReadResult(report) => {
                 self.read_started_at = None;
                 if let Some(report) = report {
-                    self.report_state(*report, out);
+                    self.report_state(now, *report, out);
                 }
             }
             Input::OrderResult(result) => {
                 self.last_known_order = self.last_known_order.max(result.number);
                 // The leader waits for a report that shows the effect of the order.
                 self.next_read_at = now;
-                self.send_to_leader(rank::Message::OrderResult(result), out);
+                let sender = self.order_senders.remove(&result.number);
+                let to = sender.or_else(|| self.follower.coordinator_address(now, &result.group));
+                send(to, rank::Message::OrderResult(result), out);
             }
             Input::Message { from, message } => match message {
                 Message::Update(update) => {
@@ -190,6 +201,10 @@
                 Message::Rank(message) => {
                     if let rank::Message::Order(order) = *message {
                         self.await_effect(now, &order);
+                        self.order_senders.insert(order.number, from.address);
+                        while self.order_senders.len() > ORDER_SENDERS_MAX {
+                            self.order_senders.pop_first();
+                        }
                         out.push(Output::Order(order));
                     }
                 }
@@ -290,8 +305,8 @@
     }
 
     /// Completes a report, with remembered experts if they were not read, and sends it to the
-    /// leader; an additional read is reported only if it shows a change.
-    fn report_state(&mut self, mut report: EngineReport, out: &mut Vec<Output>) {
+    /// coordinator of the group; an additional read is reported only if it shows a change.
+    fn report_state(&mut self, now: Instant, mut report: EngineReport, out: &mut Vec<Output>) {
         let state = MapState::new(&report);
         self.awaited = self.awaited.filter(|(effect, _)| !state.shows(*effect));
         let is_new = self.last_state.replace(state) != Some(state);
@@ -313,6 +328,7 @@
         }
         report.last_known_order = self.last_known_order_at_read;
         report.incarnation = self.local.incarnation;
+        let to = self.follower.coordinator_address(now, &report.group);
         let from = self.local.address;
         let relayed = false;
         let message = rank::Message::Report {
@@ -320,13 +336,13 @@
             relayed,
             from,
         };
-        self.send_to_leader(message, out);
+        send(to, message, out);
     }
+}
 
-    fn send_to_leader(&self, message: rank::Message, out: &mut Vec<Output>) {
-        if let Some(to) = self.follower.leader_address() {
-            let message = Message::Rank(Box::new(message));
-            out.push(Output::Send { to, message });
-        }
+fn send(to: Option<SocketAddr>, message: rank::Message, out: &mut Vec<Output>) {
+    if let Some(to) = to {
+        let message = Message::Rank(Box::new(message));
+        out.push(Output::Send { to, message });
     }
 }
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -16,6 +16,7 @@
 use eelgrassdyke_core::wire::{self, Message, Sender, rank};
 
 use crate::confirm::Confirmations;
+use crate::coordination::Coordination;
 use crate::crashes::FactRelay;
 use crate::directory::Directory;
 use crate::fence::OrderSender;
@@ -51,7 +52,7 @@
 /// The state machine of the control role.
 pub struct Control {
     options: Options,
-    local: Sender,
+    pub(crate) local: Sender,
     pub(crate) replica: Replica,
     proposals: Proposals,
     pub(crate) confirmations: Confirmations,
@@ -60,6 +61,8 @@
     pub(crate) directory: Directory,
     pub(crate) followers: Followers,
     pub(crate) groups: Groups,
+    /// Present if the leader assigns groups to control processes.
+    pub(crate) coordination: Option<Coordination>,
     /// Engines that are slow or whose group is closed, according to the leader.
     pub(crate) slow_engines: Vec<rank::SlowEngine>,
     pub(crate) next_slow_engines_update: Instant,
@@ -101,6 +104,7 @@
             state: State::default(),
             followers: Followers::default(),
             groups: Groups::default(),
+            coordination: (options.spreads_groups).then(|| Coordination::new(local.clone())),
             slow_engines: Vec::new(),
             next_slow_engines_update: now,
             crashes: FactRelay::default(),
@@ -161,8 +165,7 @@
             }
             Input::DiskReopened { recovered } => self.restart(now, *recovered, out),
             Input::RankOrderResult(result) => {
-                let outputs = self.groups.handle_order_result(now, result);
-                self.emit_group_outputs(outputs, out);
+                self.handle_rank_order_result(now, result, out);
             }
             Input::Tick => self.step_log(now, log::Input::Tick, out),
         }
@@ -179,6 +182,7 @@
             .min(self.replica.next_deadline())
             .min(self.reads.next_deadline())
             .min(self.groups.next_deadline())
+            .min(self.next_coordination_deadline())
     }
 
     /// Whether this replica has contact with a quorum and has applied everything that was committed
@@ -237,7 +241,7 @@
                         .map(Output::Event),
                 );
             }
-            Message::Rank(message) => self.handle_rank_message(now, *message, out),
+            Message::Rank(message) => self.handle_rank_message(now, from, *message, out),
             Message::FactSync(sync) => self.handle_fact_sync(now, from, &sync, out),
             Message::ActiveEntries(entries) => self.followers.record_remote_entries(now, entries),
             Message::EntryDemands(demands) => self.followers.record_remote_demands(now, demands),
@@ -599,6 +603,7 @@
             slow_engines: self.slow_engines.clone(),
             entry_count: self.followers.count_entries(now),
             shares,
+            coordinators: self.coordinators_for(poll),
         };
         out.push(Output::Send {
             to: follower.address,
--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -1,8 +1,9 @@
 //! Rank groups whose engines apply expert maps themselves: plans and switches their maps from the
 //! loads that the ranks report.
 //!
-//! Only the leader of the log plans and switches. The data about the groups is soft state: the ranks
-//! report all of it again within a second.
+//! Only the coordinator of a group plans and switches: the leader of the log, or the control process to
+//! which the leader assigned the group ([`crate::coordination`]). The data about the groups is soft
+//! state: the ranks report all of it again within a second.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -10,7 +11,7 @@
 
 use eelgrassdyke_core::config::{Document, ExpertLayout, GroupSpec};
 use eelgrassdyke_core::event::Event;
-use eelgrassdyke_core::id::{Generation, Group, Rank, Service, Term};
+use eelgrassdyke_core::id::{CoordinationTerm, Generation, Group, Rank, Service, Term};
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::group::LoadReport;
 use eelgrassdyke_core::wire::rank::{EngineReport, RankOrder, RankOrderResult, SlowEngine};
@@ -54,14 +55,47 @@
 #[derive(Clone, Debug, Default)]
 pub struct Groups {
     groups: BTreeMap<Group, GroupState>,
-    /// The term in which this process leads; none while it doesn't.
-    term: Option<Term>,
+    authority: Authority,
+}
+
+/// The groups that this process coordinates, with the term for each.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Authority {
+    /// None.
+    #[default]
+    None,
+    /// All groups, as the leader of the log in this term.
+    All(Term),
+    /// The groups on which it holds leases.
+    Leases(BTreeMap<Group, CoordinationTerm>),
+}
+
+impl Authority {
+    /// The term in which this process coordinates a group; none if it doesn't.
+    fn term(&self, group: &Group) -> Option<Term> {
+        match self {
+            Self::None => None,
+            Self::All(term) => Some(*term),
+            // The coordination term takes the place of the log's term in tokens and order numbers.
+            Self::Leases(terms) => terms.get(group).map(|term| Term(term.0)),
+        }
+    }
+
+    fn is_none(&self) -> bool {
+        match self {
+            Self::None => true,
+            Self::All(_) => false,
+            Self::Leases(terms) => terms.is_empty(),
+        }
+    }
 }
 
 /// A rank group.
 #[derive(Clone, Debug)]
 struct GroupState {
     service: Service,
+    /// The term in which this process coordinates the group; none if it doesn't.
+    term: Option<Term>,
     controller: Controller,
     loads: LoadEstimator,
     /// Number of running requests of each rank.
@@ -84,6 +118,7 @@
     fn new(now: Instant, group: Group, report: &EngineReport) -> Self {
         Self {
             service: report.service.clone(),
+            term: None,
             controller: Controller::new(group, barrier::Options::default()),
             loads: LoadEstimator::adaptive(),
             running: BTreeMap::new(),
@@ -99,6 +134,19 @@
         }
     }
 
+    /// Sets the term in which this process coordinates the group; none if it doesn't.
+    fn set_term(&mut self, now: Instant, term: Option<Term>, out: &mut Vec<barrier::Output>) {
+        if self.term == term {
+            return;
+        }
+        self.term = term;
+        let input = match term {
+            Some(term) => barrier::Input::LeadershipGained(term),
+            None => barrier::Input::LeadershipLost,
+        };
+        self.controller.handle(now, input, out);
+    }
+
     /// Adds the expert choices that a rank reports; `experts` is the number of experts per layer.
     fn record_counts(&mut self, report: &EngineReport, experts: usize) {
         if report.generation != self.generation {
@@ -226,23 +274,29 @@
 }
 
 impl Groups {
-    /// Sets the term in which this process leads the log; none if it doesn't.
-    pub fn set_term(&mut self, now: Instant, term: Option<Term>) -> Vec<Output> {
-        if self.term == term {
+    /// Sets the groups that this process coordinates.
+    pub fn set_authority(&mut self, now: Instant, authority: Authority) -> Vec<Output> {
+        if self.authority == authority {
             return Vec::new();
         }
-        self.term = term;
-        let input = match term {
-            Some(term) => barrier::Input::LeadershipGained(term),
-            None => barrier::Input::LeadershipLost,
-        };
+        self.authority = authority;
         let mut out = Vec::new();
-        for state in self.groups.values_mut() {
-            state.controller.handle(now, input.clone(), &mut out);
+        for (group, state) in &mut self.groups {
+            state.set_term(now, self.authority.term(group), &mut out);
         }
         convert_outputs(out)
     }
 
+    /// The groups that this process coordinates but whose controller found that an engine had seen a
+    /// higher fencing token.
+    pub fn fenced(&self) -> Vec<Group> {
+        let fenced = self
+            .groups
+            .iter()
+            .filter(|(_, state)| state.term.is_some() && !state.controller.is_leader());
+        fenced.map(|(group, _)| group.clone()).collect()
+    }
+
     /// Handles a rank's report; orders to the rank go to `watch`, the address of its watch process.
     pub fn handle_report(
         &mut self,
@@ -253,12 +307,10 @@
     ) -> Vec<Output> {
         let mut out = Vec::new();
         let group = report.group.clone();
+        let term = self.authority.term(&group);
         let state = self.groups.entry(group.clone()).or_insert_with(|| {
             let mut state = GroupState::new(now, group, &report);
-            if let Some(term) = self.term {
-                let input = barrier::Input::LeadershipGained(term);
-                state.controller.handle(now, input, &mut out);
-            }
+            state.set_term(now, term, &mut out);
             state
         });
         state.last_report = now;
@@ -278,12 +330,11 @@
         convert_outputs(out)
     }
 
-    /// The engines that are slow or whose group is closed at `now`, sorted by address.
+    /// The engines of coordinated groups that are slow or whose group is closed at `now`, sorted by
+    /// address.
     pub fn slow_engines(&self, now: Instant) -> Vec<SlowEngine> {
-        let reported = self
-            .groups
-            .values()
-            .flat_map(|state| state.slowness.values());
+        let coordinated = self.groups.values().filter(|state| state.term.is_some());
+        let reported = coordinated.flat_map(|state| state.slowness.values());
         let mut slow: Vec<SlowEngine> = reported
             .filter(|(engine, at)| {
                 let slow_or_closed =
@@ -310,11 +361,11 @@
     pub fn tick(&mut self, now: Instant, document: &Document) -> Vec<Output> {
         self.groups
             .retain(|_, state| now.since(state.last_report) < GROUP_RETENTION);
-        if self.term.is_none() {
-            return Vec::new();
-        }
         let mut out = Vec::new();
         for state in self.groups.values_mut() {
+            if state.term.is_none() {
+                continue;
+            }
             if now >= state.controller.next_deadline() {
                 state.controller.handle(now, barrier::Input::Tick, &mut out);
             }
@@ -331,10 +382,11 @@
 
     /// When the groups next need [`Groups::tick`].
     pub fn next_deadline(&self) -> Instant {
-        if self.term.is_none() {
+        if self.authority.is_none() {
             return Instant::NEVER;
         }
-        let deadlines = self.groups.values().map(|state| {
+        let coordinated = self.groups.values().filter(|state| state.term.is_some());
+        let deadlines = coordinated.map(|state| {
             let controller = state.controller.next_deadline();
             controller.min(state.next_plan)
         });
--- a/crates/control/src/io.rs
+++ b/crates/control/src/io.rs
@@ -279,6 +279,8 @@
     pub wall_time_origin: WallTime,
     /// Time after its last heartbeat at which a server counts as lost.
     pub server_lease: std::time::Duration,
+    /// Whether the leader assigns rank groups to control processes; if not, it coordinates them itself.
+    pub spreads_groups: bool,
     /// Options of the replicated log.
     pub log: crate::log::Options,
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -17,6 +17,7 @@
 mod ranks;
 mod reads;
 
+pub mod coordination;
 pub mod crashes;
 pub mod directory;
 pub mod fence;
--- a/crates/control/tests/claims_cores.rs
+++ b/crates/control/tests/claims_cores.rs
@@ -371,6 +371,7 @@
                     slow_engines: Vec::new(),
                     entry_count: 1,
                     shares: Vec::new(),
+                    coordinators: Default::default(),
                 };
                 let from_control = sender(ProcessRef::Control, 1);
                 self.send(from_control, from.address, Message::Update(update));
--- a/crates/control/tests/directory.rs
+++ b/crates/control/tests/directory.rs
@@ -71,6 +71,7 @@
         slow_engines: Vec::new(),
         entry_count: 1,
         shares: Vec::new(),
+        coordinators: Default::default(),
     }
 }
 
--- a/crates/control/tests/follow.rs
+++ b/crates/control/tests/follow.rs
@@ -39,6 +39,7 @@
         slow_engines: Vec::new(),
         entry_count: 1,
         shares: Vec::new(),
+        coordinators: Default::default(),
     }
 }
 
--- a/crates/control/tests/log_control.rs
+++ b/crates/control/tests/log_control.rs
@@ -73,6 +73,7 @@
         let (store, recovered) = Store::open(disk, Id(number as u64 + 1)).unwrap();
         let options = Options {
             server_lease: eelgrassdyke_control::directory::DEFAULT_LEASE,
+            spreads_groups: false,
             control_addresses: control_addresses.clone(),
             wall_time_origin: WallTime(1_000_000),
             log: LogOptions {
--- a/crates/control/tests/state_config.rs
+++ b/crates/control/tests/state_config.rs
@@ -241,6 +241,7 @@
             slow_engines: Vec::new(),
             entry_count: 1,
             shares: Vec::new(),
+            coordinators: Default::default(),
         };
         in_flight.push(update);
         for _ in 0..rng.random_range(0..3) {
@@ -276,6 +277,7 @@
             slow_engines: Vec::new(),
             entry_count: 1,
             shares: Vec::new(),
+            coordinators: Default::default(),
         };
         follower.apply(now, &from, update);
     }
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -119,6 +119,10 @@
     503 SwitchStalled "A rank waits at its step horizon for the decision on a switch.";
     504 GenerationStarted "A rank group started a new generation.";
     505 MapInForce "A rank uses a new expert map.";
+    506 GroupAssigned "The leader assigned a rank group to a control process, its coordinator.";
+    507 GroupUnassigned "The leader withdrew a rank group from its coordinator, or can't assign it.";
+    508 CoordinationGained "A control process became the coordinator of a rank group.";
+    509 CoordinationLost "A control process is no longer the coordinator of a rank group.";
 }
 
 impl From<Code> for u16 {
--- a/crates/core/src/follow.rs
+++ b/crates/core/src/follow.rs
@@ -12,13 +12,13 @@
 
 use crate::config::{DigestedDocument, Document};
 use crate::digest::Sha256;
-use crate::id::{Process, Server, Service, Version};
+use crate::id::{Group, Process, Server, Service, Version};
 use crate::limit::{ServiceDemand, ServiceShare, Share};
 use crate::time::Instant;
 use crate::wire::Sender;
 use crate::wire::directory::{ServerInfo, ServerLoad};
 use crate::wire::follow::{ConfigUpdate, DirectoryRevision, DirectoryUpdate, PollRequest, Update};
-use crate::wire::rank::SlowEngine;
+use crate::wire::rank::{Assignments, SlowEngine};
 
 /// Time between two polls of the same control process.
 pub const POLL_INTERVAL: Duration = Duration::from_secs(1);
@@ -38,6 +38,10 @@
 /// Time for which a share from control holds: less than control counts a follower that no longer polls.
 const SHARE_LEASE: Duration = POLL_TIMEOUT;
 
+/// Time after the last list of coordinators after which it is ignored and the leader is used, as when the
+/// setting that spreads the groups was turned off.
+const COORDINATORS_AGE_MAX: Duration = Duration::from_secs(5);
+
 /// Number of entries assumed until control reports it.
 pub const ENTRY_COUNT_ASSUMED: u32 = 16;
 
@@ -79,6 +83,8 @@
     /// When shares were last received, with them and the number of entries.
     shares: Option<(Instant, Vec<ServiceShare>, u32)>,
     leader: Option<SocketAddr>,
+    /// The coordinators of rank groups, and when they were last received.
+    coordinators: (Assignments, Instant),
     slow_engines: Vec<SlowEngine>,
     wants_directory: bool,
     wants_config: bool,
@@ -119,6 +125,7 @@
             entry_count: 0,
             shares: None,
             leader: None,
+            coordinators: Default::default(),
             slow_engines: Vec::new(),
             wants_directory,
             wants_config: true,
@@ -207,6 +214,22 @@
         self.leader.or(polled.copied())
     }
 
+    /// Address of the coordinator of a rank group, or as [`Follower::leader_address`] if it has none.
+    pub fn coordinator_address(&self, now: Instant, group: &Group) -> Option<SocketAddr> {
+        let (assignments, received_at) = &self.coordinators;
+        let is_recent = now.since(*received_at) < COORDINATORS_AGE_MAX;
+        let coordinator = assignments.coordinator(group).filter(|_| is_recent);
+        coordinator.or_else(|| self.leader_address())
+    }
+
+    /// Stores a list of coordinators unless it is older than the one held; another control process may
+    /// send one late.
+    fn set_coordinators(&mut self, now: Instant, coordinators: Assignments) {
+        if !coordinators.is_unknown() && coordinators.is_current(&self.coordinators.0) {
+            self.coordinators = (coordinators, now);
+        }
+    }
+
     /// Time since the polled control process last sent an update while it had a quorum; none before
     /// the first one.
     pub fn time_since_update(&self, now: Instant) -> Option<Duration> {
@@ -323,6 +346,7 @@
         }
         if update.has_quorum {
             self.leader = update.leader.or(self.leader);
+            self.set_coordinators(now, update.coordinators);
         }
         if !update.control_addresses.is_empty() {
             self.set_control_addresses(update.control_addresses);
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -88,6 +88,9 @@
     Version;
     /// A term of the replicated log: the period of one leader.
     Term;
+    /// A coordination term: the period in which one control process coordinates a rank group without a
+    /// break. It increases with each assignment of a group, across leaders as well.
+    CoordinationTerm;
     /// A position in the replicated log, from 1.
     Index;
     /// A position within a rank group, from 0.
--- a/crates/core/src/settings/mod.rs
+++ b/crates/core/src/settings/mod.rs
@@ -123,6 +123,9 @@
         pub manages_members: bool,
         /// Heartbeat interval of servers, in milliseconds; the lease of a server lasts four of them.
         pub heartbeat_ms: u64,
+        /// Whether the leader assigns each rank group to a control process instead of coordinating all of
+        /// them itself; the same for all control processes.
+        pub spreads_groups: bool,
     }
 
     /// How a replica with an empty data folder becomes a member of a cluster.
--- a/crates/core/src/settings/read.rs
+++ b/crates/core/src/settings/read.rs
@@ -287,6 +287,7 @@
     let start: Option<ClusterStart> = section.required("start", remedy);
     let manages_members = section.value_or("keeps_members", false, "give true or false");
     let heartbeat_ms = section.value_or("heartbeat_ms", DEFAULT_HEARTBEAT_MS, MILLISECONDS_REMEDY);
+    let spreads_groups = section.value_or("spreads_groups", false, "give true or false");
     section.report_unknown_fields();
     check_positive(section, "heartbeat_ms", heartbeat_ms);
     if let Some(ClusterStart::Bootstrap(founders)) = &start {
@@ -307,6 +308,7 @@
         start: start?,
         manages_members: manages_members?,
         heartbeat_ms: heartbeat_ms?,
+        spreads_groups: spreads_groups?,
     })
 }
 
--- a/crates/core/src/wire/follow.rs
+++ b/crates/core/src/wire/follow.rs
@@ -12,6 +12,7 @@
 use crate::id::{Operation, Server, Version};
 use crate::limit::{ServiceDemand, ServiceShare};
 use crate::wire::directory::{ServerInfo, ServerLoad};
+use crate::wire::rank::Assignments;
 
 data! {
     /// A follower's poll: the versions that it holds and the data that it wants.
@@ -90,6 +91,10 @@
         /// The follower's shares of the services that it named a demand for.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         pub shares: Vec<ServiceShare>,
+        /// The coordinators of the rank groups, for followers that don't want the configuration; empty if
+        /// the leader coordinates all groups.
+        #[serde(default, skip_serializing_if = "Assignments::is_unknown")]
+        pub coordinators: Assignments,
     }
 
     /// A newer configuration.
--- a/crates/core/src/wire/rank.rs
+++ b/crates/core/src/wire/rank.rs
@@ -6,7 +6,9 @@
 use std::net::SocketAddr;
 
 use crate::data;
-use crate::id::{Generation, Group, Incarnation, Rank, Service, Step, Version};
+use crate::id::{
+    CoordinationTerm, Generation, Group, Incarnation, Rank, Service, Step, Term, Version,
+};
 use crate::wire::group::ExpertPlacement;
 
 data! {
@@ -188,5 +190,102 @@
         /// closed.
         #[serde(rename = "Slow")]
         SlowEngines(Vec<SlowEngine>),
+        /// From a control process to the leader: request to coordinate groups.
+        CoordinatorPoll(CoordinatorPoll),
+        /// From the leader to a control process: the groups that it coordinates, and all assignments.
+        CoordinatorGrant(CoordinatorGrant),
+    }
+
+    /// A control process's request for leases on the groups that it coordinates.
+    #[derive(Eq)]
+    pub struct CoordinatorPoll {
+        /// Number of the poll, increasing within an incarnation.
+        pub poll_number: u64,
+        /// The groups that it coordinates, and those that it coordinated until a moment ago.
+        pub groups: Vec<GroupHolding>,
+    }
+
+    /// What a control process reports about a group that it coordinates or has coordinated.
+    #[derive(Eq)]
+    pub struct GroupHolding {
+        /// The group.
+        pub group: Group,
+        /// The coordination term that it was granted last.
+        pub term: CoordinationTerm,
+        /// Number of ranks of the group.
+        pub size: u32,
+        /// The state of its lease in that term.
+        pub state: LeaseState,
+    }
+
+    /// The state of a coordinator's lease on a group; once it is not valid, it never becomes valid again
+    /// in the same coordination term.
+    #[derive(Copy, Eq)]
+    pub enum LeaseState {
+        /// The process coordinates the group.
+        Valid,
+        /// The lease was not renewed in time.
+        Lapsed,
+        /// The process gave it up: an engine has seen a higher fencing token.
+        Fenced,
+        /// The process gave it up: no rank of the group reports to it.
+        Unused,
+    }
+
+    /// Response to a poll, or a notice of changed assignments.
+    #[derive(Eq)]
+    pub struct CoordinatorGrant {
+        /// The poll that it answers, from which the leases count; none for a notice, which grants nothing.
+        pub poll_number: Option<u64>,
+        /// The incarnation of the process that sent the poll.
+        pub incarnation: Incarnation,
+        /// The groups granted to it.
+        pub grants: Vec<GroupGrant>,
+        /// All assignments.
+        pub assignments: Assignments,
+    }
+
+    /// A lease on a group.
+    #[derive(Eq)]
+    pub struct GroupGrant {
+        /// The group.
+        pub group: Group,
+        /// The coordination term.
+        pub term: CoordinationTerm,
+    }
+
+    /// The coordinators of all rank groups that the leader knows.
+    #[derive(Default, Eq)]
+    pub struct Assignments {
+        /// Term of the leader; zero if the assignments are unknown.
+        pub term: Term,
+        /// Incremented by each change within a term.
+        pub revision: u64,
+        /// Each group with the address of its coordinator, if it has one.
+        pub groups: Vec<(Group, Option<SocketAddr>)>,
+    }
+}
+
+impl Assignments {
+    /// Whether no leader has sent any assignments.
+    pub fn is_unknown(&self) -> bool {
+        self.term == Term(0)
+    }
+
+    /// Whether these assignments are at least as recent as `other`.
+    pub fn is_current(&self, other: &Self) -> bool {
+        (self.term, self.revision) >= (other.term, other.revision)
+    }
+
+    /// Address of the coordinator of a group, if it has one.
+    pub fn coordinator(&self, group: &Group) -> Option<SocketAddr> {
+        let mut groups = self.groups.iter();
+        let (_, address) = groups.find(|(name, _)| name == group)?;
+        *address
+    }
+
+    /// Whether some group has no coordinator.
+    pub fn has_unassigned(&self) -> bool {
+        self.groups.iter().any(|(_, address)| address.is_none())
     }
 }
--- a/crates/entry/tests/direct.rs
+++ b/crates/entry/tests/direct.rs
@@ -218,6 +218,7 @@
             slow_engines: self.slow_engines.clone(),
             entry_count: 1,
             shares: Vec::new(),
+            coordinators: Default::default(),
         };
         let from = sender("control-1");
         let message = Message::Update(update);
--- a/crates/entry/tests/once.rs
+++ b/crates/entry/tests/once.rs
@@ -294,6 +294,7 @@
             slow_engines: Vec::new(),
             entry_count: 1,
             shares: Vec::new(),
+            coordinators: Default::default(),
         });
         let from = control();
         self.feed_entry(index, Input::Message { from, message });
@@ -753,6 +754,7 @@
         slow_engines: Vec::new(),
         entry_count: 1,
         shares: Vec::new(),
+        coordinators: Default::default(),
     };
     let input = AgentInput::Message {
         from: control(),
--- a/crates/entry/tests/whole.rs
+++ b/crates/entry/tests/whole.rs
@@ -123,6 +123,7 @@
             slow_engines: Vec::new(),
             entry_count: 1,
             shares: Vec::new(),
+            coordinators: Default::default(),
         };
         let message = Message::Update(update);
         harness.feed(
--- a/crates/node/src/log/mod.rs
+++ b/crates/node/src/log/mod.rs
@@ -109,6 +109,7 @@
         | Code::ServerEjected
         | Code::BackendFailed
         | Code::SwitchStalled
+        | Code::GroupUnassigned
         | Code::ConfigStale => log::Level::Warn,
         Code::DiskFailed => log::Level::Error,
         _ => log::Level::Info,
--- a/crates/node/src/role/control.rs
+++ b/crates/node/src/role/control.rs
@@ -51,6 +51,7 @@
             control_addresses: control.to_vec(),
             wall_time_origin: context.clock.wall_at_start(),
             server_lease: Duration::from_millis(settings.heartbeat_ms) * LEASE_HEARTBEATS,
+            spreads_groups: settings.spreads_groups,
             log: log_options(settings, control, context.me.address, seed),
         };
         let mut outputs = Vec::new();
--- a/crates/testkit/src/model/world.rs
+++ b/crates/testkit/src/model/world.rs
@@ -298,6 +298,7 @@
             slow_engines: Vec::new(),
             entry_count: 1,
             shares: Vec::new(),
+            coordinators: Default::default(),
         }
     }
 
