--- a/crates/control/tests/cluster/mod.rs
+++ b/crates/control/tests/cluster/mod.rs
@@ -76,6 +76,7 @@
             server_lease: eelgrassdyke_control::directory::DEFAULT_LEASE,
             control_addresses: control_addresses.clone(),
             wall_time_origin: WallTime(1_000_000),
+            spreads_groups: false,
             log: LogOptions {
                 founders: control_addresses,
                 snapshot_records: 10,
