group: local search of a layer without clones, allocations per candidate and scans

The search cloned the whole placement for every prefix that it kept, evaluated constraints by scans of the slots and of the initial placement, and computed the times of all ranks after every change. Changes are now applied in place with an undo log; a table answers which rank holds which expert and counts new experts; only the times of the ranks that a change affects are summed again, in the same order; what the candidates of one choice share is computed once; constraints are checked only for a candidate that would be chosen. The module is split: layer/{candidate,change,greedy,table}.

Ruled out: a reciprocal in place of the division in the penalty, which changes the last bits.

--- a/crates/group/src/layer.rs
+++ b/crates/group/src/layer.rs
@@ -3,6 +3,20 @@
 //! The tokens of an expert are divided evenly among its copies. The time of a rank in the layer is the
 //! number of tokens of its copies times its cost per token, and the slowest rank determines the time of
 //! the layer.
+//!
+//! A plan takes thousands of trial changes. They are therefore applied in place and undone ([`change`]),
+//! only the times of the ranks that a change affects are computed again, and membership is looked up in
+//! a [`table`]. Sums are formed in the order of the slots and of the copies, so a placement has the same
+//! times, bit for bit, however it came about.
+
+mod candidate;
+mod change;
+mod greedy;
+mod table;
+
+use candidate::Buffers;
+use change::{Change, Undo};
+use table::Table;
 
 /// Number of consecutive changes without improvement after which [`LayerPlacement::improve`] stops.
 const IDLE_CHANGES_MAX: u32 = 8;
@@ -33,96 +47,41 @@
     pub max_new_experts: &'a [usize],
 }
 
-/// A change of a placement.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Change {
-    /// Two ranks exchange an expert: first rank and slot, second rank and slot.
-    Swap(usize, usize, usize, usize),
-    /// A rank loads an expert into a slot: rank, slot and expert. The slot after the last occupied one
-    /// is free.
-    Load(usize, usize, u32),
-}
-
 /// The placement of one layer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LayerPlacement {
     experts_by_rank: Vec<Vec<u32>>,
     ranks_by_expert: Vec<Vec<usize>>,
+    /// Tokens of each copy of an expert.
+    tokens_per_copy: Vec<f64>,
     rank_times: Vec<f64>,
-    /// The experts of each rank before any change.
-    initial: Vec<Vec<u32>>,
-}
-
-/// A possible change with its gain and cost.
-struct Candidate {
-    change: Change,
-    gain: f64,
-    /// Number of experts to load.
-    loads: u64,
-}
-
-impl Candidate {
-    fn gain_per_load(&self) -> f64 {
-        self.gain / self.loads as f64
-    }
-}
-
-/// Penalty of a rank's time, relative to the slowest rank; the high power lets the slow ranks dominate.
-fn time_penalty(time: f64, slowest_time: f64) -> f64 {
-    let square = (time / slowest_time) * (time / slowest_time);
-    square * square * square * square
+    table: Table,
 }
 
 impl LayerPlacement {
-    /// Creates a placement from the experts of each rank.
+    /// Creates a placement from the experts of each rank. Every later use must be with the same loads
+    /// and costs.
     pub fn new(experts_by_rank: &[Vec<u32>], problem: &LayerProblem<'_>) -> Self {
+        let experts = problem.expert_loads.len();
         let mut layer = Self {
             experts_by_rank: experts_by_rank.to_vec(),
-            ranks_by_expert: vec![Vec::new(); problem.expert_loads.len()],
+            ranks_by_expert: vec![Vec::new(); experts],
+            tokens_per_copy: vec![0.0; experts],
             rank_times: vec![0.0; experts_by_rank.len()],
-            initial: experts_by_rank.to_vec(),
+            table: Table::new(experts_by_rank, experts),
         };
         for (rank, experts) in experts_by_rank.iter().enumerate() {
             for expert in experts {
                 layer.ranks_by_expert[*expert as usize].push(rank);
             }
         }
-        layer.update_times(problem);
-        layer
-    }
-
-    /// Places all experts from scratch.
-    ///
-    /// The experts with the highest load per copy get the additional copies. The copies are then placed
-    /// in descending order of load, each on the rank that is the least busy so far. Returns none if the
-    /// slots can't hold every expert.
-    pub fn place_greedily(problem: &LayerProblem<'_>) -> Option<Self> {
-        let ranks: Vec<usize> = (0..problem.rank_costs.len())
-            .filter(|rank| problem.rank_costs[*rank].is_finite())
-            .collect();
-        let copy_counts = copy_counts(problem, &ranks)?;
-        let mut order: Vec<usize> = (0..copy_counts.len()).collect();
-        let tokens_per_copy =
-            |expert: usize| problem.expert_loads[expert] / copy_counts[expert] as f64;
-        order.sort_by(|a, b| {
-            tokens_per_copy(*b)
-                .total_cmp(&tokens_per_copy(*a))
-                .then(a.cmp(b))
-        });
-        let mut placed = vec![Vec::new(); problem.rank_costs.len()];
-        let mut rank_times = vec![0.0; problem.rank_costs.len()];
-        for expert in order {
-            for _ in 0..copy_counts[expert] {
-                // All free slots may belong to ranks that already hold the expert.
-                let Some(rank) = best_rank(problem, &ranks, &placed, &rank_times, expert as u32)
-                else {
-                    break;
-                };
-                placed[rank].push(expert as u32);
-                rank_times[rank] += tokens_per_copy(expert) * problem.rank_costs[rank];
-            }
+        for expert in 0..experts {
+            layer.update_tokens_per_copy(expert as u32, problem);
         }
-        Some(Self::new(&placed, problem))
+        for rank in 0..experts_by_rank.len() {
+            layer.update_time(rank, problem);
+        }
+        layer
     }
 
     /// The experts of each rank.
@@ -137,8 +96,7 @@
 
     /// Number of experts of `rank` that are not in its initial placement.
     pub fn new_experts(&self, rank: usize) -> usize {
-        let is_new = |expert: &&u32| !self.initial[rank].contains(expert);
-        self.experts_by_rank[rank].iter().filter(is_new).count()
+        self.table.new_experts(rank)
     }
 
     /// Mean time of the member ranks.
@@ -166,27 +124,43 @@
     /// one. Therefore a sequence of changes is tried, each chosen by its effect on all slow ranks, and
     /// the best prefix of that sequence is kept.
     pub fn improve(&mut self, problem: &LayerProblem<'_>, price: f64, budget: u64) -> u64 {
+        self.improve_logged(
+            problem,
+            price,
+            budget,
+            &mut Buffers::default(),
+            &mut Vec::new(),
+        )
+    }
+
+    /// [`Self::improve`] with buffers that are reused; appends how to undo the changes to `log`.
+    fn improve_logged(
+        &mut self,
+        problem: &LayerProblem<'_>,
+        price: f64,
+        budget: u64,
+        buffers: &mut Buffers,
+        log: &mut Vec<Undo>,
+    ) -> u64 {
         let slowest_time = self.slowest_time();
-        let mut trial = self.clone();
-        let mut best = (slowest_time * MIN_GAIN, 0, None);
+        // The value of the best prefix, its number of loads and its end in the log.
+        let mut best = (slowest_time * MIN_GAIN, 0, log.len());
         let mut loads = 0;
         let mut idle_changes = 0;
         while idle_changes < IDLE_CHANGES_MAX {
-            let Some(candidate) = trial.best_change(problem, budget - loads) else {
+            let Some(candidate) = self.best_change(problem, budget - loads, buffers) else {
                 break;
             };
-            trial.apply(candidate.change, problem);
+            log.push(self.apply(candidate.change, problem));
             loads += candidate.loads;
             idle_changes += 1;
-            let value = slowest_time - trial.slowest_time() - price * loads as f64;
+            let value = slowest_time - self.slowest_time() - price * loads as f64;
             if value > best.0 {
-                best = (value, loads, Some(trial.clone()));
+                best = (value, loads, log.len());
                 idle_changes = 0;
             }
         }
-        if let Some(layer) = best.2 {
-            *self = layer;
-        }
+        self.undo_to(log, best.2, problem);
         best.1
     }
 
@@ -194,185 +168,48 @@
     /// result if it is better.
     pub fn search(&mut self, problem: &LayerProblem<'_>, restarts: u64) {
         let mut random_state = 0;
+        let mut buffers = Buffers::default();
+        let mut log = Vec::new();
         for _ in 0..restarts {
-            let mut trial = self.clone();
+            let slowest_time = self.slowest_time();
+            log.clear();
             for _ in 0..PERTURBATIONS {
-                trial.perturb(problem, &mut random_state);
+                log.extend(self.perturb(problem, &mut random_state));
             }
-            trial.improve(problem, 0.0, u64::MAX);
-            if trial.slowest_time() < self.slowest_time() {
-                *self = trial;
+            self.improve_logged(problem, 0.0, u64::MAX, &mut buffers, &mut log);
+            if self.slowest_time() >= slowest_time {
+                self.undo_to(&mut log, 0, problem);
             }
         }
     }
 
-    /// Draws a random change and applies it if it is allowed.
-    fn perturb(&mut self, problem: &LayerProblem<'_>, random_state: &mut u64) {
+    /// Draws a random change and applies it if it is allowed; the result undoes it.
+    fn perturb(&mut self, problem: &LayerProblem<'_>, random_state: &mut u64) -> Option<Undo> {
         let (a, b) = (
             random_below(random_state, self.experts_by_rank.len()),
             random_below(random_state, self.experts_by_rank.len()),
         );
         if a == b || self.experts_by_rank[a].is_empty() || self.experts_by_rank[b].is_empty() {
-            return;
+            return None;
         }
         let (i, j) = (
             random_below(random_state, self.experts_by_rank[a].len()),
             random_below(random_state, self.experts_by_rank[b].len()),
         );
         let (first, second) = (self.experts_by_rank[a][i], self.experts_by_rank[b][j]);
-        if self.experts_by_rank[b].contains(&first) {
-            return;
+        if self.table.holds(b, first) {
+            return None;
         }
         let change = match self.ranks_by_expert[second as usize].len() > 1
             && random_below(random_state, 2) == 0
         {
             true => Change::Load(b, j, first),
-            false if self.experts_by_rank[a].contains(&second) => return,
+            false if self.table.holds(a, second) => return None,
             false => Change::Swap(a, i, b, j),
         };
-        if self.keeps_min_hosts(problem, change) && self.keeps_new_expert_limit(problem, change) {
-            self.apply(change, problem);
-        }
-    }
-
-    /// The change involving the slowest rank that reduces the penalty most for each expert loaded.
-    fn best_change(&self, problem: &LayerProblem<'_>, budget: u64) -> Option<Candidate> {
-        let slowest_time = self.slowest_time();
-        let slowest = self
-            .rank_times
-            .iter()
-            .position(|time| *time == slowest_time)?;
-        let mut best: Option<Candidate> = None;
-        let mut consider = |candidate: Option<Candidate>| {
-            let Some(candidate) = candidate else {
-                return;
-            };
-            let min_gain = best.as_ref().map_or(MIN_GAIN, Candidate::gain_per_load);
-            let is_better = candidate.loads <= budget && candidate.gain_per_load() > min_gain;
-            let is_allowed = self.keeps_min_hosts(problem, candidate.change)
-                && self.keeps_new_expert_limit(problem, candidate.change);
-            if is_better && is_allowed {
-                best = Some(candidate);
-            }
-        };
-        for rank in self.partners(problem, slowest) {
-            for (slot, expert) in self.experts_by_rank[slowest].iter().enumerate() {
-                if self.experts_by_rank[rank].contains(expert) {
-                    continue;
-                }
-                for other_slot in 0..self.experts_by_rank[rank].len() {
-                    consider(self.swap_candidate(problem, (slowest, slot), (rank, other_slot)));
-                    consider(self.load_candidate(problem, rank, other_slot, *expert));
-                }
-                if self.experts_by_rank[rank].len() < problem.slots {
-                    consider(self.load_candidate(
-                        problem,
-                        rank,
-                        self.experts_by_rank[rank].len(),
-                        *expert,
-                    ));
-                }
-            }
-        }
-        best
-    }
-
-    /// The least busy ranks other than `slowest` that may still receive a new expert.
-    fn partners(&self, problem: &LayerProblem<'_>, slowest: usize) -> Vec<usize> {
-        let may_receive = |rank: &usize| self.new_experts(*rank) < problem.max_new_experts[*rank];
-        let mut ranks: Vec<usize> = (0..self.experts_by_rank.len())
-            .filter(|rank| *rank != slowest && problem.rank_costs[*rank].is_finite())
-            .filter(may_receive)
-            .collect();
-        ranks.sort_by(|a, b| {
-            self.rank_times[*a]
-                .total_cmp(&self.rank_times[*b])
-                .then(a.cmp(b))
-        });
-        ranks.truncate(PARTNERS_MAX);
-        ranks
-    }
-
-    /// The exchange of an expert of the slowest rank for one of another rank, if it reduces the penalty.
-    fn swap_candidate(
-        &self,
-        problem: &LayerProblem<'_>,
-        (slowest, slot): (usize, usize),
-        (rank, other_slot): (usize, usize),
-    ) -> Option<Candidate> {
-        let (a, b) = (
-            self.experts_by_rank[slowest][slot],
-            self.experts_by_rank[rank][other_slot],
-        );
-        let delta = self.tokens_per_copy(problem, a) - self.tokens_per_copy(problem, b);
-        if delta <= 0.0 || self.experts_by_rank[slowest].contains(&b) {
-            return None;
-        }
-        let first = self.rank_times[slowest] - delta * problem.rank_costs[slowest];
-        let second = self.rank_times[rank] + delta * problem.rank_costs[rank];
-        let slowest_time = self.rank_times[slowest];
-        let gain = 1.0 + time_penalty(self.rank_times[rank], slowest_time)
-            - time_penalty(first, slowest_time)
-            - time_penalty(second, slowest_time);
-        if gain <= 0.0 {
-            return None;
-        }
-        Some(Candidate {
-            change: Change::Swap(slowest, slot, rank, other_slot),
-            gain,
-            loads: 2,
-        })
-    }
-
-    /// A copy of `expert` on `rank` that replaces the expert in `slot`, if any; none if that expert has
-    /// no other copy.
-    fn load_candidate(
-        &self,
-        problem: &LayerProblem<'_>,
-        rank: usize,
-        slot: usize,
-        expert: u32,
-    ) -> Option<Candidate> {
-        let old = self.experts_by_rank[rank].get(slot).copied();
-        if old.is_some_and(|old| self.ranks_by_expert[old as usize].len() < 2) {
-            return None;
-        }
-        let slowest_time = self.slowest_time();
-        let gain = |rank: usize, added: f64| {
-            let time = self.rank_times[rank];
-            time_penalty(time, slowest_time)
-                - time_penalty(time + added * problem.rank_costs[rank], slowest_time)
-        };
-        let holders = &self.ranks_by_expert[expert as usize];
-        let new_share = problem.expert_loads[expert as usize] / (holders.len() + 1) as f64;
-        let holder_delta = new_share - self.tokens_per_copy(problem, expert);
-        let old_holders = old.map_or(&[][..], |old| &self.ranks_by_expert[old as usize][..]);
-        let old_share = old.map_or(0.0, |old| self.tokens_per_copy(problem, old));
-        let old_holder_delta = old_share / old_holders.len().saturating_sub(1).max(1) as f64;
-        let mut sum = gain(rank, new_share - old_share);
-        for holder in holders {
-            let old_expert_delta = if old_holders.contains(holder) {
-                old_holder_delta
-            } else {
-                0.0
-            };
-            sum += gain(*holder, holder_delta + old_expert_delta);
-        }
-        for holder in old_holders {
-            if *holder != rank && !holders.contains(holder) {
-                sum += gain(*holder, old_holder_delta);
-            }
-        }
-        Some(Candidate {
-            change: Change::Load(rank, slot, expert),
-            gain: sum,
-            loads: 1,
-        })
-    }
-
-    fn tokens_per_copy(&self, problem: &LayerProblem<'_>, expert: u32) -> f64 {
-        let copies = self.ranks_by_expert[expert as usize].len().max(1);
-        problem.expert_loads[expert as usize] / copies as f64
+        let is_allowed =
+            self.keeps_min_hosts(problem, change) && self.keeps_new_expert_limit(problem, change);
+        is_allowed.then(|| self.apply(change, problem))
     }
 
     /// Whether each expert that loses a copy stays on enough hosts, or on as many as before.
@@ -410,13 +247,12 @@
         slot: usize,
         expert: u32,
     ) -> bool {
-        let is_new = |expert: &u32| !self.initial[rank].contains(expert);
-        if !is_new(&expert) {
+        if !self.table.is_new(rank, expert) {
             return true;
         }
-        let experts = self.experts_by_rank[rank].iter().enumerate();
-        let new_experts = experts.filter(|(index, expert)| *index != slot && is_new(expert));
-        new_experts.count() < problem.max_new_experts[rank]
+        let replaced = self.experts_by_rank[rank].get(slot);
+        let replaces_new = replaced.is_some_and(|old| self.table.is_new(rank, *old));
+        self.table.new_experts(rank) - usize::from(replaces_new) < problem.max_new_experts[rank]
     }
 
     /// Whether `expert` stays on enough hosts, or on as many as before, if its copy on rank `removed` is
@@ -435,109 +271,20 @@
             >= before.min(problem.min_hosts_per_expert)
     }
 
-    fn apply(&mut self, change: Change, problem: &LayerProblem<'_>) {
-        match change {
-            Change::Swap(a, i, b, j) => {
-                let (first, second) = (self.experts_by_rank[a][i], self.experts_by_rank[b][j]);
-                self.experts_by_rank[a][i] = second;
-                self.experts_by_rank[b][j] = first;
-                self.ranks_by_expert[first as usize].retain(|rank| *rank != a);
-                self.ranks_by_expert[first as usize].push(b);
-                self.ranks_by_expert[second as usize].retain(|rank| *rank != b);
-                self.ranks_by_expert[second as usize].push(a);
-            }
-            Change::Load(rank, slot, expert) => {
-                if slot < self.experts_by_rank[rank].len() {
-                    let old = std::mem::replace(&mut self.experts_by_rank[rank][slot], expert);
-                    self.ranks_by_expert[old as usize].retain(|holder| *holder != rank);
-                } else {
-                    self.experts_by_rank[rank].push(expert);
-                }
-                self.ranks_by_expert[expert as usize].push(rank);
-            }
-        }
-        self.update_times(problem);
-    }
-
-    fn update_times(&mut self, problem: &LayerProblem<'_>) {
-        for rank in 0..self.experts_by_rank.len() {
-            let shares = self.experts_by_rank[rank]
-                .iter()
-                .map(|e| self.tokens_per_copy(problem, *e));
-            let tokens: f64 = shares.sum();
-            self.rank_times[rank] = match tokens > 0.0 {
-                true => tokens * problem.rank_costs[rank],
-                false => 0.0,
-            };
-        }
+    fn update_tokens_per_copy(&mut self, expert: u32, problem: &LayerProblem<'_>) {
+        let copies = self.ranks_by_expert[expert as usize].len().max(1);
+        self.tokens_per_copy[expert as usize] =
+            problem.expert_loads[expert as usize] / copies as f64;
     }
-}
 
-/// Number of copies of each expert: one, or two if two hosts must hold it and the slots suffice. The
-/// remaining slots go one by one to the expert with the highest load per copy. Returns none if the
-/// slots can't hold every expert.
-fn copy_counts(problem: &LayerProblem<'_>, ranks: &[usize]) -> Option<Vec<usize>> {
-    let experts = problem.expert_loads.len();
-    let mut free = (ranks.len() * problem.slots).checked_sub(experts)?;
-    let mut copies = vec![1; experts];
-    if problem.min_hosts_per_expert > 1 && free >= experts {
-        copies = vec![2; experts];
-        free -= experts;
-    }
-    while free > 0 {
-        let tokens_per_copy = |expert: usize| problem.expert_loads[expert] / copies[expert] as f64;
-        let most_loaded = (0..experts)
-            .filter(|expert| copies[*expert] < ranks.len())
-            .max_by(|a, b| {
-                tokens_per_copy(*a)
-                    .total_cmp(&tokens_per_copy(*b))
-                    .then(b.cmp(a))
-            })?;
-        copies[most_loaded] += 1;
-        free -= 1;
+    fn update_time(&mut self, rank: usize, problem: &LayerProblem<'_>) {
+        let experts = self.experts_by_rank[rank].iter();
+        let tokens: f64 = experts.map(|e| self.tokens_per_copy[*e as usize]).sum();
+        self.rank_times[rank] = match tokens > 0.0 {
+            true => tokens * problem.rank_costs[rank],
+            false => 0.0,
+        };
     }
-    Some(copies)
-}
-
-/// The least busy rank with a free slot that does not hold the expert; until enough hosts hold the
-/// expert, ranks on other hosts take precedence.
-fn best_rank(
-    problem: &LayerProblem<'_>,
-    ranks: &[usize],
-    placed: &[Vec<u32>],
-    rank_times: &[f64],
-    expert: u32,
-) -> Option<usize> {
-    let holders: Vec<usize> = ranks
-        .iter()
-        .copied()
-        .filter(|rank| placed[*rank].contains(&expert))
-        .collect();
-    let lacks_host =
-        host_count_up_to_two(holders.iter().copied(), problem.hosts) < problem.min_hosts_per_expert;
-    let shares_host = |rank: usize| {
-        holders
-            .iter()
-            .any(|h| problem.hosts[*h] == problem.hosts[rank])
-    };
-    let load = problem.expert_loads[expert as usize];
-    ranks
-        .iter()
-        .copied()
-        .filter(|rank| placed[*rank].len() < problem.slots && !holders.contains(rank))
-        .min_by(|a, b| {
-            // The load of the expert itself has a small weight, as a tie-break between ranks that are
-            // equally busy.
-            let key = |rank: usize| {
-                let on_same_host = lacks_host && shares_host(rank);
-                (
-                    on_same_host,
-                    rank_times[rank] + load * problem.rank_costs[rank] * 1e-6,
-                )
-            };
-            let (a, b) = (key(*a), key(*b));
-            a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
-        })
 }
 
 /// Number of distinct hosts of the ranks; two stands for two or more.
