group, control: inputs of a plan are built once per attempt

GroupProblem and the placements of all layers were built four to six times for one plan (latest skew, skew twice, plan_copies and each limit), and the planner with its locations once more; the hosts were sorted and searched by name, and the mean cost of the ranks was summed for every rank. An Attempt now holds the problem, the placements and the skew; hosts are indexed when the planner is made; control keeps the planner until the size or layout changes; the excess of a layer is computed again only after a change.

--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use eelgrassdyke_core::config::{Document, ExpertLayout, GroupSpec};
@@ -78,6 +79,8 @@
     completed_switches: u64,
     /// Skew, last change of demand and number of switches when a plan was last attempted.
     last_attempt: Option<(f64, Instant, u64)>,
+    /// The planner, with the size and the layout that it was built for.
+    planner: Option<(u32, ExpertLayout, Arc<Planner>)>,
 }
 
 impl GroupState {
@@ -96,6 +99,7 @@
             planned: (now, 1.0),
             completed_switches: 0,
             last_attempt: None,
+            planner: None,
         }
     }
 
@@ -160,6 +164,20 @@
         )
     }
 
+    /// The planner of the group, which is built again only if the size or the layout changes.
+    fn planner(&mut self, experts: &ExpertLayout) -> Arc<Planner> {
+        match &self.planner {
+            Some((size, layout, planner)) if (*size, layout) == (self.size, experts) => {
+                planner.clone()
+            }
+            _ => {
+                let planner = Arc::new(build_planner(&self.service, self.size, experts));
+                self.planner = Some((self.size, experts.clone(), planner.clone()));
+                planner
+            }
+        }
+    }
+
     /// Plans the next map and begins the switch to it, if it saves more than it costs.
     ///
     /// A switch whose copies are under way is replaced only after a change of demand, and only if the new
@@ -181,7 +199,8 @@
             return;
         }
         let members: Vec<Rank> = (0..u64::from(self.size)).map(Rank).collect();
-        let planner = build_planner(&self.service, self.size, experts);
+        let planner = self.planner(experts);
+        let attempt = planner.attempt(&self.loads, &present, &members);
         let switches = self.controller.completed_switches();
         if self.controller.copying().is_some() {
             // The map in force is about to be replaced.
@@ -191,25 +210,20 @@
             self.forecast.record_map(now, planned_at, predicted_skew);
         } else {
             let skew = planner.latest_skew(&self.loads, &present, &members);
-            let smoothed_skew = planner.skew(&self.loads, &present, &members);
-            self.forecast.record_skew(skew, smoothed_skew);
+            self.forecast.record_skew(skew, attempt.skew());
         }
-        let attempt = (
-            planner.skew(&self.loads, &present, &members),
-            self.forecast.changed_at(),
-            self.completed_switches,
-        );
-        if !self.may_gain(attempt) {
+        let changed_at = self.forecast.changed_at();
+        if !self.may_gain((attempt.skew(), changed_at, self.completed_switches)) {
             return;
         }
         let cost = self.copy_cost(now, slots, experts);
-        let Some(plan) = planner.plan_copies(&self.loads, &present, &members, &cost) else {
+        let Some(plan) = planner.plan_attempt(&attempt, &cost) else {
             return;
         };
         let copy_time = cost.copy_time * plan.copies_of_busiest_rank as u32;
         if let Some((layers, started_at, expected)) = self.controller.copying() {
             let rest = expected.saturating_sub(now.since(started_at));
-            let is_of_use = planner.skew(&self.loads, layers, &members) < plan.skew.0;
+            let is_of_use = attempt.skew_of(layers) < plan.skew.0;
             if self.forecast.changed_at() <= started_at || is_of_use && rest < copy_time {
                 return;
             }
--- a/crates/group/src/load.rs
+++ b/crates/group/src/load.rs
@@ -178,13 +178,15 @@
         &self.latest_loads
     }
 
-    /// Cost of a rank relative to the mean of all ranks; 1 for a rank without reports.
-    pub fn relative_cost(&self, rank: Rank) -> f64 {
+    /// Cost of each of the first `ranks` ranks relative to the mean of all ranks; 1 for a rank without
+    /// reports.
+    pub fn relative_costs(&self, ranks: usize) -> Vec<f64> {
         let mean = self.rank_costs.values().sum::<f64>() / self.rank_costs.len().max(1) as f64;
-        match self.rank_costs.get(&rank) {
+        let relative_cost = |rank: usize| match self.rank_costs.get(&Rank(rank as u64)) {
             Some(cost) if mean > 0.0 => cost / mean,
             _ => 1.0,
-        }
+        };
+        (0..ranks).map(relative_cost).collect()
     }
 
     /// Sets the cost of a rank whose engine reports its own speed.
--- a/crates/group/src/plan.rs
+++ b/crates/group/src/plan.rs
@@ -6,6 +6,7 @@
 //! a plan as a whole must gain more than the hysteresis, and it loads no more than the weight store
 //! delivers within the budget span.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use eelgrassdyke_core::config::GroupSpec;
@@ -14,28 +15,18 @@
 use eelgrassdyke_core::unit::Bytes;
 use eelgrassdyke_core::wire::group::ExpertPlacement;
 
-use crate::cost::CopyCost;
 use crate::forecast::MapRecord;
-use crate::layer::{LayerPlacement, LayerProblem};
+use crate::layer::LayerPlacement;
 use crate::load::LoadEstimator;
+use crate::problem::{GroupProblem, repair_layer};
 
 /// Price of loading every expert once, as a fraction of the step time, if `skew_weight` and
 /// `move_weight` are equal.
 const LOAD_ALL_PRICE: f64 = 0.25;
 
-/// Number of local searches for an initial placement; each layer gets this divided by the number of
-/// slots in all layers.
-const SEARCH_RESTARTS: u64 = 4096;
-
 /// Number of hosts that should hold each expert, by default.
 const MIN_HOSTS_PER_EXPERT: usize = 2;
 
-/// Number of turns in which the copies of a plan are distributed among the layers.
-const BUDGET_DIVISOR: usize = 2;
-
-/// Factor by which the budget of a layer grows if it was too small for any gain.
-const BUDGET_GROWTH: u64 = 4;
-
 /// Options of a planner.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Options {
@@ -140,18 +131,26 @@
 /// The planner of one group.
 #[derive(Clone, Debug)]
 pub struct Planner {
-    options: Options,
-    spec: GroupSpec,
-    locations: Vec<RankLocation>,
+    pub(crate) options: Options,
+    pub(crate) spec: GroupSpec,
+    /// Index of the host of each rank.
+    hosts: Vec<usize>,
+    host_count: usize,
 }
 
 impl Planner {
     /// Creates a planner for the ranks at `locations`, indexed by rank.
     pub fn new(spec: GroupSpec, locations: Vec<RankLocation>, options: Options) -> Self {
+        let hosts: BTreeSet<&Host> = locations.iter().map(|location| &location.host).collect();
+        let indices: BTreeMap<&Host, usize> = hosts.into_iter().zip(0..).collect();
         Self {
             options,
             spec,
-            locations,
+            hosts: locations
+                .iter()
+                .map(|location| indices[&location.host])
+                .collect(),
+            host_count: indices.len(),
         }
     }
 
@@ -194,98 +193,6 @@
         (!is_small && !is_empty).then_some(plan)
     }
 
-    /// Plans the next map of a group whose ranks copy experts while they run.
-    ///
-    /// Copies are worth their time only while demand stays as it is. Plans with different limits on the
-    /// copies of a rank are compared by the step time that each is expected to save over the rest of the
-    /// demand's life, less what its copies cost. Returns none if none of them saves any.
-    pub fn plan_copies(
-        &self,
-        loads: &LoadEstimator,
-        active: &ExpertPlacement,
-        members: &[Rank],
-        cost: &CopyCost,
-    ) -> Option<Plan> {
-        let problem = self.group_problem(loads, loads.expert_loads(), members);
-        let before = problem.layer_placements(active);
-        let limit_max = self.options.max_new_experts.saturating_mul(before.len());
-        let mut best: Option<Plan> = None;
-        if cost.saved_seconds_max(problem.skew(&before)) <= 0.0 {
-            return None;
-        }
-        for limit in cost.copy_limits(limit_max) {
-            let window = cost.time_in_force(limit);
-            let price = cost.price * problem.mean_time(&before) / window;
-            if window <= 0.0 {
-                continue;
-            }
-            let after = self.improve_with_limit(loads, members, &before, price, limit);
-            let mut plan = self.build_plan(
-                &problem,
-                Some(active),
-                &before,
-                &after,
-                Reason::Interval,
-                false,
-            );
-            let copies = plan.bytes_to_load.0 / self.spec.expert_bytes.0.max(1);
-            plan.saved_seconds = cost.saved_seconds(&plan, copies);
-            let best_so_far = best.as_ref().map_or(0.0, |best| best.saved_seconds);
-            if plan.saved_seconds > best_so_far {
-                best = Some(plan);
-            } else if best.is_some() {
-                // Larger limits take longer still.
-                break;
-            }
-        }
-        best
-    }
-
-    /// Improves the layers in turn, the one with the highest potential gain first, until every rank
-    /// has copied `limit` experts or no further copy saves more than `price`.
-    fn improve_with_limit(
-        &self,
-        loads: &LoadEstimator,
-        members: &[Rank],
-        before: &[LayerPlacement],
-        price: f64,
-        limit: usize,
-    ) -> Vec<LayerPlacement> {
-        let mut problem = self.group_problem(loads, loads.expert_loads(), members);
-        let ranks = self.locations.len();
-        let mut layers = before.to_vec();
-        // Small budgets spread the copies over the layers; a budget grows while it is too small to
-        // relieve several equally slow ranks.
-        let min_budget = (ranks * limit / (layers.len() * BUDGET_DIVISOR).max(1)).max(1) as u64;
-        let mut budgets = vec![min_budget; layers.len()];
-        let mut copies = vec![0; ranks];
-        loop {
-            let excess = |index: usize| {
-                layers[index].slowest_time()
-                    - layers[index].mean_time(&problem.layer_problem(index))
-            };
-            let open = (0..layers.len()).filter(|index| budgets[*index] <= (ranks * limit) as u64);
-            let Some(index) = open.max_by(|a, b| excess(*a).total_cmp(&excess(*b))) else {
-                return layers;
-            };
-            for (rank, limit_in_layer) in problem.max_new_experts.iter_mut().enumerate() {
-                let remaining = limit - usize::min(limit, copies[rank]);
-                let held = layers[index].new_experts(rank);
-                *limit_in_layer = self.options.max_new_experts.min(held + remaining);
-            }
-            let old = layers[index].clone();
-            let layer_problem = problem.layer_problem(index);
-            if layers[index].improve(&layer_problem, price, budgets[index]) == 0 {
-                budgets[index] *= BUDGET_GROWTH;
-                continue;
-            }
-            budgets[index] = min_budget;
-            for (rank, copies) in copies.iter_mut().enumerate() {
-                *copies = *copies + layers[index].new_experts(rank) - old.new_experts(rank);
-            }
-        }
-    }
-
     /// Predicted skew of a placement under these loads: time of the slowest rank over the mean time.
     pub fn skew(&self, loads: &LoadEstimator, layers: &ExpertPlacement, members: &[Rank]) -> f64 {
         let problem = self.group_problem(loads, loads.expert_loads(), members);
@@ -303,26 +210,21 @@
         problem.skew(&problem.layer_placements(layers))
     }
 
-    fn group_problem(
+    pub(crate) fn group_problem(
         &self,
         loads: &LoadEstimator,
         expert_loads: &[Vec<f64>],
         members: &[Rank],
     ) -> GroupProblem {
         let experts = self.spec.experts as usize;
-        let mut hosts: Vec<&Host> = self
-            .locations
-            .iter()
-            .map(|location| &location.host)
-            .collect();
-        hosts.sort();
-        hosts.dedup();
-        let host_index =
-            |location: &RankLocation| hosts.iter().position(|host| **host == location.host);
-        let cost = |rank: usize| match members.contains(&Rank(rank as u64)) {
-            true => loads.relative_cost(Rank(rank as u64)),
-            false => f64::INFINITY,
-        };
+        let ranks = self.hosts.len();
+        let mut rank_costs = loads.relative_costs(ranks);
+        let members_by_rank: BTreeSet<Rank> = members.iter().copied().collect();
+        for (rank, cost) in rank_costs.iter_mut().enumerate() {
+            if !members_by_rank.contains(&Rank(rank as u64)) {
+                *cost = f64::INFINITY;
+            }
+        }
         let mut expert_loads = expert_loads.to_vec();
         expert_loads.resize(self.spec.layers as usize, Vec::new());
         for row in &mut expert_loads {
@@ -336,18 +238,14 @@
         let slots = members.len() * self.spec.slots as usize;
         GroupProblem {
             expert_loads,
-            rank_costs: (0..self.locations.len()).map(cost).collect(),
-            hosts: self
-                .locations
-                .iter()
-                .map(|location| host_index(location).unwrap_or(0))
-                .collect(),
+            rank_costs,
+            hosts: self.hosts.clone(),
             slots: self.spec.slots as usize,
             min_hosts_per_expert: match slots >= self.options.min_hosts_per_expert * experts {
-                true => self.options.min_hosts_per_expert.min(hosts.len()),
+                true => self.options.min_hosts_per_expert.min(self.host_count),
                 false => 1,
             },
-            max_new_experts: vec![self.options.max_new_experts; self.locations.len()],
+            max_new_experts: vec![self.options.max_new_experts; ranks],
         }
     }
 
@@ -430,7 +328,7 @@
         (bytes / self.spec.expert_bytes.0.max(1) as f64) as u64
     }
 
-    fn build_plan(
+    pub(crate) fn build_plan(
         &self,
         problem: &GroupProblem,
         active: Option<&ExpertPlacement>,
@@ -474,95 +372,3 @@
     }
     counts
 }
-
-/// Inputs and constraints of the placement of all layers; see [`LayerProblem`] for the fields.
-struct GroupProblem {
-    expert_loads: Vec<Vec<f64>>,
-    rank_costs: Vec<f64>,
-    hosts: Vec<usize>,
-    slots: usize,
-    min_hosts_per_expert: usize,
-    max_new_experts: Vec<usize>,
-}
-
-impl GroupProblem {
-    /// Number of local searches for each layer; zero for a large group.
-    fn search_restarts(&self) -> u64 {
-        let slots = self.rank_costs.len() * self.slots * self.expert_loads.len();
-        SEARCH_RESTARTS / slots.max(1) as u64
-    }
-
-    fn layer_problem(&self, index: usize) -> LayerProblem<'_> {
-        LayerProblem {
-            expert_loads: &self.expert_loads[index],
-            rank_costs: &self.rank_costs,
-            hosts: &self.hosts,
-            slots: self.slots,
-            min_hosts_per_expert: self.min_hosts_per_expert,
-            max_new_experts: &self.max_new_experts,
-        }
-    }
-
-    fn layer_placements(&self, layers: &ExpertPlacement) -> Vec<LayerPlacement> {
-        let layer = |(index, ranks): (usize, &Vec<Vec<u32>>)| {
-            LayerPlacement::new(ranks, &self.layer_problem(index))
-        };
-        layers.iter().enumerate().map(layer).collect()
-    }
-
-    fn mean_time(&self, layers: &[LayerPlacement]) -> f64 {
-        let means = layers.iter().enumerate();
-        means
-            .map(|(index, l)| l.mean_time(&self.layer_problem(index)))
-            .sum()
-    }
-
-    fn skew(&self, layers: &[LayerPlacement]) -> f64 {
-        let slowest: f64 = layers.iter().map(LayerPlacement::slowest_time).sum();
-        slowest / self.mean_time(layers).max(f64::MIN_POSITIVE)
-    }
-}
-
-/// Places the experts of a layer that only lost ranks held, and moves no other expert.
-///
-/// Each lost expert goes to the least busy rank that has a free slot or a redundant copy of another
-/// expert to replace. Returns none if there is no such rank.
-fn repair_layer(ranks: &[Vec<u32>], problem: &LayerProblem<'_>) -> Option<Vec<Vec<u32>>> {
-    let mut placed: Vec<Vec<u32>> = ranks.to_vec();
-    placed.resize(problem.rank_costs.len(), Vec::new());
-    for (rank, cost) in problem.rank_costs.iter().enumerate() {
-        if !cost.is_finite() {
-            placed[rank].clear();
-        }
-    }
-    for expert in 0..problem.expert_loads.len() as u32 {
-        if placed.iter().any(|held| held.contains(&expert)) {
-            continue;
-        }
-        let count = |expert: u32| placed.iter().filter(|held| held.contains(&expert)).count();
-        let mut best: Option<(f64, usize, Option<usize>)> = None;
-        for (rank, cost) in problem.rank_costs.iter().enumerate() {
-            if !cost.is_finite() {
-                continue;
-            }
-            let slot = match placed[rank].len() < problem.slots {
-                true => None,
-                false => match placed[rank].iter().position(|held| count(*held) > 1) {
-                    Some(slot) => Some(slot),
-                    None => continue,
-                },
-            };
-            let load = |e: &u32| problem.expert_loads[*e as usize] / count(*e) as f64;
-            let time = placed[rank].iter().map(load).sum::<f64>() * cost;
-            if best.is_none_or(|(best_time, ..)| time < best_time) {
-                best = Some((time, rank, slot));
-            }
-        }
-        let (_, rank, slot) = best?;
-        match slot {
-            Some(slot) => placed[rank][slot] = expert,
-            None => placed[rank].push(expert),
-        }
-    }
-    Some(placed)
-}
