--- a/crates/control/tests/follow.rs
+++ b/crates/control/tests/follow.rs
@@ -6,10 +6,11 @@
 use std::time::Duration;
 
 use eelgrassdyke_core::follow::Follower;
-use eelgrassdyke_core::id::{Incarnation, Version};
+use eelgrassdyke_core::id::{Incarnation, Term, Version};
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::Sender;
 use eelgrassdyke_core::wire::follow::Update;
+use eelgrassdyke_core::wire::rank::Assignments;
 
 const FOLLOWERS: u64 = 3300;
 
@@ -266,3 +267,39 @@
             .directory_changed
     );
 }
+
+/// Two control processes may send different lists of coordinators. An older one must not direct reports to a
+/// process that has lost the group, and a list must not outlive the setting that spreads the groups.
+#[test]
+fn watch_keeps_the_latest_coordinators_until_they_age() {
+    let mut follower = Follower::new(&sender(1, 1), control_addresses(), false).without_config();
+    let poll = follower.next_poll(Instant(0)).unwrap().1;
+    let group = "g0".parse().unwrap();
+    let leader: SocketAddr = "127.0.0.1:9".parse().unwrap();
+    let list = |term, revision, port| Assignments {
+        term: Term(term),
+        revision,
+        groups: vec![(
+            "g0".parse().unwrap(),
+            Some(SocketAddr::from(([127, 0, 0, 1], port))),
+        )],
+    };
+    let mut apply = |at: u64, has_quorum, coordinators| {
+        let mut update = update(3, poll.poll_number);
+        update.leader = Some(leader);
+        update.has_quorum = has_quorum;
+        update.coordinators = coordinators;
+        follower.apply(Instant(at), &"control-2".parse().unwrap(), update);
+        follower.coordinator_address(Instant(at), &group).unwrap()
+    };
+    assert_eq!(apply(1, true, Assignments::default()), leader);
+    assert_eq!(apply(2, true, list(3, 5, 21)).port(), 21);
+    assert_eq!(apply(3, true, list(3, 4, 22)).port(), 21);
+    assert_eq!(apply(4, true, list(2, 9, 23)).port(), 21);
+    assert_eq!(apply(5, false, list(4, 1, 24)).port(), 21);
+    assert_eq!(apply(6, true, list(4, 1, 24)).port(), 24);
+    assert_eq!(apply(7, true, Assignments::default()).port(), 24);
+    // The setting was turned off, and the cluster was founded anew later.
+    assert_eq!(apply(6_000_000, true, Assignments::default()), leader);
+    assert_eq!(apply(6_000_001, true, list(1, 1, 25)).port(), 25);
+}
--- a/crates/core/src/follow.rs
+++ b/crates/core/src/follow.rs
@@ -225,7 +225,10 @@
     /// Stores a list of coordinators unless it is older than the one held; another control process may
     /// send one late.
     fn set_coordinators(&mut self, now: Instant, coordinators: Assignments) {
-        if !coordinators.is_unknown() && coordinators.is_current(&self.coordinators.0) {
+        // A list that has aged may come from a cluster that was founded anew, whose terms are lower.
+        let (held, received_at) = &self.coordinators;
+        let has_aged = now.since(*received_at) >= COORDINATORS_AGE_MAX;
+        if !coordinators.is_unknown() && (has_aged || coordinators.is_current(held)) {
             self.coordinators = (coordinators, now);
         }
     }
--- a/crates/group/src/barrier.rs
+++ b/crates/group/src/barrier.rs
@@ -117,9 +117,10 @@
 /// An input of a controller.
 #[derive(Clone, Debug)]
 pub enum Input {
-    /// This process has become the leader of the log in this term.
+    /// This process has become the leader of the log in this term, or the coordinator of the group in this
+    /// coordination term, whose low 16 bits count the leader's assignments. A term has room for 32 bits.
     LeadershipGained(Term),
-    /// This process is no longer the leader.
+    /// This process is no longer the leader or coordinator.
     LeadershipLost,
     /// A report of an engine.
     Report {
--- a/crates/testkit/src/model/crash.rs
+++ b/crates/testkit/src/model/crash.rs
@@ -956,6 +956,7 @@
             slow_engines,
             entry_count: self.entries.len() as u32,
             shares: self.shares(entry),
+            coordinators: Default::default(),
         };
         let message = Message::Update(update);
         let from = control;
