--- a/crates/agent/tests/watch.rs
+++ b/crates/agent/tests/watch.rs
@@ -189,3 +189,47 @@
     let reads = world.reads - reads;
     assert!(reads <= 11, "{reads} reads");
 }
+
+/// The coordinator of a group may have changed, or not be known yet, when an order is carried out. Only the
+/// sender of the order waits for its result.
+#[test]
+fn the_result_of_an_order_goes_to_its_sender() {
+    let mut world = World::new(0, 4);
+    world.run(Duration::from_millis(200));
+    let coordinator = Sender {
+        process: "control-7".parse().unwrap(),
+        incarnation: Incarnation(1),
+        address: address(7),
+    };
+    let order = RankOrder {
+        number: 5,
+        group: "g0".parse().unwrap(),
+        generation: Generation(1),
+        rank: Rank(0),
+        fencing_token: 1,
+        action: RankAction::Release { step: Step(1) },
+    };
+    let result = RankOrderResult {
+        number: order.number,
+        group: order.group.clone(),
+        rank: order.rank,
+        outcome: RankOrderOutcome::Accepted,
+    };
+    let mut out = Vec::new();
+    let input = Input::Message {
+        from: coordinator,
+        message: Message::Rank(Box::new(rank::Message::Order(order))),
+    };
+    world.watch.handle(world.now, input, &mut out);
+    out.clear();
+    let input = Input::OrderResult(result);
+    world.watch.handle(world.now, input, &mut out);
+    let receivers = out.iter().filter_map(|output| match output {
+        Output::Send {
+            to,
+            message: Message::Rank(message),
+        } if matches!(**message, rank::Message::OrderResult(_)) => Some(*to),
+        _ => None,
+    });
+    assert_eq!(receivers.collect::<Vec<_>>(), [address(7)]);
+}
