--- a/crates/eelgrassctl/tests/operate.rs
+++ b/crates/eelgrassctl/tests/operate.rs
@@ -294,3 +294,42 @@
     let stderr = String::from_utf8_lossy(&output.stderr).into_owned();
     assert!(stderr.contains("no server of draft is known to have ended on 5c1e07a2"));
 }
+
+/// An operator must see which data centres are evacuated, and must not end an evacuation by applying a
+/// document that does not mention it.
+#[test]
+fn a_data_centre_is_evacuated_and_restored() {
+    let site = Site::start();
+    assert_eq!(site.run_json(0, &["status"])["evacuated"], json!([]));
+    let ordered = site.run_json(0, &["evacuate", "hobart", "--wait"]);
+    assert_eq!(ordered["in_force"]["have"], json!(["all-1"]));
+    site.run_json(0, &["evacuate", "hobart"]);
+    assert_eq!(
+        site.run_json(0, &["status"])["evacuated"],
+        json!(["hobart"])
+    );
+    let status = stdout(&site.run(&["status"]));
+    assert!(status.contains("hobart is evacuated"), "{status}");
+
+    let empty = site.write_file("empty.json", "{}");
+    let empty = empty.to_str().unwrap();
+    assert_exit_code(&site.run(&["diff", empty]), 0);
+    site.run_json(0, &["apply", empty]);
+    let config = site.run_json(0, &["get"]);
+    assert_eq!(
+        config["document"]["data_centres"],
+        json!({"hobart": {"evacuated": true}})
+    );
+
+    let events = stdout(&site.run(&["timeline"]));
+    for event in ["EvacuationOrdered", "EvacuationBegun"] {
+        assert!(events.contains(event), "{events}");
+    }
+    site.run_json(0, &["restore", "hobart"]);
+    assert_eq!(site.run_json(0, &["status"])["evacuated"], json!([]));
+    let output = site.run(&["evacuate", "nowhere"]);
+    assert_exit_code(&output, 0);
+    let warning = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(warning.contains("no server in nowhere"), "{warning}");
+    assert_exit_code(&site.run(&["evacuate", "two words"]), 2);
+}
