entry: tests of orders pushed without the directory, and of pauses

Each part of the mechanism was taken out alone, on a scratch copy of one file at a time, and the tests of its crate were run.

Two survived at first: the router's servers not applied again after a change, because the test sent the directory with every update, and pauses of evacuated servers. Both tests of this commit detect them now.

--- a/crates/entry/tests/evacuation.rs
+++ b/crates/entry/tests/evacuation.rs
@@ -15,7 +15,7 @@
 use eelgrassdyke_core::wire::refusal::{Reason, Refusal, RunStatus};
 use eelgrassdyke_core::wire::{Message, Sender};
 use eelgrassdyke_entry::direct::{
-    AttemptOutcome, AttemptSpec, Call, Direct, Input, Options, Output,
+    AttemptOutcome, AttemptSpec, Call, Direct, Input, Options, Output, Pause, ServerSignal,
 };
 use eelgrassdyke_entry::{self as agent_path, Entry};
 use serde_json::{Value, json};
@@ -274,6 +274,32 @@
     }
 }
 
+/// The order is pushed as a change of the configuration, without the directory.
+#[test]
+fn order_takes_effect_without_a_directory_update() {
+    let mut harness = Harness::with_evacuated(&[]);
+    for (evacuated, expected) in [(&["hobart"][..], 1), (&[], 2)] {
+        harness.version += 1;
+        let document = document(evacuated);
+        let mut update = update(harness.version, harness.poll_number, document, &FOUR, true);
+        update.directory = None;
+        harness.feed(Input::Message {
+            from: sender("control-1"),
+            message: Message::Update(update),
+        });
+        let mut destinations = Vec::new();
+        for _ in 0..50 {
+            let (number, out) = harness.call("never");
+            destinations.extend(harness.destinations(&out));
+            harness.end(number, 1, AttemptOutcome::Responded(200));
+        }
+        assert_eq!(destinations.len(), 50);
+        destinations.sort_unstable();
+        destinations.dedup();
+        assert_eq!(destinations.len(), expected, "{destinations:?}");
+    }
+}
+
 /// A server that registers in the evacuated data centre, or again with a higher incarnation, is
 /// evacuated as well.
 #[test]
@@ -439,6 +465,28 @@
     assert_eq!(out.len(), 1);
 }
 
+/// Evacuated servers want no pauses, but they are no reason to wait either: while all others want pauses,
+/// the caller is told when the first one ends.
+#[test]
+fn pauses_of_all_remaining_servers_refuse_at_once() {
+    let mut harness = Harness::new();
+    let rows = [(1, 1, "hobart", 4), (3, 1, "launceston", 4)];
+    harness.update(&["hobart"], &rows, true);
+    harness.feed(Input::ServerSignal {
+        server: "server-3".parse().unwrap(),
+        incarnation: Incarnation(1),
+        signal: ServerSignal {
+            pause: Some(Pause::For(Duration::from_secs(2))),
+            ..ServerSignal::default()
+        },
+    });
+    let (_, out) = harness.call("never");
+    let refusal = refusals(&out)[0];
+    assert_eq!(refusal.run_status, RunStatus::No);
+    let retry_after_ms = refusal.retry_after_ms.expect("the end of the pause");
+    assert!((2000..=2400).contains(&retry_after_ms), "{retry_after_ms}");
+}
+
 /// The estimate that decides between waiting and refusal must not count slots that no request gets.
 #[test]
 fn expected_wait_counts_the_remaining_servers_only() {
@@ -551,7 +599,11 @@
         document["services"] = json!({"draft": {"kind": "drafting"}});
         let token = eelgrassdyke_core::digest::Sha256::of(b"token").to_string();
         document["teams"] = json!({"salon": {"tokens": [token]}});
-        let update = update(self.version, self.poll_number, document, &FOUR, true);
+        let mut update = update(self.version, self.poll_number, document, &FOUR, true);
+        // Only the first update has the directory; control doesn't send it again.
+        if self.version > 1 {
+            update.directory = None;
+        }
         let input = agent_path::Input::Message {
             from: sender("control-1"),
             message: Message::Update(update),
