group: the controller borrows its phase; prepare orders share the placement

advance_phase cloned the phase, with its round of orders and the placement, for every report, result and wake-up, and each prepare order copied the placement. The phase is now matched by reference, and RankAction::Prepare holds an Arc, whose serialized form is that of the placement.

Ruled out: taking the phase out of the controller for the duration of the call, since the functions that it calls read and set it. The time per report was not measured. barrier.rs (9 tests) and the plan digests pass.

--- a/crates/agent/tests/watch.rs
+++ b/crates/agent/tests/watch.rs
@@ -164,7 +164,7 @@
         fencing_token: 1,
         action: RankAction::Prepare {
             version: Version(1),
-            layers: vec![vec![vec![0]]],
+            layers: vec![vec![vec![0]]].into(),
         },
     };
     let from = Sender {
--- a/crates/core/src/wire/rank.rs
+++ b/crates/core/src/wire/rank.rs
@@ -4,6 +4,7 @@
 //! step, and any of them can hold the whole group before a step.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use crate::data;
 use crate::id::{Generation, Group, Incarnation, Rank, Service, Step, Version};
@@ -56,7 +57,8 @@
         /// Number of the last order whose outcome was known when the state was read.
         #[serde(rename = "after")]
         pub last_known_order: u64,
-        /// Experts of the rank in the active map, by layer; empty if they were not read.
+        /// Experts of the rank in the active map, by layer; empty if they were not read, or were sent
+        /// within the last second for the same generation and map.
         pub experts: Vec<Vec<u32>>,
         /// How often its requests selected each expert; none if not read.
         pub counts: Option<ExpertCounts>,
@@ -100,8 +102,8 @@
         Prepare {
             /// Version of the map, higher than all earlier ones.
             version: Version,
-            /// The experts, by layer and rank.
-            layers: ExpertPlacement,
+            /// The experts, by layer and rank; shared by the orders to all ranks.
+            layers: Arc<ExpertPlacement>,
         },
         /// Activate a prepared map at the start of a step.
         Arm {
--- a/crates/group/src/barrier.rs
+++ b/crates/group/src/barrier.rs
@@ -17,8 +17,11 @@
 //! releases it as in step 4. Ranks that are armed without a hold have all been armed and released by
 //! the predecessor, so they are left to activate the map.
 
-use std::collections::{BTreeMap, BTreeSet};
+mod round;
+
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use eelgrassdyke_core::event::{Code, Event};
@@ -29,6 +32,8 @@
     EngineReport, RankAction, RankOrder, RankOrderOutcome, RankOrderResult,
 };
 
+use round::{Round, SentOrder, unconfirmed_ranks};
+
 /// Number of low bits of a fencing token that count within a term; the higher bits are the term.
 const FENCING_COUNTER_BITS: u32 = 24;
 
@@ -169,23 +174,6 @@
     step_base: (Step, Instant),
 }
 
-/// Orders of one phase, at most one for each rank.
-#[derive(Clone, Debug, Default)]
-struct Round {
-    sent: BTreeMap<Rank, SentOrder>,
-    /// Number of the order that each rank has confirmed.
-    confirmed: BTreeMap<Rank, u64>,
-}
-
-/// The latest order sent to a rank.
-#[derive(Clone, Copy, Debug)]
-struct SentOrder {
-    number: u64,
-    sent_at: Instant,
-    /// Number of consecutive orders without a result from the watch process.
-    unanswered_sends: u32,
-}
-
 /// The state of the controller.
 #[derive(Clone, Debug)]
 enum Phase {
@@ -205,7 +193,7 @@
     /// The ranks load experts.
     Preparing {
         version: Version,
-        layers: ExpertPlacement,
+        layers: Arc<ExpertPlacement>,
         round: Round,
         deadline: Instant,
     },
@@ -543,7 +531,7 @@
         self.highest_version = self.highest_version.next();
         self.phase = Phase::Preparing {
             version: self.highest_version,
-            layers,
+            layers: Arc::new(layers),
             round: Round::default(),
             deadline: now + self.options.prepare_timeout + copy_time * COPY_TIME_TOLERANCE,
         };
@@ -588,7 +576,7 @@
 
     /// Sends the orders of the current phase and enters the next one when its condition is met.
     fn advance_phase(&mut self, now: Instant, out: &mut Vec<Output>) {
-        match self.phase.clone() {
+        match &self.phase {
             Phase::Idle => {}
             Phase::Settled => {
                 let is_held_or_armed = |entry: &RankEntry| {
@@ -598,24 +586,22 @@
                     self.start_fencing();
                 }
             }
-            Phase::Fencing(round) => self.advance_fencing(now, &round, out),
-            Phase::Clearing {
-                round,
-                fencing_orders,
-            } => self.advance_clearing(now, &round, &fencing_orders, out),
+            Phase::Fencing(_) => self.advance_fencing(now, out),
+            Phase::Clearing { .. } => self.advance_clearing(now, out),
             Phase::Preparing {
                 version,
                 layers,
                 round,
                 deadline,
             } => {
+                let version = *version;
                 let is_prepared = |entry: &RankEntry| entry.report.prepared_map == Some(version);
                 let is_unprepared = |rank: &Rank| !self.ranks.get(rank).is_some_and(is_prepared);
                 if self.is_group_running(now) && self.ranks.values().all(is_prepared) {
                     let holder = self.ranks.keys().next().copied().unwrap_or_default();
                     self.start_holding(now, version, holder);
                     self.advance_phase(now, out);
-                } else if now >= deadline {
+                } else if now >= *deadline {
                     let detail = format!(
                         "version {version}: not every rank had copied its experts before the deadline"
                     );
@@ -624,7 +610,8 @@
                 } else {
                     let ranks: Vec<Rank> =
                         self.ranks.keys().copied().filter(is_unprepared).collect();
-                    let unconfirmed = unconfirmed_ranks(&ranks, &round);
+                    let unconfirmed = unconfirmed_ranks(&ranks, round);
+                    let layers = layers.clone();
                     self.send_due_orders(
                         now,
                         &unconfirmed,
@@ -642,6 +629,7 @@
                 round,
                 holder,
             } => {
+                let (version, step, holder) = (*version, *step, *holder);
                 if round.confirmed.contains_key(&holder) {
                     self.phase = Phase::Arming {
                         version,
@@ -665,6 +653,7 @@
                 holder,
                 deadline,
             } => {
+                let (version, step, holder) = (*version, *step, *holder);
                 let ranks: Vec<Rank> = self.ranks.keys().copied().collect();
                 if round.confirmed.len() == self.group_size as usize
                     && ranks.len() == round.confirmed.len()
@@ -676,7 +665,7 @@
                         holder,
                     };
                     self.advance_phase(now, out);
-                } else if now >= deadline {
+                } else if now >= *deadline {
                     let detail = format!(
                         "version {version}: not every rank confirmed that it is armed before the deadline"
                     );
@@ -684,7 +673,7 @@
                     self.start_fencing();
                     self.advance_phase(now, out);
                 } else {
-                    let unconfirmed = unconfirmed_ranks(&ranks, &round);
+                    let unconfirmed = unconfirmed_ranks(&ranks, round);
                     self.send_due_orders(
                         now,
                         &unconfirmed,
@@ -699,6 +688,7 @@
                 round,
                 holder,
             } => {
+                let (version, step, holder) = (*version, *step, *holder);
                 let is_switched = |entry: &RankEntry| {
                     entry.report.active_map == version && entry.report.hold_step.is_none()
                 };
@@ -715,7 +705,7 @@
                     self.emit_event(Code::MapInForce, detail, out);
                     self.phase = Phase::Settled;
                 } else {
-                    let unconfirmed = unconfirmed_ranks(&[holder], &round);
+                    let unconfirmed = unconfirmed_ranks(&[holder], round);
                     self.send_due_orders(now, &unconfirmed, |_| RankAction::Release { step }, out);
                 }
             }
@@ -723,7 +713,10 @@
     }
 
     /// Sends the fencing token to every rank and evaluates the reports made after that.
-    fn advance_fencing(&mut self, now: Instant, round: &Round, out: &mut Vec<Output>) {
+    fn advance_fencing(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let Phase::Fencing(round) = &self.phase else {
+            return;
+        };
         if self.group_size == 0 || self.ranks.len() < self.group_size as usize {
             return;
         }
@@ -758,13 +751,14 @@
     }
 
     /// Disarms the armed ranks, then releases the holds.
-    fn advance_clearing(
-        &mut self,
-        now: Instant,
-        round: &Round,
-        fencing_orders: &BTreeMap<Rank, u64>,
-        out: &mut Vec<Output>,
-    ) {
+    fn advance_clearing(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let Phase::Clearing {
+            round,
+            fencing_orders,
+        } = &self.phase
+        else {
+            return;
+        };
         if self.ranks.len() < self.group_size as usize || !self.have_reported_since(fencing_orders)
         {
             return;
@@ -903,21 +897,3 @@
         out.push(Output::Event(Event::new(code, detail).group(&self.group)));
     }
 }
-
-impl Round {
-    /// Whether an order to a rank is due: none was sent, or the last one has no result in time.
-    fn is_due(&self, now: Instant, rank: Rank, resend_interval: Duration) -> bool {
-        let sent = self.sent.get(&rank);
-        sent.is_none_or(|sent| now.since(sent.sent_at) >= resend_interval)
-    }
-}
-
-/// The ranks that have not confirmed an order of the round.
-fn unconfirmed_ranks(ranks: &[Rank], round: &Round) -> Vec<Rank> {
-    let confirmed: BTreeSet<Rank> = round.confirmed.keys().copied().collect();
-    ranks
-        .iter()
-        .copied()
-        .filter(|rank| !confirmed.contains(rank))
-        .collect()
-}
