agent, group: reports carry the experts of a rank only when needed

Each report, ten a second from every rank, carried the experts of the rank, which the leader decoded and stored though they change only with the map. The watch now sends them when the generation or the map has changed and otherwise 900 ms after they were last sent, so that with reads every 100 ms a new coordinator or one that lost a message has them within a second. The controller keeps the last ones of the same rank, incarnation, generation and map, and has no active placement while those of any rank are unknown. Starting a switch no longer copies the placement to see whether there is one.

Ruled out: sending them on request of the controller, which needs a new message. A controller from before this change takes a report without experts for a rank without any, so watch processes must not be newer than the control processes that they report to.

Tests: in 5 s with one change of the map, at least 45 reports of which at most 7 carry experts, never a second apart; the controller keeps them for the same incarnation and map only. The processor time of the leader was not measured.

--- a/crates/agent/src/watch.rs
+++ b/crates/agent/src/watch.rs
@@ -30,6 +30,10 @@
 /// cause (docs/CAPACITY.md).
 const COUNTS_RATE_MAX: f64 = 13_000.0;
 
+/// Time after which the experts are sent again though their map has not changed. A new coordinator, or one
+/// that lost a message, gets them with the first report after it, and so within a second.
+const EXPERTS_INTERVAL: Duration = Duration::from_millis(900);
+
 /// Time after which a read without a result counts as lost.
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -91,6 +95,8 @@
     last_known_order_at_read: u64,
     /// Experts of the rank by layer, with the generation and the version of their map.
     experts: Option<(Generation, Version, Vec<Vec<u32>>)>,
+    /// Generation and map of the experts that were last sent, and when.
+    experts_sent: Option<(Generation, Version, Instant)>,
     /// Reads at the usual interval since the start.
     reads: u64,
     /// The number of reads of which one sends counts.
@@ -159,6 +165,7 @@
             last_known_order: 0,
             last_known_order_at_read: 0,
             experts: None,
+            experts_sent: None,
             reads: 0,
             reads_per_counts: 1,
             rank: Rank(0),
@@ -174,7 +181,7 @@
             Input::ReadResult(report) => {
                 self.read_started_at = None;
                 if let Some(report) = report {
-                    self.report_state(*report, out);
+                    self.report_state(now, *report, out);
                 }
             }
             Input::OrderResult(result) => {
@@ -291,7 +298,7 @@
 
     /// Completes a report, with remembered experts if they were not read, and sends it to the
     /// leader; an additional read is reported only if it shows a change.
-    fn report_state(&mut self, mut report: EngineReport, out: &mut Vec<Output>) {
+    fn report_state(&mut self, now: Instant, mut report: EngineReport, out: &mut Vec<Output>) {
         let state = MapState::new(&report);
         self.awaited = self.awaited.filter(|(effect, _)| !state.shows(*effect));
         let is_new = self.last_state.replace(state) != Some(state);
@@ -301,16 +308,7 @@
         }
         self.reported_order = self.last_known_order_at_read;
         self.replace_counts(&mut report);
-        if report.experts.is_empty() {
-            if let Some((generation, version, experts)) = &self.experts
-                && (*generation, *version) == (report.generation, report.active_map)
-            {
-                report.experts.clone_from(experts);
-            }
-        } else {
-            let experts = report.experts.clone();
-            self.experts = Some((report.generation, report.active_map, experts));
-        }
+        self.complete_experts(now, &mut report);
         report.last_known_order = self.last_known_order_at_read;
         report.incarnation = self.local.incarnation;
         let from = self.local.address;
@@ -323,6 +321,28 @@
         self.send_to_leader(message, out);
     }
 
+    /// Remembers the experts of a report, and leaves them out if they were sent recently for the same map.
+    fn complete_experts(&mut self, now: Instant, report: &mut EngineReport) {
+        let (generation, version) = (report.generation, report.active_map);
+        if !report.experts.is_empty() {
+            let experts = std::mem::take(&mut report.experts);
+            self.experts = Some((generation, version, experts));
+        }
+        let is_sent = self.experts_sent.is_some_and(|sent| {
+            (sent.0, sent.1) == (generation, version) && now.since(sent.2) < EXPERTS_INTERVAL
+        });
+        let Some((known_generation, known_version, experts)) = &self.experts else {
+            return;
+        };
+        let is_known = (*known_generation, *known_version) == (generation, version);
+        // Without a leader, the report is not sent.
+        if is_sent || !is_known || self.follower.leader_address().is_none() {
+            return;
+        }
+        report.experts.clone_from(experts);
+        self.experts_sent = Some((generation, version, now));
+    }
+
     fn send_to_leader(&self, message: rank::Message, out: &mut Vec<Output>) {
         if let Some(to) = self.follower.leader_address() {
             let message = Message::Rank(Box::new(message));
--- a/crates/agent/tests/watch.rs
+++ b/crates/agent/tests/watch.rs
@@ -25,6 +25,7 @@
     copying: Option<(Version, Instant)>,
     reports: Vec<(Instant, EngineReport)>,
     reads: u64,
+    active_map: Version,
 }
 
 fn address(port: u16) -> SocketAddr {
@@ -47,6 +48,7 @@
             copying: None,
             reports: Vec::new(),
             reads: 0,
+            active_map: Version(0),
         }
     }
 
@@ -101,7 +103,7 @@
             generation: Generation(1),
             open: true,
             step: Step(self.step),
-            active_map: Version(0),
+            active_map: self.active_map,
             prepared_map: copied.map(|(version, _)| version),
             armed_map: None,
             hold_step: None,
@@ -189,3 +191,31 @@
     let reads = world.reads - reads;
     assert!(reads <= 11, "{reads} reads");
 }
+
+/// The experts are most of a report. A coordinator that is new, or that lost a message, must still get them
+/// within a second, and after a change of the map at once.
+#[test]
+fn experts_are_sent_after_a_change_and_within_a_second() {
+    let mut world = World::new(0, 300);
+    world.run(Duration::from_millis(2500));
+    world.active_map = Version(1);
+    world.run(Duration::from_millis(2500));
+    let mut last_sent: Option<(Instant, Version)> = None;
+    let mut sent = 0;
+    for (at, report) in &world.reports {
+        let is_changed = last_sent.is_none_or(|(_, version)| version != report.active_map);
+        if is_changed {
+            assert!(!report.experts.is_empty(), "no experts after a change");
+        }
+        if !report.experts.is_empty() {
+            assert_eq!(report.experts, [[0]]);
+            last_sent = Some((*at, report.active_map));
+            sent += 1;
+        }
+        let (sent_at, _) = last_sent.expect("the first report has the experts");
+        let age = at.since(sent_at);
+        assert!(age < Duration::from_secs(1), "not sent for {age:?}");
+    }
+    assert!(world.reports.len() >= 45, "{} reports", world.reports.len());
+    assert!(sent <= 7, "sent {sent} times in 5 s");
+}
--- a/crates/group/src/barrier.rs
+++ b/crates/group/src/barrier.rs
@@ -335,23 +335,31 @@
 
     /// The placement that all ranks use; none unless a switch may start.
     pub fn active_placement(&self, now: Instant) -> Option<ExpertPlacement> {
+        let layers = self.layers_to_switch(now)?;
+        let ranks = || self.ranks.values();
+        let experts_of_layer =
+            |layer: usize| ranks().map(move |entry| entry.report.experts[layer].clone());
+        Some(
+            (0..layers)
+                .map(|layer| experts_of_layer(layer).collect())
+                .collect(),
+        )
+    }
+
+    /// Number of layers of the placement that all ranks use; none unless a switch may start and the
+    /// experts of every rank are known.
+    fn layers_to_switch(&self, now: Instant) -> Option<usize> {
         let may_start = matches!(self.phase, Phase::Settled | Phase::Preparing { .. });
         if !may_start || !self.is_group_running(now) {
             return None;
         }
         let mut reports = self.ranks.values().map(|entry| &entry.report);
         let first = reports.next()?;
-        if reports.any(|report| report.active_map != first.active_map) {
-            return None;
-        }
         let layers = first.experts.len();
-        let experts_of_layer = |layer: usize| {
-            let ranks = self.ranks.values();
-            ranks
-                .map(|entry| entry.report.experts.get(layer).cloned())
-                .collect::<Option<Vec<_>>>()
+        let is_alike = |report: &EngineReport| {
+            report.active_map == first.active_map && report.experts.len() >= layers
         };
-        (0..layers).map(experts_of_layer).collect()
+        (layers > 0 && reports.all(is_alike)).then_some(layers)
     }
 
     /// Number of switches that this controller has completed.
@@ -379,7 +387,7 @@
             && self.ranks.values().all(is_running)
     }
 
-    fn handle_report(&mut self, now: Instant, watch: SocketAddr, report: EngineReport) {
+    fn handle_report(&mut self, now: Instant, watch: SocketAddr, mut report: EngineReport) {
         if report.generation < self.generation {
             return;
         }
@@ -427,6 +435,15 @@
             }
         }
         let rank = report.rank;
+        // Most reports leave the experts out, as the controller has them from an earlier one.
+        let map =
+            |report: &EngineReport| (report.incarnation, report.generation, report.active_map);
+        if report.experts.is_empty()
+            && let Some(previous) = self.ranks.get_mut(&rank)
+            && map(&previous.report) == map(&report)
+        {
+            report.experts = std::mem::take(&mut previous.report.experts);
+        }
         let entry = RankEntry {
             watch,
             report,
@@ -524,7 +541,7 @@
     }
 
     fn start_switch(&mut self, now: Instant, layers: ExpertPlacement, copy_time: Duration) {
-        if self.active_placement(now).is_none() {
+        if self.layers_to_switch(now).is_none() {
             return;
         }
         self.raise_token();
--- a/crates/group/tests/barrier.rs
+++ b/crates/group/tests/barrier.rs
@@ -512,3 +512,36 @@
         "{step_time:?}"
     );
 }
+
+/// Most reports leave the experts out. The controller must not plan from those of another watch process or
+/// map, and must not lose those that it has.
+#[test]
+fn experts_are_kept_for_the_same_incarnation_and_map_only() {
+    let mut world = World::new(5, Ignored::Nothing, 0.0);
+    world.drive_controller(0, Input::LeadershipGained(Term(1)));
+    while world.leaders[0].active_placement(world.now).is_none() {
+        world.tick();
+    }
+    let placement = world.leaders[0].active_placement(world.now);
+    let report_without_experts = |world: &mut World, incarnation: Option<Incarnation>, map| {
+        let mut report = world.report(Rank(0));
+        report.experts.clear();
+        report.incarnation = incarnation.unwrap_or(report.incarnation);
+        report.active_map = map;
+        let watch = address(Rank(0));
+        world.drive_controller(0, Input::Report { watch, report });
+    };
+    let map = world.report(Rank(0)).active_map;
+    report_without_experts(&mut world, None, map);
+    assert_eq!(world.leaders[0].active_placement(world.now), placement);
+    report_without_experts(&mut world, Some(Incarnation(99)), map);
+    assert_eq!(world.leaders[0].active_placement(world.now), None);
+    let mut report = world.report(Rank(0));
+    report.incarnation = Incarnation(99);
+    let watch = address(Rank(0));
+    world.drive_controller(0, Input::Report { watch, report });
+    assert_eq!(world.leaders[0].active_placement(world.now), placement);
+    report_without_experts(&mut world, Some(Incarnation(99)), map.next());
+    report_without_experts(&mut world, Some(Incarnation(99)), map);
+    assert_eq!(world.leaders[0].active_placement(world.now), None);
+}
