--- a/crates/group/src/layer.rs
+++ b/crates/group/src/layer.rs
@@ -4,9 +4,9 @@
 //! number of tokens of its copies times its cost per token, and the slowest rank determines the time of
 //! the layer.
 //!
-//! A plan takes thousands of trial changes. They are therefore applied in place and undone ([`change`]),
+//! A plan takes thousands of trial changes. They are therefore applied in place and undone (`change`),
 //! only the times of the ranks that a change affects are computed again, and membership is looked up in
-//! a [`table`]. Sums are formed in the order of the slots and of the copies, so a placement has the same
+//! a `table`. Sums are formed in the order of the slots and of the copies, so a placement has the same
 //! times, bit for bit, however it came about.
 
 mod candidate;
