--- a/crates/agent/src/watch.rs
+++ b/crates/agent/src/watch.rs
@@ -36,6 +36,10 @@
 /// forgotten is answered to the coordinator of the group.
 const ORDER_SENDERS_MAX: usize = 64;
 
+/// Time after which the experts are sent again though their map has not changed. A new coordinator, or one
+/// that lost a message, gets them with the first report after it, and so within a second.
+const EXPERTS_INTERVAL: Duration = Duration::from_millis(900);
+
 /// Time after which a read without a result counts as lost.
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -97,6 +101,8 @@
     last_known_order_at_read: u64,
     /// Experts of the rank by layer, with the generation and the version of their map.
     experts: Option<(Generation, Version, Vec<Vec<u32>>)>,
+    /// Generation and map of the experts that were last sent, and when.
+    experts_sent: Option<(Generation, Version, Instant, SocketAddr)>,
     /// Reads at the usual interval since the start.
     reads: u64,
     /// The number of reads of which one sends counts.
@@ -167,6 +173,7 @@
             last_known_order: 0,
             last_known_order_at_read: 0,
             experts: None,
+            experts_sent: None,
             reads: 0,
             reads_per_counts: 1,
             rank: Rank(0),
@@ -316,19 +323,10 @@
         }
         self.reported_order = self.last_known_order_at_read;
         self.replace_counts(&mut report);
-        if report.experts.is_empty() {
-            if let Some((generation, version, experts)) = &self.experts
-                && (*generation, *version) == (report.generation, report.active_map)
-            {
-                report.experts.clone_from(experts);
-            }
-        } else {
-            let experts = report.experts.clone();
-            self.experts = Some((report.generation, report.active_map, experts));
-        }
+        let to = self.follower.coordinator_address(now, &report.group);
+        self.complete_experts(now, to, &mut report);
         report.last_known_order = self.last_known_order_at_read;
         report.incarnation = self.local.incarnation;
-        let to = self.follower.coordinator_address(now, &report.group);
         let from = self.local.address;
         let relayed = false;
         let message = rank::Message::Report {
@@ -338,6 +336,35 @@
         };
         send(to, message, out);
     }
+
+    /// Remembers the experts of a report, and leaves them out if they were sent recently for the same map to
+    /// the same receiver.
+    fn complete_experts(
+        &mut self,
+        now: Instant,
+        to: Option<SocketAddr>,
+        report: &mut EngineReport,
+    ) {
+        let (generation, version) = (report.generation, report.active_map);
+        if !report.experts.is_empty() {
+            let experts = std::mem::take(&mut report.experts);
+            self.experts = Some((generation, version, experts));
+        }
+        let is_sent = self.experts_sent.is_some_and(|sent| {
+            (sent.0, sent.1, Some(sent.3)) == (generation, version, to)
+                && now.since(sent.2) < EXPERTS_INTERVAL
+        });
+        let Some((known_generation, known_version, experts)) = &self.experts else {
+            return;
+        };
+        let is_known = (*known_generation, *known_version) == (generation, version);
+        // Without a receiver, the report is not sent.
+        let Some(to) = to.filter(|_| is_known && !is_sent) else {
+            return;
+        };
+        report.experts.clone_from(experts);
+        self.experts_sent = Some((generation, version, now, to));
+    }
 }
 
 fn send(to: Option<SocketAddr>, message: rank::Message, out: &mut Vec<Output>) {
