--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -193,15 +193,17 @@
         }
     }
 
-    /// Drops the records that are too old to matter.
-    pub fn expire(&mut self, now: Instant) {
-        self.servers.retain(|_, state| {
+    /// Drops the records that are too old to matter; returns their servers.
+    pub fn expire(&mut self, now: Instant) -> Vec<Server> {
+        let is_old = |state: &LimitState| {
             let retention = match state.limit {
                 Some(_) => RETENTION,
                 None => WITHDRAWN_RETENTION,
             };
-            now.since(state.observed_at) < retention
-        });
+            now.since(state.observed_at) >= retention
+        };
+        let old = self.servers.extract_if(.., |_, state| is_old(state));
+        old.map(|(server, _)| server).collect()
     }
 }
 
--- a/crates/entry/src/direct/pool.rs
+++ b/crates/entry/src/direct/pool.rs
@@ -4,14 +4,14 @@
 //! of the server's slots and of the rate of requests that it takes, if that is limited. Failing servers are ejected for a limited time that doubles with each
 //! consecutive failure; if too many are ejected, they are selected nevertheless.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use eelgrassdyke_core::digest::Sha256;
 use eelgrassdyke_core::follow::ServerStatus;
 use eelgrassdyke_core::id::{Incarnation, Server, Service};
-use eelgrassdyke_core::limit::{LimitLedger, LimitRecord, Share};
+use eelgrassdyke_core::limit::LimitLedger;
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::directory::ServerState;
 use eelgrassdyke_core::wire::rank::SlowEngine;
@@ -20,6 +20,8 @@
 use super::limit::RateLimiter;
 use super::line::Capacity;
 
+mod limited;
+
 /// Requests that all entries together may send per slot of a server: callers are spread unevenly
 /// over the entries, and the excess waits briefly at the server.
 const SLOT_OVERCOMMIT: f64 = 1.3;
@@ -301,65 +303,6 @@
         true
     }
 
-    /// Records what a server said about the rate of requests that it takes; returns whether that is new.
-    pub fn record_limit(&mut self, now: Instant, record: &LimitRecord) -> bool {
-        let is_news = self.limits.merge(now, record);
-        if is_news {
-            self.apply_limit(now, &record.server);
-        }
-        is_news
-    }
-
-    /// Puts the limit of a server in force.
-    fn apply_limit(&mut self, now: Instant, name: &Server) {
-        let Some(server) = self.servers.get_mut(name) else {
-            return;
-        };
-        let limit = self.limits.limit(name, server.incarnation);
-        match (limit, &mut server.limiter) {
-            (Some(limit), Some(limiter)) => limiter.set_limit(limit),
-            (limit, limiter) => {
-                *limiter = limit.and_then(|limit| RateLimiter::new(now, name, limit))
-            }
-        }
-    }
-
-    /// Whether a server takes a limited rate of requests.
-    pub fn is_limited(&self, name: &Server) -> bool {
-        let server = self.servers.get(name);
-        server.is_some_and(|server| self.limits.limit(name, server.incarnation).is_some())
-    }
-
-    /// The limits of servers.
-    pub fn limits(&mut self) -> &mut LimitLedger {
-        &mut self.limits
-    }
-
-    /// The services of servers that take a limited rate of requests.
-    pub fn limited_services(&self) -> BTreeSet<Service> {
-        let limited = self
-            .servers
-            .values()
-            .filter(|server| server.limiter.is_some());
-        limited.map(|server| server.service.clone()).collect()
-    }
-
-    /// Adds the tokens for requests to limited servers of a service, of which this entry has `share`.
-    pub fn refill(&mut self, now: Instant, service: &Service, share: impl FnOnce() -> Share) {
-        let servers = self.servers.values_mut();
-        let mut limiters = servers
-            .filter(|server| server.service == *service)
-            .filter_map(|server| server.limiter.as_mut())
-            .peekable();
-        if limiters.peek().is_none() {
-            return;
-        }
-        let share = share();
-        for limiter in limiters {
-            limiter.refill(now, share);
-        }
-    }
-
     /// When the first server of a service wants requests again; none if one wants some now, or none is
     /// paused.
     pub fn all_paused_until(&self, now: Instant, service: &Service) -> Option<Instant> {
--- a/crates/entry/src/direct/quarantine.rs
+++ b/crates/entry/src/direct/quarantine.rs
@@ -232,8 +232,8 @@
         if let Some((number, records)) = self.crashes.next_sync(now)
             && let Some(to) = addresses.get(number % addresses.len().max(1))
         {
+            self.pool.expire_limits(now);
             let limits = self.pool.limits();
-            limits.expire(now);
             let sync = FactSync {
                 records,
                 limits: limits.next_page(now),
