Cold servers: heartbeat, configuration, settings, and the limit at entries

Cause: entries did not know which servers are cold. ServerInfo.is_cold comes from the heartbeat, DirectSpec.cold_rate from the service's cold_per_s; both are absent on the wire if not set. Ruled out: shares that follow the demand, as for named limits: they overlap while they change, and an entry without contact keeps an old one, so the bound would not hold.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -316,6 +316,7 @@
             state: self.state(),
             slots: self.options.slots,
             token_rate: self.options.token_rate,
+            is_cold: false,
             applied_orders: self.orders.applied_orders().to_vec(),
         }
     }
--- a/crates/control/examples/state_cost.rs
+++ b/crates/control/examples/state_cost.rs
@@ -137,6 +137,7 @@
         state: ServerState::Up,
         slots: 64,
         token_rate: TokenRate(600),
+        is_cold: false,
         applied_orders: Vec::new(),
     }
 }
--- a/crates/control/tests/directory.rs
+++ b/crates/control/tests/directory.rs
@@ -30,6 +30,7 @@
         state,
         slots: 8,
         token_rate: TokenRate(400),
+        is_cold: false,
         applied_orders: Vec::new(),
     }
 }
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -14,7 +14,7 @@
 use crate::data;
 use crate::digest::{DigestSum, Sha256};
 use crate::id::{Group, Model, Mount, Operation, Rank, Server, Service, Team, Version};
-use crate::unit::{ByteRate, Bytes, Permille, TokenRate};
+use crate::unit::{ByteRate, Bytes, MilliRequestRate, Permille, TokenRate};
 
 data! {
     /// The complete configuration, by object name.
@@ -94,6 +94,9 @@
         /// Performance model of the engines; none for an application.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         pub engine: Option<EngineProfile>,
+        /// Rate of requests that a cold server takes from all entries; none if cold servers take any.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub cold_rate: Option<MilliRequestRate>,
     }
 
     /// Performance model of an engine, as its vendor publishes it.
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -108,6 +108,8 @@
     326 ServerLeaving "A server said in a response that it leaves; it gets no new requests.";
     327 ServerPaused "A server turned a request away and wants no requests for a time.";
     328 ServerLimited "A server named, changed or withdrew the rate of requests that it takes from all entries.";
+    340 ServerCold "A server became cold and gets a limited rate of requests, or is no longer cold.";
+    341 ColdAssumed "An entry without contact to control limits the requests to every server that may have become cold, or stopped doing so.";
     400 AttemptQueued "An agent queued an attempt.";
     401 AttemptStarted "An agent forwarded an attempt to its server.";
     402 AttemptEnded "An attempt ended.";
--- a/crates/core/src/settings/mod.rs
+++ b/crates/core/src/settings/mod.rs
@@ -109,6 +109,10 @@
         pub retry_window_ms: u64,
         /// Time between the stop signal and the forced termination of the process, in milliseconds.
         pub grace_ms: u64,
+        /// Requests that a cold server may get in any second, in thousandths of its cold rate.
+        pub cold_overage: Permille,
+        /// Requests that a cold server may get in any second beyond that.
+        pub cold_slack: u32,
     }
 
     /// The control role.
--- a/crates/core/src/settings/read.rs
+++ b/crates/core/src/settings/read.rs
@@ -262,7 +262,13 @@
     let retry_slack: Option<f64> = section.required("retry_slack", "give a number of attempts");
     let retry_window_ms = milliseconds(section.required("retry_window_s", SECONDS_REMEDY));
     let grace_ms = milliseconds(section.required("grace_s", SECONDS_REMEDY));
+    let remedy = "give a factor of the cold rate, such as 1.5";
+    let cold_overage: Option<f64> = section.value_or("cold_overage", 1.0, remedy);
+    let cold_slack: Option<f64> = section.value_or("cold_slack", 0.0, "give a number of requests");
     section.report_unknown_fields();
+    if cold_overage.is_some_and(|overage| overage <= 0.0) {
+        section.report_fault("cold_overage", &"must be positive", remedy);
+    }
     check_positive(section, "retry_window_s", retry_window_ms);
     Some(DirectSettings {
         health: health?,
@@ -270,6 +276,8 @@
         retry_slack: retry_slack?.max(0.0) as u32,
         retry_window_ms: retry_window_ms?,
         grace_ms: grace_ms?,
+        cold_overage: Permille((cold_overage? * 1000.0).round() as u64),
+        cold_slack: cold_slack?.max(0.0) as u32,
     })
 }
 
--- a/crates/core/src/wire/directory.rs
+++ b/crates/core/src/wire/directory.rs
@@ -42,6 +42,9 @@
         pub slots: u32,
         /// Tokens per second that it generates with all slots busy; zero for a plain service.
         pub token_rate: TokenRate,
+        /// Whether it has started recently and takes a lower rate of requests for a while.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        pub is_cold: bool,
         /// Orders that its engine has carried out.
         #[serde(rename = "holds")]
         pub applied_orders: Vec<EngineOrder>,
--- a/crates/entry/src/direct/flight.rs
+++ b/crates/entry/src/direct/flight.rs
@@ -9,6 +9,8 @@
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::refusal::RunStatus;
 
+use super::io::Call;
+
 /// Multiple of the latency target after which an attempt without progress counts as hung, if other
 /// servers make progress.
 const HANG_TIMEOUT_FACTOR: f64 = 3.0;
@@ -132,3 +134,11 @@
         .mul_f64(RETRY_AFTER_FRACTION_MAX);
     wait.max(RETRY_AFTER_MIN).min(limit)
 }
+
+/// The contents of a caller's request that servers may end on.
+pub fn contents(call: &Call, caller: &str) -> Vec<Content> {
+    let parts = call.prompt_parts.iter().cloned();
+    let mut contents: Vec<Content> = parts.filter_map(Content::from_part).collect();
+    contents.push(Content::Request(call.fingerprint.of_caller(caller)));
+    contents
+}
--- a/crates/entry/src/direct/io.rs
+++ b/crates/entry/src/direct/io.rs
@@ -11,6 +11,8 @@
 use eelgrassdyke_core::wire::refusal::Refusal;
 use eelgrassdyke_core::wire::{Message, Sender};
 
+use super::cold::ColdBound;
+
 /// The properties of a caller's request that decisions depend on.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Call {
@@ -264,6 +266,8 @@
     pub retry_window: Duration,
     /// Time after the start of a graceful shutdown during which new requests are still served.
     pub drain_grace: Duration,
+    /// What all entries together may send to a cold server.
+    pub cold_bound: ColdBound,
 }
 
 impl Default for Options {
@@ -276,6 +280,7 @@
             retry_slack: 0,
             retry_window: Duration::from_secs(10),
             drain_grace: Duration::from_secs(4),
+            cold_bound: ColdBound::default(),
         }
     }
 }
@@ -295,6 +300,10 @@
             retry_slack: direct.retry_slack,
             retry_window: Duration::from_millis(direct.retry_window_ms),
             drain_grace: Duration::from_millis(direct.grace_ms).mul_f64(DRAIN_GRACE_FRACTION),
+            cold_bound: ColdBound {
+                overage: direct.cold_overage,
+                slack: direct.cold_slack,
+            },
         }
     }
 }
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -9,6 +9,7 @@
 //! response by ticket.
 
 mod budget;
+mod cold;
 mod crash;
 mod events;
 mod flight;
@@ -21,10 +22,12 @@
 mod report;
 mod retry;
 mod signal;
+mod slow_start;
 mod table;
 mod updates;
 
 pub use budget::{RetryLimit, RetryWindow};
+pub use cold::ColdBound;
 pub use io::{
     AttemptOutcome, AttemptSpec, Call, Input, LimitNotice, NotRunReason, Options, Output, Pause,
     ServerSignal, TokenCounts,
--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -10,7 +10,6 @@
 use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::follow::Follower;
 use eelgrassdyke_core::id::{Server, Service, Team, Ticket, Version};
-use eelgrassdyke_core::limit::ServiceDemand;
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::refusal::{Reason, Refusal, RunStatus};
 use eelgrassdyke_core::wire::report::ReportSource;
@@ -19,11 +18,12 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::budget::RetryWindow;
+use super::cold::ColdWatch;
 use super::crash::{CrashWatch, Verdict};
 use super::events::QueueEstimate;
-use super::flight::{DirectRequest, Stage, retry_after};
+use super::flight::{DirectRequest, Stage, contents, retry_after};
 use super::io::{AttemptOutcome, AttemptSpec, Call, Input, NotRunReason, Options, Output};
-use super::limit::DemandMeter;
+use super::limit::{self, DemandMeter};
 use super::line::WaitQueue;
 use super::pool::{HealthSignal, ServerPool};
 use super::table::MountTable;
@@ -55,6 +55,7 @@
     pub(super) follower: Follower,
     pub(super) mounts: MountTable,
     pub(super) pool: ServerPool,
+    pub(super) cold: ColdWatch,
     pub(super) queues: BTreeMap<Service, WaitQueue>,
     pub(super) retry_windows: BTreeMap<Service, RetryWindow>,
     pub(super) demands: BTreeMap<Service, DemandMeter>,
@@ -82,6 +83,7 @@
             follower: Follower::new(local, options.control_addresses.clone(), true),
             mounts: MountTable::default(),
             pool: ServerPool::default(),
+            cold: ColdWatch::default(),
             queues: BTreeMap::new(),
             retry_windows: BTreeMap::new(),
             demands: BTreeMap::new(),
@@ -98,6 +100,7 @@
 
     /// Processes one input at time `now` and appends the resulting actions to `out`.
     pub fn handle(&mut self, now: Instant, input: Input, out: &mut Vec<Output>) {
+        self.update_cold_limits(now, false, out);
         // Progress is recorded before the timers check for attempts without progress.
         if let Input::EventForwarded { ticket, attempt } = input {
             self.handle_event_forwarded(now, ticket, attempt, out);
@@ -128,10 +131,9 @@
                 self.draining_since.get_or_insert(now);
             }
         }
-        while let Some((to, poll)) = self
-            .follower
-            .next_poll_with(now, || limited_demands(now, &self.pool, &self.demands))
-        {
+        while let Some((to, poll)) = self.follower.next_poll_with(now, || {
+            limit::demands(now, self.pool.limited_services(), &self.demands)
+        }) {
             let message = Message::Poll(poll);
             out.push(Output::Send { to, message });
         }
@@ -688,28 +690,3 @@
         self.requests.insert(ticket, request);
     }
 }
-
-/// The demand for the services with limited servers.
-fn limited_demands(
-    now: Instant,
-    pool: &ServerPool,
-    demands: &BTreeMap<Service, DemandMeter>,
-) -> Vec<ServiceDemand> {
-    let services = pool.limited_services().into_iter();
-    let demands = services.map(|service| {
-        let meter = demands.get(&service);
-        ServiceDemand {
-            rate: meter.map(|meter| meter.rate(now)).unwrap_or_default(),
-            service,
-        }
-    });
-    demands.collect()
-}
-
-/// The contents of a caller's request that servers may end on.
-fn contents(call: &Call, caller: &str) -> Vec<Content> {
-    let parts = call.prompt_parts.iter().cloned();
-    let mut contents: Vec<Content> = parts.filter_map(Content::from_part).collect();
-    contents.push(Content::Request(call.fingerprint.of_caller(caller)));
-    contents
-}
--- a/crates/entry/src/direct/pool.rs
+++ b/crates/entry/src/direct/pool.rs
@@ -19,6 +19,7 @@
 
 use super::limit::RateLimiter;
 use super::line::Capacity;
+use super::slow_start::SlowStart;
 
 mod limited;
 
@@ -143,8 +144,14 @@
     is_leaving: bool,
     /// Until when the server wants no requests.
     paused_until: Instant,
+    /// Whether the directory reports the server as cold.
+    is_cold: bool,
+    /// Whether requests are limited because of that.
+    is_limited_as_cold: bool,
     /// Limits the requests to the server, if it takes a limited rate.
     limiter: Option<RateLimiter>,
+    /// The gradual return after a limited time.
+    slow_start: Option<SlowStart>,
     /// When the server last responded or sent an event.
     last_activity: Instant,
     /// Whether control reports the server as slow: its share of the work delays its whole group.
@@ -199,6 +206,7 @@
                 pooled.state = info.state;
                 pooled.slots = info.slots;
                 pooled.address = info.address;
+                pooled.is_cold = info.is_cold;
             }
             None => {
                 let server = PooledServer {
@@ -214,7 +222,10 @@
                     full_until: Instant(0),
                     is_leaving: self.leaving.contains(&(name.clone(), info.incarnation)),
                     paused_until: Instant(0),
+                    is_cold: info.is_cold,
+                    is_limited_as_cold: false,
                     limiter: None,
+                    slow_start: None,
                     last_activity: now,
                     is_slow: false,
                     group_closed_until: Instant(0),
@@ -374,11 +385,10 @@
             let jitter = rng.random_range(0.0..1.0) / f64::from(server.slots.max(1));
             let score = match affinity {
                 None => {
-                    let factor = server
-                        .limiter
-                        .as_ref()
-                        .map_or(1.0, RateLimiter::load_factor);
-                    (server.utilisation() + jitter) * factor
+                    let limiter = server.limiter.as_ref();
+                    let factor = limiter.map_or(1.0, RateLimiter::load_factor);
+                    let slow_start = server.slow_start.map_or(1.0, |start| start.factor(now));
+                    (server.utilisation() + jitter) * factor * slow_start
                 }
                 Some(text) => rendezvous_score(text, name),
             };
--- a/crates/entry/src/direct/updates.rs
+++ b/crates/entry/src/direct/updates.rs
@@ -48,6 +48,7 @@
         if effect.directory_changed {
             self.update_servers(now);
         }
+        self.update_cold_limits(now, effect.directory_changed, out);
         if includes_slow_engines {
             self.pool
                 .update_slow_engines(now, self.follower.slow_engines());
--- a/crates/entry/tests/direct.rs
+++ b/crates/entry/tests/direct.rs
@@ -91,6 +91,7 @@
         state,
         slots: SLOTS,
         token_rate: TokenRate(0),
+        is_cold: false,
         applied_orders: Vec::new(),
     }
 }
--- a/crates/entry/tests/limited.rs
+++ b/crates/entry/tests/limited.rs
@@ -64,6 +64,7 @@
         state: ServerState::Up,
         slots: SLOTS,
         token_rate: TokenRate(0),
+        is_cold: false,
         applied_orders: Vec::new(),
     }
 }
--- a/crates/entry/tests/once.rs
+++ b/crates/entry/tests/once.rs
@@ -89,6 +89,7 @@
         state: ServerState::Up,
         slots: 4,
         token_rate: TokenRate(0),
+        is_cold: false,
         applied_orders: Vec::new(),
     }
 }
--- a/crates/entry/tests/whole.rs
+++ b/crates/entry/tests/whole.rs
@@ -58,6 +58,7 @@
         state: ServerState::Up,
         slots: 4,
         token_rate: TokenRate(100),
+        is_cold: false,
         applied_orders: Vec::new(),
     }
 }
--- a/crates/testkit/examples/slopes.rs
+++ b/crates/testkit/examples/slopes.rs
@@ -240,6 +240,7 @@
         state: ServerState::Up,
         slots: 16,
         token_rate: TokenRate(600),
+        is_cold: false,
         applied_orders: Vec::new(),
     };
     let load = ServerLoad {
--- a/crates/testkit/src/model/crash.rs
+++ b/crates/testkit/src/model/crash.rs
@@ -979,6 +979,7 @@
             state,
             slots: self.options.slots,
             token_rate: TokenRate(0),
+            is_cold: false,
             applied_orders: Vec::new(),
         }
     }
--- a/crates/testkit/src/model/world.rs
+++ b/crates/testkit/src/model/world.rs
@@ -252,6 +252,7 @@
             state: ServerState::Up,
             slots,
             token_rate: TokenRate((f64::from(slots) / step.as_secs_f64()) as u64),
+            is_cold: false,
             applied_orders: Vec::new(),
         }
     }
