--- a/crates/core/tests/settings.rs
+++ b/crates/core/tests/settings.rs
@@ -52,6 +52,28 @@
     assert_eq!(settings.agent_role.unwrap().rank.unwrap().rank.0, 0);
 }
 
+/// Deployments without cold servers have settings without these fields.
+#[test]
+fn bounds_of_cold_servers_are_optional() {
+    let direct = |bounds: &str| {
+        let direct = format!(
+            r#""direct": {{ "health": "127.0.0.1:8002", "retry_share": 0.2, "retry_slack": 20,
+                {bounds} "retry_window_s": 10, "grace_s": 8 }}"#
+        );
+        let entry = format!(r#""entry_role": {{ "listen": "127.0.0.1:8001", {direct} }}"#);
+        parse(&VALID.replace(r#""entry_role": { "listen": "127.0.0.1:8001" }"#, &entry))
+    };
+    let bounds = |settings: Settings| {
+        let direct = settings.entry_role.unwrap().direct.unwrap();
+        (direct.cold_overage.0, direct.cold_slack)
+    };
+    assert_eq!(bounds(direct("").unwrap()), (1000, 0));
+    let both = r#""cold_overage": 1.5, "cold_slack": 5,"#;
+    assert_eq!(bounds(direct(both).unwrap()), (1500, 5));
+    let faults = direct(r#""cold_overage": 0,"#).unwrap_err();
+    assert_eq!(faults[0].path, "entry_role.direct.cold_overage");
+}
+
 #[test_case("\"process\": \"all-1\"", "\"process\": \"all 1\"", "process"; "bad name")]
 #[test_case("\"process\": \"all-1\",", "", ""; "missing field")]
 #[test_case("\"process\"", "\"prozess\": 1, \"process\"", "prozess"; "unknown field")]
