--- a/crates/control/src/directory.rs
+++ b/crates/control/src/directory.rs
@@ -127,13 +127,7 @@
         };
         let published_load =
             previous.map_or((0, ServerLoad::default()), |entry| entry.published_load);
-        let event = Event::new(
-            match heartbeat.info.state {
-                ServerState::Draining => Code::ServerDraining,
-                _ => Code::ServerUp,
-            },
-            format!("incarnation {}", heartbeat.info.incarnation),
-        );
+        let event = change_event(previous.map(|entry| &entry.info), &heartbeat.info);
         let entry = ServerEntry {
             info: heartbeat.info,
             info_sequence,
@@ -409,6 +403,27 @@
     }
 }
 
+/// The event of a new or changed server.
+fn change_event(previous: Option<&ServerInfo>, info: &ServerInfo) -> Event {
+    let turned = previous.is_some_and(|previous| {
+        previous.incarnation == info.incarnation
+            && previous.state == info.state
+            && previous.is_cold != info.is_cold
+    });
+    if turned {
+        let detail = match info.is_cold {
+            true => "cold",
+            false => "warm",
+        };
+        return Event::new(Code::ServerCold, detail);
+    }
+    let code = match info.state {
+        ServerState::Draining => Code::ServerDraining,
+        _ => Code::ServerUp,
+    };
+    Event::new(code, format!("incarnation {}", info.incarnation))
+}
+
 /// Whether a value of a load changed by more than the old value divided by [`LOAD_CHANGE_DIVISOR`].
 fn changed_considerably(old: &ServerLoad, new: &ServerLoad) -> bool {
     let pairs = [
--- a/crates/control/tests/directory.rs
+++ b/crates/control/tests/directory.rs
@@ -412,3 +412,27 @@
     let directory = directory.update_since(now, poll.directory_revision.as_ref(), true);
     assert!(directory.loads.is_empty() && directory.loads_complete);
 }
+
+/// Only the start and the end of the cold time are changes: a heartbeat a second from each of many cold
+/// servers must not push the directory to all entries.
+#[test]
+fn start_and_end_of_the_cold_time_are_the_only_changes_of_the_directory() {
+    let mut directory = directory("control-1");
+    let mut events = Vec::new();
+    let mut revisions = Vec::new();
+    for (sequence, is_cold) in [true, true, true, false, false, true]
+        .into_iter()
+        .enumerate()
+    {
+        let mut heartbeat = heartbeat(1, 1, sequence as u64 + 1, ServerState::Up);
+        heartbeat.info.is_cold = is_cold;
+        let now = Instant(0) + SECOND * sequence as u32;
+        let event = directory.record_heartbeat(now, heartbeat);
+        events.extend(event.map(|event| (event.code, event.detail)));
+        revisions.push(directory.revision());
+    }
+    assert_eq!(revisions, [2, 2, 2, 3, 3, 4]);
+    let turned = |detail: &str| (Code::ServerCold, detail.to_owned());
+    assert_eq!(events[0].0, Code::ServerUp);
+    assert_eq!(events[1..], [turned("warm"), turned("cold")]);
+}
--- a/crates/node/src/gauges.rs
+++ b/crates/node/src/gauges.rs
@@ -18,6 +18,12 @@
         set_version("entry", entry.read(Entry::version));
         set_control_silence("entry", entry.read(|entry| entry.control_silence(now)));
     }
+    if let Some(direct) = node.direct() {
+        let cold = direct.read(|direct| direct.count_cold_servers());
+        gauge!("eelgrassdyke_cold_servers").set(cold as f64);
+        let assumes_cold = direct.read(|direct| direct.assumes_cold_servers());
+        gauge!("eelgrassdyke_cold_servers_assumed").set(bool_value(assumes_cold));
+    }
     if let Some(agent) = node.agent() {
         let load = agent.read(Agent::load);
         gauge!("eelgrassdyke_attempts_running").set(load.running);
