--- a/crates/entry/tests/cold.rs
+++ b/crates/entry/tests/cold/world.rs
@@ -1,7 +1,7 @@
-//! Cold servers in simulation: several entries send to the same servers, some of which are cold for a
-//! time, while load bursts, entries restart and entries lose contact with control.
+//! A simulation of entries and servers: several entries send to the same servers, some of which are cold for
+//! a time, while load bursts, entries restart and entries lose contact with control.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,7 +19,6 @@
 use eelgrassdyke_entry::direct::{AttemptOutcome, Call, ColdBound, Direct, Input, Options, Output};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
-use test_case::test_case;
 
 /// Interval of updates from control.
 const UPDATE_INTERVAL: Duration = Duration::from_secs(1);
@@ -27,57 +26,51 @@
 /// Time for which control counts an entry that no longer polls.
 const COUNTED_TIME: Duration = Duration::from_secs(3);
 
-/// Time after which an entry that has lost contact no longer takes a server for warm.
-const CONTACT_TIME: Duration = Duration::from_secs(2);
-
 const SECOND: Duration = Duration::from_secs(1);
 
-/// Number of runs over which requests are averaged.
-const SEEDS: u64 = 10;
-
-fn at(milliseconds: u64) -> Instant {
+pub fn at(milliseconds: u64) -> Instant {
     Instant(0) + Duration::from_millis(milliseconds)
 }
 
 /// A time during which a server is cold.
 #[derive(Clone, Copy, Debug)]
-struct ColdPeriod {
-    server: usize,
-    from: Instant,
-    until: Instant,
+pub struct ColdPeriod {
+    pub server: usize,
+    pub from: Instant,
+    pub until: Instant,
 }
 
 #[derive(Clone, Debug)]
-struct Shape {
-    entries: usize,
-    servers: usize,
-    slots: u32,
+pub struct Shape {
+    pub entries: usize,
+    pub servers: usize,
+    pub slots: u32,
     /// Requests a second that a server usually gets.
-    usual_rate: f64,
+    pub usual_rate: f64,
     /// Time that a request takes at a server.
-    service_time_ms: std::ops::Range<u64>,
+    pub service_time_ms: std::ops::Range<u64>,
     /// The latency target of the mount, longer than a request takes: without progress for three times as
     /// long, a server counts as hung.
-    latency_target: Duration,
+    pub latency_target: Duration,
     /// An entry that gets this fraction of the load; the others get equal parts of the rest.
-    busy_entry: Option<(usize, f64)>,
-    cold_rate: Option<f64>,
-    bound: ColdBound,
-    cold_periods: Vec<ColdPeriod>,
+    pub busy_entry: Option<(usize, f64)>,
+    pub cold_rate: Option<f64>,
+    pub bound: ColdBound,
+    pub cold_periods: Vec<ColdPeriod>,
     /// When the load is three times the usual one.
-    bursts: Vec<(Instant, Instant)>,
+    pub bursts: Vec<(Instant, Instant)>,
     /// When entries are killed and restarted.
-    restarts: Vec<(Instant, usize)>,
+    pub restarts: Vec<(Instant, usize)>,
     /// Entries without contact to control, with the times.
-    cuts: Vec<(usize, Instant, Instant)>,
+    pub cuts: Vec<(usize, Instant, Instant)>,
     /// Fraction of the attempts that break off.
-    broken_fraction: f64,
-    length: Duration,
-    seed: u64,
+    pub broken_fraction: f64,
+    pub length: Duration,
+    pub seed: u64,
 }
 
 impl Shape {
-    fn new(entries: usize) -> Self {
+    pub fn new(entries: usize) -> Self {
         Self {
             entries,
             servers: 6,
@@ -103,7 +96,7 @@
     }
 
     /// The servers from `first` on are cold from `from` until `until`, in milliseconds.
-    fn cold(mut self, servers: std::ops::Range<usize>, from: u64, until: u64) -> Self {
+    pub fn cold(mut self, servers: std::ops::Range<usize>, from: u64, until: u64) -> Self {
         self.cold_periods.extend(servers.map(|server| ColdPeriod {
             server,
             from: at(from),
@@ -132,7 +125,7 @@
     }
 
     /// Maximum number of requests at a cold server in any second.
-    fn allowed(&self) -> f64 {
+    pub fn allowed(&self) -> f64 {
         let rate = self.cold_rate.unwrap_or_default();
         rate * self.bound.overage.fraction() + f64::from(self.bound.slack)
     }
@@ -147,18 +140,18 @@
 }
 
 #[derive(Default)]
-struct Outcome {
+pub struct Outcome {
     /// By server: when requests reached it, and whether the attempt was the first one.
-    arrivals: Vec<Vec<(Instant, bool)>>,
+    pub arrivals: Vec<Vec<(Instant, bool)>>,
     /// Time until each call was sent or refused.
-    decided_after: Vec<Duration>,
-    refused: usize,
+    pub decided_after: Vec<Duration>,
+    pub refused: usize,
     /// Refusals that don't say that the request has not run, or not when to return.
-    unclear_refusals: usize,
-    sent: usize,
+    pub unclear_refusals: usize,
+    pub sent: usize,
 }
 
-struct World {
+pub struct World {
     shape: Shape,
     now: Instant,
     rng: ChaCha8Rng,
@@ -219,7 +212,7 @@
 }
 
 impl World {
-    fn new(shape: Shape) -> Self {
+    pub fn new(shape: Shape) -> Self {
         let mut world = Self {
             now: Instant(0),
             rng: ChaCha8Rng::seed_from_u64(shape.seed),
@@ -258,7 +251,7 @@
         Direct::new(self.now, &sender(entry, incarnation), options)
     }
 
-    fn run(mut self) -> Outcome {
+    pub fn run(mut self) -> Outcome {
         self.schedule(Instant(0), Event::Update);
         self.schedule(at(100), Event::Arrival);
         // Control pushes each change of the directory at once.
@@ -469,7 +462,7 @@
 
 impl Outcome {
     /// The most requests at a server in a second within `from..until`.
-    fn most_in_a_second(&self, server: usize, from: Instant, until: Instant) -> usize {
+    pub fn most_in_a_second(&self, server: usize, from: Instant, until: Instant) -> usize {
         let arrivals = self.arrivals[server].iter().map(|(time, _)| *time);
         let times: Vec<Instant> = arrivals.filter(|t| *t >= from && *t < until).collect();
         let mut most = 0;
@@ -485,215 +478,9 @@
 
     /// The most requests at any cold server in a second that begins `reaction` after it became cold or
     /// later.
-    fn most_while_cold(&self, shape: &Shape, reaction: Duration) -> usize {
+    pub fn most_while_cold(&self, shape: &Shape, reaction: Duration) -> usize {
         let periods = shape.cold_periods.iter();
         let most = periods.map(|p| self.most_in_a_second(p.server, p.from + reaction, p.until));
         most.max().unwrap_or_default()
     }
 }
-
-/// Checks a shape with several seeds: the bound at each cold server from `reaction` on.
-fn check_bound(shape: &Shape, reaction: Duration) {
-    for seed in 1..=3 {
-        let shape = Shape {
-            seed,
-            ..shape.clone()
-        };
-        let outcome = World::new(shape.clone()).run();
-        let most = outcome.most_while_cold(&shape, reaction);
-        assert!(
-            most as f64 <= shape.allowed(),
-            "seed {seed}: {most} requests in a second at a cold server, {} allowed",
-            shape.allowed()
-        );
-        assert!(most > 0, "seed {seed}: cold servers got nothing");
-    }
-}
-
-/// Without a limit the entries together send a cold server its part of the load, and of a burst three
-/// times as much.
-#[test_case(1)]
-#[test_case(4)]
-#[test_case(12)]
-#[test_case(20)]
-fn bursts_do_not_exceed_the_bound_of_cold_servers(entries: usize) {
-    let mut shape = Shape::new(entries).cold(0..2, 4000, 24_000);
-    shape.bursts = vec![(at(8000), at(11_000)), (at(15_000), at(16_000))];
-    check_bound(&shape, Duration::ZERO);
-    // A bound without overage or slack lowers the rate.
-    shape.bound = ColdBound::default();
-    check_bound(&shape, Duration::ZERO);
-}
-
-/// An entry that restarts knows neither what its earlier incarnation has sent nor a full count of entries.
-#[test_case(1)]
-#[test_case(4)]
-#[test_case(12)]
-#[test_case(20)]
-fn restarts_in_turn_do_not_exceed_the_bound(entries: usize) {
-    let mut shape = Shape::new(entries).cold(0..6, 4000, 24_000);
-    shape.bursts = vec![(at(8000), at(20_000))];
-    let restarts = 0..40;
-    shape.restarts = restarts
-        .map(|i| (at(5000 + 450 * i), i as usize % entries))
-        .collect();
-    check_bound(&shape, Duration::ZERO);
-}
-
-/// Entries without contact learn of no server that becomes cold, control no longer counts them, and the
-/// others would take their parts.
-#[test_case(4, 2)]
-#[test_case(12, 6)]
-#[test_case(12, 11)]
-#[test_case(20, 10)]
-fn entries_without_contact_keep_the_bound(entries: usize, cut_off: usize) {
-    let mut shape = Shape::new(entries)
-        .cold(0..2, 5000, 24_000)
-        .cold(3..6, 12_000, 22_000);
-    shape.cuts = (0..cut_off).map(|e| (e, at(6000), at(23_000))).collect();
-    shape.bursts = vec![(at(9000), at(20_000))];
-    check_bound(&shape, CONTACT_TIME);
-}
-
-/// Servers become cold again at any moment, one after the other and all at once.
-#[test_case(1)]
-#[test_case(4)]
-#[test_case(12)]
-#[test_case(20)]
-fn servers_that_become_cold_at_any_moment_keep_the_bound(entries: usize) {
-    let mut shape = Shape::new(entries).cold(0..6, 21_300, 26_000);
-    let mut rng = ChaCha8Rng::seed_from_u64(entries as u64);
-    for server in 0..6 {
-        let mut from = rng.random_range(2000..5000);
-        while from < 17_000 {
-            let until = from + rng.random_range(1500..4000);
-            shape = shape.cold(server..server + 1, from, until);
-            from = until + rng.random_range(300..3000);
-        }
-    }
-    shape.bursts = vec![(at(7000), at(10_000)), (at(22_000), at(24_000))];
-    check_bound(&shape, Duration::ZERO);
-}
-
-/// Retries and resumed streams are sent by other code than first attempts.
-#[test_case(1)]
-#[test_case(12)]
-fn retries_and_resumptions_count(entries: usize) {
-    let mut shape = Shape::new(entries).cold(0..6, 4000, 24_000);
-    shape.broken_fraction = 0.3;
-    shape.bound = ColdBound::default();
-    shape.bursts = vec![(at(8000), at(12_000))];
-    let outcome = World::new(shape.clone()).run();
-    let retries = outcome.arrivals.iter().flatten();
-    assert!(retries.filter(|(_, is_first)| !is_first).count() > 100);
-    check_bound(&shape, Duration::ZERO);
-}
-
-/// With more entries than the bound allows requests, not every entry may save one up.
-#[test]
-fn bound_below_the_number_of_entries_holds() {
-    let mut shape = Shape::new(20).cold(0..6, 4000, 24_000);
-    shape.cold_rate = Some(8.0);
-    shape.bursts = vec![(at(8000), at(12_000))];
-    assert!(shape.allowed() < 20.0);
-    check_bound(&shape, Duration::ZERO);
-}
-
-/// A service whose servers are all cold must use what they tolerate; what is beyond is sent within the
-/// time that a request may wait, or refused as not run, with a time to return.
-#[test_case(1)]
-#[test_case(4)]
-#[test_case(12)]
-#[test_case(20)]
-fn load_that_is_held_back_is_served_or_refused_in_time(entries: usize) {
-    let mut shape = Shape::new(entries).cold(0..6, 4000, 28_000);
-    shape.bursts = vec![(at(8000), at(11_000))];
-    let outcome = World::new(shape.clone()).run();
-    let longest = outcome.decided_after.iter().max().copied().unwrap();
-    assert!(
-        longest <= shape.latency_target,
-        "{longest:?} until a decision"
-    );
-    assert_eq!(outcome.unclear_refusals, 0);
-    assert!(outcome.refused > 0);
-    let served = (0..6).map(|server| {
-        let times = outcome.arrivals[server].iter().map(|(time, _)| *time);
-        times.filter(|t| *t >= at(8000) && *t < at(28_000)).count()
-    });
-    let rate = served.sum::<usize>() as f64 / 6.0 / 20.0;
-    // With 20 entries the rate is not lowered: 34 + 20 is less than 56.
-    assert!(
-        rate >= 0.8 * 34.0,
-        "{rate} requests a second at each server"
-    );
-}
-
-/// Entries without contact still send their parts, although control counts them no longer and reports one
-/// entry only, which has enough requests to use the whole rate.
-#[test]
-fn entry_that_remains_alone_leaves_the_others_their_parts() {
-    let mut shape = Shape::new(12).cold(0..2, 5000, 24_000);
-    shape.cuts = (0..11).map(|e| (e, at(6000), at(23_000))).collect();
-    shape.busy_entry = Some((11, 0.4));
-    shape.bursts = vec![(at(9000), at(20_000))];
-    check_bound(&shape, CONTACT_TIME);
-}
-
-/// A server that turns warm has far fewer requests than the others, and every entry would send it all new
-/// ones until it has as many. With requests of two seconds that is twice the usual rate for a second.
-#[test_case(1)]
-#[test_case(4)]
-#[test_case(12)]
-fn server_that_turns_warm_gets_no_burst(entries: usize) {
-    let mut shape = Shape::new(entries).cold(0..1, 4000, 16_000);
-    shape.slots = 40;
-    shape.usual_rate = 16.0;
-    shape.service_time_ms = 1500..2500;
-    shape.latency_target = Duration::from_secs(3);
-    shape.cold_rate = Some(4.0);
-    shape.bound.slack = 12;
-    let (mut first, mut later) = (0, 0);
-    for seed in 1..=SEEDS {
-        shape.seed = seed;
-        let outcome = World::new(shape.clone()).run();
-        first += outcome.most_in_a_second(0, at(16_000), at(17_000));
-        later += outcome.most_in_a_second(0, at(22_000), at(23_000));
-    }
-    let usual = shape.usual_rate * SEEDS as f64;
-    assert!(
-        first as f64 <= 1.5 * usual,
-        "{first} requests, {usual} usual"
-    );
-    assert!(
-        later as f64 >= 0.8 * usual,
-        "{later} requests, {usual} usual"
-    );
-}
-
-/// Where the configuration names no cold rate, cold servers are served as before.
-#[test]
-fn without_a_cold_rate_nothing_is_limited() {
-    let mut shape = Shape::new(4).cold(0..6, 4000, 14_000);
-    shape.cuts = vec![(0, at(6000), at(12_000))];
-    shape.length = Duration::from_secs(15);
-    let as_without = |cold_rate, periods: Vec<ColdPeriod>| {
-        let mut shape = shape.clone();
-        shape.cold_rate = cold_rate;
-        // The updates at the start and the end of the periods stay.
-        shape.cold_periods = periods;
-        World::new(shape).run()
-    };
-    let unlimited = as_without(None, shape.cold_periods.clone());
-    let per_server = |outcome: &Outcome| -> BTreeSet<usize> {
-        let arrivals = outcome.arrivals.iter();
-        arrivals.map(Vec::len).collect()
-    };
-    let mut never_cold = shape.cold_periods.clone();
-    never_cold
-        .iter_mut()
-        .for_each(|period| period.from = period.until);
-    let warm = as_without(None, never_cold);
-    assert_eq!(unlimited.refused, 0);
-    assert_eq!(warm.refused, 0);
-    assert_eq!(per_server(&unlimited), per_server(&warm));
-}
