--- a/crates/agent/src/watch.rs
+++ b/crates/agent/src/watch.rs
@@ -101,7 +101,7 @@
     last_known_order_at_read: u64,
     /// Experts of the rank by layer, with the generation and the version of their map.
     experts: Option<(Generation, Version, Vec<Vec<u32>>)>,
-    /// Generation and map of the experts that were last sent, and when.
+    /// Generation and map of the experts that were last sent, when, and to which receiver.
     experts_sent: Option<(Generation, Version, Instant, SocketAddr)>,
     /// Reads at the usual interval since the start.
     reads: u64,
--- a/crates/entry/src/direct/evacuation.rs
+++ b/crates/entry/src/direct/evacuation.rs
@@ -11,49 +11,18 @@
 use super::io::Output;
 use super::path::Direct;
 use super::pool::{PooledServer, ServerPool};
+use super::slow_start::SlowStart;
 use crate::evacuation::Evacuation;
 
 /// Retry-after time of a request that is refused because all servers of its service are evacuated,
 /// unless the caller waits less long. An evacuation lasts for minutes, but other servers may register.
 const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(5);
 
-/// Time over which the utilisation of a server that returns falls to its real value. Without it all
-/// entries choose the returning servers at once, because they are empty.
-const SLOW_START: Duration = Duration::from_secs(3);
-
-/// Factor of the utilisation of a server at the moment of its return.
-const SLOW_START_FACTOR: f64 = 2.0;
-
-/// The slow start of a server.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct SlowStart {
-    /// When the server returned; none if it was always available.
-    returned_at: Option<Instant>,
-}
-
-impl SlowStart {
-    /// The slow start of a server that returns now.
-    pub fn new(now: Instant) -> Self {
-        Self {
-            returned_at: Some(now),
-        }
-    }
-
-    /// Factor of the server's utilisation.
-    pub fn load_factor(&self, now: Instant) -> f64 {
-        let Some(returned_at) = self.returned_at else {
-            return 1.0;
-        };
-        let progress = now.since(returned_at).as_secs_f64() / SLOW_START.as_secs_f64();
-        SLOW_START_FACTOR + (1.0 - SLOW_START_FACTOR) * progress.min(1.0)
-    }
-}
-
 impl PooledServer {
     /// Applies whether the server's data centre is evacuated.
     pub(super) fn set_evacuated(&mut self, now: Instant, is_evacuated: bool) {
         if self.is_evacuated && !is_evacuated {
-            self.slow_start = SlowStart::new(now);
+            self.slow_start = Some(SlowStart::new(now));
         }
         self.is_evacuated = is_evacuated;
     }
--- a/crates/entry/src/direct/pool.rs
+++ b/crates/entry/src/direct/pool.rs
@@ -4,25 +4,27 @@
 //! of the server's slots and of the rate of requests that it takes, if that is limited. Failing servers are ejected for a limited time that doubles with each
 //! consecutive failure; if too many are ejected, they are selected nevertheless.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use eelgrassdyke_core::digest::Sha256;
 use eelgrassdyke_core::follow::ServerStatus;
 use eelgrassdyke_core::id::{DataCentre, Incarnation, Server, Service};
-use eelgrassdyke_core::limit::{LimitLedger, LimitRecord, Share};
+use eelgrassdyke_core::limit::LimitLedger;
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::directory::ServerState;
 use eelgrassdyke_core::wire::rank::SlowEngine;
 use rand::{Rng, RngExt as _};
 
-use super::evacuation::SlowStart;
 use super::health::ServiceHealth;
 use super::limit::RateLimiter;
 use super::line::Capacity;
+use super::slow_start::SlowStart;
 use crate::evacuation::Evacuation;
 
+mod limited;
+
 /// Requests that all entries together may send per slot of a server: callers are spread unevenly
 /// over the entries, and the excess waits briefly at the server.
 const SLOT_OVERCOMMIT: f64 = 1.3;
@@ -106,11 +108,16 @@
     pub(super) is_leaving: bool,
     /// Whether the server's data centre is evacuated.
     pub(super) is_evacuated: bool,
-    pub(super) slow_start: SlowStart,
     /// Until when the server wants no requests.
     paused_until: Instant,
+    /// Whether the directory reports the server as cold.
+    is_cold: bool,
+    /// Whether requests are limited because of that.
+    is_limited_as_cold: bool,
     /// Limits the requests to the server, if it takes a limited rate.
     limiter: Option<RateLimiter>,
+    /// The gradual return after a time with few requests or none.
+    pub(super) slow_start: Option<SlowStart>,
     /// When the server last responded or sent an event.
     last_activity: Instant,
     /// Whether control reports the server as slow: its share of the work delays its whole group.
@@ -168,6 +175,7 @@
                 pooled.address = info.address;
                 pooled.data_centre = info.data_centre.clone();
                 pooled.set_evacuated(now, is_evacuated);
+                pooled.is_cold = info.is_cold;
             }
             None => {
                 let server = PooledServer {
@@ -184,9 +192,11 @@
                     full_until: Instant(0),
                     is_leaving: self.leaving.contains(&(name.clone(), info.incarnation)),
                     is_evacuated,
-                    slow_start: SlowStart::default(),
                     paused_until: Instant(0),
+                    is_cold: info.is_cold,
+                    is_limited_as_cold: false,
                     limiter: None,
+                    slow_start: None,
                     last_activity: now,
                     is_slow: false,
                     group_closed_until: Instant(0),
@@ -278,65 +288,6 @@
         true
     }
 
-    /// Records what a server said about the rate of requests that it takes; returns whether that is new.
-    pub fn record_limit(&mut self, now: Instant, record: &LimitRecord) -> bool {
-        let is_news = self.limits.merge(now, record);
-        if is_news {
-            self.apply_limit(now, &record.server);
-        }
-        is_news
-    }
-
-    /// Puts the limit of a server in force.
-    fn apply_limit(&mut self, now: Instant, name: &Server) {
-        let Some(server) = self.servers.get_mut(name) else {
-            return;
-        };
-        let limit = self.limits.limit(name, server.incarnation);
-        match (limit, &mut server.limiter) {
-            (Some(limit), Some(limiter)) => limiter.set_limit(limit),
-            (limit, limiter) => {
-                *limiter = limit.and_then(|limit| RateLimiter::new(now, name, limit))
-            }
-        }
-    }
-
-    /// Whether a server takes a limited rate of requests.
-    pub fn is_limited(&self, name: &Server) -> bool {
-        let server = self.servers.get(name);
-        server.is_some_and(|server| self.limits.limit(name, server.incarnation).is_some())
-    }
-
-    /// The limits of servers.
-    pub fn limits(&mut self) -> &mut LimitLedger {
-        &mut self.limits
-    }
-
-    /// The services of servers that take a limited rate of requests.
-    pub fn limited_services(&self) -> BTreeSet<Service> {
-        let limited = self
-            .servers
-            .values()
-            .filter(|server| server.limiter.is_some());
-        limited.map(|server| server.service.clone()).collect()
-    }
-
-    /// Adds the tokens for requests to limited servers of a service, of which this entry has `share`.
-    pub fn refill(&mut self, now: Instant, service: &Service, share: impl FnOnce() -> Share) {
-        let servers = self.servers.values_mut();
-        let mut limiters = servers
-            .filter(|server| server.service == *service)
-            .filter_map(|server| server.limiter.as_mut())
-            .peekable();
-        if limiters.peek().is_none() {
-            return;
-        }
-        let share = share();
-        for limiter in limiters {
-            limiter.refill(now, share);
-        }
-    }
-
     /// When the first server of a service wants requests again; none if one wants some now, or none is
     /// paused.
     pub fn all_paused_until(&self, now: Instant, service: &Service) -> Option<Instant> {
@@ -411,11 +362,10 @@
             let jitter = rng.random_range(0.0..1.0) / f64::from(server.slots.max(1));
             let score = match affinity {
                 None => {
-                    let factor = server
-                        .limiter
-                        .as_ref()
-                        .map_or(1.0, RateLimiter::load_factor);
-                    (server.utilisation() + jitter) * factor * server.slow_start.load_factor(now)
+                    let limiter = server.limiter.as_ref();
+                    let factor = limiter.map_or(1.0, RateLimiter::load_factor);
+                    let slow_start = server.slow_start.map_or(1.0, |start| start.factor(now));
+                    (server.utilisation() + jitter) * factor * slow_start
                 }
                 Some(text) => rendezvous_score(text, name),
             };
