--- a/crates/entry/tests/cold/world.rs
+++ b/crates/entry/tests/cold/world.rs
@@ -377,6 +377,7 @@
             leader: None,
             slow_engines: Vec::new(),
             entry_count: counted.len() as u32,
+            coordinators: Default::default(),
             shares: vec![ServiceShare {
                 service: service(),
                 share,
