--- a/crates/control/src/coordination.rs
+++ b/crates/control/src/coordination.rs
@@ -2,7 +2,7 @@
 //! and drives their switches.
 //!
 //! The leader of the log assigns each group to one control process and keeps the assignments as soft
-//! state ([`assign`]). The coordinator holds a lease on the group ([`lease`]), which it renews with a
+//! state (`assign`). The coordinator holds a lease on the group (`lease`), which it renews with a
 //! poll every [`POLL_INTERVAL`]; without a valid lease it behaves like a deposed leader. The leader
 //! polls itself in the same way, without messages. docs/design/coordinators.md has the alternatives
 //! and the failures.
