entry: move the selection of a server out of the pool

Change: ServerChoice, choose_server and the rendezvous score move to direct/choice.rs; no change of behaviour.

--- a/crates/entry/src/direct/events.rs
+++ b/crates/entry/src/direct/events.rs
@@ -8,10 +8,10 @@
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::refusal::{Reason, Refusal};
 
+use super::choice::ServerChoice;
 use super::flight::{DirectRequest, Stage};
 use super::io::{Call, Output};
 use super::path::Direct;
-use super::pool::ServerChoice;
 
 impl Direct {
     /// Records a decision about a request.
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -9,6 +9,7 @@
 //! response by ticket.
 
 mod budget;
+mod choice;
 mod crash;
 mod events;
 mod flight;
--- a/crates/entry/src/direct/pool.rs
+++ b/crates/entry/src/direct/pool.rs
@@ -1,4 +1,4 @@
-//! The servers of each service and the selection of one for a request.
+//! The servers of each service and their state.
 //!
 //! Each entry knows its own requests at a server and the number of entries, and uses only its share
 //! of the server's slots and of the rate of requests that it takes, if that is limited. Failing servers are ejected for a limited time that doubles with each
@@ -8,14 +8,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use eelgrassdyke_core::digest::Sha256;
 use eelgrassdyke_core::follow::ServerStatus;
 use eelgrassdyke_core::id::{Incarnation, Server, Service};
 use eelgrassdyke_core::limit::{LimitLedger, LimitRecord, Share};
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::directory::ServerState;
 use eelgrassdyke_core::wire::rank::SlowEngine;
-use rand::{Rng, RngExt as _};
 
 use super::limit::RateLimiter;
 use super::line::Capacity;
@@ -52,11 +50,8 @@
 /// Most servers that are remembered as leaving.
 const LEAVING_MAX: usize = 256;
 
-/// Maximum fraction of the servers of a service that may be ejected.
-const EJECTED_FRACTION_MAX: f64 = 0.5;
-
 /// Maximum fraction of the servers of a service that may be avoided because they are slow.
-const SLOW_FRACTION_MAX: f64 = 0.34;
+pub(super) const SLOW_FRACTION_MAX: f64 = 0.34;
 
 /// Weight of the newest attempt in the smoothed failure rate of a server.
 const FAILURE_RATE_WEIGHT: f64 = 0.1;
@@ -89,22 +84,22 @@
     leaving: VecDeque<(Server, Incarnation)>,
     /// Limits of servers; they may be missing in the directory for a while.
     limits: LimitLedger,
-    health_by_service: BTreeMap<Service, ServiceHealth>,
+    pub(super) health_by_service: BTreeMap<Service, ServiceHealth>,
 }
 
 /// Whether any server of a service makes progress.
 #[derive(Clone, Debug, Default)]
-struct ServiceHealth {
+pub(super) struct ServiceHealth {
     /// When a server of the service last responded or sent an event.
     last_activity: Instant,
     /// Requests rejected or interrupted since then.
     failures: u32,
     /// When the next request may be sent to a stalled service.
-    next_probe: Instant,
+    pub(super) next_probe: Instant,
 }
 
 impl ServiceHealth {
-    fn is_stalled(&self, now: Instant) -> bool {
+    pub(super) fn is_stalled(&self, now: Instant) -> bool {
         self.failures >= STALL_FAILURES && now.since(self.last_activity) >= STALL_TIMEOUT
     }
 
@@ -123,62 +118,47 @@
 
 /// State of one server.
 #[derive(Clone, Debug)]
-struct PooledServer {
-    service: Service,
-    address: SocketAddr,
-    incarnation: Incarnation,
-    state: ServerState,
-    slots: u32,
+pub(super) struct PooledServer {
+    pub(super) service: Service,
+    pub(super) address: SocketAddr,
+    pub(super) incarnation: Incarnation,
+    pub(super) state: ServerState,
+    pub(super) slots: u32,
     /// Requests of this entry at the server.
-    running: u32,
+    pub(super) running: u32,
     /// Failures since the last success.
-    consecutive_failures: u32,
+    pub(super) consecutive_failures: u32,
     /// Smoothed fraction of attempts that failed.
-    failure_rate: f64,
-    ejected_until: Instant,
-    full_until: Instant,
+    pub(super) failure_rate: f64,
+    pub(super) ejected_until: Instant,
+    pub(super) full_until: Instant,
     /// Whether the server said in a response that it leaves.
-    is_leaving: bool,
+    pub(super) is_leaving: bool,
     /// Until when the server wants no requests.
-    paused_until: Instant,
+    pub(super) paused_until: Instant,
     /// Limits the requests to the server, if it takes a limited rate.
-    limiter: Option<RateLimiter>,
+    pub(super) limiter: Option<RateLimiter>,
     /// When the server last responded or sent an event.
-    last_activity: Instant,
+    pub(super) last_activity: Instant,
     /// Whether control reports the server as slow: its share of the work delays its whole group.
-    is_slow: bool,
+    pub(super) is_slow: bool,
     /// Until when the server's group counts as closed.
-    group_closed_until: Instant,
-}
-
-/// The server selected for a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ServerChoice {
-    /// The server.
-    pub server: Server,
-    /// Incarnation of the server.
-    pub incarnation: Incarnation,
-    /// Address for requests.
-    pub address: SocketAddr,
-    /// Requests of this entry at the server, excluding the new one.
-    pub running: u32,
-    /// Number of slots that this entry may use at the server.
-    pub slot_limit: u32,
+    pub(super) group_closed_until: Instant,
 }
 
 impl PooledServer {
-    fn is_ejected(&self, now: Instant) -> bool {
+    pub(super) fn is_ejected(&self, now: Instant) -> bool {
         now < self.ejected_until
     }
 
     /// Utilisation of the server by this entry's requests, raised by its failure rate.
-    fn utilisation(&self) -> f64 {
+    pub(super) fn utilisation(&self) -> f64 {
         let slots = f64::from(self.slots.max(1));
         (f64::from(self.running) + self.failure_rate * FAILURE_PENALTY_SLOTS) / slots
     }
 
     /// Number of slots that this entry may use at the server.
-    fn slot_limit(&self, entry_count: u32) -> u32 {
+    pub(super) fn slot_limit(&self, entry_count: u32) -> u32 {
         let share = f64::from(self.slots) * SLOT_OVERCOMMIT / f64::from(entry_count.max(1));
         share.ceil().max(1.0) as u32
     }
@@ -394,68 +374,6 @@
         capacity
     }
 
-    /// Selects the server for the next request of a service; none if no server has a free slot.
-    ///
-    /// `excluded_servers` must not be selected. With an `affinity`, all entries prefer the same server,
-    /// another one for each text.
-    pub fn choose_server(
-        &self,
-        now: Instant,
-        service: &Service,
-        entry_count: u32,
-        excluded_servers: &[Server],
-        affinity: Option<&str>,
-        rng: &mut impl Rng,
-    ) -> Option<ServerChoice> {
-        let health = self.health_by_service.get(service);
-        if health.is_some_and(|health| health.is_stalled(now) && now < health.next_probe) {
-            return None;
-        }
-        let available: Vec<_> = self.available_servers(now, service).collect();
-        let ejected_count = available.iter().filter(|(_, s)| s.is_ejected(now)).count();
-        let skips_ejected = (ejected_count as f64) <= available.len() as f64 * EJECTED_FRACTION_MAX;
-        let slow_count = available.iter().filter(|(_, s)| s.is_slow).count();
-        let skips_slow = (slow_count as f64) <= available.len() as f64 * SLOW_FRACTION_MAX;
-        let mut best: Option<(f64, ServerChoice)> = None;
-        for (name, server) in available {
-            let is_skipped =
-                skips_ejected && server.is_ejected(now) || skips_slow && server.is_slow;
-            let has_token = server.limiter.as_ref().is_none_or(RateLimiter::has_token);
-            let is_full = now < server.full_until
-                || server.running >= server.slot_limit(entry_count)
-                || !has_token;
-            if is_skipped || is_full || excluded_servers.contains(name) {
-                continue;
-            }
-            // A random fraction of a slot keeps entries from all selecting the same server.
-            let jitter = rng.random_range(0.0..1.0) / f64::from(server.slots.max(1));
-            let score = match affinity {
-                None => {
-                    let factor = server
-                        .limiter
-                        .as_ref()
-                        .map_or(1.0, RateLimiter::load_factor);
-                    (server.utilisation() + jitter) * factor
-                }
-                Some(text) => rendezvous_score(text, name),
-            };
-            if best
-                .as_ref()
-                .is_none_or(|(best_score, _)| score < *best_score)
-            {
-                let choice = ServerChoice {
-                    server: name.clone(),
-                    incarnation: server.incarnation,
-                    address: server.address,
-                    running: server.running,
-                    slot_limit: server.slot_limit(entry_count),
-                };
-                best = Some((score, choice));
-            }
-        }
-        best.map(|(_, choice)| choice)
-    }
-
     /// Records that a request was sent.
     pub fn record_start(&mut self, now: Instant, name: &Server) {
         let Some(server) = self.servers.get_mut(name) else {
@@ -552,7 +470,7 @@
     }
 
     /// The servers of a service that are up and want requests, and whose group is not closed.
-    fn available_servers<'a>(
+    pub(super) fn available_servers<'a>(
         &'a self,
         now: Instant,
         service: &'a Service,
@@ -567,9 +485,3 @@
         all.filter(move |(_, server)| server.service == *service && accepts_work(server))
     }
 }
-
-/// Score of a server in rendezvous hashing, from 0 to 1.
-fn rendezvous_score(text: &str, server: &Server) -> f64 {
-    let hash = Sha256::of(format!("{text} {server}").as_bytes());
-    hash.first_128_bits().0 as f64 / u64::MAX as f64
-}
