Exact shares of slots behind entry_role.direct.exact_slots

Cause: each entry used ceil(slots x 1.3 / entries) slots of a server, so 12 entries together could have 24 requests at a server with 10 slots, and 53 entries 53 at one with 6. Change: the slots of a server (x 1.3, rounded) are units on the interval of shares; an entry uses those in its share. Entries name demand and units of each service, and control makes shares wide enough for one unit each. At a server with a limit an entry has the part of the slots that it has of the limit's units. Off by default. Ruled out: offsets by hash, as for limits: with 53 entries, 11 servers of 12 slots, the test found entries without a unit whose extra slots met at one server (18 instead of 16). Units placed evenly in the order of the servers' names and the wider even part of shares give sums that are exact. A service with at most two units per entry keeps equal parts (three servers of 6 slots, 12 entries).

--- a/crates/control/src/followers.rs
+++ b/crates/control/src/followers.rs
@@ -104,13 +104,13 @@
             return Vec::new();
         };
         let mut shares = Vec::new();
-        for ServiceDemand { service, .. } in &follower.poll.demands {
+        for ServiceDemand { service, units, .. } in &follower.poll.demands {
             let rates: Vec<_> = (entries.iter())
                 .map(|entry| self.demand(now, entry, service))
                 .collect();
             shares.push(ServiceShare {
                 service: service.clone(),
-                share: Share::divide(&rates, index),
+                share: Share::divide_units(&rates, index, *units),
             });
         }
         shares
--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -36,6 +36,9 @@
 /// send its first ones.
 const EVEN_FRACTION: f64 = 0.05;
 
+/// Width of the narrowest share in distances of two units; above 1 as the ends of shares are rounded.
+const UNIT_WIDTH_FACTOR: f64 = 1.02;
+
 data! {
     /// What a server said about the rate of requests that it takes.
     #[derive(Eq)]
@@ -58,6 +61,10 @@
         pub service: Service,
         /// Their recent rate.
         pub rate: MilliRequestRate,
+        /// Units of the service's slots, of which each entry is to have at least one; zero if slots are
+        /// not divided by shares.
+        #[serde(default, skip_serializing_if = "is_zero")]
+        pub units: u64,
     }
 
     /// An entry's share of the traffic to the servers of a service.
@@ -79,6 +86,10 @@
     }
 }
 
+fn is_zero(units: &u64) -> bool {
+    *units == 0
+}
+
 /// A [`LimitRecord`] without field names, to save space.
 type PackedLimitRecord = (Server, u64, Option<u64>, u64);
 
@@ -215,6 +226,19 @@
     /// The share of one of `count` entries, the one at `index`, whose demands are `demands`; an unknown
     /// demand counts like the mean of the known ones.
     pub fn divide(demands: &[Option<MilliRequestRate>], index: usize) -> Self {
+        Self::divide_units(demands, index, 0)
+    }
+
+    /// The same, with shares wide enough that of `units`, spread evenly over the interval, each entry
+    /// has at least one; zero for no such bound. If there are too few, all shares are equal.
+    pub fn divide_units(demands: &[Option<MilliRequestRate>], index: usize, units: u64) -> Self {
+        let even_fraction = match units {
+            0 => EVEN_FRACTION,
+            units => {
+                let fraction = demands.len() as f64 / units as f64 * UNIT_WIDTH_FACTOR;
+                fraction.clamp(EVEN_FRACTION, 1.0)
+            }
+        };
         let known: Vec<f64> = (demands.iter().flatten())
             .map(|rate| rate.per_second())
             .collect();
@@ -223,7 +247,7 @@
         let weight = |demand: &Option<MilliRequestRate>| {
             let rate = demand.map_or(mean, |rate| rate.per_second());
             match mean > 0.0 {
-                true => (1.0 - EVEN_FRACTION) * rate / (mean * count) + EVEN_FRACTION / count,
+                true => (1.0 - even_fraction) * rate / (mean * count) + even_fraction / count,
                 false => 1.0 / count,
             }
         };
@@ -266,13 +290,19 @@
     /// How many of `units` that are spread evenly over the interval fall into this share. `offset`, from
     /// 0 to 1, moves them by that many units.
     pub fn count_units(self, units: u64, offset: f64) -> u64 {
+        let owned = self.unit_range(units, offset);
+        owned.end - owned.start
+    }
+
+    /// The indices of those units.
+    pub fn unit_range(self, units: u64, offset: f64) -> std::ops::Range<u64> {
         // The unit of index j is at (j + offset) / units.
         let before = |position: u32| {
             let position = f64::from(position) / f64::from(Self::WHOLE.end);
             let index = position * units as f64 - offset;
             (index.ceil().max(0.0) as u64).min(units)
         };
-        before(self.end) - before(self.start)
+        before(self.start)..before(self.end)
     }
 }
 
--- a/crates/core/src/settings/mod.rs
+++ b/crates/core/src/settings/mod.rs
@@ -109,6 +109,9 @@
         pub retry_window_ms: u64,
         /// Time between the stop signal and the forced termination of the process, in milliseconds.
         pub grace_ms: u64,
+        /// Whether the entries' shares of a server's slots are exact; otherwise each entry uses an equal
+        /// part, rounded up.
+        pub exact_slots: bool,
     }
 
     /// The control role.
--- a/crates/core/src/settings/read.rs
+++ b/crates/core/src/settings/read.rs
@@ -262,6 +262,7 @@
     let retry_slack: Option<f64> = section.required("retry_slack", "give a number of attempts");
     let retry_window_ms = milliseconds(section.required("retry_window_s", SECONDS_REMEDY));
     let grace_ms = milliseconds(section.required("grace_s", SECONDS_REMEDY));
+    let exact_slots = section.value_or("exact_slots", false, "give true or false");
     section.report_unknown_fields();
     check_positive(section, "retry_window_s", retry_window_ms);
     Some(DirectSettings {
@@ -270,6 +271,7 @@
         retry_slack: retry_slack?.max(0.0) as u32,
         retry_window_ms: retry_window_ms?,
         grace_ms: grace_ms?,
+        exact_slots: exact_slots?,
     })
 }
 
--- a/crates/entry/src/direct/choice.rs
+++ b/crates/entry/src/direct/choice.rs
@@ -9,6 +9,7 @@
 
 use super::limit::RateLimiter;
 use super::pool::{SLOW_FRACTION_MAX, ServerPool};
+use super::slots::Allotment;
 
 /// Maximum fraction of the servers of a service that may be ejected.
 const EJECTED_FRACTION_MAX: f64 = 0.5;
@@ -37,7 +38,7 @@
         &self,
         now: Instant,
         service: &Service,
-        entry_count: u32,
+        allotment: &Allotment,
         excluded_servers: &[Server],
         affinity: Option<&str>,
         rng: &mut impl Rng,
@@ -47,18 +48,17 @@
             return None;
         }
         let available: Vec<_> = self.available_servers(now, service).collect();
+        let slot_limits = allotment.slot_limits(&available);
         let ejected_count = available.iter().filter(|(_, s)| s.is_ejected(now)).count();
         let skips_ejected = (ejected_count as f64) <= available.len() as f64 * EJECTED_FRACTION_MAX;
         let slow_count = available.iter().filter(|(_, s)| s.is_slow).count();
         let skips_slow = (slow_count as f64) <= available.len() as f64 * SLOW_FRACTION_MAX;
         let mut best: Option<(f64, ServerChoice)> = None;
-        for (name, server) in available {
+        for ((name, server), slot_limit) in available.into_iter().zip(slot_limits) {
             let is_skipped =
                 skips_ejected && server.is_ejected(now) || skips_slow && server.is_slow;
             let has_token = server.limiter.as_ref().is_none_or(RateLimiter::has_token);
-            let is_full = now < server.full_until
-                || server.running >= server.slot_limit(entry_count)
-                || !has_token;
+            let is_full = now < server.full_until || server.running >= slot_limit || !has_token;
             if is_skipped || is_full || excluded_servers.contains(name) {
                 continue;
             }
@@ -66,10 +66,10 @@
             let jitter = rng.random_range(0.0..1.0) / f64::from(server.slots.max(1));
             let score = match affinity {
                 None => {
-                    let factor = server
-                        .limiter
-                        .as_ref()
-                        .map_or(1.0, RateLimiter::load_factor);
+                    let factor = match &server.limiter {
+                        Some(limiter) => limiter.load_factor(),
+                        None => allotment.load_factor(server, slot_limit),
+                    };
                     (server.utilisation() + jitter) * factor
                 }
                 Some(text) => rendezvous_score(text, name),
@@ -83,7 +83,7 @@
                     incarnation: server.incarnation,
                     address: server.address,
                     running: server.running,
-                    slot_limit: server.slot_limit(entry_count),
+                    slot_limit,
                 };
                 best = Some((score, choice));
             }
--- a/crates/entry/src/direct/io.rs
+++ b/crates/entry/src/direct/io.rs
@@ -264,6 +264,8 @@
     pub retry_window: Duration,
     /// Time after the start of a graceful shutdown during which new requests are still served.
     pub drain_grace: Duration,
+    /// Whether the entries' shares of a server's slots are exact.
+    pub exact_slots: bool,
 }
 
 impl Default for Options {
@@ -276,6 +278,7 @@
             retry_slack: 0,
             retry_window: Duration::from_secs(10),
             drain_grace: Duration::from_secs(4),
+            exact_slots: false,
         }
     }
 }
@@ -295,6 +298,7 @@
             retry_slack: direct.retry_slack,
             retry_window: Duration::from_millis(direct.retry_window_ms),
             drain_grace: Duration::from_millis(direct.grace_ms).mul_f64(DRAIN_GRACE_FRACTION),
+            exact_slots: direct.exact_slots,
         }
     }
 }
--- a/crates/entry/src/direct/limit.rs
+++ b/crates/entry/src/direct/limit.rs
@@ -83,7 +83,12 @@
         self.tokens -= 1.0;
     }
 
-    fn total_units(&self) -> u64 {
+    /// The units of the limit in a share.
+    pub(super) fn units_in(&self, share: Share) -> std::ops::Range<u64> {
+        share.unit_range(self.total_units(), self.offset)
+    }
+
+    pub(super) fn total_units(&self) -> u64 {
         (self.limit.0 / 1000).max(1)
     }
 
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -22,6 +22,7 @@
 mod report;
 mod retry;
 mod signal;
+mod slots;
 mod table;
 mod updates;
 
@@ -32,4 +33,5 @@
 };
 pub use path::Direct;
 pub use pool::{HealthSignal, ServerPool};
+pub use slots::Allotment;
 pub use table::MountTable;
--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -10,7 +10,6 @@
 use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::follow::Follower;
 use eelgrassdyke_core::id::{Server, Service, Team, Ticket, Version};
-use eelgrassdyke_core::limit::ServiceDemand;
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::refusal::{Reason, Refusal, RunStatus};
 use eelgrassdyke_core::wire::report::ReportSource;
@@ -26,6 +25,7 @@
 use super::limit::DemandMeter;
 use super::line::WaitQueue;
 use super::pool::{HealthSignal, ServerPool};
+use super::slots::shared_demands;
 use super::table::MountTable;
 
 /// Fraction of the latency target that a request may wait in the queue; the rest is left to the
@@ -128,10 +128,9 @@
                 self.draining_since.get_or_insert(now);
             }
         }
-        while let Some((to, poll)) = self
-            .follower
-            .next_poll_with(now, || limited_demands(now, &self.pool, &self.demands))
-        {
+        while let Some((to, poll)) = self.follower.next_poll_with(now, || {
+            shared_demands(now, &self.pool, &self.demands, self.options.exact_slots)
+        }) {
             let message = Message::Poll(poll);
             out.push(Output::Send { to, message });
         }
@@ -316,9 +315,8 @@
             true => latency_target.mul_f64(QUEUE_WAIT_FRACTION),
             false => NO_SERVER_WAIT,
         };
-        let capacity = self
-            .pool
-            .capacity(now, &request.service, self.follower.entry_count());
+        let allotment = self.allotment(now, &request.service);
+        let capacity = self.pool.capacity(now, &request.service, &allotment);
         let priority = request.priority;
         let wait = self
             .queue(&request.service)
@@ -371,7 +369,7 @@
         mut request: DirectRequest,
         out: &mut Vec<Output>,
     ) -> Option<DirectRequest> {
-        let entry_count = self.follower.entry_count();
+        let allotment = self.allotment(now, &request.service);
         let is_suspect = self.crashes.verdict(now, &request) != Verdict::Sound;
         // Of several entries with suspected content, all risk the same server.
         let affinity = self.crashes.suspected_content(&request);
@@ -389,7 +387,7 @@
         let choice = self.pool.choose_server(
             now,
             &request.service,
-            entry_count,
+            &allotment,
             &excluded_servers,
             affinity.as_deref(),
             &mut self.rng,
@@ -689,23 +687,6 @@
     }
 }
 
-/// The demand for the services with limited servers.
-fn limited_demands(
-    now: Instant,
-    pool: &ServerPool,
-    demands: &BTreeMap<Service, DemandMeter>,
-) -> Vec<ServiceDemand> {
-    let services = pool.limited_services().into_iter();
-    let demands = services.map(|service| {
-        let meter = demands.get(&service);
-        ServiceDemand {
-            rate: meter.map(|meter| meter.rate(now)).unwrap_or_default(),
-            service,
-        }
-    });
-    demands.collect()
-}
-
 /// The contents of a caller's request that servers may end on.
 fn contents(call: &Call, caller: &str) -> Vec<Content> {
     let parts = call.prompt_parts.iter().cloned();
--- a/crates/entry/src/direct/pool.rs
+++ b/crates/entry/src/direct/pool.rs
@@ -17,10 +17,7 @@
 
 use super::limit::RateLimiter;
 use super::line::Capacity;
-
-/// Requests that all entries together may send per slot of a server: callers are spread unevenly
-/// over the entries, and the excess waits briefly at the server.
-const SLOT_OVERCOMMIT: f64 = 1.3;
+use super::slots::Allotment;
 
 /// Shortest ejection of a failing server.
 const EJECTION_MIN: Duration = Duration::from_millis(500);
@@ -79,7 +76,7 @@
 /// The servers of the directory and the health of their services.
 #[derive(Clone, Debug, Default)]
 pub struct ServerPool {
-    servers: BTreeMap<Server, PooledServer>,
+    pub(super) servers: BTreeMap<Server, PooledServer>,
     /// Servers that said that they leave, oldest first; they may be missing in the directory for a while.
     leaving: VecDeque<(Server, Incarnation)>,
     /// Limits of servers; they may be missing in the directory for a while.
@@ -138,6 +135,8 @@
     pub(super) paused_until: Instant,
     /// Limits the requests to the server, if it takes a limited rate.
     pub(super) limiter: Option<RateLimiter>,
+    /// Where the units of its slots are, see [`ServerPool::place_units`].
+    pub(super) unit_offset: f64,
     /// When the server last responded or sent an event.
     pub(super) last_activity: Instant,
     /// Whether control reports the server as slow: its share of the work delays its whole group.
@@ -156,12 +155,6 @@
         let slots = f64::from(self.slots.max(1));
         (f64::from(self.running) + self.failure_rate * FAILURE_PENALTY_SLOTS) / slots
     }
-
-    /// Number of slots that this entry may use at the server.
-    pub(super) fn slot_limit(&self, entry_count: u32) -> u32 {
-        let share = f64::from(self.slots) * SLOT_OVERCOMMIT / f64::from(entry_count.max(1));
-        share.ceil().max(1.0) as u32
-    }
 }
 
 impl ServerPool {
@@ -193,6 +186,7 @@
                     is_leaving: self.leaving.contains(&(name.clone(), info.incarnation)),
                     paused_until: Instant(0),
                     limiter: None,
+                    unit_offset: 0.5,
                     last_activity: now,
                     is_slow: false,
                     group_closed_until: Instant(0),
@@ -361,10 +355,11 @@
     }
 
     /// The capacity of the servers of a service that this entry may use.
-    pub fn capacity(&self, now: Instant, service: &Service, entry_count: u32) -> Capacity {
+    pub fn capacity(&self, now: Instant, service: &Service, allotment: &Allotment) -> Capacity {
+        let servers: Vec<_> = self.available_servers(now, service).collect();
+        let slot_limits = allotment.slot_limits(&servers);
         let mut capacity = Capacity::default();
-        for (_, server) in self.available_servers(now, service) {
-            let slots = server.slot_limit(entry_count);
+        for ((_, server), slots) in servers.into_iter().zip(slot_limits) {
             capacity.has_servers = true;
             match &server.limiter {
                 None => capacity.slots += slots,
--- a/crates/entry/src/direct/updates.rs
+++ b/crates/entry/src/direct/updates.rs
@@ -52,7 +52,8 @@
             self.pool
                 .update_slow_engines(now, self.follower.slow_engines());
         }
-        if effect.directory_changed || effect.slow_engines_changed {
+        // An update may bring larger shares of the slots.
+        if effect.directory_changed || effect.slow_engines_changed || self.options.exact_slots {
             if effect.slow_engines_changed {
                 self.record_slow_engines(out);
                 self.move_streams_off_slow_engines(now, out);
@@ -108,5 +109,6 @@
         for name in names {
             self.pool.update_server(now, &name, servers.get(&name));
         }
+        self.pool.place_units();
     }
 }
--- a/crates/testkit/examples/limit.rs
+++ b/crates/testkit/examples/limit.rs
@@ -22,6 +22,9 @@
     /// Number of seeds.
     #[arg(long, default_value_t = 50)]
     seeds: u64,
+    /// Whether entries use equal parts of the slots, rounded up, instead of exact shares.
+    #[arg(long)]
+    equal_slots: bool,
 }
 
 fn at(seconds: u64) -> Instant {
@@ -56,6 +59,7 @@
                     entry_weights: (0..entries)
                         .map(|entry| 0.8_f64.powi(entry as i32))
                         .collect(),
+                    exact_slots: !arguments.equal_slots,
                     seed,
                     ..Options::default()
                 };
--- a/crates/testkit/src/model/crash.rs
+++ b/crates/testkit/src/model/crash.rs
@@ -125,6 +125,8 @@
     pub limits: Vec<LimitPeriod>,
     /// Relative traffic of each entry; empty if it is even.
     pub entry_weights: Vec<f64>,
+    /// Whether the entries' shares of a server's slots are exact.
+    pub exact_slots: bool,
     /// Seed of the random number generator.
     pub seed: u64,
 }
@@ -145,6 +147,7 @@
             faults: Vec::new(),
             limits: Vec::new(),
             entry_weights: Vec::new(),
+            exact_slots: false,
             seed: 1,
         }
     }
@@ -422,6 +425,7 @@
             control_addresses: (0..CONTROLS).map(|i| control_sender(i).address).collect(),
             seed: self.options.seed * 1000 + index as u64 + incarnation * 7919,
             retry_slack: 90,
+            exact_slots: self.options.exact_slots,
             ..EntryOptions::default()
         };
         Direct::new(self.now, &entry_sender(index, incarnation), options)
--- a/crates/testkit/tests/limit.rs
+++ b/crates/testkit/tests/limit.rs
@@ -45,12 +45,22 @@
     }
 }
 
+/// The same with exact shares of the slots.
+fn exact(options: Options) -> Options {
+    Options {
+        exact_slots: true,
+        ..options
+    }
+}
+
 #[test_case(limited(shape(4, 12, 12, 56.0), 1, 2200); "one server")]
 #[test_case(limited(shape(4, 12, 12, 56.0), 12, 2200); "all servers")]
 #[test_case(limited(shape(4, 12, 12, 56.0), 6, 0); "servers that take nothing")]
 #[test_case(limited(shape(14, 72, 10, 250.0), 50, 500); "fewer requests a second than entries")]
 #[test_case(limited(shape(53, 129, 6, 310.0), 129, 500); "far fewer requests a second than entries")]
 #[test_case(limited(shape(53, 11, 12, 60.0), 11, 30_000); "a limit above the traffic")]
+#[test_case(exact(limited(shape(4, 12, 12, 56.0), 12, 2200)); "exact shares of slots")]
+#[test_case(exact(limited(shape(14, 72, 10, 250.0), 72, 2000)); "exact shares of slots at many servers")]
 fn server_that_names_a_limit_gets_no_more_than_that(options: Options) {
     for seed in 1..=5 {
         let options = Options {
@@ -113,3 +123,22 @@
         assert!(used <= 1.1, "seed {seed}: {used} of the limits were used");
     }
 }
+
+/// Each of the few entries with units of a server used only an equal part of its slots, one, so that half
+/// of what the limits allow was not used.
+#[test]
+fn what_limits_allow_is_used_where_there_are_as_many_entries_as_slots() {
+    for seed in 1..=3 {
+        let mut options = exact(limited(shape(14, 72, 10, 250.0), 72, 2000));
+        options.group_size = 1;
+        options.entry_weights = (0..14).map(|entry| 0.8_f64.powi(entry)).collect();
+        options.seed = seed;
+        let outcome = Simulation::new(options).run();
+        let arrivals = (0..72).map(|server| outcome.arrivals_at(server, at(16), at(36)));
+        let used = arrivals.sum::<usize>() as f64 / (72.0 * 20.0 * 2.0);
+        assert!(
+            used >= USED_FRACTION_MIN,
+            "seed {seed}: {used} of the limits were used"
+        );
+    }
+}
