--- a/crates/core/src/settings/mod.rs
+++ b/crates/core/src/settings/mod.rs
@@ -113,6 +113,9 @@
         pub cold_overage: Permille,
         /// Requests that a cold server may get in any second beyond that.
         pub cold_slack: u32,
+        /// Whether the entries' shares of a server's slots are exact; otherwise each entry uses an equal
+        /// part, rounded up.
+        pub exact_slots: bool,
     }
 
     /// The control role.
--- a/crates/core/src/settings/read.rs
+++ b/crates/core/src/settings/read.rs
@@ -265,6 +265,7 @@
     let remedy = "give a factor of the cold rate, such as 1.5";
     let cold_overage: Option<f64> = section.value_or("cold_overage", 1.0, remedy);
     let cold_slack: Option<f64> = section.value_or("cold_slack", 0.0, "give a number of requests");
+    let exact_slots = section.value_or("exact_slots", false, "give true or false");
     section.report_unknown_fields();
     if cold_overage.is_some_and(|overage| overage <= 0.0) {
         section.report_fault("cold_overage", &"must be positive", remedy);
@@ -278,6 +279,7 @@
         grace_ms: grace_ms?,
         cold_overage: Permille((cold_overage? * 1000.0).round() as u64),
         cold_slack: cold_slack?.max(0.0) as u32,
+        exact_slots: exact_slots?,
     })
 }
 
--- a/crates/eelgrassctl/tests/operate.rs
+++ b/crates/eelgrassctl/tests/operate.rs
@@ -300,6 +300,8 @@
 #[test]
 fn a_data_centre_is_evacuated_and_restored() {
     let site = Site::start();
+    // An order is sent until a leader accepts it; `status` fails while there is none.
+    site.run_json(0, &["restore", "hobart"]);
     assert_eq!(site.run_json(0, &["status"])["evacuated"], json!([]));
     let ordered = site.run_json(0, &["evacuate", "hobart", "--wait"]);
     assert_eq!(ordered["in_force"]["have"], json!(["all-1"]));
--- a/crates/entry/src/direct/io.rs
+++ b/crates/entry/src/direct/io.rs
@@ -268,6 +268,8 @@
     pub drain_grace: Duration,
     /// What all entries together may send to a cold server.
     pub cold_bound: ColdBound,
+    /// Whether the entries' shares of a server's slots are exact.
+    pub exact_slots: bool,
 }
 
 impl Default for Options {
@@ -281,6 +283,7 @@
             retry_window: Duration::from_secs(10),
             drain_grace: Duration::from_secs(4),
             cold_bound: ColdBound::default(),
+            exact_slots: false,
         }
     }
 }
@@ -304,6 +307,7 @@
                 overage: direct.cold_overage,
                 slack: direct.cold_slack,
             },
+            exact_slots: direct.exact_slots,
         }
     }
 }
--- a/crates/entry/src/direct/limit.rs
+++ b/crates/entry/src/direct/limit.rs
@@ -1,10 +1,9 @@
 //! Requests to servers that take a limited rate, and the demand that the entry reports for its share.
 
-use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use eelgrassdyke_core::id::{Server, Service};
-use eelgrassdyke_core::limit::{ServiceDemand, Share, unit_offset};
+use eelgrassdyke_core::id::Server;
+use eelgrassdyke_core::limit::{Share, unit_offset};
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::unit::MilliRequestRate;
 
@@ -182,23 +181,12 @@
     pub fn take_token(&mut self) {
         self.tokens -= 1.0;
     }
-}
 
-/// The demand for `services`.
-pub fn demands(
-    now: Instant,
-    services: BTreeSet<Service>,
-    meters: &BTreeMap<Service, DemandMeter>,
-) -> Vec<ServiceDemand> {
-    let services = services.into_iter();
-    let demands = services.map(|service| {
-        let meter = meters.get(&service);
-        ServiceDemand {
-            rate: meter.map(|meter| meter.rate(now)).unwrap_or_default(),
-            service,
-        }
-    });
-    demands.collect()
+    /// The units in a share of the limit that the server names, and the number of all its units.
+    pub(super) fn named_units(&self, share: Share) -> Option<(std::ops::Range<u64>, u64)> {
+        let total = self.named.as_ref()?.total_units();
+        Some((share.unit_range(total, self.offset), total))
+    }
 }
 
 /// Smoothed rate of the requests for a service.
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -9,6 +9,7 @@
 //! response by ticket.
 
 mod budget;
+mod choice;
 mod cold;
 mod crash;
 mod evacuation;
@@ -24,6 +25,7 @@
 mod report;
 mod retry;
 mod signal;
+mod slots;
 mod slow_start;
 mod table;
 mod updates;
@@ -36,4 +38,5 @@
 };
 pub use path::Direct;
 pub use pool::{HealthSignal, ServerPool};
+pub use slots::Allotment;
 pub use table::MountTable;
--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -23,9 +23,10 @@
 use super::events::QueueEstimate;
 use super::flight::{DirectRequest, Stage, contents, retry_after};
 use super::io::{AttemptOutcome, AttemptSpec, Call, Input, NotRunReason, Options, Output};
-use super::limit::{self, DemandMeter};
+use super::limit::DemandMeter;
 use super::line::WaitQueue;
 use super::pool::{HealthSignal, ServerPool};
+use super::slots::shared_demands;
 use super::table::MountTable;
 
 /// Fraction of the latency target that a request may wait in the queue; the rest is left to the
@@ -132,7 +133,7 @@
             }
         }
         while let Some((to, poll)) = self.follower.next_poll_with(now, || {
-            limit::demands(now, self.pool.limited_services(), &self.demands)
+            shared_demands(now, &self.pool, &self.demands, self.options.exact_slots)
         }) {
             let message = Message::Poll(poll);
             out.push(Output::Send { to, message });
@@ -322,9 +323,8 @@
             true => latency_target.mul_f64(QUEUE_WAIT_FRACTION),
             false => NO_SERVER_WAIT,
         };
-        let capacity = self
-            .pool
-            .capacity(now, &request.service, self.follower.entry_count());
+        let allotment = self.allotment(now, &request.service);
+        let capacity = self.pool.capacity(now, &request.service, &allotment);
         let priority = request.priority;
         let wait = self
             .queue(&request.service)
@@ -377,7 +377,7 @@
         mut request: DirectRequest,
         out: &mut Vec<Output>,
     ) -> Option<DirectRequest> {
-        let entry_count = self.follower.entry_count();
+        let allotment = self.allotment(now, &request.service);
         let is_suspect = self.crashes.verdict(now, &request) != Verdict::Sound;
         // Of several entries with suspected content, all risk the same server.
         let affinity = self.crashes.suspected_content(&request);
@@ -395,7 +395,7 @@
         let choice = self.pool.choose_server(
             now,
             &request.service,
-            entry_count,
+            &allotment,
             &excluded_servers,
             affinity.as_deref(),
             &mut self.rng,
--- a/crates/entry/src/direct/pool.rs
+++ b/crates/entry/src/direct/pool.rs
@@ -1,4 +1,4 @@
-//! The servers of each service and the selection of one for a request.
+//! The servers of each service and their state.
 //!
 //! Each entry knows its own requests at a server and the number of entries, and uses only its share
 //! of the server's slots and of the rate of requests that it takes, if that is limited. Failing servers are ejected for a limited time that doubles with each
@@ -8,27 +8,22 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use eelgrassdyke_core::digest::Sha256;
 use eelgrassdyke_core::follow::ServerStatus;
 use eelgrassdyke_core::id::{DataCentre, Incarnation, Server, Service};
 use eelgrassdyke_core::limit::LimitLedger;
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::directory::ServerState;
 use eelgrassdyke_core::wire::rank::SlowEngine;
-use rand::{Rng, RngExt as _};
 
 use super::health::ServiceHealth;
 use super::limit::RateLimiter;
 use super::line::Capacity;
+use super::slots::Allotment;
 use super::slow_start::SlowStart;
 use crate::evacuation::Evacuation;
 
 mod limited;
 
-/// Requests that all entries together may send per slot of a server: callers are spread unevenly
-/// over the entries, and the excess waits briefly at the server.
-const SLOT_OVERCOMMIT: f64 = 1.3;
-
 /// Shortest ejection of a failing server.
 const EJECTION_MIN: Duration = Duration::from_millis(500);
 
@@ -45,11 +40,8 @@
 /// Most servers that are remembered as leaving.
 const LEAVING_MAX: usize = 256;
 
-/// Maximum fraction of the servers of a service that may be ejected.
-const EJECTED_FRACTION_MAX: f64 = 0.5;
-
 /// Maximum fraction of the servers of a service that may be avoided because they are slow.
-const SLOW_FRACTION_MAX: f64 = 0.34;
+pub(super) const SLOW_FRACTION_MAX: f64 = 0.34;
 
 /// Weight of the newest attempt in the smoothed failure rate of a server.
 const FAILURE_RATE_WEIGHT: f64 = 0.1;
@@ -84,7 +76,7 @@
     limits: LimitLedger,
     /// Data centres whose servers get no requests.
     pub(super) evacuation: Evacuation,
-    health_by_service: BTreeMap<Service, ServiceHealth>,
+    pub(super) health_by_service: BTreeMap<Service, ServiceHealth>,
 }
 
 /// State of one server.
@@ -92,71 +84,52 @@
 pub(super) struct PooledServer {
     pub(super) service: Service,
     pub(super) data_centre: DataCentre,
-    address: SocketAddr,
-    incarnation: Incarnation,
+    pub(super) address: SocketAddr,
+    pub(super) incarnation: Incarnation,
     pub(super) state: ServerState,
-    slots: u32,
+    pub(super) slots: u32,
     /// Requests of this entry at the server.
-    running: u32,
+    pub(super) running: u32,
     /// Failures since the last success.
-    consecutive_failures: u32,
+    pub(super) consecutive_failures: u32,
     /// Smoothed fraction of attempts that failed.
-    failure_rate: f64,
-    ejected_until: Instant,
-    full_until: Instant,
+    pub(super) failure_rate: f64,
+    pub(super) ejected_until: Instant,
+    pub(super) full_until: Instant,
     /// Whether the server said in a response that it leaves.
     pub(super) is_leaving: bool,
     /// Whether the server's data centre is evacuated.
     pub(super) is_evacuated: bool,
     /// Until when the server wants no requests.
-    paused_until: Instant,
+    pub(super) paused_until: Instant,
     /// Whether the directory reports the server as cold.
     is_cold: bool,
     /// Whether requests are limited because of that.
     is_limited_as_cold: bool,
     /// Limits the requests to the server, if it takes a limited rate.
-    limiter: Option<RateLimiter>,
+    pub(super) limiter: Option<RateLimiter>,
     /// The gradual return after a time with few requests or none.
     pub(super) slow_start: Option<SlowStart>,
+    /// Where the units of its slots are, see [`ServerPool::place_units`].
+    pub(super) unit_offset: f64,
     /// When the server last responded or sent an event.
-    last_activity: Instant,
+    pub(super) last_activity: Instant,
     /// Whether control reports the server as slow: its share of the work delays its whole group.
-    is_slow: bool,
+    pub(super) is_slow: bool,
     /// Until when the server's group counts as closed.
-    group_closed_until: Instant,
-}
-
-/// The server selected for a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ServerChoice {
-    /// The server.
-    pub server: Server,
-    /// Incarnation of the server.
-    pub incarnation: Incarnation,
-    /// Address for requests.
-    pub address: SocketAddr,
-    /// Requests of this entry at the server, excluding the new one.
-    pub running: u32,
-    /// Number of slots that this entry may use at the server.
-    pub slot_limit: u32,
+    pub(super) group_closed_until: Instant,
 }
 
 impl PooledServer {
-    fn is_ejected(&self, now: Instant) -> bool {
+    pub(super) fn is_ejected(&self, now: Instant) -> bool {
         now < self.ejected_until
     }
 
     /// Utilisation of the server by this entry's requests, raised by its failure rate.
-    fn utilisation(&self) -> f64 {
+    pub(super) fn utilisation(&self) -> f64 {
         let slots = f64::from(self.slots.max(1));
         (f64::from(self.running) + self.failure_rate * FAILURE_PENALTY_SLOTS) / slots
     }
-
-    /// Number of slots that this entry may use at the server.
-    fn slot_limit(&self, entry_count: u32) -> u32 {
-        let share = f64::from(self.slots) * SLOT_OVERCOMMIT / f64::from(entry_count.max(1));
-        share.ceil().max(1.0) as u32
-    }
 }
 
 impl ServerPool {
@@ -197,6 +170,7 @@
                     is_limited_as_cold: false,
                     limiter: None,
                     slow_start: None,
+                    unit_offset: 0.5,
                     last_activity: now,
                     is_slow: false,
                     group_closed_until: Instant(0),
@@ -312,10 +286,11 @@
     }
 
     /// The capacity of the servers of a service that this entry may use.
-    pub fn capacity(&self, now: Instant, service: &Service, entry_count: u32) -> Capacity {
+    pub fn capacity(&self, now: Instant, service: &Service, allotment: &Allotment) -> Capacity {
+        let servers: Vec<_> = self.available_servers(now, service).collect();
+        let slot_limits = allotment.slot_limits(&servers);
         let mut capacity = Capacity::default();
-        for (_, server) in self.available_servers(now, service) {
-            let slots = server.slot_limit(entry_count);
+        for ((_, server), slots) in servers.into_iter().zip(slot_limits) {
             capacity.has_servers = true;
             match &server.limiter {
                 None => capacity.slots += slots,
@@ -325,67 +300,6 @@
         capacity
     }
 
-    /// Selects the server for the next request of a service; none if no server has a free slot.
-    ///
-    /// `excluded_servers` must not be selected. With an `affinity`, all entries prefer the same server,
-    /// another one for each text.
-    pub fn choose_server(
-        &self,
-        now: Instant,
-        service: &Service,
-        entry_count: u32,
-        excluded_servers: &[Server],
-        affinity: Option<&str>,
-        rng: &mut impl Rng,
-    ) -> Option<ServerChoice> {
-        let health = self.health_by_service.get(service);
-        if health.is_some_and(|health| health.blocks_requests(now)) {
-            return None;
-        }
-        let available: Vec<_> = self.available_servers(now, service).collect();
-        let ejected_count = available.iter().filter(|(_, s)| s.is_ejected(now)).count();
-        let skips_ejected = (ejected_count as f64) <= available.len() as f64 * EJECTED_FRACTION_MAX;
-        let slow_count = available.iter().filter(|(_, s)| s.is_slow).count();
-        let skips_slow = (slow_count as f64) <= available.len() as f64 * SLOW_FRACTION_MAX;
-        let mut best: Option<(f64, ServerChoice)> = None;
-        for (name, server) in available {
-            let is_skipped =
-                skips_ejected && server.is_ejected(now) || skips_slow && server.is_slow;
-            let has_token = server.limiter.as_ref().is_none_or(RateLimiter::has_token);
-            let is_full = now < server.full_until
-                || server.running >= server.slot_limit(entry_count)
-                || !has_token;
-            if is_skipped || is_full || excluded_servers.contains(name) {
-                continue;
-            }
-            // A random fraction of a slot keeps entries from all selecting the same server.
-            let jitter = rng.random_range(0.0..1.0) / f64::from(server.slots.max(1));
-            let score = match affinity {
-                None => {
-                    let limiter = server.limiter.as_ref();
-                    let factor = limiter.map_or(1.0, RateLimiter::load_factor);
-                    let slow_start = server.slow_start.map_or(1.0, |start| start.factor(now));
-                    (server.utilisation() + jitter) * factor * slow_start
-                }
-                Some(text) => rendezvous_score(text, name),
-            };
-            if best
-                .as_ref()
-                .is_none_or(|(best_score, _)| score < *best_score)
-            {
-                let choice = ServerChoice {
-                    server: name.clone(),
-                    incarnation: server.incarnation,
-                    address: server.address,
-                    running: server.running,
-                    slot_limit: server.slot_limit(entry_count),
-                };
-                best = Some((score, choice));
-            }
-        }
-        best.map(|(_, choice)| choice)
-    }
-
     /// Records that a request was sent.
     pub fn record_start(&mut self, now: Instant, name: &Server) {
         let Some(server) = self.servers.get_mut(name) else {
@@ -481,7 +395,7 @@
 
     /// The servers of a service that are up and want requests, and whose data centre is not evacuated and
     /// group not closed.
-    fn available_servers<'a>(
+    pub(super) fn available_servers<'a>(
         &'a self,
         now: Instant,
         service: &'a Service,
@@ -497,9 +411,3 @@
         all.filter(move |(_, server)| server.service == *service && accepts_work(server))
     }
 }
-
-/// Score of a server in rendezvous hashing, from 0 to 1.
-fn rendezvous_score(text: &str, server: &Server) -> f64 {
-    let hash = Sha256::of(format!("{text} {server}").as_bytes());
-    hash.first_128_bits().0 as f64 / u64::MAX as f64
-}
--- a/crates/entry/src/direct/updates.rs
+++ b/crates/entry/src/direct/updates.rs
@@ -58,7 +58,12 @@
         if evacuation_changed || effect.directory_changed {
             self.refuse_all_evacuated(now, out);
         }
-        if evacuation_changed || effect.directory_changed || effect.slow_engines_changed {
+        // An update may bring larger shares of the slots.
+        if evacuation_changed
+            || effect.directory_changed
+            || effect.slow_engines_changed
+            || self.options.exact_slots
+        {
             if effect.slow_engines_changed {
                 self.record_slow_engines(out);
                 self.move_streams_off_slow_engines(now, out);
@@ -114,5 +119,6 @@
         for name in names {
             self.pool.update_server(now, &name, servers.get(&name));
         }
+        self.pool.place_units();
     }
 }
--- a/crates/node/src/gauges.rs
+++ b/crates/node/src/gauges.rs
@@ -18,10 +18,12 @@
         set_version("entry", entry.read(Entry::version));
         set_control_silence("entry", entry.read(|entry| entry.control_silence(now)));
     }
-    if let Some(direct) = node.direct() {
-        let cold = direct.read(|direct| direct.count_cold_servers());
+    if node.entry().is_some() || node.direct().is_some() {
+        // Without servers that are called directly none is limited as cold.
+        let (cold, assumes_cold) = node.direct().map_or((0, false), |direct| {
+            direct.read(|direct| (direct.count_cold_servers(), direct.assumes_cold_servers()))
+        });
         gauge!("eelgrassdyke_cold_servers").set(cold as f64);
-        let assumes_cold = direct.read(|direct| direct.assumes_cold_servers());
         gauge!("eelgrassdyke_cold_servers_assumed").set(bool_value(assumes_cold));
     }
     if let Some(agent) = node.agent() {
