control: one voter of those that restart together begins the election

Cause: with elects_after_restart, voters that start within a few milliseconds ask each other at the same moment, and each gets the grants of all others. All five then begin an election and vote for themselves. The retries follow 400 ms after the vote, again at the same moment, until the special treatment ends after 1 s.

Ruled out: connections that are set up late (all requests and grants arrive within 12 ms); a replica whose log lags (all had the same last record); a voter that is missing (all five grant).

Change: a voter that grants to one whose log is more recent, or as recent and whose id is lower, leaves the election to it for 400 ms.

--- a/crates/control/src/log/election.rs
+++ b/crates/control/src/log/election.rs
@@ -146,6 +146,10 @@
         let up_to_date = (last_term, last_index) >= local_last;
         if pre_vote {
             let granted = up_to_date && message.term > self.hard_state.term;
+            let is_preferred = (last_term, last_index) > local_last || message.from < self.id;
+            if granted && after_restart && is_preferred {
+                self.restart.defer(now);
+            }
             let term = match granted {
                 true => message.term,
                 false => self.hard_state.term,
--- a/crates/control/src/log/restart.rs
+++ b/crates/control/src/log/restart.rs
@@ -5,6 +5,10 @@
 //! is in vain. So a restarted voter asks all others at once. If every single voter answers that it knows
 //! of no leader, no lease runs, since whoever led has answered too and no longer leads; the election then
 //! starts without the wait. If one voter doesn't answer, the usual timeouts apply.
+//!
+//! Voters that start together ask each other at the same moment. If each began an election, none would get
+//! a majority, so a voter leaves it to another one whose log is more recent, or as recent and whose id is
+//! lower.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -36,6 +40,8 @@
     next_request: Instant,
     /// Until when an election may be in progress that this replica has voted in.
     voting_until: Instant,
+    /// Until when this replica leaves the election to another one.
+    deferred_until: Instant,
 }
 
 impl RestartElection {
@@ -47,6 +53,7 @@
             term: Term(0),
             next_request: now,
             voting_until: now,
+            deferred_until: now,
         }
     }
 
@@ -55,6 +62,11 @@
         self.is_over = true;
     }
 
+    /// Leaves the election to another replica that has just asked for votes.
+    pub(super) fn defer(&mut self, now: Instant) {
+        self.deferred_until = now + VOTE_COMPLETION;
+    }
+
     /// Records a vote.
     pub(super) fn record_vote(&mut self, now: Instant) {
         self.voting_until = now + VOTE_COMPLETION;
@@ -104,7 +116,10 @@
         (from, term): (Id, Term),
         out: &mut Vec<Output>,
     ) {
-        if !self.may_help_restart(now) || term != self.hard_state.term.next() {
+        if !self.may_help_restart(now)
+            || now < self.restart.deferred_until
+            || term != self.hard_state.term.next()
+        {
             return;
         }
         if self.restart.term != term {
--- a/crates/control/tests/log_restart.rs
+++ b/crates/control/tests/log_restart.rs
@@ -41,12 +41,22 @@
 /// Ends all processes but those of `spared`, and starts them again within [`START_SPREAD`]; returns the
 /// time of the last start.
 fn restart_all(cluster: &mut Cluster, voters: usize, spared: &[usize]) -> Instant {
+    restart_within(cluster, voters, spared, START_SPREAD)
+}
+
+/// [`restart_all`] with another time between the first and the last start.
+fn restart_within(
+    cluster: &mut Cluster,
+    voters: usize,
+    spared: &[usize],
+    spread: Duration,
+) -> Instant {
     let restarted: Vec<usize> = (0..voters).filter(|host| !spared.contains(host)).collect();
     let first_start = cluster.now + DOWN_TIME;
     let mut last_start = first_start;
     for (index, host) in restarted.iter().enumerate() {
         cluster.crash(*host, true);
-        let delay = START_SPREAD * index as u32 / voters as u32;
+        let delay = spread * index as u32 / voters as u32;
         last_start = first_start + delay;
         cluster.hosts[*host].restart_at = last_start;
     }
@@ -77,6 +87,27 @@
     }
 }
 
+/// Voters that ask each other at the same moment each get the consent of all others. If all of them then
+/// began an election, the votes would be split.
+#[test]
+fn a_leader_is_elected_soon_after_all_voters_restart_at_the_same_moment() {
+    for voters in [3, 5] {
+        for seed in 0..SEEDS {
+            let mut cluster = started_cluster(seed, voters, true);
+            // On a fast network all grants arrive before the first request for a vote.
+            cluster.faults.delay_max_us = 101;
+            let spread = Duration::from_micros(10 * seed);
+            let last_start = restart_within(&mut cluster, voters, &[], spread);
+            let time = time_to_leader(&mut cluster, last_start);
+            assert!(
+                time < Duration::from_millis(100),
+                "{voters} voters, seed {seed}: {time:?}"
+            );
+            cluster.converge_and_check();
+        }
+    }
+}
+
 #[test]
 fn slow_disks_delay_that_election_by_little() {
     for seed in 0..SEEDS {
