group: no plan for a mixture of two demands; steady loads are averaged

Cause: a plan is made every 150 ms from the counts of that interval. Where demand changes within it, the counts are a mixture, and the plan fits neither demand. While demand is steady, the weight of the latest interval followed a measure of its deviation, and single intervals set off maps that changed nothing.

Ruled out: noise of the most chosen experts. Their shares are equal in all intervals to 2 in 100.

Change: how much of the former demand an interval shows is the smallest part of its share that any of the most chosen experts has left. Above a half, the loads stay and the next interval follows in 110 ms; below, the rest is subtracted. Intervals of a steady demand count alike, down to a weight of a tenth.

--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -19,12 +19,16 @@
 use eelgrassdyke_group::barrier::{self, Controller};
 use eelgrassdyke_group::cost::CopyCost;
 use eelgrassdyke_group::forecast::Forecast;
-use eelgrassdyke_group::load::LoadEstimator;
+use eelgrassdyke_group::load::{Demand, LoadEstimator};
 use eelgrassdyke_group::plan::{Planner, RankLocation};
 
 /// Time between two plans: long enough to include the counts of a few steps.
 const PLAN_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Time between two plans while demand changes: long enough for a report of each rank that shows the new
+/// demand alone.
+const CHANGE_INTERVAL: Duration = Duration::from_millis(110);
+
 /// Minimum time between two switches, since copying experts slows the steps down.
 const SWITCH_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -237,8 +241,13 @@
         experts: &ExpertLayout,
         out: &mut Vec<barrier::Output>,
     ) {
-        if self.loads.close_interval() {
-            self.forecast.record_change(now);
+        match self.loads.close_interval() {
+            Demand::Steady => {}
+            Demand::Changing => {
+                self.next_plan = now + CHANGE_INTERVAL;
+                return;
+            }
+            Demand::Changed => self.forecast.record_change(now),
         }
         let Some(present) = self.controller.active_placement(now) else {
             return;
--- a/crates/group/src/load.rs
+++ b/crates/group/src/load.rs
@@ -3,6 +3,10 @@
 //! Load reports may arrive late, duplicated, out of order or not at all. Each report counts at
 //! most once, and loads are averages over the steps reported, so a lost report shrinks the sample but
 //! does not lower the load.
+//!
+//! An interval in which demand changes holds tokens of the former demand as well as of the new one, and a
+//! plan for the mixture fits neither. The experts that were chosen most tell how much of the former demand
+//! is left: most of the time one of them is hardly chosen any more.
 
 use std::collections::BTreeMap;
 
@@ -12,8 +16,9 @@
 /// Weight of the latest interval in the smoothed loads, by default.
 const LOAD_SMOOTHING: f64 = 0.5;
 
-/// Weight of the latest interval while demand is steady, if the weight follows the noise.
-const STEADY_SMOOTHING: f64 = 0.25;
+/// Minimum weight of the latest interval while demand is steady, if the weight follows the noise. Until
+/// there are as many intervals, all since the last change of demand count alike.
+const STEADY_SMOOTHING: f64 = 0.1;
 
 /// Weight of the latest interval in the smoothed noise. It is low, so that a change of demand hardly
 /// counts as noise.
@@ -27,6 +32,12 @@
 /// shortens the expected life of demand, and with it the gain of every plan.
 const CHANGE_EXCESS: f64 = 0.8;
 
+/// Multiple of the mean share from which an expert counts as chosen most.
+const MAJOR_SHARE: f64 = 4.0;
+
+/// Fraction of the former demand in an interval above which it says too little about the new demand.
+const FORMER_FRACTION_MAX: f64 = 0.5;
+
 /// Weight of the latest report in the smoothed cost of a rank.
 const COST_SMOOTHING: f64 = 0.3;
 
@@ -44,6 +55,10 @@
     noise: Option<f64>,
     /// Tokens per step and rank, by layer and expert.
     expert_loads: Vec<Vec<f64>>,
+    /// Demand in the previous interval.
+    demand: Demand,
+    /// Number of intervals since demand last changed.
+    intervals: u32,
     /// Tokens reported in the current interval, by layer and expert.
     interval_tokens: Vec<Vec<f64>>,
     /// Steps reported in the current interval, summed over the ranks.
@@ -54,6 +69,18 @@
     reported_steps: BTreeMap<Rank, Step>,
 }
 
+/// Demand in an interval, compared with that before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Demand {
+    /// It is the same, as far as the noise allows to tell.
+    Steady,
+    /// It seems to change, but most of the interval shows the former demand. The loads are still those of
+    /// the former demand.
+    Changing,
+    /// It has changed.
+    Changed,
+}
+
 /// How the loads of an interval are weighted.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Smoothing {
@@ -89,6 +116,8 @@
             previous_shares: Vec::new(),
             noise: None,
             expert_loads: Vec::new(),
+            demand: Demand::Steady,
+            intervals: 0,
             interval_tokens: Vec::new(),
             interval_rank_steps: 0.0,
             rank_costs: BTreeMap::new(),
@@ -124,48 +153,75 @@
 
     /// Closes the current interval and adds it to the smoothed loads. Returns whether demand has
     /// changed, as far as the noise allows to tell.
-    pub fn close_interval(&mut self) -> bool {
+    pub fn close_interval(&mut self) -> Demand {
         if self.interval_rank_steps == 0.0 {
-            return false;
+            return Demand::Steady;
         }
-        let (weight, has_changed) = match (self.expert_loads.is_empty(), self.smoothing) {
-            (true, _) => (1.0, false),
-            (false, Smoothing::Constant(weight)) => (weight, false),
-            (false, Smoothing::ByNoise) => self.weight_by_noise(),
-        };
         self.latest_loads = std::mem::take(&mut self.interval_tokens);
         for sum in self.latest_loads.iter_mut().flatten() {
             *sum /= self.interval_rank_steps;
         }
         self.interval_rank_steps = 0.0;
+        self.demand = match (self.expert_loads.is_empty(), self.smoothing) {
+            (true, _) | (false, Smoothing::Constant(_)) => Demand::Steady,
+            (false, Smoothing::ByNoise) => self.compare_interval(),
+        };
+        match self.demand {
+            Demand::Steady => self.intervals = self.intervals.saturating_add(1),
+            Demand::Changing => return self.demand,
+            Demand::Changed => self.intervals = 1,
+        }
+        let steady_weight = match self.smoothing {
+            Smoothing::Constant(_) if self.expert_loads.is_empty() => 1.0,
+            Smoothing::Constant(weight) => weight,
+            Smoothing::ByNoise => (1.0 / f64::from(self.intervals)).max(STEADY_SMOOTHING),
+        };
+        let former = match self.demand {
+            Demand::Changed => former_fraction(&self.latest_loads, &self.expert_loads),
+            Demand::Steady | Demand::Changing => 0.0,
+        };
+        // A second interval with much of the former demand is the new demand.
+        let former = if former > FORMER_FRACTION_MAX {
+            0.0
+        } else {
+            former
+        };
         self.expert_loads
             .resize(self.latest_loads.len(), Vec::new());
         for (loads, latest) in self.expert_loads.iter_mut().zip(&self.latest_loads) {
             loads.resize(latest.len(), 0.0);
             for (load, latest) in loads.iter_mut().zip(latest) {
-                *load += (latest - *load) * weight;
+                *load = match self.demand {
+                    Demand::Changed => (latest - *load * former).max(0.0) / (1.0 - former),
+                    Demand::Steady | Demand::Changing => *load + (latest - *load) * steady_weight,
+                };
             }
         }
-        has_changed
+        self.demand
     }
 
-    /// Weight of the current interval, and whether it shows a change of demand.
-    fn weight_by_noise(&mut self) -> (f64, bool) {
-        let shares = shares(&self.interval_tokens);
-        let previous = std::mem::replace(&mut self.previous_shares, shares);
+    /// Compares the latest interval with the smoothed loads, measured by the noise of the intervals.
+    fn compare_interval(&mut self) -> Demand {
+        let latest = shares(&self.latest_loads);
+        let smoothed = shares(&self.expert_loads);
+        let previous = std::mem::replace(&mut self.previous_shares, latest);
         if previous.is_empty() {
-            return (STEADY_SMOOTHING, false);
+            return Demand::Steady;
         }
         // Two consecutive intervals differ by the noise of both.
         let noise = squared_difference(&self.previous_shares, &previous) / 2.0;
         let expected = *self.noise.get_or_insert(noise);
         self.noise = Some(expected + (noise - expected) * NOISE_SMOOTHING);
-        let smoothed = self::shares(&self.expert_loads);
         let deviation = squared_difference(&self.previous_shares, &smoothed);
-        let excess =
-            (1.0 - STEADY_DEVIATION * expected / deviation.max(f64::MIN_POSITIVE)).max(0.0);
-        let weight = STEADY_SMOOTHING + (1.0 - STEADY_SMOOTHING) * excess;
-        (weight, excess > CHANGE_EXCESS)
+        let excess = 1.0 - STEADY_DEVIATION * expected / deviation.max(f64::MIN_POSITIVE);
+        if excess <= CHANGE_EXCESS {
+            return Demand::Steady;
+        }
+        let is_mixed = former_fraction(&self.previous_shares, &smoothed) > FORMER_FRACTION_MAX;
+        match self.demand {
+            Demand::Steady | Demand::Changed if is_mixed => Demand::Changing,
+            Demand::Steady | Demand::Changed | Demand::Changing => Demand::Changed,
+        }
     }
 
     /// Tokens that a rank routes to each expert in a step, by layer and expert.
@@ -215,3 +271,21 @@
     let pairs = a.iter().flatten().zip(b.iter().flatten());
     pairs.map(|(a, b)| (a - b) * (a - b)).sum()
 }
+
+/// Fraction of the former demand in loads: the smallest part of its share that is left to any of the
+/// experts that were chosen most; zero if none was.
+fn former_fraction(latest: &[Vec<f64>], former: &[Vec<f64>]) -> f64 {
+    let (latest, former) = (shares(latest), shares(former));
+    let mut fraction: Option<f64> = None;
+    for (latest, former) in latest.iter().zip(&former) {
+        let major = MAJOR_SHARE / former.len().max(1) as f64;
+        for (latest, former) in latest.iter().zip(former) {
+            if *former < major {
+                continue;
+            }
+            let left = (latest / former).min(1.0);
+            fraction = Some(fraction.map_or(left, |least| least.min(left)));
+        }
+    }
+    fraction.unwrap_or(0.0)
+}
--- a/crates/testkit/src/model/group.rs
+++ b/crates/testkit/src/model/group.rs
@@ -15,7 +15,7 @@
 use eelgrassdyke_core::wire::group::{ExpertPlacement, LoadReport};
 use eelgrassdyke_group::cost::CopyCost;
 use eelgrassdyke_group::forecast::Forecast;
-use eelgrassdyke_group::load::LoadEstimator;
+use eelgrassdyke_group::load::{Demand as LoadDemand, LoadEstimator};
 use eelgrassdyke_group::plan::{Options, Plan, Planner, RankLocation, Reason};
 use rand::seq::SliceRandom as _;
 use rand::{RngExt as _, SeedableRng as _};
@@ -320,7 +320,8 @@
         self.step = self.step.next();
         self.loads
             .record_report(Rank(0), &load_report(self.step, tokens));
-        if self.loads.close_interval() {
+        let demand = self.loads.close_interval();
+        if demand == LoadDemand::Changed {
             self.forecast.record_change(now);
         }
         let skew = self
@@ -329,7 +330,10 @@
         let smoothed = self.planner.skew(&self.loads, &self.active, &self.members);
         if self.switch.is_none() {
             self.forecast.record_skew(skew, smoothed);
-            let plan = self.plan(now);
+            let plan = match demand {
+                LoadDemand::Changing => None,
+                LoadDemand::Steady | LoadDemand::Changed => self.plan(now),
+            };
             if plan.is_some() {
                 self.record_prediction(out);
             }
