entry: callers refused during a start return when a leader is elected, those of a shutdown at once

Cause: an entry that starts told its callers to return after 0.6 to 1.1 s, whatever its age. When the whole deployment has restarted and a control process has lost its disk, the leader is elected 1.2 to 2.0 s after the start, so most callers were refused a second time, and for good. An entry in shutdown told its callers the same, though another entry serves them at once and the wait alone makes their responses late.

Change: module return_time. During a start callers return from 2 s after the start on, spread over up to a second within what they honour; during a shutdown after 50 to 150 ms.

--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -24,6 +24,7 @@
 mod quarantine;
 mod report;
 mod retry;
+mod return_time;
 mod signal;
 mod slots;
 mod slow_start;
@@ -38,5 +39,6 @@
 };
 pub use path::Direct;
 pub use pool::{HealthSignal, ServerPool};
+pub use return_time::{Cause, return_time};
 pub use slots::Allotment;
 pub use table::MountTable;
--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -26,6 +26,7 @@
 use super::limit::DemandMeter;
 use super::line::WaitQueue;
 use super::pool::{HealthSignal, ServerPool};
+use super::return_time::{Cause, return_time};
 use super::slots::shared_demands;
 use super::table::MountTable;
 
@@ -36,10 +37,6 @@
 /// Maximum queueing time while a service has no server at all: one may be about to announce itself.
 const NO_SERVER_WAIT: Duration = Duration::from_millis(200);
 
-/// Retry-after time of a caller that is refused during start or shutdown: by then the entry, or the
-/// successor of one that stops, has its configuration.
-const STARTUP_TIME: Duration = Duration::from_millis(1000);
-
 /// Interval at which sending queued requests is tried even if no attempt ends: a server that was
 /// full or stalled may accept requests again.
 const QUEUE_RETRY_INTERVAL: Duration = Duration::from_millis(50);
@@ -196,8 +193,14 @@
             Err(reason) => {
                 self.record_rejected_call(now, &call, reason, out);
                 let mut refusal = Refusal::not_run(reason);
-                if matches!(reason, Reason::NotReady | Reason::Draining) {
-                    refusal = refusal.with_retry_after(self.apply_jitter(STARTUP_TIME));
+                let cause = match reason {
+                    Reason::NotReady => Some(Cause::Start(now.since(self.started_at))),
+                    Reason::Draining => Some(Cause::Shutdown),
+                    _ => None,
+                };
+                if let Some(cause) = cause {
+                    let delay = return_time(cause, call.time_left, self.rng.random());
+                    refusal = refusal.with_retry_after(delay);
                 }
                 out.push(Output::Refuse { ticket, refusal });
                 return;
