--- a/crates/group/src/load.rs
+++ b/crates/group/src/load.rs
@@ -181,10 +181,9 @@
             Demand::Steady | Demand::Changing => 0.0,
         };
         // A second interval with much of the former demand is the new demand.
-        let former = if former > FORMER_FRACTION_MAX {
-            0.0
-        } else {
-            former
+        let former = match former > FORMER_FRACTION_MAX {
+            true => 0.0,
+            false => former,
         };
         self.expert_loads
             .resize(self.latest_loads.len(), Vec::new());
