group: the fraction for copies is part of what copies cost

Cause: the recorded digests of plans compare the search, and cover the limit of copies, which is a matter of policy; plan_digest failed since the fraction is 0.15 (two of three tests). The fraction is a field of CopyCost now. With the value that the digests were recorded for, 0.3, all 53 are the same, so the search is unchanged; the digests stay as they are.

--- a/crates/group/examples/plan_cost.rs
+++ b/crates/group/examples/plan_cost.rs
@@ -120,6 +120,7 @@
             switch_price: 0.2,
             optimism: 0.0,
             rise: 0.2,
+            copying_fraction_max: 0.15,
             usual_life: Duration::from_secs(6),
         };
         let (mut total, mut longest) = (Duration::ZERO, Duration::ZERO);
--- a/crates/group/src/cost.rs
+++ b/crates/group/src/cost.rs
@@ -50,6 +50,8 @@
     pub rise: f64,
     /// Usual time between two changes of demand.
     pub usual_life: Duration,
+    /// Maximum fraction of `demand_life` that the copies may take.
+    pub copying_fraction_max: f64,
 }
 
 impl CopyCost {
@@ -75,6 +77,7 @@
             optimism: forecast.optimism(),
             rise: forecast.rise(),
             usual_life: forecast.life(),
+            copying_fraction_max: COPYING_FRACTION_MAX,
         }
     }
 
@@ -83,7 +86,9 @@
     pub fn copy_limits(&self, limit_max: usize) -> Vec<usize> {
         let seconds = |limit: usize| self.copy_time.as_secs_f64() * limit as f64;
         let mut limit = limit_max.max(1);
-        while limit > 1 && seconds(limit) > self.demand_life.as_secs_f64() * COPYING_FRACTION_MAX {
+        while limit > 1
+            && seconds(limit) > self.demand_life.as_secs_f64() * self.copying_fraction_max
+        {
             limit = limit.div_ceil(2);
         }
         let noticeable = self.switch_time.as_secs_f64() * NOTICEABLE_FRACTION;
--- a/crates/group/tests/plan_digest.rs
+++ b/crates/group/tests/plan_digest.rs
@@ -132,6 +132,7 @@
         optimism: 0.02,
         rise: 0.2,
         usual_life: Duration::from_secs(6),
+        copying_fraction_max: 0.3,
     }
 }
 
