group: how much of the former demand an interval shows is computed once

Cause: close_interval and compare_interval each formed the shares of all loads, three times for an interval that shows a change, and decided the same bound in two places; the loads were updated by two formulas of which one is the other with a weight above 1.

Change: compare_interval returns the fraction with the kind of demand, and one formula with one weight updates the loads. The example plan_cost names the constant instead of repeating its value.

--- a/crates/group/examples/plan_cost.rs
+++ b/crates/group/examples/plan_cost.rs
@@ -9,7 +9,7 @@
 use eelgrassdyke_core::id::{Rank, Step};
 use eelgrassdyke_core::unit::{ByteRate, Bytes};
 use eelgrassdyke_core::wire::group::LoadReport;
-use eelgrassdyke_group::cost::CopyCost;
+use eelgrassdyke_group::cost::{COPYING_FRACTION_MAX, CopyCost};
 use eelgrassdyke_group::load::LoadEstimator;
 use eelgrassdyke_group::plan::{Options, Planner, RankLocation, Reason};
 use rand::seq::SliceRandom;
@@ -120,7 +120,7 @@
             switch_price: 0.2,
             optimism: 0.0,
             rise: 0.2,
-            copying_fraction_max: 0.15,
+            copying_fraction_max: COPYING_FRACTION_MAX,
             usual_life: Duration::from_secs(6),
         };
         let (mut total, mut longest) = (Duration::ZERO, Duration::ZERO);
--- a/crates/group/src/cost.rs
+++ b/crates/group/src/cost.rs
@@ -17,7 +17,7 @@
 
 /// Maximum fraction of the expected life of demand that the copies for a map may take. The first copies
 /// relieve the slowest ranks most; the others follow with the next map, while the first is in force.
-const COPYING_FRACTION_MAX: f64 = 0.15;
+pub const COPYING_FRACTION_MAX: f64 = 0.15;
 
 /// Fraction by which steps are longer while ranks copy experts.
 const COPY_SLOWDOWN: f64 = 0.15;
--- a/crates/group/src/load.rs
+++ b/crates/group/src/load.rs
@@ -162,50 +162,51 @@
             *sum /= self.interval_rank_steps;
         }
         self.interval_rank_steps = 0.0;
-        self.demand = match (self.expert_loads.is_empty(), self.smoothing) {
-            (true, _) | (false, Smoothing::Constant(_)) => Demand::Steady,
+        let (demand, former) = match (self.expert_loads.is_empty(), self.smoothing) {
+            (true, _) | (false, Smoothing::Constant(_)) => (Demand::Steady, 0.0),
             (false, Smoothing::ByNoise) => self.compare_interval(),
         };
-        match self.demand {
-            Demand::Steady => self.intervals = self.intervals.saturating_add(1),
-            Demand::Changing => return self.demand,
-            Demand::Changed => self.intervals = 1,
-        }
-        let steady_weight = match self.smoothing {
-            Smoothing::Constant(_) if self.expert_loads.is_empty() => 1.0,
-            Smoothing::Constant(weight) => weight,
-            Smoothing::ByNoise => (1.0 / f64::from(self.intervals)).max(STEADY_SMOOTHING),
-        };
-        let former = match self.demand {
-            Demand::Changed => former_fraction(&self.latest_loads, &self.expert_loads),
-            Demand::Steady | Demand::Changing => 0.0,
-        };
-        // A second interval with much of the former demand is the new demand.
-        let former = match former > FORMER_FRACTION_MAX {
-            true => 0.0,
-            false => former,
+        self.demand = demand;
+        let weight = match demand {
+            Demand::Steady => {
+                self.intervals = self.intervals.saturating_add(1);
+                self.steady_weight()
+            }
+            Demand::Changing => return demand,
+            // A weight above 1 subtracts the rest of the former demand.
+            Demand::Changed => {
+                self.intervals = 1;
+                1.0 / (1.0 - former)
+            }
         };
         self.expert_loads
             .resize(self.latest_loads.len(), Vec::new());
         for (loads, latest) in self.expert_loads.iter_mut().zip(&self.latest_loads) {
             loads.resize(latest.len(), 0.0);
             for (load, latest) in loads.iter_mut().zip(latest) {
-                *load = match self.demand {
-                    Demand::Changed => (latest - *load * former).max(0.0) / (1.0 - former),
-                    Demand::Steady | Demand::Changing => *load + (latest - *load) * steady_weight,
-                };
+                *load = (*load + (latest - *load) * weight).max(0.0);
             }
         }
-        self.demand
+        demand
     }
 
-    /// Compares the latest interval with the smoothed loads, measured by the noise of the intervals.
-    fn compare_interval(&mut self) -> Demand {
+    /// Weight of the current interval while demand is steady.
+    fn steady_weight(&self) -> f64 {
+        match self.smoothing {
+            Smoothing::Constant(_) if self.expert_loads.is_empty() => 1.0,
+            Smoothing::Constant(weight) => weight,
+            Smoothing::ByNoise => (1.0 / f64::from(self.intervals)).max(STEADY_SMOOTHING),
+        }
+    }
+
+    /// Compares the latest interval with the smoothed loads, measured by the noise of the intervals. Also
+    /// returns which fraction of a changed demand's interval shows the former one.
+    fn compare_interval(&mut self) -> (Demand, f64) {
         let latest = shares(&self.latest_loads);
         let smoothed = shares(&self.expert_loads);
         let previous = std::mem::replace(&mut self.previous_shares, latest);
         if previous.is_empty() {
-            return Demand::Steady;
+            return (Demand::Steady, 0.0);
         }
         // Two consecutive intervals differ by the noise of both.
         let noise = squared_difference(&self.previous_shares, &previous) / 2.0;
@@ -214,12 +215,16 @@
         let deviation = squared_difference(&self.previous_shares, &smoothed);
         let excess = 1.0 - STEADY_DEVIATION * expected / deviation.max(f64::MIN_POSITIVE);
         if excess <= CHANGE_EXCESS {
-            return Demand::Steady;
+            return (Demand::Steady, 0.0);
+        }
+        let former = former_fraction(&self.previous_shares, &smoothed);
+        if former <= FORMER_FRACTION_MAX {
+            return (Demand::Changed, former);
         }
-        let is_mixed = former_fraction(&self.previous_shares, &smoothed) > FORMER_FRACTION_MAX;
         match self.demand {
-            Demand::Steady | Demand::Changed if is_mixed => Demand::Changing,
-            Demand::Steady | Demand::Changed | Demand::Changing => Demand::Changed,
+            // A second interval with much of the former demand is the new demand.
+            Demand::Changing => (Demand::Changed, 0.0),
+            Demand::Steady | Demand::Changed => (Demand::Changing, former),
         }
     }
 
@@ -271,12 +276,11 @@
     pairs.map(|(a, b)| (a - b) * (a - b)).sum()
 }
 
-/// Fraction of the former demand in loads: the smallest part of its share that is left to any of the
-/// experts that were chosen most; zero if none was.
+/// Fraction of the former demand in the latest shares: the smallest part of its share that is left to any
+/// of the experts that were chosen most; zero if none was.
 fn former_fraction(latest: &[Vec<f64>], former: &[Vec<f64>]) -> f64 {
-    let (latest, former) = (shares(latest), shares(former));
     let mut fraction: Option<f64> = None;
-    for (latest, former) in latest.iter().zip(&former) {
+    for (latest, former) in latest.iter().zip(former) {
         let major = MAJOR_SHARE / former.len().max(1) as f64;
         for (latest, former) in latest.iter().zip(former) {
             if *former < major {
