--- a/crates/entry/src/direct/flight.rs
+++ b/crates/entry/src/direct/flight.rs
@@ -128,13 +128,15 @@
 /// Retry-after time of a refused request: late enough for the requests ahead to be served, early
 /// enough for another attempt.
 pub fn retry_after(request: &DirectRequest, now: Instant, wait: Duration) -> Duration {
-    let limit = request
-        .deadline
-        .since(now)
-        .mul_f64(RETRY_AFTER_FRACTION_MAX);
+    let limit = retry_after_max(request.deadline.since(now));
     wait.max(RETRY_AFTER_MIN).min(limit)
 }
 
+/// Maximum retry-after time of a caller that waits for `time_left`.
+pub fn retry_after_max(time_left: Duration) -> Duration {
+    time_left.mul_f64(RETRY_AFTER_FRACTION_MAX)
+}
+
 /// The contents of a caller's request that servers may end on.
 pub fn contents(call: &Call, caller: &str) -> Vec<Content> {
     let parts = call.prompt_parts.iter().cloned();
--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -26,7 +26,6 @@
 use super::limit::DemandMeter;
 use super::line::WaitQueue;
 use super::pool::{HealthSignal, ServerPool};
-use super::return_time::{Cause, return_time};
 use super::slots::shared_demands;
 use super::table::MountTable;
 
@@ -193,13 +192,7 @@
             Err(reason) => {
                 self.record_rejected_call(now, &call, reason, out);
                 let mut refusal = Refusal::not_run(reason);
-                let cause = match reason {
-                    Reason::NotReady => Some(Cause::Start(now.since(self.started_at))),
-                    Reason::Draining => Some(Cause::Shutdown),
-                    _ => None,
-                };
-                if let Some(cause) = cause {
-                    let delay = return_time(cause, call.time_left, self.rng.random());
+                if let Some(delay) = self.return_time(now, reason, call.time_left) {
                     refusal = refusal.with_retry_after(delay);
                 }
                 out.push(Output::Refuse { ticket, refusal });
--- a/crates/entry/src/direct/return_time.rs
+++ b/crates/entry/src/direct/return_time.rs
@@ -8,6 +8,13 @@
 
 use std::time::Duration;
 
+use eelgrassdyke_core::time::Instant;
+use eelgrassdyke_core::wire::refusal::Reason;
+use rand::RngExt as _;
+
+use super::flight::retry_after_max;
+use super::path::Direct;
+
 /// Time from its start within which an entry has its configuration confirmed, also if all control processes
 /// have restarted and one of them has lost its disk: then they elect a leader after the usual timeout.
 const START_TIME: Duration = Duration::from_millis(2000);
@@ -24,9 +31,6 @@
 /// Span over which the callers return that were refused during a shutdown.
 const SHUTDOWN_SPREAD: Duration = Duration::from_millis(100);
 
-/// Maximum delay as a fraction of the time that the caller waits; it would not wait longer to return.
-const FRACTION_MAX: f64 = 0.3;
-
 /// Why a caller is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Cause {
@@ -39,7 +43,7 @@
 /// Time after which a caller should return that waits for `time_left`, if it states it; `draw` is a random
 /// number from 0 to 1.
 pub fn return_time(cause: Cause, time_left: Option<Duration>, draw: f64) -> Duration {
-    let limit = time_left.map_or(Duration::MAX, |time_left| time_left.mul_f64(FRACTION_MAX));
+    let limit = time_left.map_or(Duration::MAX, retry_after_max);
     let (first, spread) = match cause {
         Cause::Start(age) => {
             let rest = START_TIME.saturating_sub(age);
@@ -50,3 +54,21 @@
     let first = first.min(limit);
     first + spread.min(limit - first).mul_f64(draw)
 }
+
+impl Direct {
+    /// Time after which a caller should return that is refused for `reason` before its request is admitted;
+    /// none if it would be refused again.
+    pub(super) fn return_time(
+        &mut self,
+        now: Instant,
+        reason: Reason,
+        time_left: Option<Duration>,
+    ) -> Option<Duration> {
+        let cause = match reason {
+            Reason::NotReady => Cause::Start(now.since(self.started_at)),
+            Reason::Draining => Cause::Shutdown,
+            _ => return None,
+        };
+        Some(return_time(cause, time_left, self.rng.random()))
+    }
+}
