control: events that tell why a read of the configuration failed and who could not elect

Three answers of a control process look the same from outside (no leader known; a leader that confirms nothing within 0.8 s; no configuration held), and no line of the log told them apart, nor whether an election failed, a write to a disk was slow, or a process did not run.

Added: events 227 and 228 for each read, with the reason and the replica's role, term, leader, indexes, contact and age of its oldest write; 211 for an election or pre-vote that ends without a majority, with its votes; 210 when a leader commits the first record of its term; 209 for a write that took 0.5 s or more; 109 for a wake-up 0.5 s or more late. Gauges of the same, and a histogram of disk writes.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -202,6 +202,11 @@
         self.replica.has_quorum(now)
     }
 
+    /// How far the replica of the log has got.
+    pub fn log_progress(&self, now: Instant) -> log::Progress {
+        self.replica.progress(now)
+    }
+
     /// The version of the configuration that is applied.
     pub fn version(&self) -> Version {
         self.state.config.version()
--- a/crates/control/src/log/durable.rs
+++ b/crates/control/src/log/durable.rs
@@ -1,6 +1,8 @@
 //! Durability: disk jobs, messages held back until a write is durable, application of committed
 //! records, and snapshots.
 
+use std::time::Duration;
+
 use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::id::{Index, Replica as Id, Term};
 use eelgrassdyke_core::time::Instant;
@@ -10,6 +12,10 @@
 use super::io::{Job, Output, Snapshot, Write};
 use super::replica::{Replica, Role};
 
+/// Time that a write may take before an event reports it: half the shortest election timeout, since an
+/// election needs two writes in a row.
+const SLOW_WRITE: Duration = Duration::from_millis(500);
+
 /// Last record of the log at the time of a job; durable once the job is.
 #[derive(Clone, Debug)]
 pub struct DurabilityMark {
@@ -58,11 +64,12 @@
     }
 
     /// Issues the pending writes as one job.
-    pub(super) fn issue_job(&mut self, out: &mut Vec<Output>) {
+    pub(super) fn issue_job(&mut self, now: Instant, out: &mut Vec<Output>) {
         if self.pending_writes.is_empty() {
             return;
         }
         self.last_issued_job += 1;
+        self.issued_jobs.push_back((self.last_issued_job, now));
         let writes = std::mem::take(&mut self.pending_writes);
         if writes
             .iter()
@@ -82,6 +89,16 @@
 
     pub(super) fn handle_persisted(&mut self, now: Instant, job: u64, out: &mut Vec<Output>) {
         self.last_durable_job = self.last_durable_job.max(job);
+        let write_age = self.write_age(now);
+        while let Some((issued, _)) = self.issued_jobs.front()
+            && *issued <= self.last_durable_job
+        {
+            self.issued_jobs.pop_front();
+        }
+        if write_age >= SLOW_WRITE {
+            let event = Event::new(Code::DiskSlow, "").with_fact("write_ms", write_age);
+            out.push(Output::Event(event));
+        }
         while let Some(mark) = self.durability_marks.front()
             && mark.job <= self.last_durable_job
         {
@@ -114,6 +131,12 @@
         }
     }
 
+    /// Age of the oldest write that is not durable; zero if there is none.
+    pub(super) fn write_age(&self, now: Instant) -> Duration {
+        let oldest = self.issued_jobs.front();
+        oldest.map_or(Duration::ZERO, |(_, issued_at)| now.since(*issued_at))
+    }
+
     /// Whether all writes so far are durable.
     pub(super) fn is_all_durable(&self) -> bool {
         self.pending_writes.is_empty() && self.last_durable_job >= self.last_issued_job
--- a/crates/control/src/log/election.rs
+++ b/crates/control/src/log/election.rs
@@ -24,6 +24,7 @@
 
     /// Requests pre-votes, which change no term and so don't disturb a leader that is alive.
     pub(super) fn start_pre_vote(&mut self, now: Instant, out: &mut Vec<Output>) {
+        self.report_failed_election(now, out);
         self.reset_election_timeout(now);
         self.leader = None;
         self.role = Role::Candidate {
@@ -34,6 +35,22 @@
         self.count_votes(now, out);
     }
 
+    /// Reports the end of an election in which this replica got no majority, if it was in one.
+    fn report_failed_election(&self, now: Instant, out: &mut Vec<Output>) {
+        let Role::Candidate { pre_vote, votes } = &self.role else {
+            return;
+        };
+        let voters = self.log.members().voters.len();
+        let detail = match pre_vote {
+            true => "pre-vote",
+            false => "vote",
+        };
+        let event = Event::new(Code::ElectionFailed, detail)
+            .with_fact("votes", votes.len() as u64)
+            .with_fact("voters", voters as u64);
+        out.push(Output::Event(self.progress(now).add_to(event)));
+    }
+
     /// Starts a new term and requests votes in it; see [`super::restart`] for `after_restart`.
     pub(super) fn start_election(
         &mut self,
--- a/crates/control/src/log/leader.rs
+++ b/crates/control/src/log/leader.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
+use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::id::{Index, Replica as Id};
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::log::{Body, Members, Message, Payload, Record};
@@ -347,9 +348,15 @@
         if index <= self.commit_index || self.log.term_at(index) != Some(self.hard_state.term) {
             return;
         }
+        let was_committed = self.commit_index >= leader.first_index;
+        let event = (!was_committed).then(|| {
+            let event = Event::new(Code::LeaderReady, format!("term {}", self.hard_state.term));
+            event.with_fact("after_ms", now.since(leader.elected_at))
+        });
         self.commit_index = index;
         self.apply_committed(out);
         self.caught_up = true;
+        out.extend(event.map(Output::Event));
 
         // A removed leader steps down once the record of its removal is committed.
         if !self.is_voter() && self.log.members_index() <= self.commit_index {
--- a/crates/control/src/log/mod.rs
+++ b/crates/control/src/log/mod.rs
@@ -17,6 +17,7 @@
 mod io;
 mod leader;
 mod members;
+mod progress;
 mod replica;
 mod replication;
 mod restart;
@@ -25,4 +26,5 @@
     HardState, Input, Job, MembershipChange, Options, Output, RecoveredState, Refusal,
     ReplicaStatus, Snapshot, Write,
 };
+pub use progress::Progress;
 pub use replica::Replica;
--- a/crates/control/src/log/replica.rs
+++ b/crates/control/src/log/replica.rs
@@ -63,6 +63,8 @@
     pub(super) pending_writes: Vec<Write>,
     pub(super) last_issued_job: u64,
     pub(super) last_durable_job: u64,
+    /// When each job that is not durable was issued.
+    pub(super) issued_jobs: VecDeque<(u64, Instant)>,
     pub(super) durability_marks: VecDeque<DurabilityMark>,
     /// Messages held back until the given job is durable.
     pub(super) held_messages: VecDeque<(u64, Id, Body)>,
@@ -142,6 +144,7 @@
             pending_writes: Vec::new(),
             last_issued_job: 0,
             last_durable_job: 0,
+            issued_jobs: VecDeque::new(),
             durability_marks: VecDeque::new(),
             held_messages: VecDeque::new(),
             stop_reason: None,
@@ -176,7 +179,7 @@
         }
         self.tick(now, out);
         self.send_due_messages(now, out);
-        self.issue_job(out);
+        self.issue_job(now, out);
     }
 
     /// When the replica next needs [`Input::Tick`].
@@ -196,6 +199,11 @@
         }
     }
 
+    /// Whether this replica has stopped because of a failure.
+    pub(super) fn is_stopped(&self) -> bool {
+        self.stop_reason.is_some()
+    }
+
     /// Whether this replica leads.
     pub fn is_leader(&self) -> bool {
         matches!(self.role, Role::Leader(_)) && self.stop_reason.is_none()
--- a/crates/control/src/publish.rs
+++ b/crates/control/src/publish.rs
@@ -1,6 +1,8 @@
 //! Submissions; publications, which are whole configurations under a number chosen by the operator, and
 //! reads of the last one. Also handles the notices of servers without an agent.
 
+use std::time::Duration;
+
 use eelgrassdyke_core::config::{Publication, Submission};
 use eelgrassdyke_core::id::Ticket;
 use eelgrassdyke_core::time::Instant;
@@ -46,6 +48,14 @@
     /// Starts an operator's read of the last publication, which a quorum has to confirm.
     pub(crate) fn read_publication(&mut self, now: Instant, ticket: Ticket, out: &mut Vec<Output>) {
         if !self.replica.has_quorum(now) {
+            let reason = "no recent contact with a leader or a quorum";
+            let waited = Duration::ZERO;
+            out.push(PublicationReads::refusal_event(
+                now,
+                &self.replica,
+                reason,
+                waited,
+            ));
             out.push(PublicationReads::no_quorum_response(ticket));
             return;
         }
@@ -60,8 +70,7 @@
             return;
         }
         let publication = self.state.config.publication();
-        let applied = self.replica.applied_index();
-        self.reads.complete(now, applied, publication, out);
+        self.reads.complete(now, &self.replica, publication, out);
     }
 
     /// Handles the notice of a server without an agent and forwards it to the other control processes.
--- a/crates/control/src/reads.rs
+++ b/crates/control/src/reads.rs
@@ -3,10 +3,12 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::id::{Index, Ticket};
 use eelgrassdyke_core::time::Instant;
 
 use crate::io::{OperatorResponse, Output, StoredPublication};
+use crate::log::Replica;
 
 /// Time after which a read fails; it is below the one second for which clients wait for a response.
 const READ_TIMEOUT: Duration = Duration::from_millis(800);
@@ -23,6 +25,7 @@
 #[derive(Clone, Debug)]
 struct PendingRead {
     ticket: Ticket,
+    started_at: Instant,
     deadline: Instant,
     /// The committed index that a quorum confirmed; none until then.
     index: Option<Index>,
@@ -38,6 +41,7 @@
         let index = None;
         let read = PendingRead {
             ticket,
+            started_at: now,
             deadline,
             index,
         };
@@ -66,12 +70,20 @@
     pub fn complete(
         &mut self,
         now: Instant,
-        applied: Index,
+        replica: &Replica,
         publication: Option<(u64, &[u8])>,
         out: &mut Vec<Output>,
     ) {
+        let applied = replica.applied_index();
         self.pending.retain(|_, read| {
+            let waited = now.since(read.started_at);
             if read.index.is_some_and(|index| index <= applied) {
+                let event = match publication {
+                    Some((number, _)) => Event::new(Code::ConfigRead, format!("number {number}")),
+                    None => Event::new(Code::ConfigReadRefused, "no configuration is held"),
+                };
+                let event = event.with_fact("waited_ms", waited);
+                out.push(Output::Event(replica.progress(now).add_to(event)));
                 let publication = publication.map(|(number, source)| StoredPublication {
                     number,
                     source: source.to_vec(),
@@ -84,12 +96,28 @@
             }
             let timed_out = now >= read.deadline;
             if timed_out {
+                let reason = match read.index {
+                    Some(_) => "the confirmed index is not applied in time",
+                    None => "no quorum confirmed the committed index in time",
+                };
+                out.push(Self::refusal_event(now, replica, reason, waited));
                 out.push(Self::no_quorum_response(read.ticket));
             }
             !timed_out
         });
     }
 
+    /// The event that a read was refused, for `reason` and after it has waited.
+    pub fn refusal_event(
+        now: Instant,
+        replica: &Replica,
+        reason: &str,
+        waited: Duration,
+    ) -> Output {
+        let event = Event::new(Code::ConfigReadRefused, reason).with_fact("waited_ms", waited);
+        Output::Event(replica.progress(now).add_to(event))
+    }
+
     /// The response when no quorum can be reached, to an operator or to a server without an agent.
     pub fn no_quorum_response(ticket: Ticket) -> Output {
         let response = OperatorResponse::Refused {
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -66,6 +66,7 @@
     106 LinesOmitted "Log lines of one kind were omitted because there were too many.";
     107 PeerReached "Messages to a peer are delivered again.";
     108 SettingsRead "A process re-read its settings file on request; changes take effect at the next start.";
+    109 ProcessStalled "A process did not run for a time: it was suspended, or its processor was busy.";
     200 LeaderElected "A replica became leader of the control log.";
     201 LeaderLost "A leader of the control log stepped down.";
     202 QuorumLost "A replica cannot reach a quorum; changes are refused.";
@@ -75,6 +76,9 @@
     206 DiskFailed "A replica stopped because its disk failed.";
     207 LogCut "A torn tail was truncated from the log at start.";
     208 DiskReopened "A replica resumed because its disk accepts writes again.";
+    209 DiskSlow "A write to the data folder of a replica took long; votes and commits wait for it.";
+    210 LeaderReady "A leader committed the first record of its term; confirmed reads and changes succeed from here on.";
+    211 ElectionFailed "A replica got no majority in an election or a pre-vote and tries again.";
     220 ConfigAccepted "A configuration change was accepted.";
     221 ConfigRefused "A configuration change was refused; nothing was applied.";
     222 ConfigApplied "A process applied a configuration version.";
@@ -82,6 +86,8 @@
     224 EvacuationOrdered "An operator's order to evacuate a data centre, or to end its evacuation, was accepted.";
     225 EvacuationBegun "An entry sends nothing more to the servers of an evacuated data centre.";
     226 EvacuationEnded "An entry routes to the servers of a data centre again, with a slow start.";
+    227 ConfigRead "An operator's read of the configuration was confirmed by a quorum and answered.";
+    228 ConfigReadRefused "An operator's read of the configuration was refused; the facts tell what this replica waits for.";
     240 ServerUp "A server became available.";
     241 ServerDraining "A server accepts no new requests.";
     242 ServerLeft "A server announced that it has left and was removed from the directory.";
--- a/crates/node/src/disk.rs
+++ b/crates/node/src/disk.rs
@@ -14,7 +14,7 @@
 use std::path::{Path, PathBuf};
 use std::sync::mpsc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use eelgrassdyke_control::log::{Job, RecoveredState};
 use eelgrassdyke_control::store::{Disk, Store};
@@ -22,6 +22,7 @@
 use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
 
 use crate::errors::{Error, Result};
+use crate::latency;
 
 /// Name of the file that a process keeps locked while it uses the folder.
 const LOCK_FILE: &str = "lock";
@@ -215,7 +216,10 @@
         let Some(last) = jobs.last().map(|job| job.number) else {
             continue;
         };
-        let Err(error) = store.write(&jobs) else {
+        let started = Instant::now();
+        let result = store.write(&jobs);
+        latency::record_disk_write(started.elapsed());
+        let Err(error) = result else {
             if event_sender
                 .unbounded_send(DiskEvent::Persisted(last))
                 .is_err()
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -4,15 +4,20 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::time::Instant;
 use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
 use futures_util::StreamExt;
 
 use crate::clock::Clock;
+use crate::timeline::Timeline;
 
 /// Maximum sleep between checks of a core's deadline.
 const SLEEP_MAX: Duration = Duration::from_millis(500);
 
+/// Lateness of a wake-up from which an event reports that the process did not run.
+const STALL_MIN: Duration = Duration::from_millis(500);
+
 /// A deterministic state machine without I/O.
 pub trait Core {
     /// Its inputs.
@@ -117,8 +122,8 @@
         read(&self.core.borrow())
     }
 
-    /// Calls `tick` at each deadline of the core; never returns.
-    pub async fn run(self: Rc<Self>, tick: impl Fn()) {
+    /// Calls `tick` at each deadline of the core, and records wake-ups that are late; never returns.
+    pub async fn run(self: Rc<Self>, timeline: Rc<Timeline>, tick: impl Fn()) {
         let Some(mut wake_receiver) = self.wake_receiver.borrow_mut().take() else {
             return;
         };
@@ -135,6 +140,11 @@
             let timeout = deadline.since(now).min(SLEEP_MAX);
             let _ = monoio::time::timeout(timeout, wake_receiver.next()).await;
             self.sleeping_until.set(Instant(0));
+            let late = self.clock.now().since(now + timeout);
+            if late >= STALL_MIN {
+                let event = Event::new(Code::ProcessStalled, "").with_fact("late_ms", late);
+                timeline.record_event(event);
+            }
         }
     }
 }
--- a/crates/node/src/gauges.rs
+++ b/crates/node/src/gauges.rs
@@ -38,6 +38,19 @@
         set_version("control", control.read(|control| control.version()));
         let quorum = control.read(|control| control.has_quorum(now));
         gauge!("eelgrassdyke_quorum").set(bool_value(quorum));
+        let progress = control.read(|control| control.log_progress(now));
+        gauge!("eelgrassdyke_log_leader").set(bool_value(progress.role == "leader"));
+        gauge!("eelgrassdyke_log_term").set(progress.term.0 as f64);
+        gauge!("eelgrassdyke_log_contact_age_seconds").set(progress.contact_age.as_secs_f64());
+        gauge!("eelgrassdyke_log_write_age_seconds").set(progress.write_age.as_secs_f64());
+        for (state, index) in [
+            ("committed", progress.commit_index),
+            ("applied", progress.applied_index),
+            ("durable", progress.durable_index),
+            ("last", progress.last_index),
+        ] {
+            gauge!("eelgrassdyke_log_index", "state" => state).set(index.0 as f64);
+        }
         let quarantines =
             control.read(|control| control.crashes().ledger().quarantines(now).count());
         gauge!("eelgrassdyke_quarantined_parts").set(quarantines as f64);
--- a/crates/node/src/latency.rs
+++ b/crates/node/src/latency.rs
@@ -17,6 +17,9 @@
 /// Time from the receipt of a request to the first event of its stream.
 const FIRST_EVENT_METRIC: &str = "eelgrassdyke_first_event_seconds";
 
+/// Time for which the disk writer takes to make a batch of writes durable.
+const DISK_WRITE_METRIC: &str = "eelgrassdyke_disk_write_seconds";
+
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -49,6 +52,7 @@
         let _ = histogram!(REQUEST_METRIC, "outcome" => outcome.as_str());
     }
     let _ = histogram!(FIRST_EVENT_METRIC);
+    let _ = histogram!(DISK_WRITE_METRIC);
 }
 
 /// Records the duration of a request that ended.
@@ -61,11 +65,17 @@
     histogram!(FIRST_EVENT_METRIC).record(elapsed.as_secs_f64());
 }
 
-/// Configures the exporter to use these buckets for both histograms.
+/// Records the duration of a batch of writes to a data folder.
+pub fn record_disk_write(elapsed: Duration) {
+    histogram!(DISK_WRITE_METRIC).record(elapsed.as_secs_f64());
+}
+
+/// Configures the exporter to use these buckets for all histograms.
 pub fn set_buckets(
     builder: PrometheusBuilder,
 ) -> std::result::Result<PrometheusBuilder, BuildError> {
     builder
         .set_buckets_for_metric(Matcher::Full(REQUEST_METRIC.to_owned()), &BUCKETS_S)?
-        .set_buckets_for_metric(Matcher::Full(FIRST_EVENT_METRIC.to_owned()), &BUCKETS_S)
+        .set_buckets_for_metric(Matcher::Full(FIRST_EVENT_METRIC.to_owned()), &BUCKETS_S)?
+        .set_buckets_for_metric(Matcher::Full(DISK_WRITE_METRIC.to_owned()), &BUCKETS_S)
 }
--- a/crates/node/src/log/mod.rs
+++ b/crates/node/src/log/mod.rs
@@ -102,7 +102,12 @@
     match code {
         Code::PeerUnreachable
         | Code::LinesOmitted
+        | Code::ProcessStalled
+        | Code::LeaderLost
         | Code::QuorumLost
+        | Code::DiskSlow
+        | Code::ElectionFailed
+        | Code::ConfigReadRefused
         | Code::ServerLost
         | Code::OrderFenced
         | Code::OrderFailed
--- a/crates/node/src/role/entry.rs
+++ b/crates/node/src/role/entry.rs
@@ -42,7 +42,9 @@
         monoio::spawn(
             role.driver
                 .clone()
-                .run(move || ticker.handle_input(Input::Tick)),
+                .run(role.context.timeline.clone(), move || {
+                    ticker.handle_input(Input::Tick)
+                }),
         );
         role
     }
