--- /dev/null
+++ b/crates/control/tests/log_slow.rs
@@ -0,0 +1,120 @@
+//! Recovery on slow disks and slow networks, after a loss of power that takes the disks of two of five
+//! voters with it: every election and every commit then needs all three others.
+
+mod log_net;
+
+use std::time::Duration;
+
+use eelgrassdyke_control::log::Options;
+use log_net::{Cluster, Faults, NO_FAULTS, low_limits};
+use test_case::test_case;
+
+const SEEDS: u64 = 40;
+
+const VOTERS: usize = 5;
+
+/// Time for which the hosts are down.
+const DOWN_TIME: Duration = Duration::from_millis(500);
+
+/// Longest time between the starts of the hosts.
+const START_SPREAD: Duration = Duration::from_millis(300);
+
+/// Time between two read queries at each replica, as an operator repeats its reads.
+const QUERY_INTERVAL: Duration = Duration::from_millis(500);
+
+/// A cluster with a leader and some records.
+fn started_cluster(seed: u64) -> Cluster {
+    let mut cluster = Cluster::new(seed, VOTERS, 0);
+    for host in 0..VOTERS {
+        cluster.crash(host, false);
+    }
+    cluster.options = Options {
+        elects_after_restart: true,
+        manages_members: true,
+        ..low_limits()
+    };
+    for host in 0..VOTERS {
+        cluster.start(host);
+    }
+    cluster.run_until(Duration::from_secs(20), |cluster| {
+        cluster.leader().is_some()
+    });
+    for _ in 0..20 {
+        cluster.run(Duration::from_millis(50));
+        if let Some(leader) = cluster.leader() {
+            cluster.propose(leader);
+        }
+    }
+    cluster
+}
+
+/// Takes the power of all hosts and the disks of two, the leader's among them in every second seed.
+fn lose_power_and_two_disks(cluster: &mut Cluster, seed: u64) {
+    let leader = cluster.leader().expect("it has a leader");
+    let first_lost = leader + (seed % 2) as usize;
+    let lost = [first_lost % VOTERS, (first_lost + 2) % VOTERS];
+    for host in 0..VOTERS {
+        if lost.contains(&host) {
+            cluster.lose_disk(host);
+            // A founder that starts again without its disk joins the cluster instead of founding one.
+            cluster.hosts[host].founders.clear();
+        } else {
+            cluster.crash(host, true);
+        }
+        let delay = START_SPREAD * host as u32 / VOTERS as u32;
+        cluster.hosts[host].restart_at = cluster.now + DOWN_TIME + delay;
+    }
+    cluster.run(DOWN_TIME + START_SPREAD);
+}
+
+/// Time until a read is confirmed; none after `limit`.
+fn time_to_confirmed_read(cluster: &mut Cluster, limit: Duration) -> Option<Duration> {
+    let started = cluster.now;
+    let confirmed_before = cluster.confirmed_reads;
+    while cluster.now.since(started) < limit {
+        for host in 0..VOTERS {
+            cluster.query_read_index(host);
+        }
+        cluster.run(QUERY_INTERVAL);
+        if cluster.confirmed_reads > confirmed_before {
+            return Some(cluster.now.since(started));
+        }
+    }
+    None
+}
+
+/// Guards against elections that are given up before slow votes arrive, and repeated without end.
+///
+/// The limits are the users': ten seconds, twice the time in which hosts count as in contact, for the first
+/// cases, and the 15 s in which requests must be served again for writes of up to 2 s.
+#[test_case(1000, 2, 10; "writes of a second")]
+#[test_case(2000, 2, 15; "writes of two seconds")]
+#[test_case(3, 500, 10; "messages of half a second")]
+#[test_case(250, 200, 10; "slow writes and messages")]
+fn a_read_is_confirmed_in_time_after_the_loss_of_two_disks_and_power(
+    write_ms: u64,
+    delay_ms: u64,
+    limit_s: u64,
+) {
+    let mut late = Vec::new();
+    for seed in 0..SEEDS {
+        let mut cluster = started_cluster(seed);
+        cluster.faults = Faults {
+            write_min_us: write_ms * 500,
+            write_max_us: write_ms * 1000,
+            delay_max_us: delay_ms * 1000,
+            ..NO_FAULTS
+        };
+        lose_power_and_two_disks(&mut cluster, seed);
+        let limit = Duration::from_secs(limit_s);
+        match time_to_confirmed_read(&mut cluster, limit) {
+            Some(_) => cluster.converge_and_check(),
+            None => late.push(seed),
+        }
+    }
+    assert!(
+        late.is_empty(),
+        "no read confirmed within {limit_s} s, {} of {SEEDS} seeds: {late:?}",
+        late.len()
+    );
+}
