control: don't send a follower a configuration that is still under way to it

A configuration that was sent to a follower is left out of further updates for 2 s, the time after which a batch has been delivered or dropped, unless the configuration changes or the follower restarts or reports another version or digest.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -541,6 +541,7 @@
         self.followers.record_poll(now, from, poll.clone());
         let needs_confirmation = poll.wants_confirmation && self.replica.has_quorum(now);
         let follower = Follower {
+            incarnation: from.incarnation,
             address: from.address,
             poll,
             polled_at: now,
@@ -574,8 +575,18 @@
     ) {
         let poll = &follower.poll;
         let with_loads = reason != UpdateReason::Push;
+        let version = self.version();
+        let is_under_way = self
+            .followers
+            .is_config_under_way(now, process, follower, version);
         let newer_config = || self.state.config.update_since(poll.version, &poll.digest);
-        let config = poll.wants_config.then(newer_config).flatten();
+        let config = (poll.wants_config && !is_under_way)
+            .then(newer_config)
+            .flatten();
+        if config.is_some() {
+            self.followers
+                .record_sent_config(now, process, follower, version);
+        }
         let directory = poll.wants_directory.then(|| {
             self.directory
                 .update_since(now, poll.directory_revision.as_ref(), with_loads)
--- a/crates/control/src/followers.rs
+++ b/crates/control/src/followers.rs
@@ -7,7 +7,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use eelgrassdyke_core::id::{Process, Service};
+use eelgrassdyke_core::digest::Sha256;
+use eelgrassdyke_core::id::{Incarnation, Process, Service, Version};
 use eelgrassdyke_core::limit::{ServiceDemand, ServiceShare, Share};
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::unit::MilliRequestRate;
@@ -20,9 +21,14 @@
 /// Time after its last poll at which a follower is removed.
 const RETENTION: Duration = Duration::from_secs(60);
 
+/// Time after which a message has been delivered or dropped.
+const DELIVERY_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// One follower.
 #[derive(Clone, Debug)]
 pub struct Follower {
+    /// Incarnation of the follower.
+    pub incarnation: Incarnation,
     /// Address of the follower.
     pub address: SocketAddr,
     /// Its last poll, with the revision of the last directory sent to it.
@@ -34,10 +40,20 @@
 /// Time between two messages that announce local entries to the other control processes.
 const ENTRIES_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The last configuration sent to a follower, and what the follower held by its poll.
+#[derive(Clone, Debug)]
+struct SentConfig {
+    incarnation: Incarnation,
+    held: (Version, Sha256),
+    version: Version,
+    at: Instant,
+}
+
 /// Followers by process.
 #[derive(Clone, Debug, Default)]
 pub struct Followers {
     by_process: BTreeMap<Process, Follower>,
+    sent_configs: BTreeMap<Process, SentConfig>,
     /// Entries that follow other control processes, with the time of the last message about each.
     remote_entries: BTreeMap<Process, Instant>,
     /// The demand at those entries, for services with limited servers.
@@ -49,6 +65,7 @@
     /// Records a poll.
     pub fn record_poll(&mut self, now: Instant, from: &Sender, poll: PollRequest) {
         let follower = Follower {
+            incarnation: from.incarnation,
             address: from.address,
             poll,
             polled_at: now,
@@ -63,6 +80,39 @@
         }
     }
 
+    /// Whether `version` was sent to a follower that held the same as now, and may still arrive.
+    pub fn is_config_under_way(
+        &self,
+        now: Instant,
+        process: &Process,
+        follower: &Follower,
+        version: Version,
+    ) -> bool {
+        self.sent_configs.get(process).is_some_and(|sent| {
+            sent.incarnation == follower.incarnation
+                && sent.held == (follower.poll.version, follower.poll.digest)
+                && sent.version == version
+                && now.since(sent.at) < DELIVERY_TIMEOUT
+        })
+    }
+
+    /// Records that `version` was sent to a follower.
+    pub fn record_sent_config(
+        &mut self,
+        now: Instant,
+        process: &Process,
+        follower: &Follower,
+        version: Version,
+    ) {
+        let sent = SentConfig {
+            incarnation: follower.incarnation,
+            held: (follower.poll.version, follower.poll.digest),
+            version,
+            at: now,
+        };
+        self.sent_configs.insert(process.clone(), sent);
+    }
+
     /// Records entries that follow another control process.
     pub fn record_remote_entries(&mut self, now: Instant, entries: Vec<Process>) {
         for entry in entries {
@@ -176,6 +226,8 @@
             .retain(|_, (at, _)| now.since(*at) < RETENTION);
         self.by_process
             .retain(|_, follower| now.since(follower.polled_at) < RETENTION);
+        self.sent_configs
+            .retain(|_, sent| now.since(sent.at) < DELIVERY_TIMEOUT);
     }
 
     /// Followers to which changes are pushed.
