control: a read of the configuration survives a lost query and a leader without a commit

Cause: a process sent the query of a read once. A leader that had not committed a record of its term dropped it, as did one with 4,096 queries and any replica that no longer led, and messages may be lost; each cost the operator 0.8 s and a 503 although a leader could have answered meanwhile. The class is that of a request over a lossy link without a retry within its deadline. Others of the kind are retried: polls by followers, claims by entries.

Change: a query without a response is repeated every 0.2 s, the interval of heartbeats, until the read times out; a new leader keeps the queries until its first commit gives them an index; of too many the oldest is dropped.

a_read_whose_query_is_lost_is_answered_within_its_time fails without the repetition ("no quorum of the control replicas is reachable"). read_index_waits_for_a_round_started_after_the_query expected the early query to be dropped; it now checks that it is confirmed by the first round after the commit, and a later one only by the round after that.

--- a/crates/control/src/log/leader.rs
+++ b/crates/control/src/log/leader.rs
@@ -76,10 +76,9 @@
 struct ReadQuery {
     number: u64,
     origin: Id,
-    /// First round that started after the query arrived.
-    round: u64,
-    /// Commit index when the query arrived.
-    index: Index,
+    /// The first round that started after the commit index was known, and that index; none until the
+    /// leader has committed a record of its own term.
+    target: Option<(u64, Index)>,
 }
 
 impl Peer {
@@ -275,15 +274,16 @@
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
-        // Until a record of its own term is committed, a leader doesn't know the commit index.
-        if commit_index < leader.first_index || leader.read_queries.len() >= READ_QUERIES_MAX {
-            return;
+        // Whoever sent the oldest query has given up on it.
+        if leader.read_queries.len() >= READ_QUERIES_MAX {
+            leader.read_queries.remove(0);
         }
+        // Until a record of its own term is committed, a leader doesn't know the commit index.
+        let knows_index = commit_index >= leader.first_index;
         leader.read_queries.push(ReadQuery {
             number: query_number,
             origin,
-            round: leader.round + 1,
-            index: commit_index,
+            target: knows_index.then_some((leader.round + 1, commit_index)),
         });
     }
 
@@ -357,6 +357,7 @@
         self.apply_committed(out);
         self.caught_up = true;
         out.extend(event.map(Output::Event));
+        self.set_read_targets();
 
         // A removed leader steps down once the record of its removal is committed.
         if !self.is_voter() && self.log.members_index() <= self.commit_index {
@@ -364,6 +365,18 @@
         }
     }
 
+    /// Gives the read queries that arrived before the first commit of this leader their index.
+    fn set_read_targets(&mut self) {
+        let commit_index = self.commit_index;
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let target = (leader.round + 1, commit_index);
+        for query in &mut leader.read_queries {
+            query.target.get_or_insert(target);
+        }
+    }
+
     /// Sends records, snapshots and heartbeats that are due, and responses to confirmed read
     /// queries.
     pub(super) fn send_due_messages(&mut self, now: Instant, out: &mut Vec<Output>) {
@@ -374,7 +387,8 @@
         };
         leader.sync_peers(now, &members, next_index);
         let quorum_round = leader.quorum_value(&members, leader.round, |peer| peer.last_round);
-        let round_needed = leader.read_queries.iter().any(|q| q.round > leader.round);
+        let mut targets = leader.read_queries.iter().filter_map(|query| query.target);
+        let round_needed = targets.any(|(round, _)| round > leader.round);
         // Queries don't start a round while an earlier one waits for its quorum.
         if round_needed && quorum_round == Some(leader.round) {
             leader.start_round(now, next_round_at);
@@ -409,16 +423,15 @@
         };
         let quorum_round = leader.quorum_value(members, leader.round, |peer| peer.last_round);
         let quorum_round = quorum_round.unwrap_or_default();
-        let queries = std::mem::take(&mut leader.read_queries);
-        let (confirmed, waiting) = queries.into_iter().partition(|q| q.round <= quorum_round);
-        leader.read_queries = waiting;
-        for query in confirmed {
-            let ReadQuery {
-                number: query_number,
-                origin,
-                index,
-                ..
-            } = query;
+        let mut confirmed = Vec::new();
+        leader.read_queries.retain(|query| match query.target {
+            Some((round, index)) if round <= quorum_round => {
+                confirmed.push((query.number, query.origin, index));
+                false
+            }
+            _ => true,
+        });
+        for (query_number, origin, index) in confirmed {
             match origin == self.id {
                 true => out.push(Output::ReadIndexConfirmed {
                     query_number,
--- a/crates/control/src/publish.rs
+++ b/crates/control/src/publish.rs
@@ -64,11 +64,18 @@
         self.step_log(now, log::Input::ReadIndex { query_number }, out);
     }
 
-    /// Responds to confirmed reads and to those that have timed out.
+    /// Repeats overdue queries, and responds to confirmed reads and to those that have timed out.
     pub(crate) fn complete_reads(&mut self, now: Instant, out: &mut Vec<Output>) {
         if self.reads.is_empty() {
             return;
         }
+        let confirmations = &mut self.confirmations;
+        let queries = self
+            .reads
+            .repeat_queries(now, || confirmations.next_query_number());
+        for query_number in queries {
+            self.step_log(now, log::Input::ReadIndex { query_number }, out);
+        }
         let publication = self.state.config.publication();
         self.reads.complete(now, &self.replica, publication, out);
     }
--- a/crates/control/src/reads.rs
+++ b/crates/control/src/reads.rs
@@ -1,6 +1,5 @@
 //! Reads of the last publication that wait for confirmation by a quorum.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use eelgrassdyke_core::event::{Code, Event};
@@ -13,13 +12,17 @@
 /// Time after which a read fails; it is below the one second for which clients wait for a response.
 const READ_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Time after which a query without a response is sent again: it or its response may be lost, or the leader
+/// may have changed.
+const QUERY_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Most reads that may wait at once; further ones fail immediately.
 const PENDING_MAX: usize = 256;
 
-/// Reads in progress, by the number of their query to the log.
+/// Reads in progress.
 #[derive(Clone, Debug, Default)]
 pub struct PublicationReads {
-    pending: BTreeMap<u64, PendingRead>,
+    pending: Vec<PendingRead>,
 }
 
 #[derive(Clone, Debug)]
@@ -27,6 +30,9 @@
     ticket: Ticket,
     started_at: Instant,
     deadline: Instant,
+    /// Numbers of its queries to the log.
+    queries: Vec<u64>,
+    next_query_at: Instant,
     /// The committed index that a quorum confirmed; none until then.
     index: Option<Index>,
 }
@@ -43,15 +49,38 @@
             ticket,
             started_at: now,
             deadline,
+            queries: vec![query_number],
+            next_query_at: now + QUERY_INTERVAL,
             index,
         };
-        self.pending.insert(query_number, read);
+        self.pending.push(read);
+    }
+
+    /// Adds a query, with a number from `next_number`, to each read whose last one is overdue; returns the
+    /// numbers.
+    pub fn repeat_queries(
+        &mut self,
+        now: Instant,
+        mut next_number: impl FnMut() -> u64,
+    ) -> Vec<u64> {
+        let mut numbers = Vec::new();
+        for read in &mut self.pending {
+            if read.index.is_some() || now < read.next_query_at {
+                continue;
+            }
+            let number = next_number();
+            read.queries.push(number);
+            read.next_query_at = now + QUERY_INTERVAL;
+            numbers.push(number);
+        }
+        numbers
     }
 
     /// Records that a quorum confirmed `index` as committed after the query was made.
     pub fn record_confirmation(&mut self, query_number: u64, index: Index) {
-        if let Some(read) = self.pending.get_mut(&query_number) {
-            read.index = Some(index);
+        let mut pending = self.pending.iter_mut();
+        if let Some(read) = pending.find(|read| read.queries.contains(&query_number)) {
+            read.index.get_or_insert(index);
         }
     }
 
@@ -60,9 +89,12 @@
         self.pending.is_empty()
     }
 
-    /// When the next read times out.
+    /// When the next read times out or its next query is due.
     pub fn next_deadline(&self) -> Instant {
-        let deadlines = self.pending.values().map(|read| read.deadline);
+        let deadlines = self.pending.iter().map(|read| match read.index {
+            Some(_) => read.deadline,
+            None => read.deadline.min(read.next_query_at),
+        });
         deadlines.min().unwrap_or(Instant::NEVER)
     }
 
@@ -75,7 +107,7 @@
         out: &mut Vec<Output>,
     ) {
         let applied = replica.applied_index();
-        self.pending.retain(|_, read| {
+        self.pending.retain(|read| {
             let waited = now.since(read.started_at);
             if read.index.is_some_and(|index| index <= applied) {
                 let event = match publication {
--- a/crates/control/tests/log_steps.rs
+++ b/crates/control/tests/log_steps.rs
@@ -303,18 +303,27 @@
     assert!(unconfirmed(
         &harness.handle_input(Input::ReadIndex { query_number: 1 })
     ));
-    harness.acknowledge(1, 2, early_round);
-    let out = harness.handle_input(Input::ReadIndex { query_number: 2 });
-    let round = greatest_round(&out);
-    assert!(unconfirmed(&out) && round > early_round);
+    let out = harness.acknowledge(1, 2, early_round);
+    let first_round = greatest_round(&out);
+    assert!(unconfirmed(&out) && first_round > early_round);
+    assert!(unconfirmed(
+        &harness.handle_input(Input::ReadIndex { query_number: 2 })
+    ));
     // A delayed response to the earlier round confirms nothing.
     assert!(unconfirmed(&harness.acknowledge(2, 2, early_round)));
-    let out = harness.acknowledge(2, 2, round);
     let index = Index(2);
-    assert!(out.contains(&Output::ReadIndexConfirmed {
-        query_number: 2,
-        index
-    }));
+    let confirmed = |out: &[Output], query_number| {
+        out.contains(&Output::ReadIndexConfirmed {
+            query_number,
+            index,
+        })
+    };
+    // The second query arrived after the start of the round that confirms the first one.
+    let out = harness.acknowledge(2, 2, first_round);
+    assert!(confirmed(&out, 1) && !confirmed(&out, 2));
+    let second_round = greatest_round(&out);
+    assert!(second_round > first_round);
+    assert!(confirmed(&harness.acknowledge(2, 2, second_round), 2));
 }
 
 #[test]
--- a/crates/control/tests/reads.rs
+++ b/crates/control/tests/reads.rs
@@ -113,3 +113,24 @@
     assert_eq!(fact(failed, "votes").as_deref(), Some("1"));
     assert_eq!(fact(failed, "voters").as_deref(), Some("3"));
 }
+
+/// A lost query or response costs a fraction of the time for which operators wait, not all of it.
+#[test]
+fn a_read_whose_query_is_lost_is_answered_within_its_time() {
+    let mut cluster = Cluster::new();
+    let leader = publish(&mut cluster);
+    let follower = (leader + 1) % 3;
+    cluster.run(500);
+    cluster.last_ticket += 1;
+    let ticket = Ticket(cluster.last_ticket);
+    cluster.partitioned[follower] = true;
+    cluster.handle_input(follower, Input::ReadPublication { ticket });
+    cluster.run(100);
+    cluster.partitioned[follower] = false;
+    cluster.run(READ_TIME_MS);
+    let response = cluster.responses.get(&ticket);
+    assert!(
+        matches!(response, Some(OperatorResponse::Publication(Some(_)))),
+        "{response:?}"
+    );
+}
