node: messages of a kind that this build doesn't know are skipped

Structures are maps with field names and unknown fields were ignored already; unknown variants of enums were not.

Batch::decode_known decodes a batch that can't be decoded as a whole message by message. Event 110 tells how many were skipped, from whom and why. A batch of known messages is decoded once, as before. An untagged fallback variant was ruled out: it buffers values in a human-readable form, in which addresses are encoded differently.

batch_with_an_unknown_message_is_handled (a real process) gave status 400 before.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -67,6 +67,7 @@
     107 PeerReached "Messages to a peer are delivered again.";
     108 SettingsRead "A process re-read its settings file on request; changes take effect at the next start.";
     109 ProcessStalled "A process did not run for a time: it was suspended, or its processor was busy.";
+    110 MessageSkipped "Messages that their receiver, of another build, doesn't know were skipped; the others of their batch were handled.";
     200 LeaderElected "A replica became leader of the control log.";
     201 LeaderLost "A leader of the control log stepped down.";
     202 QuorumLost "A replica cannot reach a quorum; changes are refused.";
--- a/crates/core/src/wire/mod.rs
+++ b/crates/core/src/wire/mod.rs
@@ -4,6 +4,9 @@
 //! with MessagePack. Messages may be lost, duplicated, delayed or reordered, and every receiver
 //! tolerates that. The only streaming exchange, a dispatch from an entry to an agent, has its own
 //! HTTP request; see [`dispatch`].
+//!
+//! Processes of different builds exchange messages during an upgrade: structures are maps with field
+//! names, unknown fields are ignored, and [`Batch::decode_known`] skips messages of unknown kinds.
 
 use std::net::SocketAddr;
 
@@ -13,6 +16,7 @@
 use crate::id::{Incarnation, Process};
 use crate::time::HybridTimestamp;
 
+mod batch;
 pub mod claim;
 pub mod directory;
 pub mod dispatch;
@@ -24,6 +28,8 @@
 pub mod refusal;
 pub mod report;
 
+pub use batch::KnownBatch;
+
 /// Maximum size of a batch that a process accepts, in bytes.
 pub const BATCH_BYTES_MAX: usize = 64 << 20;
 
@@ -36,6 +42,12 @@
     /// The bytes are not a valid message.
     #[error("the message could not be decoded ({0}); run the same release on both sides")]
     Decode(#[from] rmp_serde::decode::Error),
+    /// The bytes are no list or map where one is expected.
+    #[error("the message could not be decoded ({0}); run the same release on both sides")]
+    Structure(#[from] rmp::decode::ValueReadError),
+    /// A field is missing.
+    #[error("the message has no field `{0}`; run the same release on both sides")]
+    MissingField(&'static str),
     /// The value can't be encoded.
     #[error("the message could not be encoded ({0}); report this as a defect")]
     Encode(#[from] rmp_serde::encode::Error),
--- a/crates/core/tests/decode.rs
+++ b/crates/core/tests/decode.rs
@@ -23,6 +23,7 @@
 /// Decodes the bytes as each type that a peer can send.
 fn decode_all(bytes: &[u8]) {
     let _ = wire::decode::<Batch>(bytes);
+    let _ = Batch::decode_known(bytes);
     let _ = wire::decode::<Timestamped<Dispatch>>(bytes);
     let _ = wire::decode::<Timestamped<Vec<Frame>>>(bytes);
 }
@@ -124,3 +125,61 @@
     });
     outcome.unwrap();
 }
+
+/// A batch of which `extra` names kinds that this build doesn't know, between two known messages.
+#[derive(serde::Serialize)]
+struct NewerBatch {
+    priority: u8,
+    from: Sender,
+    stamp: HybridTimestamp,
+    messages: (Message, NewerMessage, NewerMessage, Message),
+}
+
+#[derive(serde::Serialize)]
+enum NewerMessage {
+    Unit,
+    Fields {
+        poll: PollRequest,
+        addresses: Vec<std::net::SocketAddr>,
+    },
+}
+
+// An upgrade fails if a newer build's message costs a peer of this build the others of its batch,
+// votes and heartbeats among them.
+#[test]
+fn unknown_kinds_of_messages_are_skipped_and_the_others_kept() {
+    let known = batch();
+    let [Message::Probe(probe), Message::Poll(poll)] = &known.messages[..] else {
+        unreachable!("two messages");
+    };
+    let newer = NewerBatch {
+        priority: 3,
+        from: known.from.clone(),
+        stamp: known.stamp,
+        messages: (
+            Message::Probe(probe.clone()),
+            NewerMessage::Fields {
+                poll: poll.clone(),
+                addresses: vec!["[::1]:7".parse().unwrap()],
+            },
+            NewerMessage::Unit,
+            Message::Poll(poll.clone()),
+        ),
+    };
+    let bytes = wire::encode(&newer).unwrap();
+    let decoded = Batch::decode_known(&bytes).unwrap();
+    assert_eq!(decoded.batch, known);
+    assert_eq!(decoded.skipped, 2);
+    assert!(decoded.first_error.is_some());
+    for end in 0..bytes.len() {
+        assert!(Batch::decode_known(&bytes[..end]).is_err(), "{end}");
+    }
+}
+
+#[test]
+fn known_batch_is_decoded_completely() {
+    let batch = batch();
+    let decoded = Batch::decode_known(&wire::encode(&batch).unwrap()).unwrap();
+    assert_eq!(decoded.batch, batch);
+    assert_eq!(decoded.skipped, 0);
+}
--- a/crates/eelgrassdyke/tests/process.rs
+++ b/crates/eelgrassdyke/tests/process.rs
@@ -10,6 +10,14 @@
 use eelgrassctl::command::Arguments;
 use eelgrassctl::errors::ExitStatus;
 use eelgrassdyke_core::digest::Sha256;
+use eelgrassdyke_core::id::Incarnation;
+use eelgrassdyke_core::wire::follow::PollRequest;
+use eelgrassdyke_core::wire::{self, Batch, Message, Sender};
+use eelgrassdyke_node::http::client::Request;
+use eelgrassdyke_node::http::pool::Pool;
+use eelgrassdyke_node::mail::SECRET_HEADER;
+use eelgrassdyke_node::runtime::block_on;
+use http::{HeaderValue, StatusCode};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use serde_json::{Value, json};
@@ -138,6 +146,57 @@
     assert_eq!(documented_count, exported_count, "{page}");
 }
 
+// A peer of a newer build sends a message that this build doesn't know in a batch with others, which
+// must not be lost with it.
+#[test]
+fn batch_with_an_unknown_message_is_handled() {
+    let process = Process::start();
+    let address = process.control;
+    let poll = PollRequest {
+        version: Default::default(),
+        digest: Sha256::of(b""),
+        directory_revision: None,
+        wants_directory: true,
+        wants_config: true,
+        wants_confirmation: false,
+        poll_number: 1,
+        demands: Vec::new(),
+    };
+    let batch = Batch {
+        from: Sender {
+            process: "newer-1".parse().unwrap(),
+            incarnation: Incarnation(1),
+            address: unused_address(),
+        },
+        stamp: Default::default(),
+        messages: vec![Message::ReportResync, Message::Poll(poll)],
+    };
+    let mut body = wire::encode(&batch).unwrap();
+    let name = b"ReportAsk";
+    let at = (body.windows(name.len()).position(|bytes| bytes == name)).unwrap();
+    body[at..at + name.len()].copy_from_slice(b"NewerKind");
+    let (mail_status, status) = block_on(async move {
+        let pool = Pool::default();
+        let timeout = std::time::Duration::from_secs(20);
+        let mut mail = Request::post("/peer/mail", body);
+        let secret = HeaderValue::from_static("secret-of-this-trial");
+        mail.headers.insert(SECRET_HEADER, secret);
+        let (mail_status, _) = pool.call(address, mail, timeout).await.unwrap();
+        let mut query = Request::get("/v1/status");
+        let bearer = HeaderValue::from_str(&format!("Bearer {OPERATOR_TOKEN}")).unwrap();
+        query.headers.insert("authorization", bearer);
+        (
+            mail_status,
+            pool.call(address, query, timeout).await.unwrap().1,
+        )
+    })
+    .unwrap();
+    assert_eq!(mail_status, StatusCode::NO_CONTENT);
+    let status: Value = serde_json::from_slice(&status).unwrap();
+    let followers = &status["status"]["followers"];
+    assert!(followers.get("newer-1").is_some(), "{followers}");
+}
+
 #[test]
 fn sigterm_triggers_a_graceful_shutdown() {
     let mut process = Process::start();
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -35,14 +35,21 @@
 }
 
 fn handle_batch(node: &Node, request: &Request, responder: Responder) {
-    let batch: Batch = match wire::decode(&request.body) {
-        Ok(batch) => batch,
+    let known = match Batch::decode_known(&request.body) {
+        Ok(known) => known,
         Err(error) => {
             reject_body(node, request, responder, &error);
             return;
         }
     };
     respond_empty(responder, StatusCode::NO_CONTENT);
+    let batch = known.batch;
+    if let Some(error) = known.first_error {
+        let detail = format!("from {}: {error}", batch.from.process);
+        let event = Event::new(Code::MessageSkipped, detail);
+        let event = event.with_fact("messages", known.skipped as u64);
+        node.timeline().record_event(event);
+    }
     node.timeline().receive_timestamp(batch.stamp);
     for message in batch.messages {
         deliver_message(node, &batch.from, message);
