node: a batch that a peer refuses is sent again in halves

Ruled out: sending kinds added later in batches of their own, which needs a list of kinds by build.

messages_beside_an_unknown_one_are_delivered: 3 of 4 cases failed before, as no message of the batch arrived; all pass now.

--- a/crates/node/src/mail.rs
+++ b/crates/node/src/mail.rs
@@ -3,6 +3,9 @@
 //! Each peer has a bounded outbox, and one task per outbox sends its messages. A batch that can't
 //! be sent is dropped, and a full outbox drops its oldest message: all protocols tolerate lost
 //! messages and retry.
+//!
+//! A peer of an earlier build may refuse a whole batch because it doesn't know one of the messages.
+//! Such a batch is sent again in halves, so that only this message is lost.
 
 use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
@@ -12,7 +15,7 @@
 
 use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::wire::{self, Batch, Message, Sender};
-use http::HeaderValue;
+use http::{HeaderValue, StatusCode};
 
 use crate::http::client::Request;
 use crate::http::pool::Pool;
@@ -43,6 +46,16 @@
     outboxes: RefCell<HashMap<SocketAddr, Outbox>>,
 }
 
+/// What became of a batch.
+enum Delivery {
+    /// The peer has accepted it.
+    Accepted,
+    /// The peer can't decode it and has handled none of its messages.
+    Refused,
+    /// It was not delivered.
+    Failed,
+}
+
 #[derive(Default)]
 struct Outbox {
     messages: VecDeque<Message>,
@@ -96,7 +109,7 @@
             if messages.is_empty() {
                 return;
             }
-            let sent = self.send_batch(to, messages).await;
+            let sent = self.send_messages(to, messages).await;
             if sent {
                 if failed_before {
                     let event = Event::new(Code::PeerReached, to.to_string());
@@ -128,30 +141,57 @@
         messages
     }
 
-    async fn send_batch(&self, to: SocketAddr, messages: Vec<Message>) -> bool {
+    /// Sends messages as one batch, or in parts if the peer refuses it; returns whether the peer
+    /// was reached.
+    async fn send_messages(&self, to: SocketAddr, messages: Vec<Message>) -> bool {
+        // Parts to send, the next one last.
+        let mut parts = vec![messages];
+        while let Some(mut messages) = parts.pop() {
+            match self.send_batch(to, &mut messages).await {
+                Delivery::Accepted => {}
+                Delivery::Refused if messages.len() > 1 => {
+                    parts.push(messages.split_off(messages.len() / 2));
+                    parts.push(messages);
+                }
+                Delivery::Refused => {
+                    let event = Event::new(Code::MessageSkipped, format!("refused by {to}"));
+                    self.timeline
+                        .record_event(event.with_fact("messages", 1_u64));
+                }
+                Delivery::Failed => return false,
+            }
+        }
+        true
+    }
+
+    /// Sends one batch; `messages` keeps its content.
+    async fn send_batch(&self, to: SocketAddr, messages: &mut Vec<Message>) -> Delivery {
         let batch = Batch {
             from: self.me.clone(),
             stamp: self.timeline.timestamp(),
-            messages,
+            messages: std::mem::take(messages),
         };
-        let body = match wire::encode(&batch) {
+        let encoded = wire::encode(&batch);
+        *messages = batch.messages;
+        let body = match encoded {
             Ok(body) => body,
             Err(error) => {
                 log::error!("can't encode a message batch: {error}");
-                return false;
+                return Delivery::Failed;
             }
         };
         let mut request = Request::post("/peer/mail", body);
         request.headers.insert(SECRET_HEADER, self.secret.clone());
         match self.pool.call(to, request, SEND_TIMEOUT).await {
-            Ok((status, _)) if status.is_success() => true,
+            Ok((status, _)) if status.is_success() => Delivery::Accepted,
+            Ok((StatusCode::BAD_REQUEST, _)) => Delivery::Refused,
             Ok((status, _)) => {
                 log::warn!("{to} refused messages with status {status}");
-                false
+                Delivery::Failed
             }
             Err(error) => {
                 log::debug!("{to}: {error}");
-                false
+                Delivery::Failed
             }
         }
     }
--- /dev/null
+++ b/crates/node/tests/mail.rs
@@ -0,0 +1,92 @@
+//! Delivery of batches to peers of earlier builds.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use eelgrassdyke_core::id::Incarnation;
+use eelgrassdyke_core::wire::{self, Batch, Message, Sender};
+use eelgrassdyke_node::clock::Clock;
+use eelgrassdyke_node::http::pool::Pool;
+use eelgrassdyke_node::http::server::{self, Handler, Options, Request, Responder};
+use eelgrassdyke_node::mail::Outboxes;
+use eelgrassdyke_node::runtime::block_on;
+use eelgrassdyke_node::secret::PeerSecret;
+use eelgrassdyke_node::timeline::Timeline;
+use http::{HeaderMap, StatusCode};
+use monoio::net::TcpListener;
+use test_case::test_case;
+
+/// Number of messages in the test, sent as one batch.
+const MESSAGES: usize = 200;
+
+/// Time limit that keeps a failing test from hanging.
+const TEST_TIMEOUT: Duration = Duration::from_secs(20);
+
+fn server_left(number: usize) -> Message {
+    Message::ServerLeft(format!("server-{number}").parse().unwrap())
+}
+
+/// Responds as a build does that doesn't know [`Message::ReportResync`].
+fn respond_as_earlier_build(
+    delivered: &RefCell<Vec<Message>>,
+    request: &Request,
+    responder: Responder,
+) {
+    let batch: Batch = wire::decode(&request.body).unwrap();
+    if batch.messages.contains(&Message::ReportResync) {
+        responder.respond(StatusCode::BAD_REQUEST, HeaderMap::new(), "");
+        return;
+    }
+    delivered.borrow_mut().extend(batch.messages);
+    responder.respond(StatusCode::NO_CONTENT, HeaderMap::new(), "");
+}
+
+// A build that can't decode one message refuses the whole batch. The messages beside it, such as
+// votes and heartbeats, must reach it once each and in order.
+#[test_case(&[]; "none")]
+#[test_case(&[0]; "first")]
+#[test_case(&[199]; "last")]
+#[test_case(&[3, 4, 77]; "several")]
+fn messages_beside_an_unknown_one_are_delivered(unknown: &[usize]) {
+    let (delivered, expected) = block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let delivered = Rc::new(RefCell::new(Vec::new()));
+        let sink = delivered.clone();
+        let handler: Handler = Rc::new(move |request, responder| {
+            respond_as_earlier_build(&sink, &request, responder);
+        });
+        monoio::spawn(server::serve(listener, Options::default(), handler));
+        let me = Sender {
+            process: "control-1".parse().unwrap(),
+            incarnation: Incarnation(1),
+            address,
+        };
+        let timeline = Timeline::new(
+            me.process.clone(),
+            me.incarnation,
+            Clock::default(),
+            MESSAGES,
+        );
+        let pool = Rc::new(Pool::default());
+        let outboxes = Outboxes::new(me, &PeerSecret::trust_all(), pool, Rc::new(timeline));
+        let mut expected = Vec::new();
+        for number in 0..MESSAGES {
+            if unknown.contains(&number) {
+                outboxes.send(address, Message::ReportResync);
+                continue;
+            }
+            outboxes.send(address, server_left(number));
+            expected.push(server_left(number));
+        }
+        let started = std::time::Instant::now();
+        while delivered.borrow().len() < expected.len() && started.elapsed() < TEST_TIMEOUT {
+            monoio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let delivered = delivered.borrow().clone();
+        (delivered, expected)
+    })
+    .unwrap();
+    assert_eq!(delivered, expected);
+}
