testkit: processes of two builds side by side, and the scenario exchange

No test ran an earlier build. The steps `exchange` and `same-config` replace a process by another build, compare what all control processes return, and fail if a process has ended, refused or skipped anything.

--- a/crates/eelgrassdyke/tests/scenarios.rs
+++ b/crates/eelgrassdyke/tests/scenarios.rs
@@ -3,11 +3,11 @@
 //! The first lines of each file describe the scenario. A failed scenario keeps its folder with the
 //! logs.
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::{Mutex, MutexGuard};
 
 use eelgrassdyke_testkit::scenario::Scenario;
-use eelgrassdyke_testkit::site::Options;
+use eelgrassdyke_testkit::site::{Builds, Options};
 use test_case::test_case;
 
 /// Maximum number of concurrent scenarios, each of which starts a dozen processes.
@@ -23,7 +23,11 @@
         .unwrap_or_else(|poisoned| poisoned.into_inner())
 }
 
-fn run_scenario(name: &str) {
+fn present_build() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_eelgrassdyke"))
+}
+
+fn run_scenario(name: &str, builds: Builds) {
     let _slot = acquire_slot(name);
     let path = Path::new(env!("CARGO_MANIFEST_DIR"))
         .join("tests/scenarios")
@@ -31,10 +35,9 @@
     let text = std::fs::read_to_string(&path).unwrap();
     let scenario = Scenario::parse(&text).unwrap();
     let mut folder = tempfile::tempdir().unwrap();
-    let binary = Path::new(env!("CARGO_BIN_EXE_eelgrassdyke"));
     let result = eelgrassdyke_node::runtime::block_on(async {
         scenario
-            .run(binary, folder.path(), Options::default())
+            .run(builds, folder.path(), Options::default())
             .await
     });
     if let Err(error) = result.unwrap() {
@@ -60,5 +63,15 @@
 #[test_case("two-at-once.txt")]
 #[test_case("orders-under-failure.txt")]
 fn scenario_holds(name: &str) {
-    run_scenario(name);
+    run_scenario(name, present_build().into());
+}
+
+// EARLIER_BUILD is the executable of an earlier build; without it, the present build is exchanged for
+// itself.
+#[test]
+fn earlier_build_is_exchanged_for_the_present_one_and_back() {
+    let earlier = std::env::var_os("EARLIER_BUILD").map(PathBuf::from);
+    let second = present_build().to_owned();
+    let first = earlier.unwrap_or_else(|| second.clone());
+    run_scenario("exchange.txt", Builds { first, second });
 }
--- a/crates/testkit/examples/load.rs
+++ b/crates/testkit/examples/load.rs
@@ -53,7 +53,8 @@
     let mut outcomes = Vec::new();
     for binary in &arguments.binaries {
         let folder = tempfile::tempdir().map_err(Error::harness)?;
-        let runner = Runner::start(binary, folder.path(), site::Options::default()).await?;
+        let runner =
+            Runner::start(binary.as_path(), folder.path(), site::Options::default()).await?;
         let entry_addresses = vec![
             runner.deployment().caller_address("entry-1")?,
             runner.deployment().caller_address("entry-2")?,
--- a/crates/testkit/examples/slopes.rs
+++ b/crates/testkit/examples/slopes.rs
@@ -55,7 +55,7 @@
         plain_services: 1,
         token_ms: 10,
     };
-    let mut runner = Runner::start(&binary, folder.path(), options).await?;
+    let mut runner = Runner::start(binary.as_path(), folder.path(), options).await?;
 
     println!("followers  beats/s  control cpu %  bytes in/s  bytes out/s  rss");
     for (followers, servers) in [
--- a/crates/testkit/src/scenario/mod.rs
+++ b/crates/testkit/src/scenario/mod.rs
@@ -8,11 +8,12 @@
 use clap::Parser;
 
 use crate::errors::{Error, Result};
-use crate::site::Options;
+use crate::site::{Builds, Options};
 
 mod operate;
 pub mod run;
 pub mod step;
+mod upgrade;
 pub mod verdict;
 
 use step::{Line, Step};
@@ -44,9 +45,14 @@
         Ok(Self { steps })
     }
 
-    /// Runs the scenario with the given binary; files are written below `folder`.
-    pub async fn run(&self, binary: &Path, folder: &Path, options: Options) -> Result<()> {
-        let mut runner = run::Runner::start(binary, folder, options).await?;
+    /// Runs the scenario with the given builds; files are written below `folder`.
+    pub async fn run(
+        &self,
+        builds: impl Into<Builds>,
+        folder: &Path,
+        options: Options,
+    ) -> Result<()> {
+        let mut runner = run::Runner::start(builds, folder, options).await?;
         for (line, step) in &self.steps {
             runner
                 .step(step)
--- a/crates/testkit/src/scenario/operate.rs
+++ b/crates/testkit/src/scenario/operate.rs
@@ -185,7 +185,7 @@
         Ok(body["status"]["log"].clone())
     }
 
-    fn running_controls(&self) -> Vec<String> {
+    pub(super) fn running_controls(&self) -> Vec<String> {
         let names = self.deployment.system_processes().into_iter();
         names
             .filter(|name| name.starts_with("control") && self.deployment.is_running(name))
--- a/crates/testkit/src/scenario/run.rs
+++ b/crates/testkit/src/scenario/run.rs
@@ -18,7 +18,7 @@
 use crate::caller::{self, CallOutcome, CallerRequest};
 use crate::errors::{Error, Result};
 use crate::relay::LinkRule;
-use crate::site::{CONDITION_TIMEOUT, Deployment, Options, POLL_INTERVAL};
+use crate::site::{Builds, CONDITION_TIMEOUT, Deployment, Options, POLL_INTERVAL};
 
 /// The team whose token requests carry unless the step names another.
 const DEFAULT_TEAM: &str = "salons";
@@ -34,6 +34,7 @@
 
 /// A scenario being executed.
 pub struct Runner {
+    pub(super) builds: Builds,
     pub(super) deployment: Deployment,
     pub(super) observations: Rc<RefCell<Observations>>,
     /// Outcomes of the requests of `send` steps, by name.
@@ -51,9 +52,11 @@
 impl Runner {
     /// Starts the deployment, applies the initial configuration and waits until every process is
     /// ready.
-    pub async fn start(binary: &Path, folder: &Path, options: Options) -> Result<Self> {
-        let deployment = Deployment::start(binary, folder, options).await?;
+    pub async fn start(builds: impl Into<Builds>, folder: &Path, options: Options) -> Result<Self> {
+        let builds = builds.into();
+        let deployment = Deployment::start(&builds.first, folder, options).await?;
         let mut runner = Self {
+            builds,
             deployment,
             observations: Rc::default(),
             outcomes: Rc::default(),
@@ -122,6 +125,8 @@
             Step::Leader => self.wait_leader().await.map(|_| ()),
             Step::InForce { version } => self.wait_applied(*version).await,
             Step::Replace { process } => self.replace_replica(process).await,
+            Step::Exchange { process, build } => self.exchange(process, *build).await,
+            Step::SameConfig => self.check_same_config().await,
             Step::Churn { count } => self.submit_sequence(*count).await,
             Step::Order {
                 operation,
@@ -164,7 +169,7 @@
     }
 
     /// Resolves `leader` and `old-leader` to process names; other names stay.
-    async fn resolve_process(&mut self, text: &str) -> Result<String> {
+    pub(super) async fn resolve_process(&mut self, text: &str) -> Result<String> {
         match text {
             "leader" => {
                 self.old_leader = self.wait_leader().await?;
@@ -401,7 +406,7 @@
     }
 
     /// Waits until a process, or every running one, reports that it is ready.
-    async fn wait_ready(&mut self, process: &str) -> Result<()> {
+    pub(super) async fn wait_ready(&mut self, process: &str) -> Result<()> {
         let names = match process {
             "all" => self.deployment.system_processes(),
             _ => vec![process.to_owned()],
@@ -524,7 +529,7 @@
         Ok(())
     }
 
-    async fn expect_clean_exit(&mut self, process: &str) -> Result<()> {
+    pub(super) async fn expect_clean_exit(&mut self, process: &str) -> Result<()> {
         let process = &self.resolve_process(process).await?;
         let code = self.deployment.wait_exit(process).await?;
         match code {
--- a/crates/testkit/src/scenario/step.rs
+++ b/crates/testkit/src/scenario/step.rs
@@ -3,7 +3,7 @@
 //! In place of a process name, `leader` means the current leader of the control processes, and
 //! `old-leader` the process that `leader` last resolved to.
 
-use clap::{Parser, Subcommand};
+use clap::{Parser, Subcommand, ValueEnum};
 
 /// One line of a scenario.
 #[derive(Clone, Debug, Parser)]
@@ -100,6 +100,16 @@
         /// The process.
         process: String,
     },
+    /// Shuts a process down, starts it with a build and waits until it is ready.
+    Exchange {
+        /// The process.
+        process: String,
+        /// The build.
+        build: Build,
+    },
+    /// Checks that every running control process returns the last accepted configuration, the same
+    /// text each, and that no process has skipped or refused a message or a record.
+    SameConfig,
     /// Submits configuration changes one after the other, each based on the previous version.
     Churn {
         /// Number of changes.
@@ -194,6 +204,15 @@
     },
 }
 
+/// One of the two builds of a scenario.
+#[derive(Clone, Copy, Debug, ValueEnum)]
+pub enum Build {
+    /// The build that the deployment was started with.
+    First,
+    /// The other one.
+    Second,
+}
+
 /// An expected outcome.
 #[derive(Clone, Debug, Subcommand)]
 pub enum Expectation {
--- a/crates/testkit/src/site.rs
+++ b/crates/testkit/src/site.rs
@@ -81,6 +81,24 @@
     start_count: u32,
 }
 
+/// Executables of two builds, of which one may be an earlier landing.
+#[derive(Clone, Debug)]
+pub struct Builds {
+    /// The build that a deployment starts with.
+    pub first: PathBuf,
+    /// The build that replaces it.
+    pub second: PathBuf,
+}
+
+impl From<&Path> for Builds {
+    fn from(binary: &Path) -> Self {
+        Self {
+            first: binary.to_owned(),
+            second: binary.to_owned(),
+        }
+    }
+}
+
 /// A running deployment.
 pub struct Deployment {
     binary: PathBuf,
@@ -246,6 +264,18 @@
         }
     }
 
+    /// Sets the executable of the processes that are started from now on.
+    pub fn set_binary(&mut self, binary: &Path) {
+        self.binary = binary.to_owned();
+    }
+
+    /// Log of a process since its last start.
+    pub fn log_text(&self, name: &str) -> Result<String> {
+        let managed = self.processes.get(name);
+        let managed = managed.ok_or_else(|| Error::Unknown(format!("process {name}")))?;
+        fs::read_to_string(&managed.log).map_err(Error::harness)
+    }
+
     /// Sends a signal to a process.
     pub fn signal(&mut self, name: &str, signal: Signal) -> Result<()> {
         let managed = self.managed_mut(name)?;
