control: a replica applies nothing beyond a record that it can't decode

A record that a replica could not decode was skipped. During an upgrade or after a rollback the builds know different commands: a replica of the earlier build then held another state, and once it led it answered with an older configuration than was accepted, and accepted others in its place.

Such a replica now stops applying at that record (event 212), is no longer ready, and goes on storing, acknowledging and voting; the build that knows the record continues from the data folder. It leaves elections to others, but may lead if nobody else can, as its log may be the most recent one: it refuses proposals and steps down once another voter holds all records.

Ruled out: stopping the replica as after a failed disk, since its acknowledgement may be needed for a quorum; never leading, since a majority of such replicas with more recent logs would keep the newer one from being elected for good.

upgrade.rs, with the record skipped as before: all 3 cases fail, one with a change accepted as version 2 in place of the one accepted before; they pass now. All tests of the crate pass.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -429,6 +429,7 @@
         out: &mut Vec<Output>,
     ) {
         let mut snapshot_requested = false;
+        let mut apply_error = None;
         for output in outputs {
             match output {
                 log::Output::Send { to, message } => out.push(Output::Send {
@@ -436,7 +437,15 @@
                     message: Message::Log(message),
                 }),
                 log::Output::Persist(job) => out.push(Output::Persist(job)),
-                log::Output::Apply { record, token } => self.apply(&record, token, out),
+                log::Output::Apply { record, token } => {
+                    if apply_error.is_none() {
+                        let result = self.apply(&record, token, out);
+                        apply_error = result.err().map(|error| (record.index, error));
+                    }
+                    if let (Some(token), true) = (token, apply_error.is_some()) {
+                        self.proposals.respond_unknown(token, out);
+                    }
+                }
                 log::Output::RestoreSnapshot(snapshot) => self.restore(now, &snapshot.data, out),
                 log::Output::RequestSnapshot => snapshot_requested = true,
                 log::Output::Refused { token, refusal } => {
@@ -454,6 +463,11 @@
                 log::Output::Event(event) => out.push(Output::Event(event)),
             }
         }
+        if let Some((index, error)) = apply_error {
+            let problem = error.to_string();
+            self.step_log(now, log::Input::ApplyFailed { index, problem }, out);
+            return;
+        }
         // The snapshot is taken after the loop, when all handed-out records are applied.
         if snapshot_requested {
             match wire::encode(&self.state) {
@@ -466,38 +480,34 @@
         }
     }
 
-    /// Applies a committed record and responds to the request that waits for it.
-    fn apply(&mut self, record: &Record, token: Option<u64>, out: &mut Vec<Output>) {
+    /// Applies a committed record and responds to the request that waits for it; fails if this build
+    /// doesn't know its command.
+    fn apply(
+        &mut self,
+        record: &Record,
+        token: Option<u64>,
+        out: &mut Vec<Output>,
+    ) -> wire::Result<()> {
         let command = match &record.payload {
-            Payload::NoOp => return,
+            Payload::NoOp => return Ok(()),
             Payload::Members(members) => {
                 if let Some(token) = token {
                     self.proposals.complete_member_change(token, members, out);
                 }
-                return;
+                return Ok(());
             }
             Payload::Command(command) => command,
         };
-        match wire::decode::<Command>(command) {
-            Ok(command) => {
-                let result = self.state.apply(&command);
-                if self.replica.is_leader() {
-                    let events = evacuation::events(&command.action, &result);
-                    out.extend(events.into_iter().map(Output::Event));
-                }
-                if let Some(token) = token {
-                    self.proposals.complete(token, result, self.version(), out);
-                }
-            }
-            // Every replica skips the same record, so the states stay equal.
-            Err(error) => {
-                let detail = format!(
-                    "record {} skipped: can't decode its command: {error}",
-                    record.index
-                );
-                out.push(Output::Event(Event::new(Code::InputRefused, detail)));
-            }
+        let command = wire::decode::<Command>(command)?;
+        let result = self.state.apply(&command);
+        if self.replica.is_leader() {
+            let events = evacuation::events(&command.action, &result);
+            out.extend(events.into_iter().map(Output::Event));
+        }
+        if let Some(token) = token {
+            self.proposals.complete(token, result, self.version(), out);
         }
+        Ok(())
     }
 
     /// Replaces the state by that of a snapshot.
--- a/crates/control/src/log/durable.rs
+++ b/crates/control/src/log/durable.rs
@@ -144,7 +144,7 @@
 
     /// Outputs newly committed records for application and requests a snapshot when one is due.
     pub(super) fn apply_committed(&mut self, out: &mut Vec<Output>) {
-        while self.applied_index < self.commit_index {
+        while !self.is_halted() && self.applied_index < self.commit_index {
             let Some(record) = self.log.get(self.applied_index.next()).cloned() else {
                 break;
             };
@@ -216,6 +216,7 @@
         self.durable_index = Index(0);
         self.commit_index = snapshot.index;
         self.applied_index = snapshot.index;
+        self.halted_at = None;
         self.snapshot_index = snapshot.index;
         self.applied_bytes = 0;
         self.pending_writes.push(Write::Snapshot {
--- a/crates/control/src/log/election.rs
+++ b/crates/control/src/log/election.rs
@@ -9,6 +9,7 @@
 use eelgrassdyke_core::wire::log::{Body, Message, Payload, Record};
 use rand::RngExt as _;
 
+use super::halt;
 use super::io::Output;
 use super::leader::Leader;
 use super::replica::{Replica, Role};
@@ -18,8 +19,11 @@
     pub(super) fn reset_election_timeout(&mut self, now: Instant) {
         let shortest = self.options.election_timeout_min.as_micros() as u64;
         let longest = (self.options.election_timeout_max.as_micros() as u64).max(shortest + 1);
-        let timeout_us = self.rng.random_range(shortest..longest);
-        self.election_deadline = now + Duration::from_micros(timeout_us);
+        let mut timeout = Duration::from_micros(self.rng.random_range(shortest..longest));
+        if self.is_halted() {
+            timeout *= halt::TIMEOUT_FACTOR;
+        }
+        self.election_deadline = now + timeout;
     }
 
     /// Requests pre-votes, which change no term and so don't disturb a leader that is alive.
--- a/crates/control/src/log/io.rs
+++ b/crates/control/src/log/io.rs
@@ -50,6 +50,14 @@
         /// Identifies the query in the outputs.
         query_number: u64,
     },
+    /// A record that was handed out by [`Output::Apply`] can't be applied; it was proposed by a newer
+    /// build.
+    ApplyFailed {
+        /// Its index.
+        index: Index,
+        /// Why not.
+        problem: String,
+    },
     /// The state after all records handed out by [`Output::Apply`]; responds to
     /// [`Output::RequestSnapshot`].
     Snapshot {
@@ -112,6 +120,8 @@
 pub enum Refusal {
     /// This replica doesn't lead.
     NotLeader,
+    /// This replica leads, but can't apply a record of a newer build.
+    Halted,
     /// Too many records are uncommitted.
     Overload,
     /// The membership change is not possible at present.
--- a/crates/control/src/log/leader.rs
+++ b/crates/control/src/log/leader.rs
@@ -31,7 +31,7 @@
     pub(super) id: Id,
     pub(super) peers: BTreeMap<Id, Peer>,
     pub(super) round: u64,
-    elected_at: Instant,
+    pub(super) elected_at: Instant,
     /// Numbers and starts of the latest rounds.
     round_starts: VecDeque<(u64, Instant)>,
     read_queries: Vec<ReadQuery>,
@@ -235,6 +235,7 @@
     pub(super) fn propose(&mut self, token: u64, command: Vec<u8>, out: &mut Vec<Output>) {
         let uncommitted = (self.log.last_index() - self.commit_index).0 as usize;
         let refusal = match self.role {
+            Role::Leader(_) if self.is_halted() => Refusal::Halted,
             Role::Leader(_) if uncommitted < self.options.uncommitted_records_max => {
                 self.append_in_current_term(Some(token), Payload::Command(command));
                 return;
--- a/crates/control/src/log/mod.rs
+++ b/crates/control/src/log/mod.rs
@@ -14,6 +14,7 @@
 mod election;
 mod entries;
 mod found;
+mod halt;
 mod io;
 mod leader;
 mod members;
--- a/crates/control/src/log/replica.rs
+++ b/crates/control/src/log/replica.rs
@@ -30,6 +30,8 @@
     pub(super) log: MemoryLog,
     pub(super) commit_index: Index,
     pub(super) applied_index: Index,
+    /// Index of a record that can't be applied; see [`super::halt`].
+    pub(super) halted_at: Option<Index>,
     /// Last index of its log that is durable.
     pub(super) durable_index: Index,
     /// On a follower: the last index known to match the current leader's log.
@@ -121,6 +123,7 @@
             hard_state: recovered.hard_state,
             commit_index: base.0,
             applied_index: base.0,
+            halted_at: None,
             durable_index: log.last_index(),
             verified_index: Index(0),
             last_round: 0,
@@ -174,6 +177,7 @@
             Input::Propose { token, command } => self.propose(token, command, out),
             Input::ChangeMembers { token, change } => self.change_members(now, token, change, out),
             Input::ReadIndex { query_number } => self.request_read_index(query_number, out),
+            Input::ApplyFailed { index, problem } => self.halt(now, index, &problem, out),
             Input::Snapshot { data } => self.handle_snapshot(data, out),
             Input::Tick => {}
         }
@@ -269,7 +273,7 @@
     /// Only a commit index at a record of the leader's own term is known to cover all earlier
     /// terms; a lower one doesn't show how far a restarted replica is behind.
     pub fn has_caught_up(&self) -> bool {
-        self.caught_up
+        self.caught_up && !self.is_halted()
     }
 
     /// Whether the leader lease holds: no other replica can have been elected, provided that clock
@@ -383,6 +387,7 @@
             Role::Leader(_) => {
                 self.tick_leader(now, out);
                 self.adjust_members(now);
+                self.tick_halted_leader(now, out);
             }
             _ => {
                 self.tick_without_leader(now, out);
--- a/crates/control/src/log/restart.rs
+++ b/crates/control/src/log/restart.rs
@@ -78,6 +78,7 @@
     pub(super) fn is_restarting(&self, now: Instant) -> bool {
         self.options.elects_after_restart
             && !self.restart.is_over
+            && !self.is_halted()
             && now.since(self.restart.started_at) < self.options.election_timeout_min
             && matches!(self.role, Role::Follower | Role::Candidate { .. })
             && self.is_voter()
@@ -92,7 +93,8 @@
     pub(super) fn next_restart_request(&self) -> Instant {
         let ends_at = self.restart.started_at + self.options.election_timeout_min;
         let next_request = self.restart.next_request.max(self.restart.voting_until);
-        let is_due = self.options.elects_after_restart && !self.restart.is_over;
+        let is_due =
+            self.options.elects_after_restart && !self.restart.is_over && !self.is_halted();
         match is_due && next_request < ends_at {
             true => next_request,
             false => Instant::NEVER,
--- a/crates/control/tests/cluster/mod.rs
+++ b/crates/control/tests/cluster/mod.rs
@@ -37,6 +37,8 @@
     pub incarnations: Vec<u64>,
     /// The events of all processes.
     pub events: Vec<Event>,
+    /// Changes a message before it is delivered to the process with this number.
+    pub rewrite: Option<fn(usize, &mut Message)>,
 }
 
 pub fn sender(number: usize) -> Sender {
@@ -60,6 +62,7 @@
             last_ticket: 0,
             incarnations: vec![0; 3],
             events: Vec::new(),
+            rewrite: None,
         };
         for number in 0..3 {
             cluster.start(number);
@@ -155,14 +158,19 @@
                 self.handle_input(number, Input::Tick);
             }
             for _ in 0..self.messages.len() {
-                let Some((from, to, message)) = self.messages.pop_front() else {
+                let Some((from, to, mut message)) = self.messages.pop_front() else {
                     break;
                 };
                 let number = |at| (0..3).find(|number| address(*number) == at);
                 let partitioned = |at| number(at).is_some_and(|number| self.partitioned[number]);
                 match number(to) {
                     _ if partitioned(from.address) || partitioned(to) => {}
-                    Some(receiver) => self.handle_input(receiver, Input::Message { from, message }),
+                    Some(receiver) => {
+                        if let Some(rewrite) = self.rewrite {
+                            rewrite(receiver, &mut message);
+                        }
+                        self.handle_input(receiver, Input::Message { from, message });
+                    }
                     None => self.received.push(message),
                 }
             }
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -80,6 +80,7 @@
     209 DiskSlow "A write to the data folder of a replica took long; votes and commits wait for it.";
     210 LeaderReady "A leader committed the first record of its term; confirmed reads and changes succeed from here on.";
     211 ElectionFailed "A replica got no majority in an election or a pre-vote and tries again.";
+    212 ApplyHalted "A replica met a record of a newer build; it keeps all records, but applies none until that build runs on its data folder.";
     220 ConfigAccepted "A configuration change was accepted.";
     221 ConfigRefused "A configuration change was refused; nothing was applied.";
     222 ConfigApplied "A process applied a configuration version.";
--- a/crates/node/src/log/mod.rs
+++ b/crates/node/src/log/mod.rs
@@ -107,6 +107,7 @@
         | Code::QuorumLost
         | Code::DiskSlow
         | Code::ElectionFailed
+        | Code::ApplyHalted
         | Code::ConfigReadRefused
         | Code::ServerLost
         | Code::OrderFenced
