testkit: a fleet of real processes that loses disks right after a confirmation

The scenarios start a few processes behind relays with agents. No test started the program and the templates that run on the users' machines, at the size of a deployment.

--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod caller;
 pub mod errors;
+pub mod fleet;
 pub mod load;
 pub mod model;
 pub mod relay;
