--- a/crates/testkit/examples/recover.rs
+++ b/crates/testkit/examples/recover.rs
@@ -62,7 +62,10 @@
     /// Folder for data and logs; those of failed seeds are kept.
     #[arg(long, default_value = "target/recover")]
     folder: PathBuf,
-    /// Second byte of the addresses, which must differ between runs at the same time.
+    /// Keeps the logs of all seeds.
+    #[arg(long)]
+    keep: bool,
+    /// Second byte of the addresses of the first seed; each further seed takes the next one.
     #[arg(long, default_value_t = 77)]
     network: u8,
 }
@@ -94,9 +97,12 @@
                 folder.display()
             );
         }
-        match failures.is_empty() {
+        match failures.is_empty() && !arguments.keep {
             true => drop(std::fs::remove_dir_all(&folder)),
-            false => failed.push(seed),
+            false => {}
+        }
+        if !failures.is_empty() {
+            failed.push(seed);
         }
     }
     println!("{} seeds, failed: {failed:?}", arguments.seeds);
@@ -132,16 +138,26 @@
         fault: arguments.fault,
         series: arguments.series,
     };
-    let play = recovery::play(&binary, &deploy, &folder, arguments.network, options);
+    // The sockets of the engines of an earlier seed stay open until this process ends.
+    let network = arguments
+        .network
+        .wrapping_add((seed - arguments.first) as u8);
+    let play = recovery::play(&binary, &deploy, &folder, network, options);
     let outcome = runtime::block_on(play).map_err(|error| error.to_string())?;
     outcome.map_err(|error| error.to_string())
 }
 
 fn print(seed: u64, outcome: &Outcome) {
+    let processor_times: Vec<String> = outcome
+        .processor_times
+        .iter()
+        .map(|(used, waited)| format!("{}+{}", used.as_millis(), waited.as_millis()))
+        .collect();
     let milliseconds = |at: Option<i64>| at.map_or("never".to_owned(), |at| format!("{at} ms"));
     println!(
         "seed {seed}: {:?}{}, version {} of {} KB: leader {}, ready {}, first read {}, then {}/{} answered; \
-         {}/{} entries ready, median {:?}, last {:?}; events {:?}, refusals {:?}; {} MB, peaks {} MB",
+         {}/{} entries ready, median {:?}, last {:?}; events {:?}, refusals {:?}; control processes ran+waited {} ms, longest stall {} ms; \
+         {} MB, peaks {} MB",
         outcome.fault,
         if outcome.series {
             " after a series"
@@ -161,6 +177,8 @@
         outcome.ready.last(),
         outcome.events,
         outcome.refusals,
+        processor_times.join(" "),
+        outcome.longest_stall_ms,
         outcome.memory_mb.0,
         outcome.memory_mb.1,
     );
--- a/crates/testkit/src/fleet/mod.rs
+++ b/crates/testkit/src/fleet/mod.rs
@@ -359,6 +359,15 @@
         events
     }
 
+    /// Processor time of a running member and the time for which it waited for a processor.
+    pub fn processor_time(&self, index: usize) -> Option<(Duration, Duration)> {
+        let pid = *lock(&self.pids).get(&self.members[index].name)?;
+        let text = fs::read_to_string(format!("/proc/{pid}/schedstat")).ok()?;
+        let mut fields = text.split_whitespace().map(str::parse::<u64>);
+        let mut next = || Some(Duration::from_nanos(fields.next()?.ok()?));
+        Some((next()?, next()?))
+    }
+
     /// Resident memory of all running processes and their highest sum, in MB.
     pub fn memory_mb(&self) -> (u64, u64) {
         let mut sums = (0, 0);
--- a/crates/testkit/src/fleet/recovery.rs
+++ b/crates/testkit/src/fleet/recovery.rs
@@ -119,6 +119,11 @@
     pub events: BTreeMap<u64, usize>,
     /// Refused reads by reason.
     pub refusals: BTreeMap<String, usize>,
+    /// Processor time of each control process since its start, and the time for which it waited for a
+    /// processor.
+    pub processor_times: Vec<(Duration, Duration)>,
+    /// Longest stall of a control process, in milliseconds.
+    pub longest_stall_ms: u64,
     /// Resident memory and the sum of its peaks, in MB.
     pub memory_mb: (u64, u64),
 }
@@ -349,6 +354,9 @@
         let ready = probe_entries(&self.fleet, last_start, OBSERVATION);
         let ((first_read, later_reads), ready) = futures_util::join!(first_read, ready);
         let memory_mb = self.fleet.memory_mb();
+        let processor_times = controls.iter();
+        let processor_times = processor_times.filter_map(|index| self.fleet.processor_time(*index));
+        let processor_times = processor_times.collect();
         let mut ended = Vec::new();
         for index in 0..self.fleet.members.len() {
             if self.fleet.has_ended(index) {
@@ -376,14 +384,23 @@
             ended,
             events: BTreeMap::new(),
             refusals: BTreeMap::new(),
+            processor_times,
+            longest_stall_ms: 0,
             memory_mb,
         };
         for event in &events {
             if COUNTED.contains(&event.code) {
                 *outcome.events.entry(event.code).or_default() += 1;
             }
+            if event.code == 109 {
+                let late_ms = event.facts["facts"]["late_ms"].as_u64().unwrap_or(0);
+                outcome.longest_stall_ms = outcome.longest_stall_ms.max(late_ms);
+            }
             if event.code == 228 {
-                let reason = event.facts["reason"].to_string();
+                let reason = event.facts["detail"]
+                    .as_str()
+                    .unwrap_or_default()
+                    .to_owned();
                 *outcome.refusals.entry(reason).or_default() += 1;
             }
         }
