node: PeerUnreachable tells the size of the batch that was dropped

The event gave only the address, so that an unreachable peer and a batch too large for the timeout looked the same.

--- a/crates/node/src/mail.rs
+++ b/crates/node/src/mail.rs
@@ -96,18 +96,21 @@
             if messages.is_empty() {
                 return;
             }
+            let message_count = messages.len() as u64;
             let sent = self.send_batch(to, messages).await;
-            if sent {
+            let Err(byte_count) = sent else {
                 if failed_before {
                     let event = Event::new(Code::PeerReached, to.to_string());
                     self.timeline.record_event(event);
                 }
                 failed_before = false;
                 continue;
-            }
+            };
             if !failed_before {
-                self.timeline
-                    .record_event(Event::new(Code::PeerUnreachable, to.to_string()));
+                let event = Event::new(Code::PeerUnreachable, to.to_string())
+                    .with_fact("messages", message_count)
+                    .with_fact("bytes", byte_count);
+                self.timeline.record_event(event);
             }
             failed_before = true;
             monoio::time::sleep(RETRY_PAUSE).await;
@@ -128,7 +131,8 @@
         messages
     }
 
-    async fn send_batch(&self, to: SocketAddr, messages: Vec<Message>) -> bool {
+    /// Sends a batch; the error is its encoded size in bytes.
+    async fn send_batch(&self, to: SocketAddr, messages: Vec<Message>) -> Result<(), u64> {
         let batch = Batch {
             from: self.me.clone(),
             stamp: self.timeline.timestamp(),
@@ -138,20 +142,21 @@
             Ok(body) => body,
             Err(error) => {
                 log::error!("can't encode a message batch: {error}");
-                return false;
+                return Err(0);
             }
         };
+        let byte_count = body.len() as u64;
         let mut request = Request::post("/peer/mail", body);
         request.headers.insert(SECRET_HEADER, self.secret.clone());
         match self.pool.call(to, request, SEND_TIMEOUT).await {
-            Ok((status, _)) if status.is_success() => true,
+            Ok((status, _)) if status.is_success() => Ok(()),
             Ok((status, _)) => {
                 log::warn!("{to} refused messages with status {status}");
-                false
+                Err(byte_count)
             }
             Err(error) => {
                 log::debug!("{to}: {error}");
-                false
+                Err(byte_count)
             }
         }
     }
