--- a/crates/node/src/mail.rs
+++ b/crates/node/src/mail.rs
@@ -53,7 +53,10 @@
     /// The peer can't decode it and has handled none of its messages.
     Refused,
     /// It was not delivered.
-    Failed,
+    Failed {
+        /// Its size.
+        bytes: usize,
+    },
 }
 
 #[derive(Default)]
@@ -109,18 +112,21 @@
             if messages.is_empty() {
                 return;
             }
+            let message_count = messages.len();
             let sent = self.send_messages(to, messages).await;
-            if sent {
+            let Err(batch_bytes) = sent else {
                 if failed_before {
                     let event = Event::new(Code::PeerReached, to.to_string());
                     self.timeline.record_event(event);
                 }
                 failed_before = false;
                 continue;
-            }
+            };
             if !failed_before {
-                self.timeline
-                    .record_event(Event::new(Code::PeerUnreachable, to.to_string()));
+                let event = Event::new(Code::PeerUnreachable, to.to_string())
+                    .with_fact("messages", message_count as u64)
+                    .with_fact("bytes", batch_bytes as u64);
+                self.timeline.record_event(event);
             }
             failed_before = true;
             monoio::time::sleep(RETRY_PAUSE).await;
@@ -141,9 +147,13 @@
         messages
     }
 
-    /// Sends messages as one batch, or in parts if the peer refuses it; returns whether the peer
-    /// was reached.
-    async fn send_messages(&self, to: SocketAddr, messages: Vec<Message>) -> bool {
+    /// Sends messages as one batch, or in parts if the peer refuses it. The error is the size of the batch
+    /// that was not delivered, in bytes.
+    async fn send_messages(
+        &self,
+        to: SocketAddr,
+        messages: Vec<Message>,
+    ) -> std::result::Result<(), usize> {
         // Parts to send, the next one last.
         let mut parts = vec![messages];
         while let Some(mut messages) = parts.pop() {
@@ -158,10 +168,10 @@
                     self.timeline
                         .record_event(event.with_fact("messages", 1_u64));
                 }
-                Delivery::Failed => return false,
+                Delivery::Failed { bytes } => return Err(bytes),
             }
         }
-        true
+        Ok(())
     }
 
     /// Sends one batch; `messages` keeps its content.
@@ -177,9 +187,10 @@
             Ok(body) => body,
             Err(error) => {
                 log::error!("can't encode a message batch: {error}");
-                return Delivery::Failed;
+                return Delivery::Failed { bytes: 0 };
             }
         };
+        let bytes = body.len();
         let mut request = Request::post("/peer/mail", body);
         request.headers.insert(SECRET_HEADER, self.secret.clone());
         match self.pool.call(to, request, SEND_TIMEOUT).await {
@@ -187,11 +198,11 @@
             Ok((StatusCode::BAD_REQUEST, _)) => Delivery::Refused,
             Ok((status, _)) => {
                 log::warn!("{to} refused messages with status {status}");
-                Delivery::Failed
+                Delivery::Failed { bytes }
             }
             Err(error) => {
                 log::debug!("{to}: {error}");
-                Delivery::Failed
+                Delivery::Failed { bytes }
             }
         }
     }
