--- a/crates/testkit/examples/recover.rs
+++ b/crates/testkit/examples/recover.rs
@@ -97,12 +97,10 @@
                 folder.display()
             );
         }
-        match failures.is_empty() && !arguments.keep {
-            true => drop(std::fs::remove_dir_all(&folder)),
-            false => {}
-        }
         if !failures.is_empty() {
             failed.push(seed);
+        } else if !arguments.keep {
+            drop(std::fs::remove_dir_all(&folder));
         }
     }
     println!("{} seeds, failed: {failed:?}", arguments.seeds);
