control: followers get the whole configuration once, with the confirmation that they wait for

Cause: while no quorum was reachable, control answered every poll of a starting follower with the whole configuration, although followers serve nothing before a quorum has confirmed its version; the second poll of each round brought another copy.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -587,10 +587,13 @@
         let with_loads = reason != UpdateReason::Push;
         let newer_config = || self.state.config.update_since(poll.version, &poll.digest);
         let mut config = poll.wants_config.then(newer_config).flatten();
+        // A follower serves nothing before a quorum has confirmed the version.
+        let awaits_confirmation = poll.wants_confirmation && reason != UpdateReason::ConfirmedPoll;
         if let Some(ConfigUpdate::Snapshot { version, .. }) = config
-            && !self
-                .followers
-                .begin_snapshot(now, process, follower, version)
+            && (awaits_confirmation
+                || !self
+                    .followers
+                    .begin_snapshot(now, process, follower, version))
         {
             config = None;
         }
--- a/crates/control/tests/follower_resend.rs
+++ b/crates/control/tests/follower_resend.rs
@@ -54,6 +54,17 @@
     assert!(!cluster.received.is_empty(), "the poll is answered");
 }
 
+#[test]
+fn process_without_a_quorum_sends_no_configuration_to_followers_that_want_confirmation() {
+    let mut cluster = cluster_with_config();
+    for other in 1..3 {
+        cluster.kill(other);
+    }
+    cluster.run(5000);
+    assert_eq!(poll(&mut cluster, 1), 0);
+    assert!(!cluster.received.is_empty(), "the poll is answered");
+}
+
 #[test]
 fn lost_configuration_is_sent_again() {
     let mut cluster = cluster_with_config();
--- a/crates/core/src/follow.rs
+++ b/crates/core/src/follow.rs
@@ -326,7 +326,8 @@
             digest: self.document.digest(),
             directory_revision: None,
             wants_directory: false,
-            wants_config: self.wants_config,
+            // Until the first confirmation, each poll goes to another control process anyway.
+            wants_config: self.wants_config && self.confirmed,
             wants_confirmation: false,
             poll_number: self.poll_number,
             demands: Vec::new(),
