log: a leader handles what arrived during its own pause before it steps down

Cause: a leader steps down when no quorum has responded for an election timeout. After a pause of its own (suspended, or no processor) it checked this before it handled the responses that had arrived meanwhile, and left office although all voters had answered; the next election needs all three remaining voters again. The directory already extends leases after such a pause; this is the same class, a process that takes its own pause for the silence of others.

Change: after a pause of two heartbeat intervals it stays for two more. Leases and reads are not concerned: they depend on the time of the last contact alone, and a newer leader deposes it by its term.

leader_handles_responses_that_arrived_during_its_pause_before_it_steps_down fails without the change.

--- a/crates/control/src/log/leader.rs
+++ b/crates/control/src/log/leader.rs
@@ -18,6 +18,10 @@
 /// Rounds whose start is kept; a response to an older one doesn't count as contact.
 const ROUND_STARTS_MAX: usize = 256;
 
+/// Heartbeat intervals without an input after which a leader has been suspended or starved: it ticks once in
+/// each.
+const PAUSE_INTERVALS: u32 = 2;
+
 /// Read queries that may wait for a round.
 const READ_QUERIES_MAX: usize = 4096;
 
@@ -32,6 +36,10 @@
     pub(super) peers: BTreeMap<Id, Peer>,
     pub(super) round: u64,
     pub(super) elected_at: Instant,
+    /// When it last handled an input.
+    last_tick: Instant,
+    /// When its last pause ended.
+    resumed_at: Instant,
     /// Numbers and starts of the latest rounds.
     round_starts: VecDeque<(u64, Instant)>,
     read_queries: Vec<ReadQuery>,
@@ -107,6 +115,8 @@
             peers: BTreeMap::new(),
             round: 0,
             elected_at: now,
+            last_tick: now,
+            resumed_at: now,
             round_starts: VecDeque::new(),
             read_queries: Vec::new(),
         };
@@ -214,10 +224,20 @@
     }
 
     pub(super) fn tick_leader(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let pause = self.options.heartbeat_interval * PAUSE_INTERVALS;
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        if now.since(leader.last_tick) >= pause {
+            leader.resumed_at = now;
+        }
+        leader.last_tick = now;
+        // Responses that arrived during a pause of this process are still unhandled.
+        let may_have_responses = now.since(leader.resumed_at) < pause;
         let Role::Leader(leader) = &self.role else {
             return;
         };
-        if now >= self.quorum_deadline(leader) {
+        if now >= self.quorum_deadline(leader) && !may_have_responses {
             self.become_follower(now, self.hard_state.term, None, out);
             return;
         }
--- a/crates/control/tests/log_steps.rs
+++ b/crates/control/tests/log_steps.rs
@@ -244,6 +244,30 @@
     assert!(grants_vote(&harness.complete_writes()));
 }
 
+/// A leader that was starved must not take its own pause for silence of the others.
+#[test]
+fn leader_handles_responses_that_arrived_during_its_pause_before_it_steps_down() {
+    let mut harness = ReplicaHarness::start(recovered(3, None, Vec::new()));
+    let round = greatest_round(&harness.win_election());
+    harness.complete_writes();
+    harness.acknowledge(1, 2, round);
+    harness.wait(2500);
+    let round = greatest_round(&harness.handle_input(Input::Tick));
+    assert!(harness.replica.is_leader());
+    harness.wait(50);
+    harness.acknowledge(1, 2, round);
+    for _ in 0..8 {
+        harness.wait(200);
+        harness.handle_input(Input::Tick);
+        assert!(harness.replica.is_leader());
+    }
+    for _ in 0..4 {
+        harness.wait(200);
+        harness.handle_input(Input::Tick);
+    }
+    assert!(!harness.replica.is_leader(), "nobody responds");
+}
+
 #[test]
 fn pre_vote_changes_no_term() {
     let mut harness = ReplicaHarness::start(recovered(3, None, Vec::new()));
