--- a/crates/control/src/log/election.rs
+++ b/crates/control/src/log/election.rs
@@ -14,6 +14,10 @@
 use super::leader::Leader;
 use super::replica::{Replica, Role};
 
+/// Rounds of pre-votes in which a candidate may be yielded to: it may be unable to reach a replica whose vote it
+/// needs, while its rival reaches all.
+const YIELDED_ROUNDS_MAX: u32 = 3;
+
 /// What a candidate has been granted.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Candidacy {
@@ -22,6 +26,8 @@
     /// Votes in the current term, if it has requested any. They count until it enters another term, so that
     /// an election succeeds although a slow vote arrives after the election timeout.
     pub(super) votes: Option<BTreeSet<Id>>,
+    /// Rounds of pre-votes since it last followed a leader or began an election.
+    rounds: u32,
 }
 
 impl Replica {
@@ -41,12 +47,15 @@
         self.report_failed_election(now, out);
         self.reset_election_timeout(now);
         self.leader = None;
-        let votes = match &mut self.role {
-            Role::Candidate(candidacy) => candidacy.votes.take(),
-            _ => None,
+        let (votes, rounds) = match &mut self.role {
+            Role::Candidate(candidacy) => (candidacy.votes.take(), candidacy.rounds),
+            _ => (None, 0),
         };
-        let pre_votes = Some(BTreeSet::from([self.id]));
-        self.role = Role::Candidate(Candidacy { pre_votes, votes });
+        self.role = Role::Candidate(Candidacy {
+            pre_votes: Some(BTreeSet::from([self.id])),
+            votes,
+            rounds: rounds + 1,
+        });
         self.request_votes(true, false, out);
         self.count_votes(now, out);
     }
@@ -79,6 +88,7 @@
         self.role = Role::Candidate(Candidacy {
             pre_votes: None,
             votes: Some(BTreeSet::new()),
+            rounds: 0,
         });
         self.request_votes(false, after_restart, out);
     }
@@ -182,10 +192,11 @@
         let up_to_date = (last_term, last_index) >= local_last;
         if pre_vote {
             let is_preferred = (last_term, last_index) > local_last || message.from < self.id;
-            let is_rival = matches!(self.role, Role::Candidate(_))
-                && message.term == self.hard_state.term.next();
-            // A vote would have to wait for pending writes. Of two replicas that request pre-votes for the
-            // same term, one yields.
+            // Of two replicas that request pre-votes for the same term, one yields.
+            let is_rival = message.term == self.hard_state.term.next()
+                && matches!(&self.role, Role::Candidate(candidacy)
+                    if candidacy.rounds <= YIELDED_ROUNDS_MAX);
+            // A vote would have to wait for the pending writes.
             let may_vote = self.is_all_durable() && (is_preferred || !is_rival);
             let granted =
                 up_to_date && message.term > self.hard_state.term && (after_restart || may_vote);
--- a/crates/control/tests/log_net/mod.rs
+++ b/crates/control/tests/log_net/mod.rs
@@ -11,7 +11,7 @@
 use eelgrassdyke_control::store::{Error, Store};
 use eelgrassdyke_core::id::{Index, Replica as Id, Term};
 use eelgrassdyke_core::time::Instant;
-use eelgrassdyke_core::wire::log::{Members, Message, Payload, Record};
+use eelgrassdyke_core::wire::log::{Body, Members, Message, Payload, Record};
 use eelgrassdyke_core::wire::{decode, encode};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
@@ -104,6 +104,12 @@
     acknowledged_before: BTreeMap<u64, Index>,
     last_acknowledged: Index,
     last_token: u64,
+    /// Pairs of a sender and a receiver between which messages are lost.
+    pub cut: BTreeSet<(SocketAddr, SocketAddr)>,
+    /// A host whose messages, from and to it, take longer by the given time.
+    pub distant: Option<(SocketAddr, Duration)>,
+    /// Receiver, index and offset of each part of a snapshot that was sent.
+    pub parts: Vec<(SocketAddr, Index, u64)>,
     /// Messages in transit: time of arrival, sender, receiver and content.
     messages: Vec<(Instant, SocketAddr, SocketAddr, Message)>,
     /// The leader of each term.
@@ -165,6 +171,9 @@
             acknowledged_before: BTreeMap::new(),
             last_acknowledged: Index(0),
             last_token: 0,
+            cut: BTreeSet::new(),
+            distant: None,
+            parts: Vec::new(),
             messages: Vec::new(),
             leaders: BTreeMap::new(),
         };
@@ -291,6 +300,15 @@
     }
 
     fn send(&mut self, from: SocketAddr, to: SocketAddr, message: Message) {
+        if let Body::InstallSnapshot {
+            last_index, offset, ..
+        } = message.body
+        {
+            self.parts.push((to, last_index, offset));
+        }
+        if self.cut.contains(&(from, to)) {
+            return;
+        }
         let copies = match self.rng.random_range(0..1000) {
             roll if roll < self.faults.loss_permille => 0,
             roll if roll < self.faults.loss_permille + self.faults.duplication_permille => 2,
@@ -300,7 +318,12 @@
         let bytes = encode(&message).expect("encodable");
         for _ in 0..copies {
             let delay = self.rng.random_range(100..=self.faults.delay_max_us);
-            let at = self.now + Duration::from_micros(delay);
+            let mut at = self.now + Duration::from_micros(delay);
+            if let Some((host, distance)) = self.distant
+                && (host == from || host == to)
+            {
+                at = at + distance;
+            }
             let message = decode(&bytes).expect("valid encoding");
             self.messages.push((at, from, to, message));
         }
--- a/crates/control/tests/log_slow.rs
+++ b/crates/control/tests/log_slow.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use eelgrassdyke_control::log::Options;
+use eelgrassdyke_core::time::Instant;
 use log_net::{Cluster, Faults, NO_FAULTS, low_limits};
 use test_case::test_case;
 
@@ -118,3 +119,36 @@
         late.len()
     );
 }
+
+/// Guards against a candidate that can't win and refuses its pre-vote, for good, to the one that can.
+#[test_case(false; "one way")]
+#[test_case(true; "both ways")]
+fn a_replica_that_reaches_all_others_is_elected_although_two_cannot_reach_each_other(
+    both_ways: bool,
+) {
+    let mut stuck = Vec::new();
+    for seed in 0..SEEDS {
+        let mut cluster = started_cluster(seed);
+        let leader = cluster.leader().expect("it has a leader");
+        for host in [leader, (leader + 1) % VOTERS] {
+            cluster.crash(host, false);
+            cluster.hosts[host].restart_at = Instant(u64::MAX);
+        }
+        let mut rest: Vec<usize> = (2..VOTERS).map(|k| (leader + k) % VOTERS).collect();
+        rest.sort_by_key(|host| cluster.id(*host));
+        let [lowest, highest] = [rest[0], rest[2]].map(|host| cluster.hosts[host].address);
+        cluster.cut.insert((lowest, highest));
+        if both_ways {
+            cluster.cut.insert((highest, lowest));
+        }
+        let limit = Duration::from_secs(60);
+        if time_to_confirmed_read(&mut cluster, limit).is_none() {
+            stuck.push(seed);
+        }
+    }
+    assert!(
+        stuck.is_empty(),
+        "no leader in {} of {SEEDS} seeds: {stuck:?}",
+        stuck.len()
+    );
+}
