--- a/crates/control/src/log/leader.rs
+++ b/crates/control/src/log/leader.rs
@@ -75,8 +75,8 @@
     pub snapshot: Snapshot,
     /// Offset of the next part, in bytes.
     pub offset: usize,
-    /// Round in which the part was sent; `None` if it is due.
-    pub sent_in_round: Option<u64>,
+    /// When the part was sent; `None` if it is due.
+    pub sent_at: Option<Instant>,
 }
 
 /// Read query that waits for a quorum to confirm this leader.
@@ -295,7 +295,7 @@
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
-        // Whoever sent the oldest query has given up on it.
+        // The oldest query is dropped; its origin repeats it.
         if leader.read_queries.len() >= READ_QUERIES_MAX {
             leader.read_queries.remove(0);
         }
@@ -346,9 +346,12 @@
             Body::InstallProgress { offset, round } => {
                 leader.record_response(message.from, round);
                 let peer = leader.peers.get_mut(&message.from);
-                if let Some(transfer) = peer.and_then(|peer| peer.transfer.as_mut()) {
+                // The response to a part that was sent twice must not send the next one twice as well.
+                if let Some(transfer) = peer.and_then(|peer| peer.transfer.as_mut())
+                    && transfer.offset != offset as usize
+                {
                     transfer.offset = (offset as usize).min(transfer.snapshot.data.len());
-                    transfer.sent_in_round = None;
+                    transfer.sent_at = None;
                 }
             }
             _ => {}
@@ -416,7 +419,7 @@
         }
         let peers: Vec<Id> = leader.peers.keys().copied().collect();
         for peer in peers {
-            self.replicate_to(peer, out);
+            self.replicate_to(now, peer, out);
         }
         self.respond_to_read_queries(&members, out);
         self.release_cached_snapshot();
@@ -503,7 +506,7 @@
                 ..snapshot.clone()
             },
             offset: 0,
-            sent_in_round: None,
+            sent_at: None,
         }
     }
 }
--- a/crates/control/src/log/replication.rs
+++ b/crates/control/src/log/replication.rs
@@ -9,8 +9,9 @@
 use super::leader::SnapshotTransfer;
 use super::replica::{Replica, Role};
 
-/// Rounds after which an unacknowledged part of a snapshot is sent again.
-const PART_RETRY_ROUNDS: u64 = 5;
+/// Heartbeat intervals after which an unacknowledged part of a snapshot is sent again. Rounds are no measure, as
+/// each read query may start one.
+const PART_RETRY_INTERVALS: u32 = 5;
 
 /// Largest snapshot that is accepted.
 const SNAPSHOT_BYTES_MAX: usize = 1 << 30;
@@ -29,7 +30,7 @@
     /// of a snapshot.
     ///
     /// [`in_flight_max`]: super::Options::in_flight_max
-    pub(super) fn replicate_to(&mut self, id: Id, out: &mut Vec<Output>) {
+    pub(super) fn replicate_to(&mut self, now: Instant, id: Id, out: &mut Vec<Output>) {
         let (base_index, commit_index) = (self.log.base_index(), self.commit_index);
         let (batch_bytes, in_flight_max) = (
             self.options.batch_bytes,
@@ -43,7 +44,7 @@
             return;
         };
         if peer.next_index <= base_index {
-            self.send_snapshot_part(id, out);
+            self.send_snapshot_part(now, id, out);
             return;
         }
         let mut bodies = Vec::new();
@@ -78,7 +79,8 @@
     }
 
     /// Sends the next part of a snapshot to a member that lacks records before the log's base.
-    fn send_snapshot_part(&mut self, id: Id, out: &mut Vec<Output>) {
+    fn send_snapshot_part(&mut self, now: Instant, id: Id, out: &mut Vec<Output>) {
+        let retry_after = self.options.heartbeat_interval * PART_RETRY_INTERVALS;
         let snapshot_part_bytes = self.options.snapshot_part_bytes;
         let commit_index = self.commit_index;
         let base_index = self.log.base_index();
@@ -102,9 +104,9 @@
         match &mut peer.transfer {
             None => lacks_snapshot = true,
             Some(transfer) => {
-                let sent = transfer.sent_in_round;
-                if sent.is_none_or(|sent| round >= sent + PART_RETRY_ROUNDS) {
-                    transfer.sent_in_round = Some(round);
+                let sent_at = transfer.sent_at;
+                if sent_at.is_none_or(|sent_at| now.since(sent_at) >= retry_after) {
+                    transfer.sent_at = Some(now);
                     bodies.push(next_part(transfer, snapshot_part_bytes, round));
                 }
             }
--- a/crates/control/tests/log_slow.rs
+++ b/crates/control/tests/log_slow.rs
@@ -3,6 +3,7 @@
 
 mod log_net;
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use eelgrassdyke_control::log::Options;
@@ -152,3 +153,39 @@
         stuck.len()
     );
 }
+
+/// Guards against parts of a snapshot that multiply: each copy of a part brings another response, and each
+/// response another copy of the next part.
+#[test_case(100; "one tenth of a second away")]
+#[test_case(600; "six tenths of a second away")]
+fn parts_of_a_snapshot_for_a_distant_member_do_not_multiply(distance_ms: u64) {
+    for seed in 0..10 {
+        let mut cluster = Cluster::new(seed, 3, 0);
+        cluster.run_until(Duration::from_secs(20), |cluster| {
+            cluster.leader().is_some()
+        });
+        let leader = cluster.leader().expect("it has a leader");
+        let late = (leader + 1) % 3;
+        cluster.crash(late, false);
+        cluster.hosts[late].restart_at = Instant(u64::MAX);
+        for _ in 0..200 {
+            cluster.propose(leader);
+            cluster.run(Duration::from_millis(10));
+        }
+        let distance = Duration::from_millis(distance_ms);
+        cluster.distant = Some((cluster.hosts[late].address, distance));
+        cluster.parts.clear();
+        cluster.start(late);
+        for _ in 0..1500 {
+            cluster.query_read_index(leader);
+            cluster.run(Duration::from_millis(20));
+        }
+        let distinct: BTreeSet<_> = cluster.parts.iter().collect();
+        let (sent, needed) = (cluster.parts.len(), distinct.len());
+        assert!(needed > 0, "seed {seed}: the late member needs a snapshot");
+        assert!(
+            sent <= 3 * needed,
+            "seed {seed}: {sent} parts sent, {needed} needed"
+        );
+    }
+}
