control: query numbers of an earlier incarnation are not used again

Found by review, by reading: query numbers began at 1 after each start, and a response carries only the number and the identity of the replica, which its disk keeps. A response to the first query of a process that died could confirm the first query of its successor with an index from before a change accepted in between, so that a read returned the older configuration. Numbers now begin at the incarnation. No test: it would compare two constants.

--- a/crates/control/src/confirm.rs
+++ b/crates/control/src/confirm.rs
@@ -2,10 +2,13 @@
 
 use std::collections::BTreeMap;
 
-use eelgrassdyke_core::id::{Index, Process};
+use eelgrassdyke_core::id::{Incarnation, Index, Process};
 
 use crate::followers::Follower;
 
+/// Bits of a query number below the incarnation, which is a time in microseconds.
+const INCARNATION_SHIFT: u32 = 12;
+
 /// Most followers that may wait at once.
 const PENDING_MAX: usize = 4096;
 
@@ -20,6 +23,15 @@
 }
 
 impl Confirmations {
+    /// Starts the query numbers of an incarnation. Those of different incarnations differ, so that a late response
+    /// to an earlier one confirms no query of this one.
+    pub fn new(incarnation: Incarnation) -> Self {
+        Self {
+            last_query_number: incarnation.0 << INCARNATION_SHIFT,
+            ..Self::default()
+        }
+    }
+
     /// Adds a follower and returns the number of the query to hand to the log.
     pub fn add(&mut self, process: Process, follower: Follower) -> u64 {
         // A follower that polls again no longer waits for its earlier poll.
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -99,7 +99,7 @@
                 .with_lease(options.server_lease),
             replica,
             proposals: Proposals::default(),
-            confirmations: Confirmations::default(),
+            confirmations: Confirmations::new(local.incarnation),
             reads: PublicationReads::default(),
             state: State::default(),
             followers: Followers::default(),
@@ -593,7 +593,7 @@
             && (awaits_confirmation
                 || !self
                     .followers
-                    .begin_snapshot(now, process, follower, version))
+                    .try_begin_snapshot(now, process, follower, version))
         {
             config = None;
         }
--- a/crates/control/src/followers.rs
+++ b/crates/control/src/followers.rs
@@ -21,7 +21,7 @@
 /// Time after its last poll at which a follower is removed.
 const RETENTION: Duration = Duration::from_secs(60);
 
-/// Time after which a message has been delivered or dropped.
+/// Time for which a snapshot may still be under way after it was sent: the time-out of a batch.
 const DELIVERY_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// One follower.
@@ -80,9 +80,9 @@
         }
     }
 
-    /// Whether to send a snapshot of `version` to a follower; false while one that was sent to it, when it
-    /// held the same as now, may still arrive.
-    pub fn begin_snapshot(
+    /// Records that a snapshot of `version` is sent to a follower. Returns false, and records nothing, while one
+    /// that was sent to it when it held the same as now may still arrive.
+    pub fn try_begin_snapshot(
         &mut self,
         now: Instant,
         process: &Process,
--- a/crates/control/src/log/replica.rs
+++ b/crates/control/src/log/replica.rs
@@ -393,10 +393,11 @@
             _ => {
                 self.tick_without_leader(now, out);
                 if self.is_voter() && now >= self.election_deadline {
-                    match self.is_all_durable() {
-                        true => self.start_pre_vote(now, out),
-                        // Its vote for itself would have to wait for the earlier writes.
-                        false => self.reset_election_timeout(now),
+                    // With pending writes its vote for itself would have to wait.
+                    if self.is_all_durable() {
+                        self.start_pre_vote(now, out);
+                    } else {
+                        self.reset_election_timeout(now);
                     }
                 }
                 self.request_restart_votes(now, out);
--- a/crates/core/src/follow.rs
+++ b/crates/core/src/follow.rs
@@ -326,7 +326,7 @@
             digest: self.document.digest(),
             directory_revision: None,
             wants_directory: false,
-            // Until the first confirmation, each poll goes to another control process anyway.
+            // Before the first confirmation the configuration comes with the first poll of a round only.
             wants_config: self.wants_config && self.confirmed,
             wants_confirmation: false,
             poll_number: self.poll_number,
