control: the activity of a replica is an enum; slow writes follow from the election timeout

From the review: closed sets are enums, a threshold that follows from an option is derived from it, and the refusal of a replica that can't apply a record names the event.

--- a/crates/control/src/log/durable.rs
+++ b/crates/control/src/log/durable.rs
@@ -12,9 +12,8 @@
 use super::io::{Job, Output, Snapshot, Write};
 use super::replica::{Replica, Role};
 
-/// Time that a write may take before an event reports it: half the shortest election timeout, since an
-/// election needs two writes in a row.
-const SLOW_WRITE: Duration = Duration::from_millis(500);
+/// Writes in a row that an election takes: the candidate's vote for itself and the others' votes.
+const ELECTION_WRITES: u32 = 2;
 
 /// Last record of the log at the time of a job; durable once the job is.
 #[derive(Clone, Debug)]
@@ -95,8 +94,9 @@
         {
             self.issued_jobs.pop_front();
         }
-        if write_age >= SLOW_WRITE {
-            let event = Event::new(Code::DiskSlow, "").with_fact("write_ms", write_age);
+        if write_age >= self.options.election_timeout_min / ELECTION_WRITES {
+            let detail = format!("job {job}");
+            let event = Event::new(Code::DiskSlow, detail).with_fact("write_ms", write_age);
             out.push(Output::Event(event));
         }
         while let Some(mark) = self.durability_marks.front()
--- a/crates/control/src/log/leader.rs
+++ b/crates/control/src/log/leader.rs
@@ -37,7 +37,7 @@
     pub(super) round: u64,
     pub(super) elected_at: Instant,
     /// When it last handled an input.
-    last_tick: Instant,
+    last_input: Instant,
     /// When its last pause ended.
     resumed_at: Instant,
     /// Numbers and starts of the latest rounds.
@@ -115,7 +115,7 @@
             peers: BTreeMap::new(),
             round: 0,
             elected_at: now,
-            last_tick: now,
+            last_input: now,
             resumed_at: now,
             round_starts: VecDeque::new(),
             read_queries: Vec::new(),
@@ -228,10 +228,10 @@
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
-        if now.since(leader.last_tick) >= pause {
+        if now.since(leader.last_input) >= pause {
             leader.resumed_at = now;
         }
-        leader.last_tick = now;
+        leader.last_input = now;
         // Responses that arrived during a pause of this process are still unhandled.
         let may_have_responses = now.since(leader.resumed_at) < pause;
         let Role::Leader(leader) = &self.role else {
--- a/crates/control/src/log/mod.rs
+++ b/crates/control/src/log/mod.rs
@@ -27,5 +27,5 @@
     HardState, Input, Job, MembershipChange, Options, Output, RecoveredState, Refusal,
     ReplicaStatus, Snapshot, Write,
 };
-pub use progress::Progress;
+pub use progress::{Activity, Progress};
 pub use replica::Replica;
--- a/crates/control/src/log/progress.rs
+++ b/crates/control/src/log/progress.rs
@@ -1,5 +1,6 @@
 //! How far a replica has got, for events and metrics about requests that it can't serve.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -9,11 +10,41 @@
 
 use super::replica::{Replica, Role};
 
+/// What a replica does at present.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Activity {
+    /// Has stopped because of a failure.
+    Stopped,
+    /// Belongs to no cluster.
+    Unattached,
+    /// Follows a leader or waits for one.
+    Follower,
+    /// Requests pre-votes.
+    PreCandidate,
+    /// Requests votes.
+    Candidate,
+    /// Leads.
+    Leader,
+}
+
+impl fmt::Display for Activity {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Stopped => "stopped",
+            Self::Unattached => "unattached",
+            Self::Follower => "follower",
+            Self::PreCandidate => "pre_candidate",
+            Self::Candidate => "candidate",
+            Self::Leader => "leader",
+        })
+    }
+}
+
 /// State of a replica at one moment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Progress {
-    /// Its role: `unattached`, `follower`, `pre_candidate`, `candidate`, `leader` or `stopped`.
-    pub role: &'static str,
+    /// What it does.
+    pub activity: Activity,
     /// Highest term that it has seen.
     pub term: Term,
     /// Address of the leader, if known.
@@ -37,7 +68,7 @@
     pub fn add_to(self, event: Event) -> Event {
         let leader = self.leader.map(|leader| leader.to_string());
         event
-            .with_fact("role", self.role)
+            .with_fact("role", self.activity.to_string())
             .with_fact("term", self.term.0)
             .with_fact("leader", leader.unwrap_or_else(|| "unknown".to_owned()))
             .with_fact("contact_age_ms", self.contact_age)
@@ -56,16 +87,16 @@
             Role::Leader(leader) => self.quorum_contact(leader).min(now),
             _ => self.last_leader_contact,
         };
-        let role = match &self.role {
-            _ if self.is_stopped() => "stopped",
-            Role::Unattached => "unattached",
-            Role::Follower => "follower",
-            Role::Candidate(candidacy) if candidacy.pre_votes.is_some() => "pre_candidate",
-            Role::Candidate(_) => "candidate",
-            Role::Leader(_) => "leader",
+        let activity = match &self.role {
+            _ if self.is_stopped() => Activity::Stopped,
+            Role::Unattached => Activity::Unattached,
+            Role::Follower => Activity::Follower,
+            Role::Candidate(candidacy) if candidacy.pre_votes.is_some() => Activity::PreCandidate,
+            Role::Candidate(_) => Activity::Candidate,
+            Role::Leader(_) => Activity::Leader,
         };
         Progress {
-            role,
+            activity,
             term: self.hard_state.term,
             leader: self.leader_address(),
             contact_age: now.since(last_contact),
--- a/crates/control/src/proposals.rs
+++ b/crates/control/src/proposals.rs
@@ -117,7 +117,8 @@
             Refusal::NotLeader => OperatorResponse::NotLeader { leader },
             Refusal::Halted => OperatorResponse::Refused {
                 problem: "this replica can't apply a record of a newer build".to_owned(),
-                remedy: "send it again in a few seconds, and run the newer build here".to_owned(),
+                remedy: "send it again in a few seconds, and run the build that knows it here (event 212)"
+                    .to_owned(),
             },
             Refusal::Overload => OperatorResponse::Refused {
                 problem: "too many changes wait for a quorum".to_owned(),
--- a/crates/node/src/gauges.rs
+++ b/crates/node/src/gauges.rs
@@ -1,6 +1,7 @@
 //! Gauges of the metrics endpoint, read from the roles on each scrape.
 
 use eelgrassdyke_agent::Agent;
+use eelgrassdyke_control::log::Activity;
 use eelgrassdyke_core::id::Version;
 use eelgrassdyke_entry::Entry;
 use metrics::gauge;
@@ -39,7 +40,7 @@
         let quorum = control.read(|control| control.has_quorum(now));
         gauge!("eelgrassdyke_quorum").set(bool_value(quorum));
         let progress = control.read(|control| control.log_progress(now));
-        gauge!("eelgrassdyke_log_leader").set(bool_value(progress.role == "leader"));
+        gauge!("eelgrassdyke_log_leader").set(bool_value(progress.activity == Activity::Leader));
         gauge!("eelgrassdyke_log_term").set(progress.term.0 as f64);
         gauge!("eelgrassdyke_log_contact_age_seconds").set(progress.contact_age.as_secs_f64());
         gauge!("eelgrassdyke_log_write_age_seconds").set(progress.write_age.as_secs_f64());
