--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -548,14 +548,8 @@
         poll: PollRequest,
         out: &mut Vec<Output>,
     ) {
-        self.followers.record_poll(now, from, poll.clone());
         let needs_confirmation = poll.wants_confirmation && self.replica.has_quorum(now);
-        let follower = Follower {
-            incarnation: from.incarnation,
-            address: from.address,
-            poll,
-            polled_at: now,
-        };
+        let follower = self.followers.record_poll(now, from, poll);
         if !needs_confirmation {
             self.send_update(now, &from.process, &follower, UpdateReason::Poll, out);
             return;
--- a/crates/control/src/followers.rs
+++ b/crates/control/src/followers.rs
@@ -62,15 +62,17 @@
 }
 
 impl Followers {
-    /// Records a poll.
-    pub fn record_poll(&mut self, now: Instant, from: &Sender, poll: PollRequest) {
+    /// Records a poll and returns the follower that sent it.
+    pub fn record_poll(&mut self, now: Instant, from: &Sender, poll: PollRequest) -> Follower {
         let follower = Follower {
             incarnation: from.incarnation,
             address: from.address,
             poll,
             polled_at: now,
         };
-        self.by_process.insert(from.process.clone(), follower);
+        self.by_process
+            .insert(from.process.clone(), follower.clone());
+        follower
     }
 
     /// Records the directory revision that was sent to a follower.
--- a/crates/control/src/log/durable.rs
+++ b/crates/control/src/log/durable.rs
@@ -15,12 +15,14 @@
 /// Writes in a row that an election takes: the candidate's vote for itself and the others' votes.
 const ELECTION_WRITES: u32 = 2;
 
-/// Last record of the log at the time of a job; durable once the job is.
+/// A job that is not durable.
 #[derive(Clone, Debug)]
-pub struct DurabilityMark {
-    job: u64,
-    index: Index,
-    term: Term,
+pub struct PendingJob {
+    number: u64,
+    issued_at: Instant,
+    /// Last record of the log at the time of the job; durable once the job is. None if the job writes no
+    /// records.
+    last_record: Option<(Index, Term)>,
 }
 
 impl Replica {
@@ -68,18 +70,14 @@
             return;
         }
         self.last_issued_job += 1;
-        self.issued_jobs.push_back((self.last_issued_job, now));
         let writes = std::mem::take(&mut self.pending_writes);
-        if writes
-            .iter()
-            .any(|write| !matches!(write, Write::HardState(_)))
-        {
-            self.durability_marks.push_back(DurabilityMark {
-                job: self.last_issued_job,
-                index: self.log.last_index(),
-                term: self.log.last_term(),
-            });
-        }
+        let writes_records = |write: &Write| !matches!(write, Write::HardState(_));
+        let last_record = (self.log.last_index(), self.log.last_term());
+        self.pending_jobs.push_back(PendingJob {
+            number: self.last_issued_job,
+            issued_at: now,
+            last_record: writes.iter().any(writes_records).then_some(last_record),
+        });
         out.push(Output::Persist(Job {
             number: self.last_issued_job,
             writes,
@@ -89,24 +87,21 @@
     pub(super) fn handle_persisted(&mut self, now: Instant, job: u64, out: &mut Vec<Output>) {
         self.last_durable_job = self.last_durable_job.max(job);
         let write_age = self.write_age(now);
-        while let Some((issued, _)) = self.issued_jobs.front()
-            && *issued <= self.last_durable_job
-        {
-            self.issued_jobs.pop_front();
-        }
         if write_age >= self.options.election_timeout_min / ELECTION_WRITES {
             let detail = format!("job {job}");
             let event = Event::new(Code::DiskSlow, detail).with_fact("write_ms", write_age);
             out.push(Output::Event(event));
         }
-        while let Some(mark) = self.durability_marks.front()
-            && mark.job <= self.last_durable_job
+        while let Some(job) = self.pending_jobs.front()
+            && job.number <= self.last_durable_job
         {
             // The record may have been replaced since, by one of another term.
-            if self.log.term_at(mark.index) == Some(mark.term) {
-                self.durable_index = self.durable_index.max(mark.index);
+            if let Some((index, term)) = job.last_record
+                && self.log.term_at(index) == Some(term)
+            {
+                self.durable_index = self.durable_index.max(index);
             }
-            self.durability_marks.pop_front();
+            self.pending_jobs.pop_front();
         }
         while let Some((job, ..)) = self.held_messages.front()
             && *job <= self.last_durable_job
@@ -137,8 +132,8 @@
 
     /// Age of the oldest write that is not durable; zero if there is none.
     pub(super) fn write_age(&self, now: Instant) -> Duration {
-        let oldest = self.issued_jobs.front();
-        oldest.map_or(Duration::ZERO, |(_, issued_at)| now.since(*issued_at))
+        let oldest = self.pending_jobs.front();
+        oldest.map_or(Duration::ZERO, |job| now.since(job.issued_at))
     }
 
     /// Whether all writes so far are durable.
--- a/crates/control/src/log/leader.rs
+++ b/crates/control/src/log/leader.rs
@@ -372,16 +372,17 @@
         if index <= self.commit_index || self.log.term_at(index) != Some(self.hard_state.term) {
             return;
         }
-        let was_committed = self.commit_index >= leader.first_index;
-        let event = (!was_committed).then(|| {
-            let event = Event::new(Code::LeaderReady, format!("term {}", self.hard_state.term));
-            event.with_fact("after_ms", now.since(leader.elected_at))
-        });
+        let is_first_commit = self.commit_index < leader.first_index;
+        let leads_for = now.since(leader.elected_at);
         self.commit_index = index;
         self.apply_committed(out);
         self.caught_up = true;
-        out.extend(event.map(Output::Event));
-        self.set_read_targets();
+        if is_first_commit {
+            let detail = format!("term {}", self.hard_state.term);
+            let event = Event::new(Code::LeaderReady, detail).with_fact("after_ms", leads_for);
+            out.push(Output::Event(event));
+            self.set_read_targets();
+        }
 
         // A removed leader steps down once the record of its removal is committed.
         if !self.is_voter() && self.log.members_index() <= self.commit_index {
--- a/crates/control/src/log/replica.rs
+++ b/crates/control/src/log/replica.rs
@@ -10,7 +10,7 @@
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 
-use super::durable::DurabilityMark;
+use super::durable::PendingJob;
 use super::election::Candidacy;
 use super::entries::MemoryLog;
 use super::found::Formation;
@@ -66,9 +66,7 @@
     pub(super) pending_writes: Vec<Write>,
     pub(super) last_issued_job: u64,
     pub(super) last_durable_job: u64,
-    /// When each job that is not durable was issued.
-    pub(super) issued_jobs: VecDeque<(u64, Instant)>,
-    pub(super) durability_marks: VecDeque<DurabilityMark>,
+    pub(super) pending_jobs: VecDeque<PendingJob>,
     /// Messages held back until the given job is durable.
     pub(super) held_messages: VecDeque<(u64, Id, Body)>,
     stop_reason: Option<String>,
@@ -148,8 +146,7 @@
             pending_writes: Vec::new(),
             last_issued_job: 0,
             last_durable_job: 0,
-            issued_jobs: VecDeque::new(),
-            durability_marks: VecDeque::new(),
+            pending_jobs: VecDeque::new(),
             held_messages: VecDeque::new(),
             stop_reason: None,
             rng: ChaCha8Rng::from_seed(seed),
--- a/crates/control/src/publish.rs
+++ b/crates/control/src/publish.rs
@@ -49,14 +49,8 @@
     pub(crate) fn read_publication(&mut self, now: Instant, ticket: Ticket, out: &mut Vec<Output>) {
         if !self.replica.has_quorum(now) {
             let reason = "no recent contact with a leader or a quorum";
-            let waited = Duration::ZERO;
-            out.push(PublicationReads::refusal_event(
-                now,
-                &self.replica,
-                reason,
-                waited,
-            ));
-            out.push(PublicationReads::no_quorum_response(ticket));
+            let refusal = (reason, Duration::ZERO);
+            PublicationReads::refuse(now, &self.replica, ticket, refusal, out);
             return;
         }
         let query_number = self.confirmations.next_query_number();
--- a/crates/control/src/reads.rs
+++ b/crates/control/src/reads.rs
@@ -132,22 +132,23 @@
                     Some(_) => "the confirmed index is not applied in time",
                     None => "no quorum confirmed the committed index in time",
                 };
-                out.push(Self::refusal_event(now, replica, reason, waited));
-                out.push(Self::no_quorum_response(read.ticket));
+                Self::refuse(now, replica, read.ticket, (reason, waited), out);
             }
             !timed_out
         });
     }
 
-    /// The event that a read was refused, for `reason` and after it has waited.
-    pub fn refusal_event(
+    /// Refuses a read, with the reason and the time for which it has waited, and records that.
+    pub fn refuse(
         now: Instant,
         replica: &Replica,
-        reason: &str,
-        waited: Duration,
-    ) -> Output {
+        ticket: Ticket,
+        (reason, waited): (&str, Duration),
+        out: &mut Vec<Output>,
+    ) {
         let event = Event::new(Code::ConfigReadRefused, reason).with_fact("waited_ms", waited);
-        Output::Event(replica.progress(now).add_to(event))
+        out.push(Output::Event(replica.progress(now).add_to(event)));
+        out.push(Self::no_quorum_response(ticket));
     }
 
     /// The response when no quorum can be reached, to an operator or to a server without an agent.
--- a/crates/control/tests/log_net/mod.rs
+++ b/crates/control/tests/log_net/mod.rs
@@ -183,6 +183,22 @@
         cluster
     }
 
+    /// A cluster of `founder_count` voters that run with `options` and have a leader.
+    pub fn with_leader(seed: u64, founder_count: usize, options: Options) -> Self {
+        let mut cluster = Self::new(seed, founder_count, 0);
+        for host in 0..founder_count {
+            cluster.crash(host, false);
+        }
+        cluster.options = options;
+        for host in 0..founder_count {
+            cluster.start(host);
+        }
+        cluster.run_until(Duration::from_secs(20), |cluster| {
+            cluster.leader().is_some()
+        });
+        cluster
+    }
+
     /// The time on a host's clock.
     fn local_time(&self, host: usize) -> Instant {
         Instant(self.now.0 * self.hosts[host].clock_rate_permille / 1000)
--- a/crates/control/tests/log_restart.rs
+++ b/crates/control/tests/log_restart.rs
@@ -19,21 +19,11 @@
 
 /// A cluster of `voters` with a leader, which elects after a restart as set.
 fn started_cluster(seed: u64, voters: usize, elects_after_restart: bool) -> Cluster {
-    let mut cluster = Cluster::new(seed, voters, 0);
-    cluster.faults = NO_FAULTS;
-    for host in 0..voters {
-        cluster.crash(host, false);
-    }
-    cluster.options = Options {
+    let options = Options {
         elects_after_restart,
         ..low_limits()
     };
-    for host in 0..voters {
-        cluster.start(host);
-    }
-    cluster.run_until(Duration::from_secs(20), |cluster| {
-        cluster.leader().is_some()
-    });
+    let mut cluster = Cluster::with_leader(seed, voters, options);
     cluster.run(Duration::from_secs(1));
     cluster
 }
--- a/crates/control/tests/log_slow.rs
+++ b/crates/control/tests/log_slow.rs
@@ -26,21 +26,12 @@
 
 /// A cluster with a leader and some records.
 fn started_cluster(seed: u64) -> Cluster {
-    let mut cluster = Cluster::new(seed, VOTERS, 0);
-    for host in 0..VOTERS {
-        cluster.crash(host, false);
-    }
-    cluster.options = Options {
+    let options = Options {
         elects_after_restart: true,
         manages_members: true,
         ..low_limits()
     };
-    for host in 0..VOTERS {
-        cluster.start(host);
-    }
-    cluster.run_until(Duration::from_secs(20), |cluster| {
-        cluster.leader().is_some()
-    });
+    let mut cluster = Cluster::with_leader(seed, VOTERS, options);
     for _ in 0..20 {
         cluster.run(Duration::from_millis(50));
         if let Some(leader) = cluster.leader() {
--- a/crates/control/tests/upgrade.rs
+++ b/crates/control/tests/upgrade.rs
@@ -42,8 +42,8 @@
     bytes.windows(part.len()).any(|window| window == part)
 }
 
-/// Makes a command of the newer build unknown, as a new variant of the action is.
-fn make_unknown(message: &mut Message) {
+/// Replaces the name of the action, of the same length, in the commands of the newer build.
+fn rename_action(message: &mut Message, from: &[u8], to: &[u8]) {
     let Message::Log(message) = message else {
         return;
     };
@@ -54,38 +54,18 @@
         let Payload::Command(command) = &mut record.payload else {
             continue;
         };
-        let name = b"Submit";
-        let at = command.windows(name.len()).position(|bytes| bytes == name);
+        let at = command.windows(from.len()).position(|bytes| bytes == from);
         if let (Some(at), true) = (at, contains(command, NEWER)) {
-            command[at..at + name.len()].copy_from_slice(b"Newest");
+            command[at..at + from.len()].copy_from_slice(to);
         }
     }
 }
 
-/// Restores such a command, for a process of the newer build.
-fn make_known(message: &mut Message) {
-    let Message::Log(message) = message else {
-        return;
-    };
-    let Body::Append { records, .. } = &mut message.body else {
-        return;
-    };
-    for record in records {
-        let Payload::Command(command) = &mut record.payload else {
-            continue;
-        };
-        let name = b"Newest";
-        if let Some(at) = command.windows(name.len()).position(|bytes| bytes == name) {
-            command[at..at + name.len()].copy_from_slice(b"Submit");
-        }
-    }
-}
-
-/// Process 0 runs the newer build, the others the earlier one.
+/// Process 0 runs the newer build. The others run the earlier one, to which the action is an unknown variant.
 fn rewrite(receiver: usize, message: &mut Message) {
     match receiver {
-        0 => make_known(message),
-        _ => make_unknown(message),
+        0 => rename_action(message, b"Newest", b"Submit"),
+        _ => rename_action(message, b"Submit", b"Newest"),
     }
 }
 
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -87,6 +87,7 @@
 pub struct Driver<C: Core> {
     core: RefCell<C>,
     clock: Clock,
+    timeline: Rc<Timeline>,
     sleeping_until: Cell<Instant>,
     wake_sender: UnboundedSender<()>,
     wake_receiver: RefCell<Option<UnboundedReceiver<()>>>,
@@ -94,11 +95,12 @@
 
 impl<C: Core + 'static> Driver<C> {
     /// Creates a driver; [`Driver::run`] starts its timer.
-    pub fn new(core: C, clock: Clock) -> Self {
+    pub fn new(core: C, clock: Clock, timeline: Rc<Timeline>) -> Self {
         let (wake_sender, wake_receiver) = unbounded();
         Self {
             core: RefCell::new(core),
             clock,
+            timeline,
             sleeping_until: Cell::new(Instant(0)),
             wake_sender,
             wake_receiver: RefCell::new(Some(wake_receiver)),
@@ -123,7 +125,7 @@
     }
 
     /// Calls `tick` at each deadline of the core, and records wake-ups that are late; never returns.
-    pub async fn run(self: Rc<Self>, timeline: Rc<Timeline>, tick: impl Fn()) {
+    pub async fn run(self: Rc<Self>, tick: impl Fn()) {
         let Some(mut wake_receiver) = self.wake_receiver.borrow_mut().take() else {
             return;
         };
@@ -143,7 +145,7 @@
             let late = self.clock.now().since(now + timeout);
             if late >= STALL_MIN {
                 let event = Event::new(Code::ProcessStalled, "").with_fact("late_ms", late);
-                timeline.record_event(event);
+                self.timeline.record_event(event);
             }
         }
     }
--- a/crates/node/src/role/agent.rs
+++ b/crates/node/src/role/agent.rs
@@ -35,7 +35,7 @@
     /// Starts the role with its core and its timer.
     pub fn start(core: Agent, backend: SocketAddr, context: Context) -> Rc<Self> {
         let role = Rc::new(Self {
-            driver: Rc::new(Driver::new(core, context.clock)),
+            driver: Rc::new(Driver::new(core, context.clock, context.timeline.clone())),
             context,
             backend,
             pending: PendingResponses::default(),
@@ -45,9 +45,7 @@
         monoio::spawn(
             role.driver
                 .clone()
-                .run(role.context.timeline.clone(), move || {
-                    ticker.handle_input(Input::Tick)
-                }),
+                .run(move || ticker.handle_input(Input::Tick)),
         );
         role
     }
--- a/crates/node/src/role/control.rs
+++ b/crates/node/src/role/control.rs
@@ -61,7 +61,7 @@
         let now = context.clock.now();
         let core = Control::new(now, context.me.clone(), options, recovered, &mut outputs);
         let role = Rc::new(Self {
-            driver: Rc::new(Driver::new(core, context.clock)),
+            driver: Rc::new(Driver::new(core, context.clock, context.timeline.clone())),
             context,
             disk,
             pending: PendingResponses::default(),
@@ -76,9 +76,7 @@
         monoio::spawn(
             role.driver
                 .clone()
-                .run(role.context.timeline.clone(), move || {
-                    ticker.handle_input(Input::Tick)
-                }),
+                .run(move || ticker.handle_input(Input::Tick)),
         );
         Ok(role)
     }
--- a/crates/node/src/role/direct.rs
+++ b/crates/node/src/role/direct.rs
@@ -89,7 +89,7 @@
     /// Starts the role with its core and its timer.
     pub fn start(core: Direct, adapter: Rc<dyn Adapter>, context: Context) -> Rc<Self> {
         let role = Rc::new(Self {
-            driver: Rc::new(Driver::new(core, context.clock)),
+            driver: Rc::new(Driver::new(core, context.clock, context.timeline.clone())),
             context,
             adapter,
             open_calls: RefCell::default(),
@@ -100,9 +100,7 @@
         monoio::spawn(
             role.driver
                 .clone()
-                .run(role.context.timeline.clone(), move || {
-                    ticker.handle_input(Input::Tick)
-                }),
+                .run(move || ticker.handle_input(Input::Tick)),
         );
         role
     }
--- a/crates/node/src/role/entry.rs
+++ b/crates/node/src/role/entry.rs
@@ -33,7 +33,7 @@
     /// Starts the role with its core and its timer.
     pub fn start(core: Entry, context: Context) -> Rc<Self> {
         let role = Rc::new(Self {
-            driver: Rc::new(Driver::new(core, context.clock)),
+            driver: Rc::new(Driver::new(core, context.clock, context.timeline.clone())),
             context,
             pending: PendingResponses::default(),
             cancellers: RefCell::default(),
@@ -42,9 +42,7 @@
         monoio::spawn(
             role.driver
                 .clone()
-                .run(role.context.timeline.clone(), move || {
-                    ticker.handle_input(Input::Tick)
-                }),
+                .run(move || ticker.handle_input(Input::Tick)),
         );
         role
     }
--- a/crates/node/src/role/watch.rs
+++ b/crates/node/src/role/watch.rs
@@ -38,7 +38,7 @@
         context: Context,
     ) -> Rc<Self> {
         let role = Rc::new(Self {
-            driver: Rc::new(Driver::new(core, context.clock)),
+            driver: Rc::new(Driver::new(core, context.clock, context.timeline.clone())),
             context,
             adapter,
             engine: settings.engine,
@@ -48,9 +48,7 @@
         monoio::spawn(
             role.driver
                 .clone()
-                .run(role.context.timeline.clone(), move || {
-                    ticker.handle_input(Input::Tick)
-                }),
+                .run(move || ticker.handle_input(Input::Tick)),
         );
         role
     }
--- a/crates/testkit/src/fleet/clients.rs
+++ b/crates/testkit/src/fleet/clients.rs
@@ -65,14 +65,12 @@
         }));
         let (samples, servers) = (fleet.samples["heartbeat"].clone(), fleet.servers());
         let (controls, engines) = (fleet.control_addresses(), fleet.engine_addresses().len());
+        let services = [true, false].map(|has_engines| fleet.service(has_engines));
         let stopped = stop.clone();
         threads.push(thread::spawn(move || {
             let announcements = async {
                 for (number, (server, address, zone)) in servers.into_iter().enumerate() {
-                    let service = match number < engines {
-                        true => "huvo11a",
-                        false => "wuno96b",
-                    };
+                    let service = &services[usize::from(number >= engines)];
                     let fields = json!({
                         "server": server, "address": address, "zone": zone, "service": service,
                         "born": now_ms(), "sequence": 0,
--- a/crates/testkit/src/fleet/mod.rs
+++ b/crates/testkit/src/fleet/mod.rs
@@ -100,8 +100,8 @@
     pub at_ms: u64,
     /// Number in `docs/EVENTS.md`.
     pub code: u64,
-    /// The facts.
-    pub facts: Value,
+    /// The event as it was logged, with its detail and facts.
+    pub logged: Value,
 }
 
 /// The processes of a deployment.
@@ -169,11 +169,10 @@
         }
         for index in 0..fleet.members.len() {
             let member = &fleet.members[index];
-            let mut fields = json!({
+            let fields = json!({
                 "name": member.name, "ip": member.ip.to_string(), "zone": member.settings["zone"],
-                "data": fleet.data(index),
+                "data": fleet.data(index), "seeds": null,
             });
-            fields["seeds"] = Value::Null;
             let sample = &fleet.samples["settings"][member.role.as_str()];
             let settings = template::fill(sample, &fields);
             fleet.members[index].settings = settings;
@@ -252,6 +251,14 @@
         (0..self.size.servers).map(server).collect()
     }
 
+    /// Name of the service whose requests the engines serve, or of the one that has none, in the sample
+    /// configuration.
+    pub fn service(&self, has_engines: bool) -> String {
+        let number = usize::from(!has_engines);
+        let name = &self.samples["configuration"]["services"][number]["name"];
+        name.as_str().unwrap_or_default().to_owned()
+    }
+
     /// Starts a member; `bootstrap` only if the whole deployment starts for the first time.
     pub fn start(&mut self, index: usize, bootstrap: bool) -> Result<()> {
         let data = self.data(index);
@@ -348,7 +355,7 @@
                     process: self.members[index].name.clone(),
                     at_ms: line["stamp"]["wall"].as_u64().unwrap_or(0),
                     code: line["event"]["code"].as_u64().unwrap_or(0),
-                    facts: line["event"].clone(),
+                    logged: line["event"].clone(),
                 };
                 if event.at_ms >= since_ms {
                     events.push(event);
--- a/crates/testkit/src/fleet/recovery.rs
+++ b/crates/testkit/src/fleet/recovery.rs
@@ -252,10 +252,8 @@
     /// Changes some routes and publishes them as the next version.
     async fn publish_next(&mut self) -> Result<()> {
         let sample = self.fleet.samples["route"].clone();
-        let service = |rng: &mut ChaCha8Rng| match rng.random_bool(0.5) {
-            true => "huvo11a",
-            false => "wuno96b",
-        };
+        let services = [true, false].map(|has_engines| self.fleet.service(has_engines));
+        let service = |rng: &mut ChaCha8Rng| &services[usize::from(!rng.random_bool(0.5))];
         let mut changed: Vec<usize> = (self.routes.len()..self.options.routes).collect();
         for _ in 0..self.rng.random_range(1..=50) {
             changed.push(self.rng.random_range(0..self.options.routes));
@@ -393,11 +391,11 @@
                 *outcome.events.entry(event.code).or_default() += 1;
             }
             if event.code == 109 {
-                let late_ms = event.facts["facts"]["late_ms"].as_u64().unwrap_or(0);
+                let late_ms = event.logged["facts"]["late_ms"].as_u64().unwrap_or(0);
                 outcome.longest_stall_ms = outcome.longest_stall_ms.max(late_ms);
             }
             if event.code == 228 {
-                let reason = event.facts["detail"]
+                let reason = event.logged["detail"]
                     .as_str()
                     .unwrap_or_default()
                     .to_owned();
