review: a pass begins with two maps where servers don't check fences

A new coordinator relies on fences to keep its predecessor's orders from arming a rank after the report that showed it disarmed. In deployments with require_fence false nothing does: an order to arm that gets no answer and is carried out late arms one rank while the hold is released, and the pass begins with two maps.

--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -82,8 +82,9 @@
 class Machine:
     """A machine with one process of the system."""
 
-    def __init__(self, system, name, role, ip, zone):
+    def __init__(self, system, name, role, ip, zone, more):
         self.system, self.name, self.role, self.ip, self.zone = system, name, role, ip, zone
+        self.more = more
         self.folder = os.path.join(system.folder, name)
         self.data = os.path.join(self.folder, "data")
         os.makedirs(self.folder)
@@ -102,6 +103,7 @@
                 "readiness_address": f"{self.ip}:{system.port + 1}",
                 "control": f"{self.ip}:{system.port + 2}",
             },
+            **self.more,
         }
         with open(os.path.join(ROOT, spec["template"]), encoding="utf-8") as file:
             text = render(file.read(), fields)
@@ -155,9 +157,10 @@
             except OSError:
                 self.port += 40
 
-    def add(self, name, role, zone):
+    def add(self, name, role, zone, **more):
+        """Adds a machine; `more` holds further fields of its settings."""
         ip = f"{self.net}.{len(self.machines) + 1}"
-        machine = Machine(self, name, role, ip, zone)
+        machine = Machine(self, name, role, ip, zone, more)
         self.machines[name] = machine
         return machine
 
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -44,9 +44,10 @@
 class Server:
     """A server of a service: announces itself, and runs requests with `run`."""
 
-    def __init__(self, system, ident, service, address, zone, control, run):
+    def __init__(self, system, ident, service, address, zone, control, run, engine=None, slots=6):
         self.system, self.ident, self.service, self.zone = system, ident, service, zone
         self.address, self.control, self.run = address, control, run
+        self.engine, self.slots = engine, slots
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.stopped = threading.Event()
@@ -70,7 +71,7 @@
         self.sequence += 1
         body = json.dumps({
             "service": self.service, "address": "%s:%d" % self.address, "zone": self.zone,
-            "version": "v1", "slots": 6, "state": "ready", "cold_remaining_ms": 0,
+            "version": "v1", "slots": self.slots, "state": "ready", "cold_remaining_ms": 0,
             "sequence": self.sequence, "born": self.born})
         path = f"/eelgrassdyke/instances/{self.ident}/heartbeat"
         for machine in self.control:
@@ -99,6 +100,15 @@
                 first, fields = head
                 method, path, _ = first.split(" ", 2)
                 body = read_body(stream, fields)
+                if path.startswith("/eelgrassdyke/"):
+                    answer = self.engine(path, body)
+                    if answer is None:
+                        self.stopped.wait(3.0)  # The caller gets no answer.
+                        return
+                    status, answer = answer
+                    channel.sendall(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: "
+                                    b"%d\r\n\r\n%s" % (status, len(answer), answer))
+                    continue
                 if path == "/healthz":
                     channel.sendall(b"HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n"
                                     % self.ident.encode())
