review: an entry that gets SIGTERM cuts off an answer that a consumer reads slowly

A request counts as done when its response is queued for the connection, so the entry ends with most of a large answer unwritten, long before grace_s.

--- a/review/slow/case.py
+++ b/review/4/case.py
@@ -10,8 +10,8 @@
 from harness import BOUNDS, TROUBLE, Operator, configuration, finish, main, route
 from standins import Server, read_head, sealed
 
-BODY = bytes(range(256)) * 31000  # 7.6 MiB
-PART, PAUSE = 65536, 0.05  # The consumer reads about 1.2 MiB a second.
+BODY = bytes(range(256)) * 12288  # 3 MiB
+RATE = 530_000  # Bytes a second that the consumer reads.
 
 
 def run(server, channel, method, path, fields, body, echo):
@@ -32,7 +32,9 @@
     time.sleep(6.0)
 
     consumer = socket.socket()
-    consumer.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+    # Segments of the usual size of a network, so that the buffers of the sockets are as small as there.
+    consumer.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1460)
+    consumer.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
     consumer.connect((edges[0].ip, system.port))
     consumer.settimeout(10.0)
     started = time.monotonic()
@@ -48,8 +50,11 @@
             termed = True
             if TROUBLE:
                 edges[0].signal(signal.SIGTERM)
+        if len(got) > (time.monotonic() - started) * RATE:
+            time.sleep(0.01)
+            continue
         try:
-            part = consumer.recv(PART)
+            part = consumer.recv(65536)
         except OSError as error:
             record(f"consumer: the channel ends: {error!r}")
             break
@@ -57,7 +62,6 @@
             record("consumer: the channel ends")
             break
         got += part
-        time.sleep(PAUSE)
     seconds = time.monotonic() - started
     record(f"consumer has read {len(got)} of {length} bytes after {seconds:.1f} s; "
            f"edge-1: exit code {edges[0].process.poll()}")
