--- a/review/1/case.py
+++ b/review/1/case.py
@@ -5,7 +5,7 @@
 import sys
 import time
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib"))
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 from harness import BOUNDS, TROUBLE, Operator, configuration, finish, main, route
 
 
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -7,7 +7,7 @@
 import threading
 import time
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib"))
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 from group import EXPERTS, PLACES, SETS, SLOTS, SPARE, Group, describe
 from harness import TROUBLE, Operator, configuration, finish, main, route
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 # that the interpreter accepts them.
 set -e
 cd "$(dirname "$0")"
-for file in lib/*.py [1-5]/*.py; do
+for file in *.py [1-5]/*.py; do
   python3 -c 'import sys; compile(open(sys.argv[1]).read(), sys.argv[1], "exec")' "$file"
 done
--- a/review/lib/harness.py
+++ b/review/harness.py
@@ -16,7 +16,7 @@
 import time
 import tomllib
 
-ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 # The bounds of the deployment huon-refill, as its page and settings give them.
--- a/review/lib/standins.py
+++ b/review/standins.py
@@ -52,6 +52,7 @@
         self.sequence = 0
         self.stopped = threading.Event()
         self.beats = True
+        self.channels = set()
         self.listener = socket.create_server(address, backlog=128)
         system.servers.append(self)
         threading.Thread(target=self.accept, daemon=True).start()
@@ -61,6 +62,15 @@
         self.stopped.set()
         self.listener.close()
 
+    def exit(self):
+        """Ends as a process does: nothing listens any more, and all channels are closed."""
+        self.stop()
+        for channel in list(self.channels):
+            try:
+                channel.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
     def beat(self):
         while not self.stopped.is_set():
             if self.beats:
@@ -95,6 +105,7 @@
     def serve(self, channel):
         channel.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         stream = channel.makefile("rb")
+        self.channels.add(channel)
         try:
             while (head := read_head(stream)) is not None:
                 first, fields = head
@@ -122,6 +133,7 @@
         except (OSError, EOFError, ValueError, KeyError) as error:
             self.system.record(f"server {self.ident}: channel ends: {error!r}")
         finally:
+            self.channels.discard(channel)
             channel.close()
 
 
