node: messages to other processes are counted by kind, and drops from a full outbox are reported

An outbox that overflows dropped its oldest message without a word, votes and heartbeats of the log among them, and nothing told how many messages of which kind a process sends.

The test fails without the event.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -68,6 +68,7 @@
     108 SettingsRead "A process re-read its settings file on request; changes take effect at the next start.";
     109 ProcessStalled "A process did not run for a time: it was suspended, or its processor was busy.";
     110 MessageSkipped "Messages that their receiver, of another build, doesn't know were skipped; the others of their batch were handled.";
+    111 MessagesDropped "Messages to a peer were dropped because too many waited to be sent; the facts name the kind of which most waited.";
     200 LeaderElected "A replica became leader of the control log.";
     201 LeaderLost "A leader of the control log stepped down.";
     202 QuorumLost "A replica cannot reach a quorum; changes are refused.";
--- a/crates/core/src/wire/mod.rs
+++ b/crates/core/src/wire/mod.rs
@@ -137,6 +137,32 @@
     }
 }
 
+impl Message {
+    /// Name of its kind, for metrics and log lines.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Log(_) => "log",
+            Self::Heartbeat(_) => "heartbeat",
+            Self::Poll(_) => "poll",
+            Self::Update(_) => "update",
+            Self::ClaimRequest(_) => "claim_request",
+            Self::ClaimResponse(_) => "claim_response",
+            Self::Probe(_) => "probe",
+            Self::ProbeResponse(_) => "probe_response",
+            Self::EngineOrder(_) => "engine_order",
+            Self::Group(_) => "group",
+            Self::ReportPage(_) => "report_page",
+            Self::ReportAck(_) => "report_ack",
+            Self::ReportResync => "report_resync",
+            Self::ServerLeft(_) => "server_left",
+            Self::Rank(message) => message.kind(),
+            Self::FactSync(_) => "fact_sync",
+            Self::ActiveEntries(_) => "active_entries",
+            Self::EntryDemands(_) => "entry_demands",
+        }
+    }
+}
+
 /// Encodes a value as MessagePack with named fields.
 pub fn encode<T: Serialize>(value: &T) -> Result<Vec<u8>> {
     Ok(rmp_serde::to_vec_named(value)?)
--- a/crates/core/src/wire/rank.rs
+++ b/crates/core/src/wire/rank.rs
@@ -268,6 +268,20 @@
     }
 }
 
+impl Message {
+    /// Name of its kind, for metrics and log lines.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Report { .. } => "rank_report",
+            Self::Order(_) => "rank_order",
+            Self::OrderResult(_) => "rank_order_result",
+            Self::SlowEngines(_) => "slow_engines",
+            Self::CoordinatorPoll(_) => "coordinator_poll",
+            Self::CoordinatorGrant(_) => "coordinator_grant",
+        }
+    }
+}
+
 impl Assignments {
     /// Whether no leader has sent any assignments.
     pub fn is_unknown(&self) -> bool {
--- a/crates/node/src/log/mod.rs
+++ b/crates/node/src/log/mod.rs
@@ -101,6 +101,7 @@
 fn event_level(code: Code) -> log::Level {
     match code {
         Code::PeerUnreachable
+        | Code::MessagesDropped
         | Code::LinesOmitted
         | Code::ProcessStalled
         | Code::LeaderLost
--- a/crates/node/src/mail.rs
+++ b/crates/node/src/mail.rs
@@ -8,7 +8,7 @@
 //! Such a batch is sent again in halves, so that only this message is lost.
 
 use std::cell::RefCell;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,6 +16,7 @@
 use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::wire::{self, Batch, Message, Sender};
 use http::{HeaderValue, StatusCode};
+use metrics::counter;
 
 use crate::http::client::Request;
 use crate::http::pool::Pool;
@@ -62,6 +63,28 @@
 #[derive(Default)]
 struct Outbox {
     messages: VecDeque<Message>,
+    /// Whether messages were dropped since it was last empty.
+    overflowed: bool,
+}
+
+impl Outbox {
+    /// Drops the oldest message; returns an event for the first one since the outbox was last empty.
+    fn drop_oldest(&mut self, to: SocketAddr) -> Option<Event> {
+        let dropped = self.messages.pop_front()?;
+        counter!("eelgrassdyke_messages_dropped_total", "kind" => dropped.kind()).increment(1);
+        if std::mem::replace(&mut self.overflowed, true) {
+            return None;
+        }
+        let mut waiting: BTreeMap<&'static str, u64> = BTreeMap::new();
+        for message in &self.messages {
+            *waiting.entry(message.kind()).or_default() += 1;
+        }
+        let (kind, count) = waiting.into_iter().max_by_key(|(_, count)| *count)?;
+        let event = Event::new(Code::MessagesDropped, to.to_string())
+            .with_fact("kind", kind)
+            .with_fact("messages", count);
+        Some(event)
+    }
 }
 
 impl Outboxes {
@@ -92,11 +115,14 @@
 
     /// Queues a message for `to`.
     pub fn send(self: &Rc<Self>, to: SocketAddr, message: Message) {
+        counter!("eelgrassdyke_messages_sent_total", "kind" => message.kind()).increment(1);
         let mut outboxes = self.outboxes.borrow_mut();
         let is_new = !outboxes.contains_key(&to);
         let outbox = outboxes.entry(to).or_default();
-        if outbox.messages.len() >= OUTBOX_MESSAGES_MAX {
-            outbox.messages.pop_front();
+        if outbox.messages.len() >= OUTBOX_MESSAGES_MAX
+            && let Some(event) = outbox.drop_oldest(to)
+        {
+            self.timeline.record_event(event);
         }
         outbox.messages.push_back(message);
         if is_new {
--- a/crates/node/tests/mail.rs
+++ b/crates/node/tests/mail.rs
@@ -1,9 +1,10 @@
-//! Delivery of batches to peers of earlier builds.
+//! Delivery of messages to other processes.
 
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
+use eelgrassdyke_core::event::Code;
 use eelgrassdyke_core::id::Incarnation;
 use eelgrassdyke_core::wire::{self, Batch, Message, Sender};
 use eelgrassdyke_node::clock::Clock;
@@ -90,3 +91,39 @@
     .unwrap();
     assert_eq!(delivered, expected);
 }
+
+// A flood of one kind of message must show in the log of the process that sends it.
+#[test]
+fn messages_dropped_from_a_full_outbox_are_reported_once() {
+    let events = block_on(async {
+        let address = "127.0.0.1:9".parse().unwrap();
+        let me = Sender {
+            process: "control-1".parse().unwrap(),
+            incarnation: Incarnation(1),
+            address,
+        };
+        let timeline = Rc::new(Timeline::new(
+            me.process.clone(),
+            me.incarnation,
+            Clock::default(),
+            MESSAGES,
+        ));
+        let outboxes = Outboxes::new(
+            me,
+            &PeerSecret::trust_all(),
+            Rc::new(Pool::default()),
+            timeline.clone(),
+        );
+        for number in 0..5_000 {
+            outboxes.send(address, server_left(number));
+        }
+        timeline.events_after(0)
+    })
+    .unwrap();
+    let dropped: Vec<_> = (events.iter())
+        .filter(|record| record.event.code == Code::MessagesDropped)
+        .collect();
+    assert_eq!(dropped.len(), 1);
+    let logged = serde_json::to_value(&dropped[0].event).unwrap();
+    assert_eq!(logged["facts"]["kind"], "server_left");
+}
