testkit: the fleet plays the end of all servers under traffic

Engines and servers run in a process of their own, which can be killed so that connections to them are refused, and callers send streams.

--- a/crates/testkit/examples/recover.rs
+++ b/crates/testkit/examples/recover.rs
@@ -9,6 +9,7 @@
 use clap::Parser;
 use eelgrassdyke_node::runtime;
 use eelgrassdyke_testkit::fleet::Size;
+use eelgrassdyke_testkit::fleet::clients::{self, STANDINS_ARGUMENT};
 use eelgrassdyke_testkit::fleet::recovery::{self, Fault, Options, Outcome};
 
 /// Options of the runs.
@@ -47,12 +48,15 @@
     /// Control processes whose output nobody reads after the fault.
     #[arg(long, default_value_t = 0)]
     unread: usize,
-    /// The last fault, `disks-controls`, `disks-all` or `all`; drawn by default.
+    /// The last fault, `disks-controls`, `disks-all`, `all` or `servers`; drawn from the first three by default.
     #[arg(long, value_parser = parse_fault)]
     fault: Option<Fault>,
     /// Whether faults precede the last one; drawn by default.
     #[arg(long)]
     series: Option<bool>,
+    /// Requests a second before the last fault `servers`.
+    #[arg(long, default_value_t = 350)]
+    requests: u32,
     /// The program of the processes.
     #[arg(long, default_value = "target/release/eelgrassdyke-platform")]
     binary: PathBuf,
@@ -75,11 +79,26 @@
         "disks-controls" => Ok(Fault::DisksAndControls),
         "disks-all" => Ok(Fault::DisksAndAll),
         "all" => Ok(Fault::All),
-        _ => Err("expected disks-controls, disks-all or all".to_owned()),
+        "servers" => Ok(Fault::Servers),
+        _ => Err("expected disks-controls, disks-all, all or servers".to_owned()),
     }
 }
 
 fn main() -> ExitCode {
+    let mut own_arguments = std::env::args_os().skip(1);
+    if own_arguments
+        .next()
+        .is_some_and(|argument| argument == STANDINS_ARGUMENT)
+    {
+        let spec = own_arguments.next().unwrap_or_default();
+        return match clients::serve_standins(Path::new(&spec)) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => {
+                eprintln!("stand-ins: {error}");
+                ExitCode::FAILURE
+            }
+        };
+    }
     let arguments = Arguments::parse();
     let mut failed = Vec::new();
     for seed in arguments.first..arguments.first + arguments.seeds {
@@ -135,8 +154,8 @@
         unread_outputs: arguments.unread,
         fault: arguments.fault,
         series: arguments.series,
+        requests_per_s: arguments.requests,
     };
-    // The sockets of the engines of an earlier seed stay open until this process ends.
     let network = arguments
         .network
         .wrapping_add((seed - arguments.first) as u8);
--- a/crates/testkit/src/fleet/clients.rs
+++ b/crates/testkit/src/fleet/clients.rs
@@ -1,20 +1,23 @@
-//! What the processes of a fleet meet: engines, servers that announce themselves, and an operator.
+//! What the processes of a fleet meet: engines, servers that announce themselves, callers and an operator.
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
+use std::process::{Child, Command};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::thread;
 use std::time::{Duration, Instant};
+use std::{env, fs, thread};
 
 use bytes::Bytes;
 use eelgrassdyke_node::http::client::{Connection, Request};
 use eelgrassdyke_node::http::pool::Pool;
 use eelgrassdyke_node::http::server::{Request as Received, Responder};
 use eelgrassdyke_node::runtime;
-use http::header::CONTENT_TYPE;
+use http::header::{CONTENT_TYPE, HeaderName};
 use http::{HeaderMap, HeaderValue, StatusCode, header};
+use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
 use super::{Fleet, now_ms, template};
@@ -35,73 +38,173 @@
 /// Redirections that an operator follows.
 const REDIRECTIONS_MAX: usize = 2;
 
+/// Longest wait of a caller.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// Time after which an engine answers a caller's request.
+const ANSWER_DELAY: Duration = Duration::from_secs(1);
+
+/// Parts of prompts that several requests share.
+const SHARED_PARTS: usize = 60;
+
+/// Argument with which a program that plays a fleet serves the engines and servers of one; the file that
+/// describes them follows.
+pub const STANDINS_ARGUMENT: &str = "--stand-ins";
+
 /// Layers and experts of a layer of the engines' group.
 const EXPERTS: (usize, usize) = (16, 258);
 
-/// Engines and servers on threads of their own, until this is dropped.
-pub struct Clients {
+/// What the engines and servers of a fleet need to know, for a process of their own.
+#[derive(Debug, Deserialize, Serialize)]
+struct Spec {
+    samples: Value,
+    engines: Vec<SocketAddr>,
+    controls: Vec<SocketAddr>,
+    /// Name, address and data centre of each server.
+    servers: Vec<(String, SocketAddr, String)>,
+    /// The service of the engines, and that of the other servers.
+    services: [String; 2],
+}
+
+/// The process of a fleet's engines and servers, until this is dropped. When it is killed, all of them end
+/// at one moment and connections to them are refused.
+#[derive(Debug)]
+pub struct Standins {
+    child: Child,
+}
+
+impl Standins {
+    /// Starts the engines and servers of a fleet in a process of this program, which calls
+    /// [`serve_standins`] for the argument [`STANDINS_ARGUMENT`].
+    pub fn start(fleet: &Fleet, folder: &Path) -> Result<Self> {
+        let servers = fleet.servers().into_iter();
+        let spec = Spec {
+            samples: fleet.samples.clone(),
+            engines: fleet.engine_addresses(),
+            controls: fleet.control_addresses(),
+            servers: servers
+                .map(|(server, address, zone)| (server, address, zone.to_owned()))
+                .collect(),
+            services: [true, false].map(|has_engines| fleet.service(has_engines)),
+        };
+        let path = folder.join("standins.json");
+        let text = serde_json::to_vec(&spec).map_err(Error::harness)?;
+        fs::write(&path, text).map_err(Error::harness)?;
+        let program = env::current_exe().map_err(Error::harness)?;
+        let child = Command::new(program)
+            .arg(STANDINS_ARGUMENT)
+            .arg(&path)
+            .spawn()
+            .map_err(Error::harness)?;
+        Ok(Self { child })
+    }
+
+    /// Kills the process and waits until it is gone.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Drop for Standins {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Serves the engines and servers that a file describes, until the process is killed.
+pub fn serve_standins(path: &Path) -> Result<()> {
+    let text = fs::read(path).map_err(Error::harness)?;
+    let spec: Spec = serde_json::from_slice(&text).map_err(Error::harness)?;
+    let all = async move {
+        let ranks = spec.engines.len();
+        for (rank, address) in spec.engines.iter().enumerate() {
+            serve_engine(&spec.samples, *address, rank, ranks).map_err(Error::harness)?;
+        }
+        for (number, (server, address, zone)) in spec.servers.into_iter().enumerate() {
+            let service = &spec.services[usize::from(number >= ranks)];
+            let fields = json!({
+                "server": server, "address": address, "zone": zone, "service": service,
+                "born": now_ms(), "sequence": 0,
+            });
+            let controls = spec.controls.clone();
+            monoio::spawn(announce(
+                spec.samples["heartbeat"].clone(),
+                fields,
+                controls,
+                number,
+            ));
+        }
+        std::future::pending().await
+    };
+    runtime::block_on(all).map_err(Error::harness)?
+}
+
+/// A thread of callers that send streams of new prompts to the entries, until this is dropped.
+pub struct Callers {
     stop: Arc<AtomicBool>,
-    threads: Vec<thread::JoinHandle<()>>,
+    thread: Option<thread::JoinHandle<()>>,
 }
 
-impl Clients {
-    /// Starts the engines and servers of a fleet.
-    pub fn start(fleet: &Fleet) -> Self {
+impl Callers {
+    /// Starts callers that send `per_second` requests a second over all entries, on the routes of the engines'
+    /// service.
+    pub fn start(fleet: &Fleet, routes: Vec<String>, per_second: u32) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
-        let mut threads = Vec::new();
-        let (samples, addresses) = (fleet.samples.clone(), fleet.engine_addresses());
-        let stopped = stop.clone();
-        threads.push(thread::spawn(move || {
-            let engines = async {
-                let ranks = addresses.len();
-                for (rank, address) in addresses.into_iter().enumerate() {
-                    if let Err(error) = serve_engine(&samples["engine"], address, rank, ranks) {
-                        eprintln!("engine {address}: {error}");
+        let (stopped, samples) = (stop.clone(), fleet.samples.clone());
+        let entries = fleet.front_addresses();
+        let interval = Duration::from_secs(1) / per_second;
+        let thread = thread::spawn(move || {
+            let calls = async move {
+                let mut due = Instant::now();
+                for number in 0_usize.. {
+                    if stopped.load(Ordering::Relaxed) {
+                        break;
                     }
-                }
-                until_stopped(&stopped).await;
-            };
-            let _ = runtime::block_on(engines);
-        }));
-        let (samples, servers) = (fleet.samples["heartbeat"].clone(), fleet.servers());
-        let (controls, engines) = (fleet.control_addresses(), fleet.engine_addresses().len());
-        let services = [true, false].map(|has_engines| fleet.service(has_engines));
-        let stopped = stop.clone();
-        threads.push(thread::spawn(move || {
-            let announcements = async {
-                for (number, (server, address, zone)) in servers.into_iter().enumerate() {
-                    let service = &services[usize::from(number >= engines)];
                     let fields = json!({
-                        "server": server, "address": address, "zone": zone, "service": service,
-                        "born": now_ms(), "sequence": 0,
+                        "route": routes[number % routes.len()], "id": format!("{number:016x}"),
+                        "shared": format!("{:08x}", number % SHARED_PARTS),
+                        "own": format!("{:08x}", SHARED_PARTS + number),
                     });
-                    let controls = controls.clone();
-                    monoio::spawn(announce(samples.clone(), fields, controls, number));
+                    let message = template::fill(&samples["request"], &fields);
+                    let address = entries[number % entries.len()];
+                    monoio::spawn(async move { drop(send_request(address, &message).await) });
+                    due += interval;
+                    monoio::time::sleep(due.saturating_duration_since(Instant::now())).await;
                 }
-                until_stopped(&stopped).await;
             };
-            let _ = runtime::block_on(announcements);
-        }));
-        Self { stop, threads }
+            let _ = runtime::block_on(calls);
+        });
+        Self {
+            stop,
+            thread: Some(thread),
+        }
     }
 }
 
-impl Drop for Clients {
+impl Drop for Callers {
     fn drop(&mut self) {
         self.stop.store(true, Ordering::Relaxed);
-        for thread in self.threads.drain(..) {
+        if let Some(thread) = self.thread.take() {
             let _ = thread.join();
         }
     }
 }
 
-async fn until_stopped(stop: &AtomicBool) {
-    while !stop.load(Ordering::Relaxed) {
-        monoio::time::sleep(Duration::from_millis(50)).await;
+/// Sends one request on a connection of its own and waits for the response.
+async fn send_request(address: SocketAddr, message: &Value) -> Answer {
+    let path = message["path"].as_str().unwrap_or_default();
+    let mut request = Request::post(path, vec![b'x'; 700]);
+    for (name, value) in message["headers"].as_object().into_iter().flatten() {
+        let name = HeaderName::try_from(name).map_err(Error::harness)?;
+        let value = HeaderValue::try_from(value.as_str().unwrap_or_default());
+        request.headers.insert(name, value.map_err(Error::harness)?);
     }
+    call(address, &request, REQUEST_TIMEOUT).await
 }
 
-/// Serves the reads of one engine, an idle rank of a group with the experts assigned in turn.
+/// Serves one engine, a rank of a group with the experts assigned in turn: its state, orders, which have no effect,
+/// and callers' requests.
 fn serve_engine(
     samples: &Value,
     address: SocketAddr,
@@ -119,14 +222,18 @@
         let body = template::fill(sample, &fields).to_string();
         bodies.insert(path.clone(), body.into());
     }
+    let answer = samples["answer"].clone();
     let handler = move |request: Received, responder: Responder| {
         let path = request
             .uri
             .path_and_query()
             .map_or("", |path| path.as_str());
-        match bodies.get(path) {
-            Some(body) => responder.respond(StatusCode::OK, json_headers(), body.clone()),
-            None => responder.respond(StatusCode::ACCEPTED, json_headers(), "{}"),
+        if let Some(body) = bodies.get(path) {
+            responder.respond(StatusCode::OK, json_headers(), body.clone());
+        } else if request.headers.contains_key(echoed_header(&answer)) {
+            monoio::spawn(answer_later(answer.clone(), request.headers, responder));
+        } else {
+            responder.respond(StatusCode::ACCEPTED, json_headers(), "{}");
         }
     };
     let listener = TcpListener::bind(address)?;
@@ -134,6 +241,30 @@
     Ok(())
 }
 
+/// Name of the header field that an engine returns as the caller sent it.
+fn echoed_header(answer: &Value) -> &str {
+    answer["echoed"].as_str().unwrap_or_default()
+}
+
+/// Answers a caller's request after [`ANSWER_DELAY`].
+async fn answer_later(answer: Value, received: HeaderMap, responder: Responder) {
+    monoio::time::sleep(ANSWER_DELAY).await;
+    let mut headers = HeaderMap::new();
+    for (name, value) in answer["headers"].as_object().into_iter().flatten() {
+        let value = HeaderValue::try_from(value.as_str().unwrap_or_default());
+        if let (Ok(name), Ok(value)) = (HeaderName::try_from(name), value) {
+            headers.insert(name, value);
+        }
+    }
+    if let Ok(name) = HeaderName::try_from(echoed_header(&answer))
+        && let Some(value) = received.get(&name)
+    {
+        headers.insert(name, value.clone());
+    }
+    let body = answer["body"].as_str().unwrap_or_default().to_owned();
+    responder.respond(StatusCode::OK, headers, body);
+}
+
 /// Sends the heartbeats of one server; after a failure they go to the next control process.
 async fn announce(samples: Value, mut fields: Value, controls: Vec<SocketAddr>, number: usize) {
     let pool = Pool::default();
--- a/crates/testkit/src/fleet/recovery.rs
+++ b/crates/testkit/src/fleet/recovery.rs
@@ -1,4 +1,4 @@
-//! Plays a loss of disks and processes right after a confirmed configuration.
+//! Plays a loss of disks and processes right after a confirmed configuration, or the end of all servers.
 //!
 //! The operator then reads the configuration at each control process in turn. It must get the newest
 //! confirmed one, byte for byte and never an older one, and the entries must be ready again, each within
@@ -19,7 +19,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
 
-use super::clients::{self, Clients};
+use super::clients::{self, Callers, Standins};
 use super::disturbance::Disturbance;
 use super::{Event, Fleet, Role, Size, now_ms, template};
 use crate::errors::{Error, Result};
@@ -52,7 +52,22 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Events that a run counts.
-const COUNTED: [u64; 8] = [109, 200, 201, 202, 209, 210, 211, 228];
+const COUNTED: [u64; 9] = [109, 111, 200, 201, 202, 209, 210, 211, 228];
+
+/// Events that tell of a lost leader: a replica has stepped down, lost its quorum or failed to be elected.
+const LEADER_LOST: [u64; 3] = [201, 202, 211];
+
+/// `contact_ms`: time after a fault from which processes count as undisturbed.
+const CONTACT: Duration = Duration::from_secs(5);
+
+/// Time for which callers send requests before all servers end.
+const TRAFFIC: Duration = Duration::from_secs(4);
+
+/// Pause of the operator between two reads after all servers have ended.
+const BETWEEN_READS: Duration = Duration::from_millis(100);
+
+/// Time for which the operator reads after all servers have ended.
+const READS: Duration = Duration::from_secs(20);
 
 /// The last fault of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -63,6 +78,8 @@
     DisksAndAll,
     /// All processes are killed; their disks are kept.
     All,
+    /// All servers end while callers' requests run; the processes go on.
+    Servers,
 }
 
 /// Options of a run.
@@ -86,6 +103,8 @@
     pub fault: Option<Fault>,
     /// Whether faults precede the last one; drawn if none.
     pub series: Option<bool>,
+    /// Requests a second of the callers before all servers end.
+    pub requests_per_s: u32,
 }
 
 /// What a run showed. Times count from the last start of a process.
@@ -105,7 +124,7 @@
     pub leader_ready_ms: Option<i64>,
     /// First read of the newest configuration.
     pub first_read: Option<Duration>,
-    /// Reads that were answered after the first.
+    /// Reads that were answered after the first, or after [`CONTACT`] where all servers end.
     pub later_reads: (usize, usize),
     /// Time of readiness of each entry, in order; entries that were not ready are absent.
     pub ready: Vec<Duration>,
@@ -147,6 +166,22 @@
         for name in &self.ended {
             failures.push(format!("{name} ended by itself"));
         }
+        if self.fault == Fault::Servers {
+            let (answered, reads) = self.later_reads;
+            if answered < reads {
+                failures.push(format!(
+                    "{} of {reads} reads were not answered later than {CONTACT:?} after the fault",
+                    reads - answered
+                ));
+            }
+            let lost = LEADER_LOST.iter().filter_map(|code| self.events.get(code));
+            let lost: usize = lost.sum();
+            if lost > 0 {
+                failures.push(format!(
+                    "{lost} events of a lost leader, though no control process was disturbed"
+                ));
+            }
+        }
         failures
     }
 }
@@ -190,7 +225,7 @@
     let fault = options.fault.unwrap_or(fault);
     let series = options.series.unwrap_or(run.rng.random_bool(0.4));
     let all: Vec<usize> = (0..run.fleet.members.len()).collect();
-    let clients = Clients::start(&run.fleet);
+    let standins = Standins::start(&run.fleet, folder)?;
     run.start(&all, true).await?;
     run.publish_next().await?;
     let ready = probe_entries(&run.fleet, Instant::now(), OBSERVATION).await;
@@ -222,8 +257,11 @@
         }
     }
     run.fleet.unread_outputs = options.unread_outputs;
-    let outcome = run.play_last_fault(fault, series).await;
-    drop((disturbance, clients));
+    let outcome = match fault {
+        Fault::Servers => run.play_end_of_servers(standins, series).await,
+        _ => run.play_last_fault(fault, series).await,
+    };
+    drop(disturbance);
     outcome
 }
 
@@ -333,7 +371,7 @@
         let controls = self.fleet.with_role(Role::Control);
         let killed = match fault {
             Fault::DisksAndControls => controls.clone(),
-            Fault::DisksAndAll | Fault::All => (0..self.fleet.members.len()).collect(),
+            _ => (0..self.fleet.members.len()).collect(),
         };
         let fault_ms = now_ms();
         self.fleet.kill(&killed);
@@ -351,6 +389,68 @@
         let first_read = self.read_until_answered(last_start);
         let ready = probe_entries(&self.fleet, last_start, OBSERVATION);
         let ((first_read, later_reads), ready) = futures_util::join!(first_read, ready);
+        self.outcome(
+            (fault, series),
+            (fault_ms, last_start_ms),
+            (first_read, later_reads),
+            ready,
+        )
+    }
+
+    /// All servers end while requests run; then the operator reads at each control process in turn.
+    async fn play_end_of_servers(
+        mut self,
+        mut standins: Standins,
+        series: bool,
+    ) -> Result<Outcome> {
+        let service = self.fleet.service(true);
+        let routes = self.routes.iter();
+        let routes = routes.filter(|route| route["service"] == service.as_str());
+        let routes: Vec<String> = routes
+            .filter_map(|route| Some(route["name"].as_str()?.to_owned()))
+            .collect();
+        let callers = Callers::start(&self.fleet, routes, self.options.requests_per_s);
+        monoio::time::sleep(TRAFFIC).await;
+        let (fault_at, fault_ms) = (Instant::now(), now_ms());
+        standins.kill();
+        drop(callers);
+        let mut reads = (0, 0);
+        let mut first = None;
+        for address in self.controls().iter().cycle() {
+            let started = fault_at.elapsed();
+            if started >= READS {
+                break;
+            }
+            let answer = clients::read(&self.fleet.samples, *address).await;
+            let is_answered = matches!(answer, Ok((StatusCode::OK, _)));
+            if let Ok((StatusCode::OK, body)) = answer {
+                self.check_read(*address, &body);
+                first.get_or_insert(fault_at.elapsed());
+            }
+            if started >= CONTACT {
+                reads.1 += 1;
+                reads.0 += usize::from(is_answered);
+            }
+            monoio::time::sleep(BETWEEN_READS).await;
+        }
+        let ready = probe_entries(&self.fleet, fault_at, READY_BOUND.max(fault_at.elapsed())).await;
+        self.outcome(
+            (Fault::Servers, series),
+            (fault_ms, fault_ms),
+            (first, reads),
+            ready,
+        )
+    }
+
+    /// What the run showed since the fault.
+    fn outcome(
+        &mut self,
+        (fault, series): (Fault, bool),
+        (fault_ms, last_start_ms): (u64, u64),
+        (first_read, later_reads): (Option<Duration>, (usize, usize)),
+        ready: Vec<Duration>,
+    ) -> Result<Outcome> {
+        let controls = self.fleet.with_role(Role::Control);
         let memory_mb = self.fleet.memory_mb();
         let processor_times = controls.iter();
         let processor_times = processor_times.filter_map(|index| self.fleet.processor_time(*index));
