core, control: records of crashes that a process has dropped are not news to it when they come back

Cause: a full ledger of crash records (64) dropped its oldest record for any new one. What a process had dropped was new to it when it came back from a neighbour that still held it, and what is new goes to all control processes and entries.

Change: a crash carries the time at which it was found, which stays as it is when it is passed on. A full ledger keeps what was found last by that time, and refuses the rest without calling it news. Each exchange of a kept record raises the sum of these times, so the exchange ends. The age could not serve: it loses the time that messages take, so a returning record seems newer each time. Control passes on what is new at most every 50 ms, each record once, and judges a batch once.

Earlier builds beside this one send no time, and their records are the first to go.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -173,6 +173,7 @@
         self.update_groups(now, out);
         self.send_confirmed_updates(now, out);
         self.complete_reads(now, out);
+        self.relay_due_facts(now, out);
         self.sweep(now, out);
         self.push_changes(now, out);
     }
@@ -183,6 +184,7 @@
             .min(self.replica.next_deadline())
             .min(self.reads.next_deadline())
             .min(self.groups.next_deadline())
+            .min(self.crashes.next_deadline())
             .min(self.next_coordination_deadline())
     }
 
--- a/crates/control/src/crashes.rs
+++ b/crates/control/src/crashes.rs
@@ -4,10 +4,16 @@
 //! The records are soft state: every control process merges what entries send, passes what is new to it
 //! on to its followers and to the other control processes, and tells an entry that has restarted what
 //! it lacks. A control process that has restarted learns the records from the entries.
+//!
+//! What is new is collected for [`RELAY_INTERVAL`], so that a receiver gets at most one message in that
+//! time, with each record once, however many servers end and however many entries report it.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
 
 use eelgrassdyke_core::crash::{ContentKey, CrashLedger, CrashRecord, FactSync};
 use eelgrassdyke_core::event::{Code, Event};
-use eelgrassdyke_core::id::Ticket;
+use eelgrassdyke_core::id::{Server, Ticket};
 use eelgrassdyke_core::limit::LimitLedger;
 use eelgrassdyke_core::time::Instant;
 use eelgrassdyke_core::wire::{Message, Sender};
@@ -15,11 +21,19 @@
 use crate::control::Control;
 use crate::io::{OperatorResponse, Output, QuarantineStatus};
 
+/// Time between two messages to a receiver.
+const RELAY_INTERVAL: Duration = Duration::from_millis(50);
+
 /// The records of one control process.
 #[derive(Clone, Debug, Default)]
 pub struct FactRelay {
     ledger: CrashLedger,
     limits: LimitLedger,
+    /// Records of crashes that have not been passed on.
+    pending_crashes: BTreeSet<ContentKey>,
+    /// Servers whose limits have not been passed on.
+    pending_limits: BTreeSet<Server>,
+    next_relay: Instant,
 }
 
 impl FactRelay {
@@ -28,24 +42,42 @@
         &self.ledger
     }
 
-    /// Merges records; returns those that changed.
-    pub fn merge(&mut self, now: Instant, sync: &FactSync) -> FactSync {
-        let mut changed = FactSync::default();
-        for record in &sync.records {
-            if !self.ledger.merge(now, record) {
-                continue;
-            }
-            let key = (record.service.clone(), record.content.clone());
-            changed.records.extend(self.ledger.record(now, &key));
-        }
+    /// Merges records; what is new is passed on with the next [`FactRelay::take_due`].
+    pub fn merge(&mut self, now: Instant, sync: &FactSync) {
+        let mut news = self.ledger.merge_all(now, &sync.records);
+        self.pending_crashes.append(&mut news);
         for record in &sync.limits {
             if self.limits.merge(now, record) {
-                changed
-                    .limits
-                    .extend(self.limits.record(now, &record.server));
+                self.pending_limits.insert(record.server.clone());
             }
         }
-        changed
+    }
+
+    /// The records to pass on, if it is time.
+    pub fn take_due(&mut self, now: Instant) -> Option<FactSync> {
+        if now < self.next_deadline() {
+            return None;
+        }
+        self.next_relay = now + RELAY_INTERVAL;
+        let crashes = std::mem::take(&mut self.pending_crashes);
+        let limits = std::mem::take(&mut self.pending_limits);
+        Some(FactSync {
+            records: (crashes.iter())
+                .filter_map(|key| self.ledger.record(now, key))
+                .collect(),
+            limits: (limits.iter())
+                .filter_map(|server| self.limits.record(now, server))
+                .collect(),
+            ..FactSync::default()
+        })
+    }
+
+    /// When [`FactRelay::take_due`] next returns records.
+    pub fn next_deadline(&self) -> Instant {
+        match self.pending_crashes.is_empty() && self.pending_limits.is_empty() {
+            true => Instant::NEVER,
+            false => self.next_relay,
+        }
     }
 
     /// The response to the complete ledger of an entry: the records that it lacks.
@@ -93,7 +125,7 @@
 }
 
 impl Control {
-    /// Merges records and passes on what is new.
+    /// Merges records, and responds to an entry that asks for what it lacks.
     pub(crate) fn handle_fact_sync(
         &mut self,
         now: Instant,
@@ -101,8 +133,7 @@
         sync: &FactSync,
         out: &mut Vec<Output>,
     ) {
-        let changed = self.crashes.merge(now, sync);
-        self.relay_facts(now, Some(from), changed, out);
+        self.crashes.merge(now, sync);
         if sync.is_complete {
             out.push(Output::Send {
                 to: from.address,
@@ -135,19 +166,20 @@
             records: vec![record],
             ..FactSync::default()
         };
-        self.relay_facts(now, None, sync, out);
+        self.relay_facts(now, sync, out);
         let response = OperatorResponse::Quarantines(self.crashes.status(now));
         out.push(Output::Respond { ticket, response });
     }
 
+    /// Passes on what is new.
+    pub(crate) fn relay_due_facts(&mut self, now: Instant, out: &mut Vec<Output>) {
+        if let Some(sync) = self.crashes.take_due(now) {
+            self.relay_facts(now, sync, out);
+        }
+    }
+
     /// Sends records to the entries that follow this process and to the other control processes.
-    pub(crate) fn relay_facts(
-        &mut self,
-        now: Instant,
-        from: Option<&Sender>,
-        sync: FactSync,
-        out: &mut Vec<Output>,
-    ) {
+    fn relay_facts(&mut self, now: Instant, sync: FactSync, out: &mut Vec<Output>) {
         if sync.is_empty() {
             return;
         }
@@ -155,7 +187,6 @@
         let entries = followers.filter(|(_, follower)| follower.poll.wants_directory);
         let mut receivers: Vec<_> = entries.map(|(_, follower)| follower.address).collect();
         receivers.extend(self.replica.peer_addresses());
-        receivers.retain(|address| from.is_none_or(|from| from.address != *address));
         for to in receivers {
             let message = Message::FactSync(sync.clone());
             out.push(Output::Send { to, message });
--- a/crates/control/tests/log_control.rs
+++ b/crates/control/tests/log_control.rs
@@ -308,6 +308,7 @@
             incarnation: Incarnation(1),
             age_ms: 0,
             is_cleared: false,
+            found_us: 0,
         }],
     }
 }
--- a/crates/core/src/crash.rs
+++ b/crates/core/src/crash.rs
@@ -6,7 +6,9 @@
 //! for each service and content, the servers that ended while a request with the content was about to
 //! write. Entries and control processes exchange these [`CrashRecord`]s and merge them: crashes are
 //! identified by server and incarnation, so reports of several entries about one crash count once, and
-//! the order and number of merges doesn't matter. Content on which a server has written without ending is
+//! the order and number of merges doesn't matter. A full ledger keeps what was found last, by times that are
+//! the same at all processes: what a process has dropped is not news to it when it comes back from
+//! another one, so that the exchange comes to rest. Content on which a server has written without ending is
 //! sound, which clears its crashes.
 //!
 //! Content is quarantined once its crashes can't be explained otherwise: servers that end at the same
@@ -91,6 +93,10 @@
         pub age_ms: u64,
         /// Whether the part has been found sound since, or the operator lifted its quarantine.
         pub is_cleared: bool,
+        /// When it was found, in microseconds since 1970 by the clock of the process that found it. It stays as
+        /// it is when the crash is passed on, unlike the age. Zero from builds that don't send it.
+        #[serde(default, rename = "found")]
+        pub found_us: u64,
     }
 
     /// What one process tells another about crashes and limits of servers.
@@ -234,6 +240,16 @@
 struct CrashState {
     at: Instant,
     is_cleared: bool,
+    found_us: u64,
+}
+
+/// What a merge changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Merged {
+    Nothing,
+    /// A count or a time, which is passed on with the next crash.
+    Detail,
+    News,
 }
 
 impl ContentState {
@@ -274,6 +290,37 @@
         }
     }
 
+    /// Adds a crash, or what is new about a known one. Of more than [`RECORD_CRASHES_MAX`] those found last are
+    /// kept.
+    fn add_crash(&mut self, id: CrashId, reported: CrashState) {
+        if let Some(known) = self.crashes.get_mut(&id) {
+            known.is_cleared |= reported.is_cleared;
+            // Delays of messages make a crash seem later than it was.
+            known.at = known.at.min(reported.at);
+            known.found_us = known.found_us.max(reported.found_us);
+            return;
+        }
+        if self.crashes.len() >= RECORD_CRASHES_MAX {
+            let crashes = self.crashes.iter();
+            let first = crashes.map(|(id, crash)| (crash.found_us, id)).min();
+            let Some((found_us, first)) = first else {
+                return;
+            };
+            if (reported.found_us, &id) <= (found_us, first) {
+                return;
+            }
+            let first = first.clone();
+            self.crashes.remove(&first);
+        }
+        self.crashes.insert(id, reported);
+    }
+
+    /// When the last of its crashes was found.
+    fn found_us(&self) -> u64 {
+        let times = self.crashes.values().map(|crash| crash.found_us);
+        times.max().unwrap_or_default()
+    }
+
     fn last_crash(&self) -> Instant {
         let times = self.crashes.values().map(|crash| crash.at);
         times.max().unwrap_or_default()
@@ -330,46 +377,62 @@
 
     /// Merges a record; returns whether it held news.
     pub fn merge(&mut self, now: Instant, record: &CrashRecord) -> bool {
+        !self.merge_all(now, std::slice::from_ref(record)).is_empty()
+    }
+
+    /// Merges records; returns the keys of those that held news.
+    pub fn merge_all(&mut self, now: Instant, records: &[CrashRecord]) -> BTreeSet<ContentKey> {
+        let mut news = BTreeSet::new();
+        let mut has_changed = false;
+        for record in records {
+            let merged = self.merge_without_judgement(now, record);
+            has_changed |= merged != Merged::Nothing;
+            if merged == Merged::News {
+                news.insert((record.service.clone(), record.content.clone()));
+            }
+        }
+        if has_changed {
+            self.judge();
+            news.retain(|key| self.parts.contains_key(key));
+        }
+        news
+    }
+
+    fn merge_without_judgement(&mut self, now: Instant, record: &CrashRecord) -> Merged {
         let key = (record.service.clone(), record.content.clone());
-        let state = self.parts.entry(key.clone()).or_default();
-        let before = state.clone();
+        let before = self.parts.get(&key).cloned().unwrap_or_default();
+        let mut state = before.clone();
         state.is_common |= record.is_common;
         state.requests = state.requests.max(record.requests);
         for crash in record.crashes.iter().take(RECORD_CRASHES_MAX) {
-            let id = (crash.server.clone(), crash.incarnation);
+            let age = Duration::from_millis(crash.age_ms);
+            if age >= RETENTION {
+                continue;
+            }
             let reported = CrashState {
-                at: now - Duration::from_millis(crash.age_ms),
+                at: now - age,
                 is_cleared: crash.is_cleared,
+                found_us: crash.found_us,
             };
-            let known = state.crashes.entry(id).or_insert(reported);
-            known.is_cleared |= crash.is_cleared;
-            // Delays of messages make a crash seem later than it was.
-            known.at = known.at.min(reported.at);
-        }
-        while state.crashes.len() > RECORD_CRASHES_MAX {
-            let oldest = state.crashes.iter().min_by_key(|(_, crash)| crash.at);
-            let Some(id) = oldest.map(|(id, _)| id.clone()) else {
-                break;
-            };
-            state.crashes.remove(&id);
+            state.add_crash((crash.server.clone(), crash.incarnation), reported);
         }
-        if state.crashes.is_empty() {
-            self.parts.remove(&key);
-            return false;
+        if state.crashes.is_empty() || state == before {
+            return Merged::Nothing;
         }
-        if *state == before {
-            return false;
-        }
-        // A count or a time alone is passed on with the next crash.
         let facts = |state: &ContentState| {
             let crashes = state.crashes.iter();
             let crashes = crashes.map(|(id, crash)| (id.clone(), crash.is_cleared));
             (state.is_common, crashes.collect::<Vec<_>>())
         };
-        let is_news = facts(state) != facts(&before);
-        self.drop_excess(&key);
-        self.judge();
-        is_news
+        let is_news = facts(&state) != facts(&before);
+        if before.crashes.is_empty() && !self.make_room(&key, state.found_us()) {
+            return Merged::Nothing;
+        }
+        self.parts.insert(key, state);
+        match is_news {
+            true => Merged::News,
+            false => Merged::Detail,
+        }
     }
 
     /// Sets the number of requests with a part, if it has a record and the number is greater than known.
@@ -382,17 +445,25 @@
         self.judge();
     }
 
-    /// Drops the record whose last crash is the oldest if there are too many.
-    fn drop_excess(&mut self, kept: &ContentKey) {
-        if self.parts.len() <= RECORDS_MAX {
-            return;
+    /// Makes room for a record whose last crash was found at `found_us`, if it was found later than those of the
+    /// record that would be dropped: the one found first, but quarantined content last of all.
+    fn make_room(&mut self, key: &ContentKey, found_us: u64) -> bool {
+        if self.parts.len() < RECORDS_MAX {
+            return true;
         }
-        let others = self.parts.iter().filter(|(key, _)| *key != kept);
-        let oldest = others
-            .min_by_key(|(key, state)| (self.quarantines.contains_key(*key), state.last_crash()));
-        if let Some(key) = oldest.map(|(key, _)| key.clone()) {
-            self.parts.remove(&key);
+        let candidates = self.parts.iter().map(|(key, state)| {
+            let is_quarantined = self.quarantines.contains_key(key);
+            (is_quarantined, state.found_us(), key)
+        });
+        let Some((_, first_found_us, first)) = candidates.min() else {
+            return false;
+        };
+        if (found_us, key) <= (first_found_us, first) {
+            return false;
         }
+        let first = first.clone();
+        self.parts.remove(&first);
+        true
     }
 
     /// Records that a part is sound; returns whether that clears a crash.
@@ -526,6 +597,7 @@
                 incarnation: *incarnation,
                 age_ms: now.since(crash.at).as_millis() as u64,
                 is_cleared: crash.is_cleared,
+                found_us: crash.found_us,
             });
         }
         Some(CrashRecord {
--- a/crates/core/tests/crash.rs
+++ b/crates/core/tests/crash.rs
@@ -25,6 +25,7 @@
         incarnation: Incarnation(1),
         age_ms,
         is_cleared: false,
+        found_us: 0,
     };
     CrashRecord {
         service: key(part).0,
--- a/crates/entry/src/direct/crash.rs
+++ b/crates/entry/src/direct/crash.rs
@@ -144,6 +144,8 @@
 /// Evidence of this entry, and the ledger that it shares with the other processes.
 #[derive(Clone, Debug)]
 pub struct CrashWatch {
+    /// Start of this process, in microseconds since 1970.
+    started_us: u64,
     ledger: CrashLedger,
     uses: ContentUses,
     broken: BTreeMap<(Server, Incarnation), BrokenServer>,
@@ -155,9 +157,11 @@
 }
 
 impl CrashWatch {
-    /// A watch without evidence; see [`CrashLedger::new`] for `stretch`.
-    pub fn new(stretch: f64) -> Self {
+    /// A watch without evidence, of a process that started as this incarnation; see [`CrashLedger::new`] for
+    /// `stretch`.
+    pub fn new(incarnation: Incarnation, stretch: f64) -> Self {
         Self {
+            started_us: incarnation.0,
             ledger: CrashLedger::new(stretch),
             uses: ContentUses::default(),
             broken: BTreeMap::new(),
@@ -323,6 +327,7 @@
                 incarnation: *incarnation,
                 age_ms: 0,
                 is_cleared: false,
+                found_us: self.started_us.saturating_add(now.0),
             };
             let record = CrashRecord {
                 service: service.clone(),
@@ -369,10 +374,9 @@
 
     /// Merges records of another process; returns whether the ledger changed.
     pub fn merge(&mut self, now: Instant, records: &[CrashRecord]) -> bool {
-        let mut changed = false;
+        let changed = !self.ledger.merge_all(now, records).is_empty();
         for record in records {
             let key = (record.service.clone(), record.content.clone());
-            changed |= self.ledger.merge(now, record);
             let crash = self.ledger.last_uncleared_crash(&key);
             if crash.is_some_and(|at| self.is_sound_at(&key, at)) && self.ledger.clear(&key) {
                 self.changed.insert(key);
--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -75,7 +75,7 @@
         let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
         let stretch = rng.random_range(QUARANTINE_STRETCH);
         Self {
-            crashes: CrashWatch::new(stretch),
+            crashes: CrashWatch::new(local.incarnation, stretch),
             changed_limits: BTreeSet::new(),
             follower: Follower::new(local, options.control_addresses.clone(), true),
             mounts: MountTable::default(),
--- a/crates/testkit/src/fleet/recovery.rs
+++ b/crates/testkit/src/fleet/recovery.rs
@@ -433,7 +433,7 @@
             }
             monoio::time::sleep(BETWEEN_READS).await;
         }
-        let ready = probe_entries(&self.fleet, fault_at, READY_BOUND.max(fault_at.elapsed())).await;
+        let ready = probe_entries(&self.fleet, Instant::now(), READY_BOUND).await;
         self.outcome(
             (Fault::Servers, series),
             (fault_ms, fault_ms),
--- a/crates/testkit/src/model/crash.rs
+++ b/crates/testkit/src/model/crash.rs
@@ -311,6 +311,8 @@
     EntryTick(usize),
     ServerChecked(usize, Server, Incarnation, SocketAddr),
     CrashRecords(usize, usize, FactSync),
+    /// A control process passes on the records that are new to it.
+    RelayRecords(usize),
     Fault(usize),
 }
 
@@ -489,6 +491,7 @@
                 let message = Message::FactSync(sync);
                 self.feed(entry, Input::Message { from, message });
             }
+            Event::RelayRecords(control) => self.relay_records(control),
             Event::Fault(index) => self.inject(self.options.faults[index].1.clone()),
         }
     }
@@ -740,17 +743,24 @@
             Message::Poll(poll) => return self.record_poll(entry, control, poll),
             _ => return,
         };
-        let changed = self.relays[control].merge(self.now, &sync);
+        self.relays[control].merge(self.now, &sync);
         if sync.is_complete {
             let response = self.relays[control].response(self.now, &sync);
             self.schedule(LINK_DELAY, Event::CrashRecords(entry, control, response));
         }
-        for other in (0..self.entries.len()).filter(|e| e % CONTROLS == control && *e != entry) {
-            if changed.is_empty() {
-                break;
-            }
-            let sync = changed.clone();
-            self.schedule(LINK_DELAY * 2, Event::CrashRecords(other, control, sync));
+        let due = self.relays[control].next_deadline();
+        if due != Instant::NEVER {
+            self.schedule(due.since(self.now), Event::RelayRecords(control));
+        }
+    }
+
+    fn relay_records(&mut self, control: usize) {
+        let Some(sync) = self.relays[control].take_due(self.now) else {
+            return;
+        };
+        for entry in (0..self.entries.len()).filter(|entry| entry % CONTROLS == control) {
+            let sync = sync.clone();
+            self.schedule(LINK_DELAY * 2, Event::CrashRecords(entry, control, sync));
         }
     }
 
