group: an order that an engine doesn't answer is sent again only after the time that a watch waits for answers

Fencing has no deadline, and a hold went from rank to rank without a pause.

An unanswered order is now due 150 ms after it was sent, the time for which a watch process waits for an answer, so orders that time out are sent again when they were before.

--- a/crates/group/src/barrier.rs
+++ b/crates/group/src/barrier.rs
@@ -502,10 +502,7 @@
             RankOrderOutcome::Refused if is_preparing => {}
             RankOrderOutcome::Refused if is_holding => self.try_next_holder(now, result.rank),
             RankOrderOutcome::Refused => self.start_fencing(),
-            RankOrderOutcome::Unanswered if is_holding => self.try_next_holder(now, result.rank),
-            RankOrderOutcome::Unanswered => {
-                round.sent.remove(&result.rank);
-            }
+            RankOrderOutcome::Unanswered => sent.is_unanswered = true,
             RankOrderOutcome::Fenced => {}
         }
         self.record_order_time(now.since(sent_at));
@@ -901,6 +898,7 @@
                 number,
                 sent_at: now,
                 unanswered_sends: unanswered_sends + 1,
+                is_unanswered: false,
             };
             round.sent.insert(*rank, sent);
             out.push(Output::Order {
--- a/crates/group/src/barrier/round.rs
+++ b/crates/group/src/barrier/round.rs
@@ -6,6 +6,10 @@
 use eelgrassdyke_core::id::Rank;
 use eelgrassdyke_core::time::Instant;
 
+/// Time between two orders to an engine that gives no answer: the time for which a watch process waits for
+/// one. An engine that has ended refuses connections, so that its results come at once.
+const UNANSWERED_INTERVAL: Duration = Duration::from_millis(150);
+
 /// Orders of one phase, at most one for each rank.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Round {
@@ -21,13 +25,22 @@
     pub(super) sent_at: Instant,
     /// Number of consecutive orders without a result from the watch process.
     pub(super) unanswered_sends: u32,
+    /// Whether the watch process has reported that the engine gave no answer.
+    pub(super) is_unanswered: bool,
 }
 
 impl Round {
-    /// Whether an order to a rank is due: none was sent, or the last one has no result in time.
+    /// Whether an order to a rank is due: none was sent, or the last one has no result in time, or the engine
+    /// gave no answer to it.
     pub(super) fn is_due(&self, now: Instant, rank: Rank, resend_interval: Duration) -> bool {
-        let sent = self.sent.get(&rank);
-        sent.is_none_or(|sent| now.since(sent.sent_at) >= resend_interval)
+        let Some(sent) = self.sent.get(&rank) else {
+            return true;
+        };
+        let interval = match sent.is_unanswered {
+            true => UNANSWERED_INTERVAL,
+            false => resend_interval,
+        };
+        now.since(sent.sent_at) >= interval
     }
 }
 
--- a/crates/group/tests/barrier.rs
+++ b/crates/group/tests/barrier.rs
@@ -545,3 +545,36 @@
     report_without_experts(&mut world, Some(Incarnation(99)), map);
     assert_eq!(world.leaders[0].active_placement(world.now), None);
 }
+
+// Engines that have ended refuse connections, so that each order has its result at once. Sent again at once,
+// orders and results kept the coordinator and every watch process busy.
+#[test]
+fn orders_to_engines_that_refuse_connections_are_spaced() {
+    for seed in 0..50 {
+        let mut world = World::new(seed, Ignored::Nothing, 0.0);
+        world.drive_controller(0, Input::LeadershipGained(Term(1)));
+        let ended_after = Duration::from_millis(world.rng.random_range(200..6000));
+        while world.now < Instant(0) + ended_after {
+            world.tick();
+        }
+        let controller = &mut world.leaders[0];
+        let end = world.now + Duration::from_secs(3);
+        let mut orders = 0;
+        while world.now < end {
+            let mut out = Vec::new();
+            controller.handle(world.now, Input::Tick, &mut out);
+            while let Some(output) = out.pop() {
+                let Output::Order { order, .. } = output else {
+                    continue;
+                };
+                orders += 1;
+                assert!(orders < 10_000, "seed {seed}: orders without a pause");
+                let result = order_result(&order, RankOrderOutcome::Unanswered);
+                controller.handle(world.now, Input::OrderResult(result), &mut out);
+            }
+            world.now = world.now + TICK;
+        }
+        // 150 ms is the time for which a watch process waits for an answer.
+        assert!(orders <= RANKS * 3000 / 150, "seed {seed}: {orders} orders");
+    }
+}
