node: messages of the log have an outbox and a connection of their own

Messages on which leadership or a lease depends now have their own outbox for each peer; PeerUnreachable and PeerReached are still logged once for a peer.

--- a/crates/core/src/wire/mod.rs
+++ b/crates/core/src/wire/mod.rs
@@ -138,6 +138,18 @@
 }
 
 impl Message {
+    /// Whether leadership or a lease depends on its delivery in time.
+    pub fn is_urgent(&self) -> bool {
+        match self {
+            Self::Log(_) => true,
+            Self::Rank(message) => matches!(
+                **message,
+                rank::Message::CoordinatorPoll(_) | rank::Message::CoordinatorGrant(_)
+            ),
+            _ => false,
+        }
+    }
+
     /// Name of its kind, for metrics and log lines.
     pub fn kind(&self) -> &'static str {
         match self {
--- a/crates/node/src/mail.rs
+++ b/crates/node/src/mail.rs
@@ -1,14 +1,15 @@
 //! Sends messages to other processes in batches.
 //!
-//! Each peer has a bounded outbox, and one task per outbox sends its messages. A batch that can't
+//! Each peer has two bounded outboxes, and one task per outbox sends its messages. A batch that can't
 //! be sent is dropped, and a full outbox drops its oldest message: all protocols tolerate lost
-//! messages and retry.
+//! messages and retry. Messages on which leadership or a lease depends have an outbox and a connection of
+//! their own, so that they neither wait behind others nor are dropped for them.
 //!
 //! A peer of an earlier build may refuse a whole batch because it doesn't know one of the messages.
 //! Such a batch is sent again in halves, so that only this message is lost.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -44,7 +45,25 @@
     secret: HeaderValue,
     pool: Rc<Pool>,
     timeline: Rc<Timeline>,
-    outboxes: RefCell<HashMap<SocketAddr, Outbox>>,
+    outboxes: RefCell<HashMap<(SocketAddr, Lane), Outbox>>,
+    /// Peers to which the last batch of an outbox was not delivered.
+    unreachable: RefCell<HashSet<SocketAddr>>,
+}
+
+/// Which of the two outboxes of a peer a message waits in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Lane {
+    Urgent,
+    Other,
+}
+
+impl Lane {
+    fn of(message: &Message) -> Self {
+        match message.is_urgent() {
+            true => Self::Urgent,
+            false => Self::Other,
+        }
+    }
 }
 
 /// What became of a batch.
@@ -105,6 +124,7 @@
             pool,
             timeline,
             outboxes,
+            unreachable: RefCell::default(),
         })
     }
 
@@ -117,8 +137,9 @@
     pub fn send(self: &Rc<Self>, to: SocketAddr, message: Message) {
         counter!("eelgrassdyke_messages_sent_total", "kind" => message.kind()).increment(1);
         let mut outboxes = self.outboxes.borrow_mut();
-        let is_new = !outboxes.contains_key(&to);
-        let outbox = outboxes.entry(to).or_default();
+        let key = (to, Lane::of(&message));
+        let is_new = !outboxes.contains_key(&key);
+        let outbox = outboxes.entry(key).or_default();
         if outbox.messages.len() >= OUTBOX_MESSAGES_MAX
             && let Some(event) = outbox.drop_oldest(to)
         {
@@ -126,49 +147,47 @@
         }
         outbox.messages.push_back(message);
         if is_new {
-            monoio::spawn(self.clone().drain_outbox(to));
+            monoio::spawn(self.clone().drain_outbox(key));
         }
     }
 
-    /// Sends batches until the outbox of `to` is empty.
-    async fn drain_outbox(self: Rc<Self>, to: SocketAddr) {
-        let mut failed_before = false;
+    /// Sends batches until the outbox is empty.
+    async fn drain_outbox(self: Rc<Self>, key: (SocketAddr, Lane)) {
+        let to = key.0;
         loop {
-            let messages = self.next_batch(to);
+            let messages = self.next_batch(key);
             if messages.is_empty() {
                 return;
             }
             let message_count = messages.len();
             let sent = self.send_messages(to, messages).await;
             let Err(batch_bytes) = sent else {
-                if failed_before {
+                if self.unreachable.borrow_mut().remove(&to) {
                     let event = Event::new(Code::PeerReached, to.to_string());
                     self.timeline.record_event(event);
                 }
-                failed_before = false;
                 continue;
             };
-            if !failed_before {
+            if self.unreachable.borrow_mut().insert(to) {
                 let event = Event::new(Code::PeerUnreachable, to.to_string())
                     .with_fact("messages", message_count as u64)
                     .with_fact("bytes", batch_bytes as u64);
                 self.timeline.record_event(event);
             }
-            failed_before = true;
             monoio::time::sleep(RETRY_PAUSE).await;
         }
     }
 
-    /// Takes the next batch from the outbox of `to`; removes an empty outbox.
-    fn next_batch(&self, to: SocketAddr) -> Vec<Message> {
+    /// Takes the next batch from an outbox; removes an empty outbox.
+    fn next_batch(&self, key: (SocketAddr, Lane)) -> Vec<Message> {
         let mut outboxes = self.outboxes.borrow_mut();
-        let Some(outbox) = outboxes.get_mut(&to) else {
+        let Some(outbox) = outboxes.get_mut(&key) else {
             return Vec::new();
         };
         let count = outbox.messages.len().min(BATCH_MESSAGES_MAX);
         let messages: Vec<Message> = outbox.messages.drain(..count).collect();
         if messages.is_empty() {
-            outboxes.remove(&to);
+            outboxes.remove(&key);
         }
         messages
     }
--- a/crates/node/tests/mail.rs
+++ b/crates/node/tests/mail.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use eelgrassdyke_core::event::Code;
-use eelgrassdyke_core::id::Incarnation;
-use eelgrassdyke_core::wire::{self, Batch, Message, Sender};
+use eelgrassdyke_core::id::{Incarnation, Replica, Term};
+use eelgrassdyke_core::wire::{self, Batch, Message, Sender, log};
 use eelgrassdyke_node::clock::Clock;
 use eelgrassdyke_node::http::pool::Pool;
 use eelgrassdyke_node::http::server::{self, Handler, Options, Request, Responder};
@@ -127,3 +127,62 @@
     let logged = serde_json::to_value(&dropped[0].event).unwrap();
     assert_eq!(logged["facts"]["kind"], "server_left");
 }
+
+// Votes and heartbeats of the log waited behind, and were dropped for, thousands of other messages.
+#[test]
+fn messages_of_the_log_overtake_a_flood_of_others() {
+    let (delivered, elapsed) = block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let delivered = Rc::new(RefCell::new(0_u64));
+        let sink = delivered.clone();
+        let handler: Handler = Rc::new(move |request: Request, responder: Responder| {
+            let batch: Batch = wire::decode(&request.body).unwrap();
+            let is_log = |message: &&Message| matches!(message, Message::Log(_));
+            *sink.borrow_mut() += batch.messages.iter().filter(is_log).count() as u64;
+            monoio::spawn(async move {
+                monoio::time::sleep(Duration::from_millis(200)).await;
+                responder.respond(StatusCode::NO_CONTENT, HeaderMap::new(), "");
+            });
+        });
+        monoio::spawn(server::serve(listener, Options::default(), handler));
+        let me = Sender {
+            process: "control-1".parse().unwrap(),
+            incarnation: Incarnation(1),
+            address,
+        };
+        let timeline = Rc::new(Timeline::new(
+            me.process.clone(),
+            me.incarnation,
+            Clock::default(),
+            MESSAGES,
+        ));
+        let pool = Rc::new(Pool::default());
+        let outboxes = Outboxes::new(me, &PeerSecret::trust_all(), pool, timeline);
+        let query = |query_number| {
+            Message::Log(log::Message {
+                cluster: 1,
+                from: Replica(1),
+                to: Replica(2),
+                term: Term(1),
+                body: log::Body::ReadIndex { query_number },
+            })
+        };
+        let started = std::time::Instant::now();
+        for number in 0..10_000 {
+            if number % 1_000 == 0 {
+                outboxes.send(address, query(number as u64));
+            }
+            outboxes.send(address, server_left(number));
+        }
+        while *delivered.borrow() < 10 && started.elapsed() < TEST_TIMEOUT {
+            monoio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let count = *delivered.borrow();
+        (count, started.elapsed())
+    })
+    .unwrap();
+    assert_eq!(delivered, 10);
+    // The shortest election timeout is one second.
+    assert!(elapsed < Duration::from_secs(1), "{elapsed:?}");
+}
