control, core: departures reach entries during the warm-up of a control process

Cause: for one lease after its start a control process numbered its directory 0 and sent the whole list, without removals, with every push and poll, and followers drop no server that such a list lacks. A removal thus reached an entry with the first poll after the lease.

Now revisions are numbered from the start. During the warm-up a follower gets one list, marked as not complete, that also names the servers that have left, and then changes; whoever holds a revision from before the end of the warm-up gets the complete list once. So that a delayed heartbeat does not bring a server back at a process that has forgotten the departure: - updates name the position of a departure (new field `departed`, optional), and followers reject older descriptions; - a process that starts, which asks the others for usage counters, also gets their departures of the last minute, as heartbeats with the state `left`, which earlier builds read as well; - a notice about a server that is not known here is passed on to followers, all its heartbeats are refused for one lease, and a process that knows the server answers with the position. Its new incarnation may wait for up to a lease then. Two related faults of followers: a delta was dropped when a poll had crossed the push before it, and with it all later ones until the next poll; a process in its warm-up could turn a draining server back to available.

Earlier builds: an earlier entry removes what `gone` names and ignores `departed`; an earlier control process sends its lists as before (test directory_and_followers_of_two_builds_stay_correct_side_by_side). It was not run with real processes of an earlier build.

Ruled out: a bump of the revision at the end of the warm-up changed the numbers that an existing test checks; the bump is not counted in `revision()` instead. Existing tests only got the new field, and the simulated cluster a lease that can be set and a list of messages with their addresses.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -239,14 +239,11 @@
             Message::ClaimRequest(request) => self.handle_claim_request(now, from, request, out),
             Message::EngineOrder(message) => self.handle_order_message(now, from, message, out),
             Message::ReportPage(page) => self.handle_report_page(now, from, &page, out),
-            Message::ReportResync => self.send_report_pages(from, out),
-            Message::ServerLeft(server) => {
-                out.extend(
-                    self.directory
-                        .remove_server(now, &server)
-                        .map(Output::Event),
-                );
+            Message::ReportResync => {
+                self.send_report_pages(from, out);
+                self.send_departures(from, out);
             }
+            Message::ServerLeft(server) => self.handle_server_left(now, from, &server, out),
             Message::Rank(message) => self.handle_rank_message(now, from, *message, out),
             Message::FactSync(sync) => self.handle_fact_sync(now, from, &sync, out),
             Message::ActiveEntries(entries) => self.followers.record_remote_entries(now, entries),
--- a/crates/control/src/directory.rs
+++ b/crates/control/src/directory.rs
@@ -48,11 +48,16 @@
     conflict_reported: bool,
 }
 
-/// A removed server, with the position of its last heartbeat.
-#[derive(Clone, Copy, Debug)]
+/// A removed server.
+#[derive(Clone, Debug)]
 struct RemovedServer {
-    /// Incarnation and sequence number of the heartbeat.
-    position: (Incarnation, u64),
+    /// Incarnation and sequence number up to which its heartbeats are stale; none if it left before this
+    /// process had received a heartbeat of it, in which case all are.
+    position: Option<(Incarnation, u64)>,
+    /// Its last description, if known.
+    info: Option<ServerInfo>,
+    /// Whether it has left, rather than stopped sending heartbeats.
+    has_left: bool,
     removed_at: Instant,
 }
 
@@ -64,6 +69,8 @@
     started: Option<Instant>,
     last_expiry_check: Instant,
     revision: u64,
+    /// First revision after the warm-up; followers that hold an earlier one get the complete list.
+    complete_from: Option<u64>,
     /// Number of the last published load.
     load_number: u64,
     servers: BTreeMap<Server, ServerEntry>,
@@ -83,6 +90,7 @@
             started: None,
             last_expiry_check: Instant(0),
             revision: 1,
+            complete_from: None,
             load_number: 0,
             servers: BTreeMap::new(),
             changes: VecDeque::new(),
@@ -99,9 +107,10 @@
         self
     }
 
-    /// The revision: starts at 1 and increases with each change.
+    /// The revision: starts at 1 and increases with each change of a server.
     pub fn revision(&self) -> u64 {
-        self.revision
+        // The end of the warm-up is numbered too, but changes no server.
+        self.revision - u64::from(self.complete_from.is_some())
     }
 
     /// Records a heartbeat and returns an event if it changed the directory.
@@ -109,14 +118,15 @@
         self.mark_started(now);
         let server = heartbeat.info.server.clone();
         let position = (heartbeat.info.incarnation, heartbeat.sequence);
-        if self.is_stale(&server, position) {
+        let has_left = heartbeat.info.state == ServerState::Left;
+        if self.is_stale(&server, position, has_left) {
             return None;
         }
         if let Some(event) = self.reject_duplicate(&heartbeat) {
             return event;
         }
-        if heartbeat.info.state == ServerState::Left {
-            return self.remove_departed(now, &server, position);
+        if has_left {
+            return Some(self.remove_departed(now, &server, Some(position), Some(heartbeat.info)));
         }
         self.removed.remove(&server);
         let previous = self.servers.get(&server);
@@ -146,21 +156,31 @@
         Some(event.server(&server))
     }
 
-    /// Records the time of the first heartbeat or expiry check.
+    /// Records the time of the first heartbeat or expiry check, and the end of the warm-up.
     fn mark_started(&mut self, now: Instant) {
-        if self.started.is_none() {
+        let Some(started) = self.started else {
             self.started = Some(now);
             self.last_expiry_check = now;
+            return;
+        };
+        if self.complete_from.is_none() && now.since(started) >= self.lease {
+            self.revision += 1;
+            self.complete_from = Some(self.revision);
         }
     }
 
     /// Whether a heartbeat at `position` is older than the last one of the same server.
-    fn is_stale(&self, server: &Server, position: (Incarnation, u64)) -> bool {
+    fn is_stale(&self, server: &Server, position: (Incarnation, u64), has_left: bool) -> bool {
         let current = self.servers.get(server);
         let current = current.map(|entry| (entry.info.incarnation, entry.sequence));
-        let removed = self.removed.get(server).map(|removed| removed.position);
-        current.is_some_and(|current| position <= current)
-            || removed.is_some_and(|removed| position <= removed)
+        let is_removed = self
+            .removed
+            .get(server)
+            .is_some_and(|removed| match removed.position {
+                Some(removed) => position <= removed,
+                None => !has_left,
+            });
+        is_removed || current.is_some_and(|current| position <= current)
     }
 
     /// Rejects the heartbeat of a second process that uses the name of a server in the directory
@@ -190,10 +210,18 @@
 
     /// Removes a server on a notice that carries neither incarnation nor sequence number.
     ///
-    /// Delayed heartbeats of the same incarnation are stale from then on.
+    /// Delayed heartbeats of the same incarnation are stale from then on. Of a server that is not known,
+    /// all heartbeats are stale for one lease: followers may know it from before this process started.
     pub fn remove_server(&mut self, now: Instant, server: &Server) -> Option<Event> {
-        let incarnation = self.servers.get(server)?.info.incarnation;
-        self.remove_departed(now, server, (incarnation, u64::MAX))
+        let current = self.servers.get(server).map(|entry| entry.info.clone());
+        let info = match (current, self.removed.get(server)) {
+            (Some(info), _) => Some(info),
+            (None, Some(removed)) if removed.has_left => return None,
+            (None, Some(removed)) => removed.info.clone(),
+            (None, None) => None,
+        };
+        let position = info.as_ref().map(|info| (info.incarnation, u64::MAX));
+        Some(self.remove_departed(now, server, position, info))
     }
 
     /// Removes a server that has left, up to the given position of its heartbeats.
@@ -201,25 +229,64 @@
         &mut self,
         now: Instant,
         server: &Server,
-        position: (Incarnation, u64),
-    ) -> Option<Event> {
+        position: Option<(Incarnation, u64)>,
+        info: Option<ServerInfo>,
+    ) -> Event {
         let removed = RemovedServer {
             position,
+            info,
+            has_left: true,
             removed_at: now,
         };
         self.removed.insert(server.clone(), removed);
-        let entry = self.servers.remove(server)?;
-        self.by_load_number.remove(&entry.published_load.0);
+        let entry = self.servers.remove(server);
+        if let Some(entry) = &entry {
+            self.by_load_number.remove(&entry.published_load.0);
+        }
+        // Followers may hold a server that is unknown here.
         self.record_change(server);
-        Some(Event::new(Code::ServerLeft, "").server(server))
+        let detail = match entry {
+            Some(_) => "",
+            None => "not in the directory",
+        };
+        Event::new(Code::ServerLeft, detail).server(server)
+    }
+
+    /// The last heartbeat of a server that has left, to pass on to other control processes; none if no
+    /// heartbeat of it was received.
+    pub fn departure(&self, server: &Server) -> Option<Heartbeat> {
+        let removed = self.removed.get(server)?;
+        let ((_, sequence), info) = removed.position.zip(removed.info.clone())?;
+        removed.has_left.then(|| Heartbeat {
+            info: ServerInfo {
+                state: ServerState::Left,
+                ..info
+            },
+            sequence,
+            load: ServerLoad::default(),
+        })
+    }
+
+    /// The last heartbeats of all servers that have left recently.
+    pub fn departures(&self) -> Vec<Heartbeat> {
+        let servers = self.removed.keys();
+        servers
+            .filter_map(|server| self.departure(server))
+            .collect()
     }
 
     /// Removes the servers whose lease has expired.
     pub fn expire(&mut self, now: Instant) -> Vec<Event> {
         self.mark_started(now);
         self.extend_leases_after_pause(now);
-        self.removed
-            .retain(|_, removed| now.since(removed.removed_at) < REMOVED_RETENTION);
+        let lease = self.lease;
+        self.removed.retain(|_, removed| {
+            let retention = match removed.position {
+                Some(_) => REMOVED_RETENTION,
+                None => lease,
+            };
+            now.since(removed.removed_at) < retention
+        });
         let mut events = Vec::new();
         let is_lost = |entry: &ServerEntry| now.since(entry.last_heartbeat) >= self.lease;
         let names: Vec<Server> = self
@@ -233,14 +300,13 @@
                 continue;
             };
             self.by_load_number.remove(&entry.published_load.0);
-            let position = (entry.info.incarnation, entry.sequence);
-            self.removed.insert(
-                server.clone(),
-                RemovedServer {
-                    position,
-                    removed_at: now,
-                },
-            );
+            let removed = RemovedServer {
+                position: Some((entry.info.incarnation, entry.sequence)),
+                info: Some(entry.info),
+                has_left: false,
+                removed_at: now,
+            };
+            self.removed.insert(server.clone(), removed);
             self.record_change(&server);
             let detail = format!("no heartbeat for {} ms", self.lease.as_millis());
             events.push(Event::new(Code::ServerLost, detail).server(&server));
@@ -277,15 +343,18 @@
         held: Option<&follow::DirectoryRevision>,
         with_loads: bool,
     ) -> follow::DirectoryUpdate {
-        let is_warmed_up = self.is_warmed_up(now);
         let base_revision = held
-            .filter(|held| is_warmed_up && held.number > 0 && self.has_changes_since(held))
+            .filter(|held| self.has_changes_since(held))
             .map(|held| held.number);
         let mut servers = Vec::new();
         let mut removed = Vec::new();
         let with_sequence = |entry: &ServerEntry| (entry.info.clone(), entry.info_sequence);
         match base_revision {
-            None => servers.extend(self.servers.values().map(with_sequence)),
+            None => {
+                servers.extend(self.servers.values().map(with_sequence));
+                let departed = self.removed.iter().filter(|(_, removed)| removed.has_left);
+                removed.extend(departed.map(|(name, _)| name.clone()));
+            }
             Some(base_revision) => {
                 let first = self
                     .changes
@@ -300,6 +369,12 @@
                 }
             }
         }
+        let departed = removed.iter().filter_map(|name| {
+            let removed = self.removed.get(name).filter(|removed| removed.has_left)?;
+            let (incarnation, sequence) = removed.position?;
+            Some((name.clone(), incarnation, sequence))
+        });
+        let departed = departed.collect();
         let held_load_number = held.filter(|held| held.source == self.source);
         let held_load_number = held_load_number.map_or(0, |held| held.load_number);
         let (loads, load_number) = match with_loads {
@@ -309,14 +384,14 @@
         follow::DirectoryUpdate {
             revision: follow::DirectoryRevision {
                 source: self.source.clone(),
-                // Number 0 makes the follower get the complete directory again after the warm-up.
-                number: if is_warmed_up { self.revision } else { 0 },
+                number: self.revision,
                 load_number,
             },
             base_revision,
-            warmed_up: is_warmed_up,
+            warmed_up: self.complete_from.is_some(),
             servers,
             removed,
+            departed,
             loads_complete: load_number == self.load_number,
             loads,
         }
@@ -347,17 +422,14 @@
         }
     }
 
-    /// Whether every running server has had time to announce itself.
-    fn is_warmed_up(&self, now: Instant) -> bool {
-        self.started
-            .is_some_and(|started| now.since(started) >= self.lease)
-    }
-
     /// Whether the kept changes cover everything since `held`.
     fn has_changes_since(&self, held: &follow::DirectoryRevision) -> bool {
         if held.source != self.source || held.number > self.revision {
             return false;
         }
+        if self.complete_from.is_some_and(|first| held.number < first) {
+            return false;
+        }
         let oldest = self
             .changes
             .front()
--- a/crates/control/src/publish.rs
+++ b/crates/control/src/publish.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use eelgrassdyke_core::config::{Publication, Submission};
-use eelgrassdyke_core::id::Ticket;
+use eelgrassdyke_core::id::{Server, Ticket};
 use eelgrassdyke_core::time::Instant;
-use eelgrassdyke_core::wire::Message;
+use eelgrassdyke_core::wire::{Message, Sender};
 
 use crate::control::Control;
 use crate::io::{OperatorResponse, Output, ServerNotice};
@@ -89,18 +89,25 @@
             out.push(PublicationReads::no_quorum_response(ticket));
             return;
         }
-        let message = match &notice {
-            ServerNotice::Heartbeat(heartbeat) => Message::Heartbeat(heartbeat.clone()),
-            ServerNotice::Left(server) => Message::ServerLeft(server.clone()),
+        let (messages, event) = match notice {
+            ServerNotice::Heartbeat(heartbeat) => {
+                let event = self.directory.record_heartbeat(now, heartbeat.clone());
+                (vec![Message::Heartbeat(heartbeat)], event)
+            }
+            ServerNotice::Left(server) => {
+                let event = self.directory.remove_server(now, &server);
+                // The departure names the incarnation, for those that know no heartbeat of the server.
+                let departure = self.directory.departure(&server).map(Message::Heartbeat);
+                let mut messages: Vec<Message> = departure.into_iter().collect();
+                messages.push(Message::ServerLeft(server));
+                (messages, event)
+            }
         };
         for to in self.replica.peer_addresses() {
-            let message = message.clone();
-            out.push(Output::Send { to, message });
+            for message in messages.iter().cloned() {
+                out.push(Output::Send { to, message });
+            }
         }
-        let event = match notice {
-            ServerNotice::Heartbeat(heartbeat) => self.directory.record_heartbeat(now, heartbeat),
-            ServerNotice::Left(server) => self.directory.remove_server(now, &server),
-        };
         if event.is_some() {
             self.next_push = now;
         }
@@ -108,4 +115,37 @@
         let response = OperatorResponse::NoticeAccepted;
         out.push(Output::Respond { ticket, response });
     }
+
+    /// Removes a server that has announced to another control process that it leaves.
+    pub(crate) fn handle_server_left(
+        &mut self,
+        now: Instant,
+        from: &Sender,
+        server: &Server,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(event) = self.directory.remove_server(now, server) else {
+            return;
+        };
+        out.push(Output::Event(event));
+        // The sender has not named the incarnation, so it may not know it.
+        if let Some(departure) = self.directory.departure(server) {
+            let message = Message::Heartbeat(departure);
+            out.push(Output::Send {
+                to: from.address,
+                message,
+            });
+        }
+    }
+
+    /// Sends a control process that has started the recent departures, which it has forgotten.
+    pub(crate) fn send_departures(&self, to: &Sender, out: &mut Vec<Output>) {
+        for departure in self.directory.departures() {
+            let message = Message::Heartbeat(departure);
+            out.push(Output::Send {
+                to: to.address,
+                message,
+            });
+        }
+    }
 }
--- a/crates/control/tests/cluster/mod.rs
+++ b/crates/control/tests/cluster/mod.rs
@@ -32,9 +32,13 @@
     pub responses: BTreeMap<Ticket, OperatorResponse>,
     /// Messages to processes other than the three.
     pub received: Vec<Message>,
+    /// If set, messages to processes other than the three are stored here instead, with their addresses.
+    pub delivered: Option<Vec<(SocketAddr, Message)>>,
     pub last_ticket: u64,
     /// The incarnation of each process.
     pub incarnations: Vec<u64>,
+    /// Lease of servers at processes that start from now on.
+    pub server_lease: Duration,
     /// The events of all processes.
     pub events: Vec<Event>,
     /// Changes a message before it is delivered to the process with this number.
@@ -59,8 +63,10 @@
             messages: VecDeque::new(),
             responses: BTreeMap::new(),
             received: Vec::new(),
+            delivered: None,
             last_ticket: 0,
             incarnations: vec![0; 3],
+            server_lease: eelgrassdyke_control::directory::DEFAULT_LEASE,
             events: Vec::new(),
             rewrite: None,
         };
@@ -76,7 +82,7 @@
         let disk = self.disks[number].clone();
         let (store, recovered) = Store::open(disk, Id(number as u64 + 1)).unwrap();
         let options = Options {
-            server_lease: eelgrassdyke_control::directory::DEFAULT_LEASE,
+            server_lease: self.server_lease,
             control_addresses: control_addresses.clone(),
             wall_time_origin: WallTime(1_000_000),
             spreads_groups: false,
@@ -171,7 +177,10 @@
                         }
                         self.handle_input(receiver, Input::Message { from, message });
                     }
-                    None => self.received.push(message),
+                    None => match &mut self.delivered {
+                        Some(delivered) => delivered.push((to, message)),
+                        None => self.received.push(message),
+                    },
                 }
             }
         }
--- a/crates/control/tests/directory.rs
+++ b/crates/control/tests/directory.rs
@@ -437,3 +437,172 @@
     assert_eq!(events[0].0, Code::ServerUp);
     assert_eq!(events[1..], [turned("warm"), turned("cold")]);
 }
+
+/// Two control processes restart, and the heartbeat that says `draining` reaches only one of them. An entry
+/// that knows it must not take the other one's older description back.
+#[test]
+fn draining_server_does_not_become_available_again_at_a_restarted_control_process() {
+    let mut follower = follower();
+    let mut now = Instant(1_000_000);
+    let mut first = directory("control-1");
+    let mut second = directory("control-2");
+    for directory in [&mut first, &mut second] {
+        directory.expire(now);
+        directory.record_heartbeat(now, heartbeat(1, 1, 1, ServerState::Up));
+    }
+    first.record_heartbeat(now, heartbeat(1, 1, 2, ServerState::Draining));
+    for (round, source) in [&first, &second, &second].into_iter().enumerate() {
+        let poll = next_poll(&mut follower, &mut now);
+        let mut update = update(now, source, &poll, true);
+        // A complete list, as after more changes than are kept.
+        update.directory = Some(source.update_since(now, None, true));
+        follower.apply(now, &"control".parse().unwrap(), update);
+        let state = follower.servers().values().next().unwrap().info.state;
+        assert_eq!(state, ServerState::Draining, "round {round}");
+    }
+}
+
+/// A push and the response to a poll that was sent before it overlap; the push after them removes a server.
+#[test]
+fn poll_that_crosses_a_push_does_not_hold_back_a_removal() {
+    let mut follower = follower();
+    let mut now = Instant(1_000_000);
+    let from = "control-1".parse().unwrap();
+    let mut directory = directory("control-1");
+    directory.expire(now);
+    let poll = next_poll(&mut follower, &mut now);
+    follower.apply(now, &from, update(now, &directory, &poll, true));
+    let poll = next_poll(&mut follower, &mut now);
+    directory.record_heartbeat(now, heartbeat(1, 1, 1, ServerState::Up));
+    let push = update(now, &directory, &poll, false);
+    directory.record_heartbeat(now, heartbeat(2, 1, 1, ServerState::Up));
+    let response = update(now, &directory, &poll, true);
+    let sent = response.directory.as_ref().unwrap().revision.clone();
+    directory.record_heartbeat(now, heartbeat(1, 1, 2, ServerState::Left));
+    let mut removal = update(now, &directory, &poll, false);
+    removal.directory = Some(directory.update_since(now, Some(&sent), false));
+    for update in [push, response, removal] {
+        follower.apply(now, &from, update);
+    }
+    let held: Vec<&str> = follower.servers().keys().map(|s| s.as_str()).collect();
+    assert_eq!(held, ["engine-2"]);
+}
+
+/// Entries of an earlier build ignore `departed`, and control processes of one send complete lists numbered
+/// 0 during their warm-up.
+#[test]
+fn directory_and_followers_of_two_builds_stay_correct_side_by_side() {
+    let from = "control-1".parse().unwrap();
+    let mut now = Instant(1_000_000);
+    let mut old_follower = follower();
+    let mut new_follower = follower();
+    let mut before = directory("control-1");
+    before.expire(now);
+    for server in 0..4 {
+        before.record_heartbeat(now, heartbeat(server, 1, 1, ServerState::Up));
+    }
+    now = now + DEFAULT_LEASE;
+    before.expire(now);
+    for follower in [&mut old_follower, &mut new_follower] {
+        let poll = next_poll(follower, &mut now);
+        follower.apply(now, &from, update(now, &before, &poll, true));
+        assert_eq!(follower.servers().len(), 4);
+    }
+
+    // The earlier entry at a restarted control process of this build.
+    let mut restarted = Directory::new("control-1".parse().unwrap(), Incarnation(2));
+    restarted.expire(now);
+    for server in 0..2 {
+        restarted.record_heartbeat(now, heartbeat(server, 1, 2, ServerState::Up));
+    }
+    for removed in 0..2 {
+        let poll = next_poll(&mut old_follower, &mut now);
+        let mut update = update(now, &restarted, &poll, true);
+        update.directory.as_mut().unwrap().departed.clear();
+        old_follower.apply(now, &from, update);
+        assert_eq!(old_follower.servers().len(), 4 - removed);
+        restarted.remove_server(now, &format!("engine-{removed}").parse().unwrap());
+    }
+
+    // This build's entry at a restarted control process of the earlier build.
+    let poll = next_poll(&mut new_follower, &mut now);
+    let mut earlier = Directory::new("control-1".parse().unwrap(), Incarnation(3));
+    earlier.expire(now);
+    earlier.record_heartbeat(now, heartbeat(0, 1, 3, ServerState::Up));
+    for number in [0, 0, 7] {
+        let mut update = update(now, &earlier, &poll, true);
+        let directory = update.directory.as_mut().unwrap();
+        directory.base_revision = None;
+        directory.revision.number = number;
+        directory.warmed_up = number > 0;
+        new_follower.apply(now, &from, update);
+        let expected = if number > 0 { 1 } else { 4 };
+        assert_eq!(new_follower.servers().len(), expected);
+    }
+}
+
+/// All followers fetched the complete list with every push and poll for one lease after the start of a
+/// control process. Each needs a description when the server announces itself, and once more after that.
+#[test]
+fn followers_get_each_description_twice_after_a_restart_of_control() {
+    const FOLLOWERS: u64 = 53;
+    const SERVERS: u64 = 140;
+    const STEP: Duration = Duration::from_millis(50);
+    const LEASE: Duration = Duration::from_millis(4800);
+    let mut directory = directory("control-1").with_lease(LEASE);
+    let from = "control-1".parse().unwrap();
+    let control = vec!["127.0.0.1:1".parse().unwrap()];
+    let new = |number: u64| {
+        let local = Sender {
+            process: format!("entry-{number}").parse().unwrap(),
+            incarnation: Incarnation(1),
+            address: "127.0.0.1:2".parse().unwrap(),
+        };
+        Follower::new(&local, control.clone(), true)
+    };
+    let mut followers: Vec<Follower> = (0..FOLLOWERS).map(new).collect();
+    // The revision that control last sent to each, as `Followers` records it, with the poll.
+    let mut sent: Vec<Option<PollRequest>> = vec![None; FOLLOWERS as usize];
+    let start = Instant(1_000_000);
+    let (mut now, mut pushed, mut next_push) = (start, 1, start);
+    let (mut bytes, mut descriptions) = (0, 0);
+    directory.expire(now);
+    while now.since(start) < LEASE + SECOND * 2 {
+        let step = now.since(start).as_millis() as u64 / STEP.as_millis() as u64;
+        // Each server sends a heartbeat every 1.2 s, all of them spread over this time.
+        for server in (0..SERVERS).filter(|server| server % 24 == step % 24) {
+            directory.record_heartbeat(now, heartbeat(server, 1, step + 1, ServerState::Up));
+        }
+        directory.expire(now);
+        let is_push_due = now >= next_push && directory.revision() != pushed;
+        for (follower, sent) in followers.iter_mut().zip(&mut sent) {
+            let poll = follower.next_poll(now);
+            let is_poll = poll.is_some();
+            if let Some((_, poll)) = poll {
+                *sent = Some(poll);
+            }
+            let Some(held) = sent.as_mut().filter(|_| is_poll || is_push_due) else {
+                continue;
+            };
+            let update = update(now, &directory, held, is_poll);
+            let of_update = update.directory.as_ref().unwrap();
+            held.directory_revision = Some(of_update.revision.clone());
+            descriptions += of_update.servers.len() as u64;
+            bytes += encode(&update).unwrap().len();
+            follower.apply(now, &from, update);
+        }
+        if is_push_due {
+            pushed = directory.revision();
+            next_push = now + SECOND / 5;
+        }
+        now = now + STEP;
+    }
+    println!("{bytes} bytes, {descriptions} descriptions for {FOLLOWERS} followers");
+    let complete = |follower: &Follower| follower.servers().len() as u64 == SERVERS;
+    assert!(followers.iter().all(complete));
+    let most = 2 * FOLLOWERS * SERVERS;
+    assert!(
+        descriptions <= most,
+        "{descriptions} descriptions, {most} needed"
+    );
+}
--- a/crates/control/tests/follow.rs
+++ b/crates/control/tests/follow.rs
@@ -155,6 +155,7 @@
         warmed_up: true,
         servers: Vec::new(),
         removed: Vec::new(),
+        departed: Vec::new(),
         loads_complete: true,
         loads: Vec::new(),
     }
--- a/crates/core/src/follow.rs
+++ b/crates/core/src/follow.rs
@@ -12,7 +12,7 @@
 
 use crate::config::{DigestedDocument, Document};
 use crate::digest::Sha256;
-use crate::id::{Group, Process, Server, Service, Version};
+use crate::id::{Group, Incarnation, Process, Server, Service, Version};
 use crate::limit::{ServiceDemand, ServiceShare, Share};
 use crate::time::Instant;
 use crate::wire::Sender;
@@ -48,6 +48,9 @@
 /// Time between two load reports of a server.
 const LOAD_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time for which the departure of a server is kept, to reject older descriptions of it.
+const DEPARTURE_RETENTION: Duration = Duration::from_secs(60);
+
 /// What an update changed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct UpdateEffect {
@@ -99,6 +102,9 @@
     revision_poll: u64,
     /// Sequence number of the heartbeat from which each directory entry was made.
     heartbeat_sequences: BTreeMap<Server, u64>,
+    /// Servers that have left: the position of the last heartbeat of each, and when it was received. A
+    /// control process that has restarted may announce such a server again, on a delayed heartbeat.
+    departures: BTreeMap<Server, ((Incarnation, u64), Instant)>,
     confirmed: bool,
     /// Position of the polled control process in `control_addresses`, modulo its length.
     polled_index: usize,
@@ -136,6 +142,7 @@
             directory_revision: None,
             revision_poll: 0,
             heartbeat_sequences: BTreeMap::new(),
+            departures: BTreeMap::new(),
             confirmed: false,
             polled_index: (mix(random_seed) >> 1) as usize,
             random_seed,
@@ -482,16 +489,23 @@
             return false;
         }
         match directory.base_revision {
-            Some(base) if !same_source || base != number => return false,
-            None if same_source && directory.revision.number < number => return false,
+            // Changes since an earlier revision include those since the one held.
+            Some(base) if !same_source || base > number => return false,
+            _ if same_source && directory.revision.number < number => return false,
             Some(_) => {}
             None if directory.warmed_up => self.remove_absent_servers(&directory.servers),
             None => {}
         }
+        let present_again = self.record_departures(now, directory.departed);
+        // A process in its warm-up may have missed a description that another one has sent.
+        let replaces_later = same_source && directory.warmed_up;
         for (info, sequence) in directory.servers {
-            self.put_server(now, info, sequence, same_source);
+            self.put_server(now, info, sequence, replaces_later);
         }
         for server in &directory.removed {
+            if present_again.contains(server) {
+                continue;
+            }
             self.servers.remove(server);
             self.heartbeat_sequences.remove(server);
         }
@@ -509,6 +523,36 @@
         true
     }
 
+    /// Records departures, and returns the servers of which a later incarnation is held.
+    fn record_departures(
+        &mut self,
+        now: Instant,
+        departed: Vec<(Server, Incarnation, u64)>,
+    ) -> BTreeSet<Server> {
+        self.departures
+            .retain(|_, (_, received_at)| now.since(*received_at) < DEPARTURE_RETENTION);
+        let mut present_again = BTreeSet::new();
+        for (server, incarnation, sequence) in departed {
+            let position = (incarnation, sequence);
+            if self.position(&server).is_some_and(|held| held > position) {
+                present_again.insert(server);
+                continue;
+            }
+            let recorded = self.departures.get(&server);
+            if recorded.is_none_or(|(recorded, _)| *recorded < position) {
+                self.departures.insert(server, (position, now));
+            }
+        }
+        present_again
+    }
+
+    /// Incarnation and sequence number of the heartbeat from which the entry of a server was made.
+    fn position(&self, server: &Server) -> Option<(Incarnation, u64)> {
+        let incarnation = self.servers.get(server)?.info.incarnation;
+        let sequence = self.heartbeat_sequences.get(server).copied().unwrap_or(0);
+        Some((incarnation, sequence))
+    }
+
     fn remove_absent_servers(&mut self, servers: &[(ServerInfo, u64)]) {
         let present: BTreeSet<&Server> = servers.iter().map(|(info, _)| &info.server).collect();
         self.servers.retain(|name, _| present.contains(name));
@@ -516,17 +560,20 @@
             .retain(|name, _| present.contains(name));
     }
 
-    /// Stores a directory entry, unless another control process has sent a later one.
-    fn put_server(&mut self, now: Instant, info: ServerInfo, sequence: u64, same_source: bool) {
+    /// Stores a directory entry unless the server has left since, or a later entry is held and
+    /// `replaces_later` is not set.
+    fn put_server(&mut self, now: Instant, info: ServerInfo, sequence: u64, replaces_later: bool) {
         let server = info.server.clone();
-        let held = self.servers.get(&server);
-        let held_sequence = self.heartbeat_sequences.get(&server).copied().unwrap_or(0);
-        let held_is_later = held.is_some_and(|status| {
-            (status.info.incarnation, held_sequence) > (info.incarnation, sequence)
-        });
-        if held_is_later && !same_source {
+        let position = (info.incarnation, sequence);
+        let departure = self.departures.get(&server);
+        if departure.is_some_and(|(departure, _)| position <= *departure) {
+            return;
+        }
+        let held_is_later = self.position(&server).is_some_and(|held| held > position);
+        if held_is_later && !replaces_later {
             return;
         }
+        let held = self.servers.get(&server);
         let (load, load_measured_at) = held.map_or((ServerLoad::default(), now), |status| {
             (status.load, status.load_measured_at)
         });
--- a/crates/core/src/wire/follow.rs
+++ b/crates/core/src/wire/follow.rs
@@ -9,7 +9,7 @@
 use crate::config::{Document, Patch};
 use crate::data;
 use crate::digest::Sha256;
-use crate::id::{Operation, Server, Version};
+use crate::id::{Incarnation, Operation, Server, Version};
 use crate::limit::{ServiceDemand, ServiceShare};
 use crate::wire::directory::{ServerInfo, ServerLoad};
 use crate::wire::rank::Assignments;
@@ -47,7 +47,7 @@
         /// The control process and its incarnation.
         #[serde(rename = "of")]
         pub source: (crate::id::Process, crate::id::Incarnation),
-        /// Incremented by each change; 0 while servers have yet to announce themselves.
+        /// Incremented by each change; earlier builds send 0 while servers have yet to announce themselves.
         pub number: u64,
         /// Incremented by each load report.
         #[serde(rename = "loads")]
@@ -139,7 +139,7 @@
         #[serde(rename = "since")]
         pub base_revision: Option<u64>,
         /// Whether all servers have had time to announce themselves; if not, the absence of a server
-        /// does not mean that it is gone.
+        /// from a complete list does not mean that it is gone.
         #[serde(rename = "settled")]
         pub warmed_up: bool,
         /// New and changed servers, each with the sequence number of its heartbeat.
@@ -148,6 +148,10 @@
         /// Servers that are gone.
         #[serde(rename = "gone")]
         pub removed: Vec<Server>,
+        /// Those of `removed` that have left, each with the incarnation and the sequence number up to which
+        /// its heartbeats are outdated.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub departed: Vec<(Server, Incarnation, u64)>,
         /// Loads that changed considerably; those not sent for the longest time come first.
         pub loads: Vec<LoadReading>,
         /// Whether `loads` holds all newer loads; if so, the others are unchanged.
--- a/crates/entry/tests/cold/world.rs
+++ b/crates/entry/tests/cold/world.rs
@@ -370,6 +370,7 @@
                 warmed_up: true,
                 servers: infos.collect(),
                 removed: Vec::new(),
+                departed: Vec::new(),
                 loads: Vec::new(),
                 loads_complete: true,
             }),
--- a/crates/entry/tests/direct.rs
+++ b/crates/entry/tests/direct.rs
@@ -211,6 +211,7 @@
                     .map(|server_info| (server_info, 1))
                     .collect(),
                 removed: Vec::new(),
+                departed: Vec::new(),
                 loads_complete: true,
                 loads: Vec::new(),
             }),
--- a/crates/entry/tests/limited.rs
+++ b/crates/entry/tests/limited.rs
@@ -130,6 +130,7 @@
                 warmed_up: true,
                 servers: servers.map(|info| (info, self.revision)).collect(),
                 removed: Vec::new(),
+                departed: Vec::new(),
                 loads_complete: true,
                 loads: Vec::new(),
             }),
--- a/crates/entry/tests/once.rs
+++ b/crates/entry/tests/once.rs
@@ -280,6 +280,7 @@
                 .map(|server_info| (server_info.clone(), self.sequence))
                 .collect(),
             removed: Vec::new(),
+            departed: Vec::new(),
             loads: Vec::new(),
             loads_complete: true,
         };
--- a/crates/entry/tests/whole.rs
+++ b/crates/entry/tests/whole.rs
@@ -106,6 +106,7 @@
             warmed_up: true,
             servers: (0..3).map(|index| (server_info(index), 1)).collect(),
             removed: Vec::new(),
+            departed: Vec::new(),
             loads: Vec::new(),
             loads_complete: true,
         };
--- a/crates/testkit/src/model/crash.rs
+++ b/crates/testkit/src/model/crash.rs
@@ -952,6 +952,7 @@
                 warmed_up: true,
                 servers,
                 removed: Vec::new(),
+                departed: Vec::new(),
                 loads: Vec::new(),
                 loads_complete: true,
             }),
--- a/crates/testkit/src/model/world.rs
+++ b/crates/testkit/src/model/world.rs
@@ -280,6 +280,7 @@
                 .map(|index| (self.server_info(index), self.directory_revision))
                 .collect(),
             removed: Vec::new(),
+            departed: Vec::new(),
             loads,
             loads_complete: true,
         });
