node: a graceful shutdown waits until responses are written

Cause: a request counted as done when its response had been queued for the connection. The rest was written by the connection's task, which ends with the process. Responses of agents to entries and of control to operators were not waited for at all, or in the same way.

Now each request that is handed over counts until its response is written or its connection ends, on the ports for callers and for peers and operators. Node::wait_drained waits for those received until the roles had nothing left to do, within the same limits as before (0.95 of the grace period on the direct path, limits.drain_ms elsewhere). Idle connections, and peers or operators that go on sending, don't count. What is cut off at the end is counted in a log line at that moment, since the process may be killed soon after, and in event 102; the exit code is then 3.

Left: deploy/control.jsonc sets no limit, so control waits for an operator who stops reading until the platform kills it (before, it cut him off at once). A response of which the rest is in the buffers of the socket counts as written.

--- a/crates/node/src/http/respond.rs
+++ b/crates/node/src/http/respond.rs
@@ -21,9 +21,83 @@
     End,
 }
 
+/// Counts the responses of a process that are not yet written to their connections.
+#[derive(Debug, Default)]
+pub struct Unwritten {
+    latest: RefCell<Rc<Group>>,
+}
+
+impl Unwritten {
+    /// The responses to the requests received so far; those received from now on belong to the next group.
+    pub fn split_off(&self) -> Rc<Group> {
+        self.latest.take()
+    }
+
+    /// The group of the requests received from the last [`Unwritten::split_off`] on.
+    pub fn latest(&self) -> Rc<Group> {
+        self.latest.borrow().clone()
+    }
+}
+
+/// A group of responses, by the time of their requests.
+#[derive(Debug, Default)]
+pub struct Group {
+    open: Cell<usize>,
+    queued: Cell<usize>,
+}
+
+impl Group {
+    /// Number of requests that were handed over and whose response is not yet written.
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Number of those responses that are complete, so that only the writing is left.
+    pub fn queued(&self) -> usize {
+        self.queued.get()
+    }
+}
+
+/// Counts a response until it is written or its connection ends.
+pub(super) struct OpenResponse {
+    exchange: Rc<Exchange>,
+}
+
+impl OpenResponse {
+    pub(super) fn new(exchange: Rc<Exchange>) -> Self {
+        let group = &exchange.group;
+        group.open.set(group.open.get() + 1);
+        Self { exchange }
+    }
+}
+
+impl Drop for OpenResponse {
+    fn drop(&mut self) {
+        let group = &self.exchange.group;
+        group.open.set(group.open.get() - 1);
+        if self.exchange.progress.replace(Progress::Closed) == Progress::Queued {
+            group.queued.set(group.queued.get() - 1);
+        }
+    }
+}
+
+/// How far a response has got.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Progress {
+    /// Parts of it are missing.
+    #[default]
+    Open,
+    /// All parts are queued for the connection.
+    Queued,
+    /// It is written, or the connection has ended.
+    Closed,
+}
+
 /// State shared by a connection and the responder of its current request.
 #[derive(Default)]
 pub struct Exchange {
+    group: Rc<Group>,
+    progress: Cell<Progress>,
     pub unsent_bytes: Cell<usize>,
     pub is_overflowed: Cell<bool>,
     pub disconnected: Cell<bool>,
@@ -35,6 +109,22 @@
 }
 
 impl Exchange {
+    /// An exchange whose response counts as one of `group`.
+    pub(super) fn new(group: Rc<Group>) -> Self {
+        Self {
+            group,
+            ..Self::default()
+        }
+    }
+
+    /// Records that all parts of the response are queued.
+    fn set_queued(&self) {
+        if self.progress.get() == Progress::Open {
+            self.progress.set(Progress::Queued);
+            self.group.queued.set(self.group.queued.get() + 1);
+        }
+    }
+
     pub fn set_disconnected(&self) {
         if self.disconnected.replace(true) {
             return;
@@ -70,6 +160,7 @@
         self.exchange
             .closes_connection
             .set(requests_close(&headers));
+        self.exchange.set_queued();
         self.send_part(ResponsePart::Complete(status, headers, body.into()));
     }
 
@@ -94,6 +185,7 @@
 
     /// Completes a streamed response.
     pub fn end_stream(self) {
+        self.exchange.set_queued();
         self.send_part(ResponsePart::End);
     }
 
--- a/crates/node/src/http/server.rs
+++ b/crates/node/src/http/server.rs
@@ -26,11 +26,11 @@
 use monoio_http::h1::codec::decoder::{FillPayload, RequestDecoder};
 
 use super::guard::{LimitedReader, ReadAllowance, check_body_length};
-use super::respond::{Exchange, ResponsePart, requests_close};
+use super::respond::{Exchange, OpenResponse, ResponsePart, requests_close};
 use super::write::Framing;
 use super::{HEAD_BYTES_MAX, has_no_body, write};
 
-pub use super::respond::Responder;
+pub use super::respond::{Group, Responder, Unwritten};
 
 /// Maximum number of bytes to read and discard after a rejected request.
 const DRAIN_BYTES_MAX: usize = 256 << 10;
@@ -88,16 +88,22 @@
 
 /// Accepts connections on `listener` until the runtime ends.
 pub async fn serve(listener: TcpListener, options: Options, handler: Handler) {
-    let body_limit = Rc::new(move |_: &HeaderMap| options.body_bytes_max);
-    serve_with_body_limit(listener, options, body_limit, handler).await;
+    let body_limit = fixed_body_limit(options);
+    serve_counted(listener, options, body_limit, Rc::default(), handler).await;
+}
+
+/// A limit that is the same for all bodies.
+pub fn fixed_body_limit(options: Options) -> BodyLimit {
+    Rc::new(move |_: &HeaderMap| options.body_bytes_max)
 }
 
 /// Accepts connections until the runtime ends; `body_limit` sets the limit of each body by its
-/// head.
-pub async fn serve_with_body_limit(
+/// head, and `unwritten` counts the responses.
+pub async fn serve_counted(
     listener: TcpListener,
     options: Options,
     body_limit: BodyLimit,
+    unwritten: Rc<Unwritten>,
     handler: Handler,
 ) {
     let open_connections = Rc::new(Cell::new(0));
@@ -117,11 +123,12 @@
         open_connections.set(open_connections.get() + 1);
         let handler = handler.clone();
         let body_limit = body_limit.clone();
+        let unwritten = unwritten.clone();
         let open_connections = open_connections.clone();
         monoio::spawn(async move {
             let _ = stream.set_nodelay(true);
             Connection::new(stream, peer, options, body_limit)
-                .run(handler)
+                .run(handler, &unwritten)
                 .await;
             open_connections.set(open_connections.get() - 1);
         });
@@ -169,7 +176,7 @@
         }
     }
 
-    async fn run(mut self, handler: Handler) {
+    async fn run(mut self, handler: Handler, unwritten: &Unwritten) {
         let mut early_head = None;
         loop {
             let request = match self.next_request(early_head.take()).await {
@@ -179,13 +186,14 @@
             };
             let close_requested = requests_close(&request.headers);
             let is_head = request.method == Method::HEAD;
-            let exchange = Rc::new(Exchange::default());
+            let exchange = Rc::new(Exchange::new(unwritten.latest()));
+            let open_response = OpenResponse::new(exchange.clone());
             let answer = |parts| {
                 let exchange = exchange.clone();
                 handler(request, Responder { parts, exchange });
             };
             match self
-                .respond(answer, &exchange, is_head, close_requested)
+                .respond(answer, &exchange, open_response, is_head, close_requested)
                 .await
             {
                 Some(AfterResponse::ReadRequest(decoded)) => early_head = Some(decoded),
@@ -323,6 +331,7 @@
         &mut self,
         answer: impl FnOnce(UnboundedSender<ResponsePart>),
         exchange: &Exchange,
+        open_response: OpenResponse,
         is_head: bool,
         close_requested: bool,
     ) -> Option<AfterResponse> {
@@ -375,6 +384,9 @@
             }
         }
 
+        // The connection may stay idle from now on, which must not hold up a shutdown.
+        drop(open_response);
+
         // The response is complete. The read-ahead must not be dropped: the bytes that it has read
         // belong to the next request.
         match early_head {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -69,6 +69,7 @@
     adapter: Option<Rc<dyn Adapter>>,
     metrics: Option<PrometheusHandle>,
     draining: Cell<bool>,
+    unwritten: Rc<server::Unwritten>,
 }
 
 eelgrassdyke_core::data! {
@@ -97,6 +98,8 @@
 pub struct Shutdown {
     /// Number of requests and attempts that were aborted.
     pub aborted: usize,
+    /// Number of complete responses that were not written to the end.
+    pub cut_off: usize,
 }
 
 /// The bound ports of a process.
@@ -240,6 +243,7 @@
             adapter,
             metrics,
             draining,
+            unwritten: Rc::default(),
         });
         let detail = match ports.caller_address()? {
             Some(callers) => format!("peers {address} callers {callers}"),
@@ -273,8 +277,9 @@
                 false => UNAUTHENTICATED_BYTES_MAX,
             },
         );
-        monoio::spawn(server::serve_with_body_limit(
-            listener, options, body_limit, handler,
+        let unwritten = self.unwritten.clone();
+        monoio::spawn(server::serve_counted(
+            listener, options, body_limit, unwritten, handler,
         ));
 
         if let Some(health) = ports.health {
@@ -306,7 +311,7 @@
         if let Some(direct) = &self.direct {
             let direct = direct.clone();
             let handler = Rc::new(move |request, responder| direct.handle_call(request, responder));
-            monoio::spawn(server::serve(listener, options, handler));
+            self.spawn_caller_port(listener, options, handler);
             return Ok(());
         }
         let Some(entry) = &self.entry else {
@@ -320,10 +325,23 @@
                 _ => entry.handle_call(request, responder),
             },
         );
-        monoio::spawn(server::serve(listener, options, handler));
+        self.spawn_caller_port(listener, options, handler);
         Ok(())
     }
 
+    fn spawn_caller_port(
+        &self,
+        listener: TcpListener,
+        options: server::Options,
+        handler: server::Handler,
+    ) {
+        let body_limit = server::fixed_body_limit(options);
+        let unwritten = self.unwritten.clone();
+        monoio::spawn(server::serve_counted(
+            listener, options, body_limit, unwritten, handler,
+        ));
+    }
+
     /// Whether a request carries the peers' secret or an operator's token.
     fn is_authenticated(&self, headers: &HeaderMap) -> bool {
         peer::is_peer(self, headers) || operator::is_operator(self, headers)
@@ -446,8 +464,8 @@
         self.draining.get()
     }
 
-    /// Waits until no request is in progress and the usage counters are replicated, or until the
-    /// time limits pass or `is_interrupted` returns true.
+    /// Waits until no request is in progress, the responses are written and the usage counters are
+    /// replicated, or until the time limits pass or `is_interrupted` returns true.
     pub async fn wait_drained(&self, is_interrupted: impl Fn() -> bool) -> Shutdown {
         let started = self.context.clock.now();
         let entry = self.settings.entry_role.as_ref();
@@ -456,13 +474,32 @@
             direct.map(|direct| Duration::from_millis(direct.grace_ms).mul_f64(GRACE_FRACTION));
         let limit = Duration::from_millis(self.settings.limits.drain_ms);
         let limit = grace.map_or(limit, |grace| grace.min(limit));
-        while !self.is_idle() {
+        // Responses to the requests that were received until the roles had nothing left to do. Later ones
+        // are refused or belong to peers, whose messages never cease.
+        let mut last_responses = None;
+        let mut is_drained = || {
+            let is_idle = self.is_idle();
+            if is_idle && last_responses.is_none() {
+                last_responses = Some(self.unwritten.split_off());
+            }
+            let is_written = (last_responses.as_ref()).is_some_and(|group| group.open() == 0);
+            is_idle && is_written
+        };
+        while !is_drained() {
             if self.context.clock.now().since(started) >= limit || is_interrupted() {
                 break;
             }
             monoio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
         let aborted = self.open_count();
+        let last_responses = last_responses.map_or(0, |group| group.queued());
+        let cut_off = last_responses + self.unwritten.latest().queued();
+        let detail = format!("{aborted} requests aborted, {cut_off} responses cut off");
+        if aborted + cut_off > 0 {
+            // The process may be killed before the last event.
+            let waited = self.context.clock.now().since(started).as_millis();
+            log::warn!("stopping with unfinished work after {waited} ms: {detail}");
+        }
         let drained_at = self.context.clock.now();
         while !self.is_usage_replicated()
             && self.context.clock.now().since(drained_at) < USAGE_REPORT_TIMEOUT
@@ -470,11 +507,10 @@
         {
             monoio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
-        let detail = format!("{aborted} requests aborted");
         self.context
             .timeline
             .record_event(Event::new(Code::ProcessStopped, detail));
-        Shutdown { aborted }
+        Shutdown { aborted, cut_off }
     }
 
     fn is_idle(&self) -> bool {
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -47,7 +47,7 @@
         let is_interrupted = || signals.stop_count() > initial_stops;
         Ok::<_, crate::errors::Error>(node.wait_drained(is_interrupted).await)
     })??;
-    match shutdown.aborted {
+    match shutdown.aborted + shutdown.cut_off {
         0 => Ok(ExitCode::SUCCESS),
         _ => Ok(ExitCode::from(3)),
     }
--- a/crates/node/tests/stream.rs
+++ b/crates/node/tests/stream.rs
@@ -4,7 +4,7 @@
 //! The engine produces its second token only when the test tells it to, after the caller has read
 //! the first. No assertion depends on timing.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
@@ -28,6 +28,10 @@
 
 const OPERATOR_TOKEN: &str = "trial-token";
 
+/// More than the buffers of two sockets hold while nothing is read.
+const LARGE_BYTES: usize = 6 << 20;
+const EVENT_BYTES: usize = 64 << 10;
+
 /// An engine that streams one token and waits for [`Engine::finish`].
 #[derive(Default)]
 struct Engine {
@@ -44,6 +48,10 @@
         let content_type = HeaderValue::from_static("text/event-stream");
         headers.insert("content-type", content_type);
         responder.start_stream(StatusCode::OK, headers);
+        if is_large(&request) {
+            monoio::spawn(send_large_response(responder));
+            return;
+        }
         responder.send_data(event("first"));
         *self.stream.borrow_mut() = Some(responder);
     }
@@ -57,6 +65,21 @@
     }
 }
 
+fn is_large(request: &Request) -> bool {
+    let body: serde_json::Value = serde_json::from_slice(&request.body).unwrap();
+    body["prompt"] == "large"
+}
+
+/// Sends the events one by one, since a process queues only a part of a stream.
+async fn send_large_response(responder: Responder) {
+    for _ in 0..LARGE_BYTES / EVENT_BYTES {
+        responder.send_data(event(&"x".repeat(EVENT_BYTES)));
+        monoio::time::sleep(Duration::from_millis(2)).await;
+    }
+    responder.send_data(Bytes::from_static(b"data: [DONE]\n\n"));
+    responder.end_stream();
+}
+
 fn event(text: &str) -> Bytes {
     let event = json!({"choices": [{"index": 0, "text": text}]});
     format!("data: {event}\n\n").into()
@@ -69,8 +92,8 @@
 }
 
 /// Starts a process with all three roles for the backend server at `backend`; returns the addresses
-/// for peers and for callers.
-fn start(folder: &Path, backend: SocketAddr) -> (SocketAddr, SocketAddr) {
+/// for peers and for callers, and the process.
+fn start(folder: &Path, backend: SocketAddr) -> (SocketAddr, SocketAddr, Rc<Node>) {
     let write = |name: &str, text: &str| std::fs::write(folder.join(name), text).unwrap();
     write("peer-secret", "secret-of-this-trial");
     write(
@@ -96,8 +119,8 @@
         },
     });
     let settings = Settings::parse(&settings.to_string(), Path::new("trial")).unwrap();
-    Node::start_with_ports(ports, settings, None).unwrap();
-    (control, callers)
+    let node = Node::start_with_ports(ports, settings, None).unwrap();
+    (control, callers, node)
 }
 
 fn post(path: &str, body: serde_json::Value) -> client::Request {
@@ -133,7 +156,7 @@
     let folder = tempfile::tempdir().unwrap();
     let statuses = block_on(async {
         let (_listener, backend) = listen();
-        let (control, _) = start(folder.path(), backend);
+        let (control, _, _) = start(folder.path(), backend);
         let pool = Pool::default();
         let mut statuses = Vec::new();
         for path in ["/peer/mail", "/v1/config"] {
@@ -170,18 +193,9 @@
         let handler =
             Rc::new(move |request, responder| handled_by.handle_request(request, responder));
         monoio::spawn(server::serve(listener, Options::default(), handler));
-        let (control, callers) = start(folder.path(), backend);
+        let (control, callers, _node) = start(folder.path(), backend);
 
-        let digest = Sha256::of(OPERATOR_TOKEN.as_bytes()).to_string();
-        let document = json!({
-            "teams": {"hobart": {"tokens": [digest]}},
-            "services": {"draft": {"kind": "drafting"}},
-        });
-        let submission = json!({
-            "operation": "trial-1", "base": 0, "author": "trial", "change": {"whole": document},
-        });
-        let mut connection = None;
-        retry_until_ok(&mut connection, control, post("/v1/config", submission)).await;
+        put_config(control).await;
 
         let draft = json!({"model": "draft", "prompt": "x", "stream": true, "max_tokens": 2});
         let mut connection = None;
@@ -200,3 +214,57 @@
     assert!(text(&rest).contains("second"), "{rest:?}");
     assert!(text(&rest).ends_with("data: [DONE]\n\n"), "{rest:?}");
 }
+
+/// Puts a configuration with one team and one service.
+async fn put_config(control: SocketAddr) {
+    let digest = Sha256::of(OPERATOR_TOKEN.as_bytes()).to_string();
+    let document = json!({
+        "teams": {"hobart": {"tokens": [digest]}},
+        "services": {"draft": {"kind": "drafting"}},
+    });
+    let submission = json!({
+        "operation": "trial-1", "base": 0, "author": "trial", "change": {"whole": document},
+    });
+    let mut connection = None;
+    retry_until_ok(&mut connection, control, post("/v1/config", submission)).await;
+}
+
+/// The caller reads nothing until long after the process has had no request in progress.
+#[test]
+fn response_that_is_read_slowly_is_written_before_a_shutdown_ends() {
+    let folder = tempfile::tempdir().unwrap();
+    let exchange = async {
+        let engine = Rc::new(Engine::default());
+        let (listener, backend) = listen();
+        let handler = Rc::new(move |request, responder| engine.handle_request(request, responder));
+        monoio::spawn(server::serve(listener, Options::default(), handler));
+        let (control, callers, node) = start(folder.path(), backend);
+        put_config(control).await;
+        let draft = json!({
+            "model": "draft", "prompt": "large", "stream": true, "max_tokens": 1000,
+        });
+        let mut connection = None;
+        let mut response =
+            retry_until_ok(&mut connection, callers, post("/v1/completions", draft)).await;
+        node.drain();
+        let ended = Rc::new(Cell::new(None));
+        let (result, waiting) = (ended.clone(), node.clone());
+        monoio::spawn(async move { result.set(Some(waiting.wait_drained(|| false).await)) });
+        while node.status().open > 0 {
+            monoio::time::sleep(Duration::from_millis(5)).await;
+        }
+        monoio::time::sleep(Duration::from_millis(300)).await;
+        assert_eq!(ended.get(), None, "most of the response is not written");
+        let body = response.read_to_end().await.unwrap();
+        while ended.get().is_none() {
+            monoio::time::sleep(Duration::from_millis(5)).await;
+        }
+        (body.len(), ended.get().unwrap())
+    };
+    let (length, shutdown) =
+        block_on(async { monoio::time::timeout(TEST_TIMEOUT, exchange).await })
+            .unwrap()
+            .expect("the response is written and the process ends");
+    assert!(length > LARGE_BYTES, "{length}");
+    assert_eq!((shutdown.aborted, shutdown.cut_off), (0, 0));
+}
