core: a test of crash records at a process that has just started, which fails

A process's clock starts at 0 when the process does, and `now - age` saturates there (CrashLedger::merge, Instant::sub), so at a new process all crashes from before its start fall on one moment. Crashes within 0.2 s have a common cause and count once, so there is no quarantine, and as merges keep the earlier time it stays so until the process has seen enough ends itself. Control processes use the same ledger.

Not shown: that nothing else delays the records, and why in the log of the issue the number of crashes went down from 5 to 4.

--- a/crates/core/tests/crash.rs
+++ b/crates/core/tests/crash.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use eelgrassdyke_core::crash::{
-    ContentKey, Crash, CrashLedger, CrashRecord, FactSync, RECORDS_MAX,
+    ContentKey, Crash, CrashLedger, CrashRecord, FactSync, Quarantine, RECORDS_MAX,
 };
 use eelgrassdyke_core::id::Incarnation;
 use eelgrassdyke_core::time::Instant;
@@ -143,6 +143,29 @@
     assert!(bytes <= BYTES_MAX, "{bytes} bytes");
 }
 
+/// A process that has just started receives crashes from before its start. They must not all fall on the
+/// moment of its start, where they would count as one with a common cause.
+#[test]
+fn process_that_has_just_started_knows_the_quarantines_of_the_others() {
+    let mut known = CrashLedger::default();
+    for server in 0..5 {
+        known.merge(at(server * 2000), &record("a", &[server], 5, 0));
+    }
+    let now = at(10_000);
+    let quarantine = known.quarantine(now, &key("a")).unwrap();
+
+    let just_started = Instant(5000);
+    let mut started = CrashLedger::default();
+    for record in known.records(now) {
+        started.merge(just_started, &record);
+    }
+    let learned = started.quarantine(just_started, &key("a"));
+    let learned = learned.expect("the part is quarantined here too");
+    assert_eq!(learned.crashes, quarantine.crashes);
+    let left = |quarantine: Quarantine, now: Instant| quarantine.until.since(now);
+    assert_eq!(left(learned, just_started), left(quarantine, now));
+}
+
 /// Ledgers that exchange their records end up with the same quarantines, in whatever order and however
 /// often the records arrive, and however late.
 #[test]
