control: tests of two parts of the departures that no test detected

Without the departures for a process that starts, and without the answer to a notice that names no position, all 8 tests passed. In the first case the entry that starts now polls the restarted process for certain; the second is a new test, in which the delayed heartbeat arrives after the lease. With a part taken out, one or two of now 9 tests fail for each part; with none all pass.

--- a/crates/control/tests/departure.rs
+++ b/crates/control/tests/departure.rs
@@ -279,8 +279,7 @@
         site.run(500);
         site.restart(&[restarted]);
         // An entry that starts now knows nothing of before either.
-        let control = (0..3).map(address).collect();
-        site.entries[0] = Entry::new(CLIENT, 2, control);
+        site.entries[0] = Entry::new(CLIENT, 2, vec![address(restarted)]);
         let from = sender(CLIENT + 1);
         for round in 0..40 {
             // Another control process forwards it.
@@ -295,6 +294,26 @@
     }
 }
 
+/// The process that gets the notice has restarted and knows no heartbeat of the server, so it learns from the
+/// others which heartbeats are outdated. The delayed one arrives when it would refuse no others any more.
+#[test]
+fn delayed_heartbeat_does_not_restore_a_server_that_left_before_its_first_heartbeat_at_a_process() {
+    let mut site = Site::new(6, 8);
+    let sequence = site.servers.remove(&1).unwrap().sequence;
+    site.restart(&[0]);
+    site.run(CONTACT);
+    site.leave(0, 1);
+    site.entries[0] = Entry::new(CLIENT, 2, vec![address(0)]);
+    site.run(LEASE.as_millis() as u64 + 1000);
+    let late = Message::Heartbeat(heartbeat(1, 1, sequence, ServerState::Up));
+    let from = sender(CLIENT + 1);
+    site.cluster.messages.push_back((from, address(0), late));
+    for _ in 0..10 {
+        site.run(300);
+        site.assert_gone(1, "late heartbeat");
+    }
+}
+
 /// With all control processes restarted, only the entries remember the departure.
 #[test]
 fn delayed_heartbeat_after_a_restart_of_all_control_processes_does_not_restore_a_server() {
