node: the test of a slow reader with agents waits for longer than the usage counters may

Without the wait for written responses it passed: the process still waited for its usage counters, for up to 3 s. With 4 s it fails without that wait, and passes with it (one run each).

--- a/crates/node/tests/stream.rs
+++ b/crates/node/tests/stream.rs
@@ -32,6 +32,9 @@
 const LARGE_BYTES: usize = 6 << 20;
 const EVENT_BYTES: usize = 64 << 10;
 
+/// Longer than a process waits for control to acknowledge its usage counters.
+const UNREAD_TIME: Duration = Duration::from_secs(4);
+
 /// An engine that streams one token and waits for [`Engine::finish`].
 #[derive(Default)]
 struct Engine {
@@ -253,7 +256,7 @@
         while node.status().open > 0 {
             monoio::time::sleep(Duration::from_millis(5)).await;
         }
-        monoio::time::sleep(Duration::from_millis(300)).await;
+        monoio::time::sleep(UNREAD_TIME).await;
         assert_eq!(ended.get(), None, "most of the response is not written");
         let body = response.read_to_end().await.unwrap();
         while ended.get().is_none() {
