core: a process that has just started knows the quarantines that the others hold

Cause: records carry ages, and the clock of a process begins with the process. The time of a crash before that saturated at zero, so all of them fell on one moment, which counts as one crash with a common cause, and merges keep the earlier time. So the comparison with control did deliver the records, but no quarantine followed.

A ledger's times now begin two hours before the process, and older crashes are ignored.

--- a/crates/core/src/crash.rs
+++ b/crates/core/src/crash.rs
@@ -59,6 +59,9 @@
 /// Time after its last crash, or its quarantine, at which a record is dropped.
 const RETENTION: Duration = Duration::from_secs(600);
 
+/// Age from which a crash is ignored: twice the longest time for which a record is needed.
+const CRASH_AGE_MAX: Duration = Duration::from_secs(2 * 3600);
+
 /// Maximum number of records.
 pub const RECORDS_MAX: usize = 64;
 
@@ -226,6 +229,12 @@
 /// The server that ended, and its incarnation.
 type CrashId = (Server, Incarnation);
 
+/// A time on the scale of a ledger, which begins [`CRASH_AGE_MAX`] before the clock of the process: crashes from
+/// before its start have different times.
+fn ledger_time(time: Instant) -> Instant {
+    time + CRASH_AGE_MAX
+}
+
 /// When servers ended.
 type CrashTimes = BTreeMap<CrashId, Instant>;
 
@@ -238,6 +247,7 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct CrashState {
+    /// See [`ledger_time`].
     at: Instant,
     is_cleared: bool,
     found_us: u64,
@@ -406,11 +416,11 @@
         state.requests = state.requests.max(record.requests);
         for crash in record.crashes.iter().take(RECORD_CRASHES_MAX) {
             let age = Duration::from_millis(crash.age_ms);
-            if age >= RETENTION {
+            if age >= CRASH_AGE_MAX {
                 continue;
             }
             let reported = CrashState {
-                at: now - age,
+                at: ledger_time(now) - age,
                 is_cleared: crash.is_cleared,
                 found_us: crash.found_us,
             };
@@ -539,7 +549,7 @@
                 .min(QUARANTINE_MAX);
             let last = counted.iter().map(|(_, at)| *at).max();
             let quarantine = Quarantine {
-                until: last.unwrap_or_default() + length.mul_f64(self.stretch),
+                until: last.unwrap_or_default() + length.mul_f64(self.stretch) - CRASH_AGE_MAX,
                 crashes: count,
             };
             explained_next.extend(counted.into_iter().map(|(id, _)| id.clone()));
@@ -584,7 +594,7 @@
     pub fn last_uncleared_crash(&self, key: &ContentKey) -> Option<Instant> {
         let state = self.parts.get(key)?;
         let uncleared = state.crashes.values().filter(|crash| !crash.is_cleared);
-        uncleared.map(|crash| crash.at).max()
+        uncleared.map(|crash| crash.at - CRASH_AGE_MAX).max()
     }
 
     /// The record of a part.
@@ -595,7 +605,7 @@
             crashes.push(Crash {
                 server: server.clone(),
                 incarnation: *incarnation,
-                age_ms: now.since(crash.at).as_millis() as u64,
+                age_ms: ledger_time(now).since(crash.at).as_millis() as u64,
                 is_cleared: crash.is_cleared,
                 found_us: crash.found_us,
             });
@@ -632,8 +642,10 @@
         let count = self.parts.len();
         self.parts.retain(|key, state| {
             let until = quarantines.get(key).map(|quarantine| quarantine.until);
-            let last = state.last_crash().max(until.unwrap_or_default());
-            now.since(last) < RETENTION
+            let last = state
+                .last_crash()
+                .max(ledger_time(until.unwrap_or_default()));
+            ledger_time(now).since(last) < RETENTION
         });
         if self.parts.len() != count {
             self.judge();
--- a/crates/core/tests/crash.rs
+++ b/crates/core/tests/crash.rs
@@ -215,3 +215,22 @@
     let result = TestRunner::new_with_rng(config, rng).run(&input, check);
     assert!(result.is_ok(), "{result:?}");
 }
+
+// A process that starts during a long quarantine must learn it from crashes that are older than a record is kept
+// without one.
+#[test]
+fn quarantine_of_an_hour_is_learned_near_its_end() {
+    let mut known = CrashLedger::default();
+    for server in 0..6 {
+        known.merge(at(server * 2000), &record("a", &[server], 5, 0));
+    }
+    let until = known.quarantine(at(10_000), &key("a")).unwrap().until;
+    let now = until - Duration::from_secs(1);
+    known.expire(now);
+    let mut started = CrashLedger::default();
+    for record in known.records(now) {
+        started.merge(Instant(5000), &record);
+    }
+    let learned = started.quarantine(Instant(5000), &key("a")).unwrap();
+    assert_eq!(learned.until.since(Instant(5000)), Duration::from_secs(1));
+}
