control: replace a silent voter within the time that a new host has to catch up

Cause: the leader waited 5 s for a silent voter, and each new leader began anew, while a deployment may count a removed host as replaced once its successor has run for catch_up_s (4 s). Until then the removed host was one of the five voters and its successor none, so two more losses left two of five.

Ruled out: loss of data (two intact disks and the successor held everything), elections (no majority existed).

Now the wait is a quarter of catch_up_s, which deploy/ passes on, and at least the shortest election timeout. A voter that has not responded to a new leader counts as silent from the last contact with the earlier leader on, but has half of the wait to respond. Without the setting nothing changes but for that. Only a learner that has caught up replaces anybody, and a replaced voter that was merely suspended becomes a learner by itself.

Evidence (log_members.rs, debug): six kinds of planned replacement, then two lost disks. Existing tests are unchanged.

A voter that ends at the same moment as two disks can't be covered.

--- a/crates/control/src/log/election.rs
+++ b/crates/control/src/log/election.rs
@@ -155,7 +155,8 @@
     fn become_leader(&mut self, now: Instant, out: &mut Vec<Output>) {
         let term = self.hard_state.term;
         let index = self.log.last_index().next();
-        let leader = Leader::new(now, self.id, self.log.members(), index);
+        let earlier_contact = self.last_leader_contact.max(self.last_led).min(now);
+        let leader = Leader::new(now, self.id, self.log.members(), index, earlier_contact);
         self.restart.end();
         self.role = Role::Leader(Box::new(leader));
         self.leader = Some(self.id);
--- a/crates/control/src/log/io.rs
+++ b/crates/control/src/log/io.rs
@@ -292,6 +292,9 @@
     pub snapshot_part_bytes: usize,
     /// Whether the leader adds, promotes and replaces members automatically.
     pub manages_members: bool,
+    /// Time within which a new host must have taken the place of one that is gone for good, if the deployment
+    /// states it; it bounds how long the leader waits for a silent voter.
+    pub catch_up: Option<Duration>,
     /// Whether voters that all restart at once elect a leader without waiting for an earlier leader's
     /// lease to end.
     pub elects_after_restart: bool,
@@ -317,6 +320,7 @@
             retained_records: 1000,
             snapshot_part_bytes: 256 << 10,
             manages_members: false,
+            catch_up: None,
             elects_after_restart: false,
             timeout_seed: 0,
         }
--- a/crates/control/src/log/leader.rs
+++ b/crates/control/src/log/leader.rs
@@ -6,6 +6,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
+use std::time::Duration;
 
 use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::id::{Index, Replica as Id};
@@ -36,6 +37,8 @@
     pub(super) peers: BTreeMap<Id, Peer>,
     pub(super) round: u64,
     pub(super) elected_at: Instant,
+    /// Last contact with the earlier leader, or when this replica last led.
+    earlier_contact: Instant,
     /// When it last handled an input.
     last_input: Instant,
     /// When its last pause ended.
@@ -107,7 +110,13 @@
 
 impl Leader {
     /// State of a new leader, whose first record will be at `first_index`.
-    pub fn new(now: Instant, id: Id, members: &Members, first_index: Index) -> Self {
+    pub fn new(
+        now: Instant,
+        id: Id,
+        members: &Members,
+        first_index: Index,
+        earlier_contact: Instant,
+    ) -> Self {
         let mut leader = Self {
             first_index,
             next_round_at: now,
@@ -115,6 +124,7 @@
             peers: BTreeMap::new(),
             round: 0,
             elected_at: now,
+            earlier_contact,
             last_input: now,
             resumed_at: now,
             round_starts: VecDeque::new(),
@@ -147,12 +157,27 @@
 
     /// Time since the start of the latest round that a member responded to, or since it became a
     /// peer of this leader.
-    pub fn time_since_response(&self, now: Instant, id: Id) -> std::time::Duration {
+    pub fn time_since_response(&self, now: Instant, id: Id) -> Duration {
         let peer = self.peers.get(&id);
         let since = peer.map(|peer| peer.last_response.unwrap_or(peer.added_at));
         now.since(since.unwrap_or(self.elected_at))
     }
 
+    /// Whether a voter has been silent for `silence`. One that has not responded to this leader yet counts as
+    /// silent from the last contact with the earlier leader on, so that elections don't prolong the wait,
+    /// but has half of the time to respond.
+    pub fn is_silent(&self, now: Instant, id: Id, silence: Duration) -> bool {
+        let responded =
+            |peer: &Peer| peer.last_response.is_some() || peer.added_at > self.elected_at;
+        match self.peers.get(&id).is_some_and(responded) {
+            true => self.time_since_response(now, id) >= silence,
+            false => {
+                now.since(self.elected_at) >= silence / 2
+                    && now.since(self.earlier_contact) >= silence
+            }
+        }
+    }
+
     /// Last index that each member is known to hold durably.
     pub fn match_indexes(&self) -> BTreeMap<Id, Index> {
         let peers = self.peers.iter();
--- a/crates/control/src/log/members.rs
+++ b/crates/control/src/log/members.rs
@@ -4,7 +4,9 @@
 //! promotes a learner that has caught up, and removes a voter only after the promotion of its
 //! successor, so that a network partition never reduces the number of voters. If a replica with
 //! another identity appears at the address of a voter, that voter has lost its disk and is replaced
-//! at once; any other voter is replaced only after [`VOTER_SILENCE_MAX`] without a response.
+//! at once. Any other voter is replaced only after it has not responded for a time: [`VOTER_SILENCE_MAX`], or a
+//! part of the time that the deployment gives new hosts to catch up, since from then on two more hosts may be
+//! lost. A voter that is replaced although it comes back announces itself and becomes a learner.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -25,9 +27,14 @@
 /// Number of members, including learners, from which the leader adds no more replicas.
 const MEMBERS_MAX: usize = 9;
 
-/// Time without a response after which a voter is replaced by a learner; a restart takes less.
+/// Time without a response after which a voter is replaced by a learner, unless the deployment states a time to
+/// catch up.
 const VOTER_SILENCE_MAX: Duration = Duration::from_secs(5);
 
+/// Part of the time to catch up after which a silent voter is replaced. An election and the membership changes
+/// take place in the rest.
+const CATCH_UP_PARTS: u32 = 4;
+
 /// Time without a response after which a learner is removed.
 const LEARNER_SILENCE_MAX: Duration = Duration::from_secs(20);
 
@@ -92,8 +99,17 @@
         learner.copied().map(MembershipChange::Remove)
     }
 
+    /// Time without a response after which a voter may be replaced. It is at least the shortest election
+    /// timeout, within which a voter that restarts is usually back.
+    fn voter_silence_max(&self) -> Duration {
+        let part = self.options.catch_up.map(|time| time / CATCH_UP_PARTS);
+        part.map_or(VOTER_SILENCE_MAX, |part| {
+            part.max(self.options.election_timeout_min)
+        })
+    }
+
     /// A voter that a learner may replace: one that has lost its disk, or else one without a
-    /// response for [`VOTER_SILENCE_MAX`].
+    /// response for [`Self::voter_silence_max`].
     fn replaceable_voter(&self, now: Instant, members: &Members) -> Option<Id> {
         let Role::Leader(leader) = &self.role else {
             return None;
@@ -101,8 +117,8 @@
         let others = || members.voters.iter().filter(|(id, _)| **id != self.id);
         let lost_disk =
             others().find(|(id, address)| self.has_lost_disk(now, members, **id, **address));
-        let silent =
-            || others().find(|(id, _)| leader.time_since_response(now, **id) >= VOTER_SILENCE_MAX);
+        let silence_max = self.voter_silence_max();
+        let silent = || others().find(|(id, _)| leader.is_silent(now, **id, silence_max));
         lost_disk.or_else(silent).map(|(id, _)| *id)
     }
 
--- a/crates/control/src/log/replica.rs
+++ b/crates/control/src/log/replica.rs
@@ -43,6 +43,8 @@
     pub(super) leader: Option<Id>,
     /// When the last message from a leader arrived, or this replica started.
     pub(super) last_leader_contact: Instant,
+    /// When this replica last stopped leading.
+    pub(super) last_led: Instant,
     pub(super) election_deadline: Instant,
     pub(super) restart: RestartElection,
     pub(super) formation: Formation,
@@ -131,6 +133,7 @@
             role,
             leader: None,
             last_leader_contact: now,
+            last_led: now,
             election_deadline: now,
             restart: RestartElection::new(now),
             formation: Formation::default(),
@@ -451,6 +454,7 @@
             out.push(Output::Event(Event::new(Code::LeaderLost, detail)));
             self.abandon_proposals(out);
             self.reset_election_timeout(now);
+            self.last_led = now;
         }
         if leader.is_some() {
             self.leader = leader;
--- a/crates/control/tests/log_members.rs
+++ b/crates/control/tests/log_members.rs
@@ -323,3 +323,156 @@
         }
     }
 }
+
+/// Moments of a planned replacement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Replacement {
+    /// The successor has caught up long before the old host is removed.
+    SuccessorFirst,
+    /// The successor starts when the old host is removed.
+    AtOnce,
+    /// The same, and another host restarts within the second that follows.
+    WithRestart,
+}
+
+/// A host is removed for good and replaced; once the successor has had its time, two disks are lost.
+fn replace_and_lose_two_disks(seed: u64, replacement: Replacement, is_leader_removed: bool) {
+    println!("seed {seed}, {replacement:?}, leader removed: {is_leader_removed}");
+    let mut cluster = Cluster::new(seed, 3, 3);
+    cluster.options.manages_members = true;
+    cluster.options.catch_up = Some(CATCH_UP_MAX);
+    for number in 0..6 {
+        cluster.crash(number, false);
+        cluster.hosts[number].restart_at = cluster.now;
+    }
+    let successor = 5;
+    let never = cluster.now + Duration::from_secs(3600);
+    cluster.hosts[successor].restart_at = never;
+    cluster.run_until(RECOVERY_MAX, all_five_are_voters);
+    cluster.run(DURABLE_AFTER);
+    let leader = cluster.leader().expect("a leader");
+    let mut others: Vec<usize> = (0..5).filter(|number| *number != leader).collect();
+    others.rotate_left(seed as usize % 4);
+    let removed = match is_leader_removed {
+        true => leader,
+        false => others[0],
+    };
+    cluster.hosts[successor].restart_at = cluster.now;
+    if replacement == Replacement::SuccessorFirst {
+        cluster.run(CATCH_UP_MAX + Duration::from_secs(1));
+    }
+    cluster.crash(removed, true);
+    cluster.hosts[removed].restart_at = never;
+    let restarted = match is_leader_removed {
+        true => others[1],
+        false => leader,
+    };
+    let wait = match replacement {
+        // An election may take two rounds, of up to 2 s each.
+        Replacement::SuccessorFirst if !is_leader_removed => Duration::from_secs(3),
+        Replacement::SuccessorFirst | Replacement::AtOnce => CATCH_UP_MAX,
+        Replacement::WithRestart => {
+            let after_ms = cluster.rng.random_range(700..1000);
+            cluster.run(Duration::from_millis(after_ms));
+            cluster.crash(restarted, true);
+            cluster.hosts[restarted].restart_at = cluster.now + Duration::from_millis(400);
+            CATCH_UP_MAX - Duration::from_millis(after_ms)
+        }
+    };
+    cluster.run(wait);
+    commit_command(&mut cluster);
+    // The host that restarted has not caught up, so it is one of the two.
+    let lost = [restarted, others[2]];
+    for number in lost {
+        cluster.lose_disk(number);
+        cluster.hosts[number].founders.clear();
+        cluster.hosts[number].restart_at = cluster.now + Duration::from_secs(1);
+    }
+    let voters = (0..6).filter(|number| *number != removed);
+    cluster.run_until(RECOVERY_MAX, |cluster| are_voters(cluster, voters.clone()));
+    // The removed host never comes back.
+    cluster.hosts.remove(removed);
+    cluster.converge_and_check();
+}
+
+#[test_case(Replacement::SuccessorFirst, false; "the successor waits")]
+#[test_case(Replacement::SuccessorFirst, true; "the successor waits and the leader is removed")]
+#[test_case(Replacement::AtOnce, false; "the successor starts at the removal")]
+#[test_case(Replacement::AtOnce, true; "the successor starts at the removal of the leader")]
+#[test_case(Replacement::WithRestart, false; "the leader restarts after the removal")]
+#[test_case(Replacement::WithRestart, true; "the leader is removed and another host restarts")]
+fn two_disks_lost_after_a_planned_replacement_leave_a_majority(
+    replacement: Replacement,
+    is_leader_removed: bool,
+) {
+    for seed in 0..100 {
+        replace_and_lose_two_disks(seed, replacement, is_leader_removed);
+    }
+}
+
+/// Six hosts, five of which are voters and one waits as a learner; returns its number.
+fn cluster_with_a_learner(seed: u64) -> (Cluster, usize) {
+    println!("seed {seed}");
+    let mut cluster = new_cluster(seed, 3, 3);
+    cluster.options.catch_up = Some(CATCH_UP_MAX);
+    for number in 0..6 {
+        cluster.crash(number, false);
+        cluster.start(number);
+    }
+    cluster.run_until(RECOVERY_MAX, |cluster| {
+        let leader = cluster.leader().map(|leader| cluster.members(leader));
+        leader.is_some_and(|members| members.voters.len() == 5 && members.learners.len() == 1)
+    });
+    cluster.run(Duration::from_secs(2));
+    let voters = voter_addresses(&cluster);
+    let learner = (0..6).find(|number| !voters.contains(&cluster.hosts[*number].address));
+    (cluster, learner.expect("a learner"))
+}
+
+#[test]
+fn voter_that_restarts_at_once_is_not_replaced_by_a_learner() {
+    for seed in 0..50 {
+        let (mut cluster, _) = cluster_with_a_learner(seed);
+        let voters = voter_addresses(&cluster);
+        for number in 0..6 {
+            cluster.crash(number, true);
+            cluster.hosts[number].restart_at = cluster.now + Duration::from_millis(500);
+            cluster.run(Duration::from_secs(4));
+            assert_eq!(voter_addresses(&cluster), voters, "host {number}");
+        }
+        for number in 0..6 {
+            cluster.crash(number, true);
+            let downtime = cluster.rng.random_range(300..900);
+            cluster.hosts[number].restart_at = cluster.now + Duration::from_millis(downtime);
+        }
+        cluster.run(Duration::from_secs(8));
+        assert_eq!(voter_addresses(&cluster), voters, "all hosts");
+        cluster.converge_and_check();
+    }
+}
+
+#[test]
+fn replaced_voter_that_was_only_frozen_takes_the_next_place() {
+    for seed in 0..50 {
+        let (mut cluster, learner) = cluster_with_a_learner(seed);
+        let frozen = (learner + 1 + seed as usize % 5) % 6;
+        let freeze_ms = cluster.rng.random_range(3000..5000);
+        cluster.hosts[frozen].frozen = true;
+        cluster.run(Duration::from_millis(freeze_ms));
+        cluster.hosts[frozen].frozen = false;
+        commit_command(&mut cluster);
+        cluster.run(CATCH_UP_MAX);
+        let members = cluster.members(cluster.leader().expect("a leader"));
+        let id = cluster.id(frozen).expect("the host runs");
+        assert!(members.address(id).is_some(), "the frozen host is a member");
+        let removed = (0..6).find(|number| *number != frozen && *number != learner);
+        let removed = removed.expect("another host");
+        cluster.crash(removed, true);
+        cluster.hosts[removed].restart_at = cluster.now + Duration::from_secs(3600);
+        cluster.run_until(CATCH_UP_MAX, |cluster| {
+            are_voters(cluster, (0..6).filter(|number| *number != removed))
+        });
+        cluster.hosts.remove(removed);
+        cluster.converge_and_check();
+    }
+}
--- a/crates/core/src/settings/mod.rs
+++ b/crates/core/src/settings/mod.rs
@@ -128,6 +128,9 @@
         /// Whether the leader adds, promotes and replaces members automatically.
         #[serde(rename = "keeps_members")]
         pub manages_members: bool,
+        /// Time within which a new host must have taken the place of one that is gone for good, in
+        /// milliseconds; bounds how long a silent voter is waited for.
+        pub catch_up_ms: Option<u64>,
         /// Whether control processes that all restart at once elect a leader without waiting for an
         /// earlier leader's lease to end.
         pub elects_after_restart: bool,
--- a/crates/core/tests/settings.rs
+++ b/crates/core/tests/settings.rs
@@ -97,6 +97,7 @@
 #[test_case("[\"127.0.0.1:7101\"]", "[\"127.0.0.1:7109\"]", "control_role.start"; "not a founder")]
 #[test_case("[\"127.0.0.1:7101\"]", "[]", "control_role.start.found"; "no founder")]
 #[test_case("{ \"found\": [\"127.0.0.1:7101\"] }", "\"merge\"", "control_role.start"; "unknown start")]
+#[test_case("\"data\": \"data\"", "\"data\": \"data\", \"catch_up_s\": 0", "control_role.catch_up_s"; "no time to catch up")]
 #[test_case("\"group\": \"g\",", "", "agent_role.rank"; "rank without group")]
 #[test_case("{ \"level\": \"debug\", \"ring\": 64 }", "3", "log"; "no object")]
 fn fault_is_reported_with_its_path(valid: &str, invalid: &str, path: &str) {
--- a/crates/node/src/role/control.rs
+++ b/crates/node/src/role/control.rs
@@ -239,6 +239,7 @@
         founders,
         seed_addresses: control.to_vec(),
         manages_members: settings.manages_members,
+        catch_up: settings.catch_up_ms.map(Duration::from_millis),
         elects_after_restart: settings.elects_after_restart,
         timeout_seed: seed,
         ..Default::default()
