control: remove a lost identity before its successor is promoted

The identity of a lost disk never votes again. Of five voters a quorum takes three of the four that can answer, before its removal as well as after it, so removing it first costs nothing, and the promotion that follows makes five voters again. The rule is limited to five voters (an odd number), to identities whose address has come back with another one, and to the time when a successor has caught up. A voter that is merely silent is still replaced by promotion first.

Not done: the exchange of both in one change. It is unsafe while a vote of the lost replica may still be on its way; docs/design/control-log.md gives the sequence. That was reasoned, not run.

--- a/crates/control/src/log/members.rs
+++ b/crates/control/src/log/members.rs
@@ -4,7 +4,7 @@
 //! promotes a learner that has caught up, and removes a voter only after the promotion of its
 //! successor, so that a network partition never reduces the number of voters. If a replica with
 //! another identity appears at the address of a voter, that voter has lost its disk and is replaced
-//! at once. Any other voter is replaced only after it has not responded for a time: [`VOTER_SILENCE_MAX`], or a
+//! at once; of five voters it is removed first, as soon as a successor has caught up. Any other voter is replaced only after it has not responded for a time: [`VOTER_SILENCE_MAX`], or a
 //! part of the time that the deployment gives new hosts to catch up, since from then on two more hosts may be
 //! lost. A voter that is replaced although it comes back announces itself and becomes a learner.
 
@@ -74,7 +74,16 @@
                 leader.time_since_response(now, **id) < self.options.election_timeout_max;
             responsive && leader.match_index(**id) >= self.commit_index
         };
-        // The successor is promoted before the old voter is removed. In the other order, two disks
+        // The identity of a lost disk never votes again, so its removal from an odd number of voters leaves
+        // the quorum of the others as it is. Promoting the successor first would raise it by one.
+        if members.voters.len() == TARGET_VOTERS
+            && members.learners.keys().any(|id| has_caught_up(&id))
+            && let Some(voter) = self.lost_voter(now, members)
+            && self.leaves_live_majority(now, members, voter)
+        {
+            return Some(MembershipChange::Remove(voter));
+        }
+        // Any other successor is promoted before the old voter is removed. In the other order, two disks
         // lost in between would leave no majority even though a third host is only unreachable.
         let promotable = |learner: &&Id| {
             let below_target = members.voters.len() < TARGET_VOTERS;
@@ -114,12 +123,20 @@
         let Role::Leader(leader) = &self.role else {
             return None;
         };
-        let others = || members.voters.iter().filter(|(id, _)| **id != self.id);
-        let lost_disk =
-            others().find(|(id, address)| self.has_lost_disk(now, members, **id, **address));
         let silence_max = self.voter_silence_max();
-        let silent = || others().find(|(id, _)| leader.is_silent(now, **id, silence_max));
-        lost_disk.or_else(silent).map(|(id, _)| *id)
+        let mut others = members.voters.keys().filter(|id| **id != self.id);
+        self.lost_voter(now, members).or_else(|| {
+            others
+                .find(|id| leader.is_silent(now, **id, silence_max))
+                .copied()
+        })
+    }
+
+    /// A voter that has lost its disk.
+    fn lost_voter(&self, now: Instant, members: &Members) -> Option<Id> {
+        let mut others = members.voters.iter().filter(|(id, _)| **id != self.id);
+        let lost = others.find(|(id, address)| self.has_lost_disk(now, members, **id, **address));
+        lost.map(|(id, _)| *id)
     }
 
     /// Whether a replica with another identity has appeared at the address of a member since that
@@ -141,22 +158,27 @@
     /// Whether a voter can be removed: another voter has its address or there are more than
     /// [`TARGET_VOTERS`], and a majority of the voters that would remain is live.
     fn is_removable(&self, now: Instant, members: &Members, voter: Id) -> bool {
-        let Role::Leader(leader) = &self.role else {
-            return false;
-        };
         let address = members.voters.get(&voter);
         let has_successor = members
             .voters
             .iter()
             .any(|(id, at)| *id != voter && Some(at) == address);
+        (has_successor || members.voters.len() > TARGET_VOTERS)
+            && self.leaves_live_majority(now, members, voter)
+    }
+
+    /// Whether a majority of the voters that would remain without `voter` is live.
+    fn leaves_live_majority(&self, now: Instant, members: &Members, voter: Id) -> bool {
+        let Role::Leader(leader) = &self.role else {
+            return false;
+        };
         let is_live = |(id, at): &(&Id, &SocketAddr)| {
             let responsive = **id == self.id
                 || leader.time_since_response(now, **id) < self.options.election_timeout_max;
             responsive && **id != voter && !self.has_lost_disk(now, members, **id, **at)
         };
         let live = members.voters.iter().filter(is_live).count();
-        (has_successor || members.voters.len() > TARGET_VOTERS)
-            && live > (members.voters.len() - 1) / 2
+        live > (members.voters.len() - 1) / 2
     }
 
     /// Appends a membership change proposed by an operator.
--- a/crates/control/tests/log_members.rs
+++ b/crates/control/tests/log_members.rs
@@ -476,3 +476,40 @@
         cluster.converge_and_check();
     }
 }
+
+#[test]
+fn successor_of_a_lost_disk_that_freezes_holds_up_no_commit() {
+    for seed in 0..60 {
+        println!("seed {seed}");
+        let mut cluster = new_cluster(seed, 3, 2);
+        cluster.run_until(RECOVERY_MAX, all_five_are_voters);
+        cluster.run(DURABLE_AFTER);
+        let first = select_host(&cluster, seed as usize % 3, None);
+        let second = select_host(&cluster, seed as usize / 3 % 3, Some(first));
+        for number in [first, second] {
+            lose_disk_or_host(&mut cluster, number, false);
+        }
+        // Two disks are lost, so the three others must answer, and the successor as well only if it
+        // raises the quorum.
+        let promoted = |cluster: &Cluster| {
+            let members = cluster.leader().map(|leader| cluster.members(leader));
+            let voters = members.unwrap_or_default().voters;
+            let is_voter = |number: &usize| {
+                let id = cluster.id(*number);
+                id.is_some_and(|id| voters.contains_key(&id))
+            };
+            [first, second].into_iter().find(is_voter)
+        };
+        cluster.run(Duration::from_millis(700));
+        cluster.run_until(RECOVERY_MAX, |cluster| promoted(cluster).is_some());
+        let successor = promoted(&cluster).expect("a successor");
+        cluster.hosts[successor].frozen = true;
+        let token = cluster.propose(cluster.leader().expect("a leader"));
+        cluster.run(Duration::from_millis(500));
+        let outcome = cluster.outcomes[&token];
+        assert!(matches!(outcome, Outcome::Acknowledged(_)), "{outcome:?}");
+        cluster.hosts[successor].frozen = false;
+        cluster.run_until(RECOVERY_MAX, |cluster| are_voters(cluster, 0..5));
+        cluster.converge_and_check();
+    }
+}
