control: form the cluster of a first start with a majority of the seeds

No cluster was ever formed, no configuration accepted and no request served.

Cause: all founders had to promise the cluster, with the settings of the first start. A seed that restarts is started with "join", so it names no founders, and the others wait for it for good.

Weighed: promises of a majority. A founder that has promised a set with a replica that is gone is stuck, unless promises are made in rounds, which is a second consensus protocol. Each founder forms the same cluster by itself, and a majority elects a leader as at any other time. A seed that comes back with an empty disk draws a random identity and replaces its earlier one, so no identity votes twice. A folder that is found empty when it is opened again after a disk failure gets a random identity as well. "found" and "seeds" work as before.

Known limits: two of three seeds that lose their disks, or whose processes end before their folders exist, before there are five voters, may leave the third waiting for good. The test harness (log_net) can now start hosts with these identities; existing tests use it as before.

--- a/crates/control/src/log/found.rs
+++ b/crates/control/src/log/found.rs
@@ -6,6 +6,13 @@
 //! same promise. No replica promises twice, so at most one cluster is formed, even if a founder
 //! loses its disk in between: its new identity is in no promise, and its old one can't complete the
 //! formation.
+//!
+//! That takes all founders. If the deployment tells a process that its system starts for the first time, a
+//! majority of the founders, which are then the seeds, is enough: their identities follow from their addresses
+//! ([`founder_id`]), so each forms the same cluster by itself, and a majority of these identities elects a
+//! leader as at any other time. A founder that restarts with an empty disk gets another identity, waits to be
+//! added, and replaces its earlier one as after any loss of a disk. So no identity votes twice in a term, and
+//! there is no second cluster.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -18,7 +25,7 @@
 use eelgrassdyke_core::wire;
 use eelgrassdyke_core::wire::log::{Body, FormationStage, Members, Message, Payload, Record};
 
-use super::io::Output;
+use super::io::{HardState, Output};
 use super::replica::{Replica, Role};
 
 /// Time without a `Hello` after which an unattached replica or a founder is considered gone.
@@ -81,7 +88,37 @@
         .max(1)
 }
 
+/// Identity of the founder at `address` at the first start of a system: the first 64 bits of the SHA-256 of its
+/// address and those of all founders, at least 1.
+///
+/// A process may create its data folder with this identity only if no earlier process at this address can
+/// have done so and lost the folder since: that process may have voted.
+pub fn founder_id(address: SocketAddr, founders: &[SocketAddr]) -> Id {
+    let founders: BTreeSet<_> = founders.iter().collect();
+    let digest = Sha256::of(&wire::encode(&(address, founders)).unwrap_or_default()).to_string();
+    let first = u64::from_str_radix(&digest[..16], 16).unwrap_or_default();
+    Id(first.max(1))
+}
+
 impl Replica {
+    /// Forms the cluster of the founders if this replica has the identity of one and has not done so before.
+    pub(super) fn form_at_first_start(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let founders = &self.options.seed_addresses;
+        if self.hard_state != HardState::default()
+            || !founders.contains(&self.address)
+            || self.id != founder_id(self.address, founders)
+        {
+            return;
+        }
+        let with_id = |address: &SocketAddr| (founder_id(*address, founders), *address);
+        let members = Members {
+            voters: founders.iter().map(with_id).collect(),
+            learners: BTreeMap::new(),
+        };
+        self.form_cluster(now, members);
+        self.issue_job(now, out);
+    }
+
     /// Looks for the other founders or for a leader, and advances the formation of the cluster.
     pub(super) fn tick_unattached(&mut self, now: Instant, out: &mut Vec<Output>) {
         if now >= self.formation.next_hello {
--- a/crates/control/src/log/mod.rs
+++ b/crates/control/src/log/mod.rs
@@ -6,7 +6,8 @@
 //! it as [`Output::Persist`], are carried out in order, and are acknowledged by
 //! [`Input::Persisted`]; messages that depend on a write are held back until then.
 //!
-//! A replica's identity is drawn at random when its data folder is created. A host that lost its
+//! A replica's identity is drawn at random when its data folder is created, except that of a founder at the
+//! first start of a system (see [`founder_id`]). A host that lost its
 //! disk is therefore a new replica: it has granted no votes and made no promises, and it gets no
 //! vote until it has been added again and has caught up with the log.
 
@@ -23,6 +24,7 @@
 mod replication;
 mod restart;
 
+pub use found::founder_id;
 pub use io::{
     HardState, Input, Job, MembershipChange, Options, Output, RecoveredState, Refusal,
     ReplicaStatus, Snapshot, Write,
--- a/crates/control/src/log/replica.rs
+++ b/crates/control/src/log/replica.rs
@@ -159,6 +159,7 @@
         if replica.is_only_voter() {
             replica.election_deadline = now;
         }
+        replica.form_at_first_start(now, out);
         replica
     }
 
--- a/crates/control/tests/log_net/mod.rs
+++ b/crates/control/tests/log_net/mod.rs
@@ -7,7 +7,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use eelgrassdyke_control::log::{Input, Job, MembershipChange, Options, Output, Replica};
+use eelgrassdyke_control::log::{
+    Input, Job, MembershipChange, Options, Output, Replica, founder_id,
+};
 use eelgrassdyke_control::store::{Error, Store};
 use eelgrassdyke_core::id::{Index, Replica as Id, Term};
 use eelgrassdyke_core::time::Instant;
@@ -94,6 +96,10 @@
     pub faults: Faults,
     pub rng: ChaCha8Rng,
     pub options: Options,
+    /// Addresses at which replicas without a cluster look for one; all hosts if empty.
+    pub seeds: Vec<SocketAddr>,
+    /// Whether a founder with an empty disk gets the identity of a founder at the first start.
+    pub is_first_start: bool,
     /// Reference log: the record at each index, as first applied by any replica.
     pub reference_log: Vec<Record>,
     pub outcomes: BTreeMap<u64, Outcome>,
@@ -163,6 +169,8 @@
                 elects_after_restart: seed.is_multiple_of(2),
                 ..low_limits()
             },
+            seeds: Vec::new(),
+            is_first_start: false,
             reference_log: Vec::new(),
             outcomes: BTreeMap::new(),
             change_outcomes: BTreeMap::new(),
@@ -205,11 +213,17 @@
     }
 
     pub fn start(&mut self, number: usize) {
-        let new_id = Id(self.rng.random());
+        let mut new_id = Id(self.rng.random());
         let now = self.local_time(number);
         let seed = self.rng.random();
-        let seed_addresses = self.hosts.iter().map(|host| host.address).collect();
+        let seed_addresses = match self.seeds.is_empty() {
+            true => self.hosts.iter().map(|host| host.address).collect(),
+            false => self.seeds.clone(),
+        };
         let host = &mut self.hosts[number];
+        if self.is_first_start && host.founders.contains(&host.address) {
+            new_id = founder_id(host.address, &self.seeds);
+        }
         let (store, recovered) = match Store::open(host.disk.clone(), new_id) {
             Ok(opened) => opened,
             Err(error @ Error::Damaged { .. }) => panic!("{error}"),
@@ -220,7 +234,10 @@
             }
         };
         let options = Options {
-            founders: host.founders.clone(),
+            founders: match self.is_first_start {
+                true => Vec::new(),
+                false => host.founders.clone(),
+            },
             seed_addresses,
             timeout_seed: seed,
             ..self.options.clone()
@@ -488,6 +505,13 @@
             .unwrap_or_default()
     }
 
+    /// The cluster of a host's replica, if it belongs to one.
+    pub fn cluster_id(&self, number: usize) -> Option<u64> {
+        let process = self.hosts[number].process.as_ref()?;
+        let status = process.replica.status(self.local_time(number));
+        Some(status.cluster).filter(|cluster| *cluster != 0)
+    }
+
     pub fn id(&self, number: usize) -> Option<Id> {
         self.hosts[number]
             .process
--- a/crates/core/src/settings/mod.rs
+++ b/crates/core/src/settings/mod.rs
@@ -151,6 +151,10 @@
         /// Bootstraps a new cluster formed by the replicas at these addresses; a replica at another
         /// address waits until it is added.
         Seeds(Vec<SocketAddr>),
+        /// Bootstraps a new cluster formed by the replicas at the addresses in `control`, as soon as a majority
+        /// of them runs; another replica waits until it is added. A process starts with this value only if its
+        /// whole system starts for the first time, with empty data folders; later it starts with `Join`.
+        FirstStart,
         /// Waits until an operator adds the replica to a cluster.
         Join,
     }
--- a/crates/core/src/settings/read.rs
+++ b/crates/core/src/settings/read.rs
@@ -293,7 +293,8 @@
     advertise: Option<SocketAddr>,
 ) -> Option<ControlSettings> {
     let data = section.required("data", FOLDER_REMEDY);
-    let remedy = "give \"join\", {\"found\": [\"IP:PORT\", ...]} or {\"seeds\": [...]}";
+    let remedy =
+        "give \"join\", \"first_start\", {\"found\": [\"IP:PORT\", ...]} or {\"seeds\": [...]}";
     let start: Option<ClusterStart> = section.required("start", remedy);
     let manages_members = section.value_or("keeps_members", false, "give true or false");
     let catch_up_ms = milliseconds(section.optional("catch_up_s", SECONDS_REMEDY));
--- a/crates/core/tests/settings.rs
+++ b/crates/core/tests/settings.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 
 use eelgrassdyke_core::jsonc::Fault;
-use eelgrassdyke_core::settings::{Error, Settings};
+use eelgrassdyke_core::settings::{ClusterStart, Error, Settings};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use test_case::test_case;
@@ -230,3 +230,13 @@
     assert_eq!(files.warnings.len(), 1);
     assert_eq!(files.warnings[0].path, "peer_secret_file");
 }
+
+#[test]
+fn first_start_and_time_to_catch_up_are_read() {
+    let start = "\"first_start\", \"catch_up_s\": 4";
+    let text = VALID.replacen("{ \"found\": [\"127.0.0.1:7101\"] }", start, 1);
+    let settings = parse(&text).expect("valid settings");
+    let control = settings.control_role.expect("a control role");
+    assert_eq!(control.start, ClusterStart::FirstStart);
+    assert_eq!(control.catch_up_ms, Some(4000));
+}
--- a/crates/node/src/disk.rs
+++ b/crates/node/src/disk.rs
@@ -12,6 +12,7 @@
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write as _};
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -152,10 +153,21 @@
 }
 
 impl Writer {
-    /// Opens a data folder and starts the thread that writes it.
-    pub fn start(path: &Path) -> Result<(Self, RecoveredState, UnboundedReceiver<DiskEvent>)> {
+    /// Opens a data folder and starts the thread that writes it. If the folder is empty, its replica gets
+    /// the identity `first_id`, or else a random one.
+    pub fn start(
+        path: &Path,
+        first_id: Option<Replica>,
+    ) -> Result<(Self, RecoveredState, UnboundedReceiver<DiskEvent>)> {
         let path = path.to_owned();
-        Self::spawn(move || open_store(&path))
+        // A folder that is empty when it is opened again has lost its content.
+        let is_open = AtomicBool::new(false);
+        Self::spawn(move || {
+            let first_id = first_id.filter(|_| !is_open.load(Ordering::Relaxed));
+            let opened = open_store(&path, first_id.unwrap_or_else(|| Replica(rand::random())))?;
+            is_open.store(true, Ordering::Relaxed);
+            Ok(opened)
+        })
     }
 
     /// Opens a folder and starts the thread that writes it; after a disk failure, that thread calls
@@ -187,8 +199,7 @@
     }
 }
 
-fn open_store(path: &Path) -> Result<OpenStore<Folder>> {
-    let new_replica = Replica(rand::random());
+fn open_store(path: &Path, new_replica: Replica) -> Result<OpenStore<Folder>> {
     let folder = Folder::open(path)?;
     Store::open(folder, new_replica).map_err(|error| Error::Content {
         path: path.to_owned(),
--- a/crates/node/src/role/control.rs
+++ b/crates/node/src/role/control.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use eelgrassdyke_control::log::MembershipChange;
+use eelgrassdyke_control::log::{MembershipChange, founder_id};
 use eelgrassdyke_control::{
     Control, EvacuationOrder, Input, OperatorResponse, Options, Output, Query,
 };
@@ -49,7 +49,10 @@
         adapter: Option<Rc<dyn Adapter>>,
         context: Context,
     ) -> Result<Rc<Self>> {
-        let (disk, recovered, disk_events) = Writer::start(&settings.data)?;
+        let me = context.me.address;
+        let is_founder = settings.start == ClusterStart::FirstStart && control.contains(&me);
+        let first_id = is_founder.then(|| founder_id(me, control));
+        let (disk, recovered, disk_events) = Writer::start(&settings.data, first_id)?;
         let options = Options {
             control_addresses: control.to_vec(),
             wall_time_origin: context.clock.wall_at_start(),
@@ -233,7 +236,7 @@
     let founders = match &settings.start {
         ClusterStart::Bootstrap(addresses) => addresses.clone(),
         ClusterStart::Seeds(addresses) if addresses.contains(&me) => addresses.clone(),
-        ClusterStart::Seeds(_) | ClusterStart::Join => Vec::new(),
+        ClusterStart::Seeds(_) | ClusterStart::FirstStart | ClusterStart::Join => Vec::new(),
     };
     eelgrassdyke_control::log::Options {
         founders,
--- a/crates/node/tests/disk.rs
+++ b/crates/node/tests/disk.rs
@@ -1,14 +1,15 @@
 //! Tests of the disk writer: a disk that rejects writes for a while must not stop a replica for
-//! good.
+//! good, and an emptied one is a new replica.
 
 use std::io;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use eelgrassdyke_control::log::{HardState, Job, Write};
+use eelgrassdyke_control::log::{HardState, Job, Snapshot, Write};
 use eelgrassdyke_control::store::{Disk, Store};
-use eelgrassdyke_core::id::{Replica, Term};
+use eelgrassdyke_core::id::{Index, Replica, Term};
+use eelgrassdyke_core::wire::log::Members;
 use eelgrassdyke_node::disk::{DiskEvent, Folder, Writer};
 use eelgrassdyke_node::errors::Error;
 use eelgrassdyke_node::runtime::block_on;
@@ -128,3 +129,39 @@
     let (_, recovered) = Store::open(folder, Replica(8)).expect("the store is readable");
     assert_eq!(recovered.hard_state.term, Term(9));
 }
+
+#[test]
+fn identity_of_the_first_start_is_not_used_again_for_a_folder_that_was_emptied() {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("emptied");
+    let _ = std::fs::remove_dir_all(&path);
+    let (writer, recovered, mut events) =
+        Writer::start(&path, Some(Replica(7))).expect("the folder opens");
+    assert_eq!(recovered.replica, Replica(7));
+    let mut next = || {
+        block_on(events.next())
+            .expect("the runtime starts")
+            .expect("the writer thread is running")
+    };
+
+    writer.enqueue(persist_term(1, 1));
+    assert_eq!(next(), DiskEvent::Persisted(1));
+    std::fs::remove_dir_all(&path).expect("the folder is removed");
+    // A snapshot needs new files in the folder.
+    let snapshot = Write::Snapshot {
+        snapshot: Snapshot {
+            index: Index(1),
+            term: Term(1),
+            members: Members::default(),
+            data: Arc::default(),
+        },
+        hard_state: HardState::default(),
+        records: Vec::new(),
+    };
+    let writes = vec![snapshot];
+    writer.enqueue(Job { number: 2, writes });
+    assert!(matches!(next(), DiskEvent::Failed(_)));
+    let DiskEvent::Reopened(recovered) = next() else {
+        panic!("the folder was not reopened");
+    };
+    assert_ne!(recovered.replica, Replica(7));
+}
