--- a/crates/core/src/settings/mod.rs
+++ b/crates/core/src/settings/mod.rs
@@ -128,6 +128,9 @@
         /// Whether the leader adds, promotes and replaces members automatically.
         #[serde(rename = "keeps_members")]
         pub manages_members: bool,
+        /// Time within which a new host must have taken the place of one that is gone for good, in
+        /// milliseconds; bounds how long a silent voter is waited for.
+        pub catch_up_ms: Option<u64>,
         /// Whether control processes that all restart at once elect a leader without waiting for an
         /// earlier leader's lease to end.
         pub elects_after_restart: bool,
@@ -148,6 +151,10 @@
         /// Bootstraps a new cluster formed by the replicas at these addresses; a replica at another
         /// address waits until it is added.
         Seeds(Vec<SocketAddr>),
+        /// Bootstraps a new cluster formed by the replicas at the addresses in `control`, as soon as a majority
+        /// of them runs; another replica waits until it is added. A process starts with this value only if its
+        /// whole system starts for the first time, with empty data folders; later it starts with `Join`.
+        FirstStart,
         /// Waits until an operator adds the replica to a cluster.
         Join,
     }
