group: late orders mix no maps where engines don't check fencing tokens

What callers saw: nothing directly.

Cause: `advance_fencing` and `advance_clearing` rely on engines that refuse lower tokens. Orders carried nothing that such engines compare, and the setting for it was not read.

With the default, true, orders and phases are as before. Both new wire fields are optional and left out if there is no value.

Ruled out: waiting for the longest delay (none is published), and preparing a higher version alone (a late release still starts the group while ranks are being disarmed).

Trials in which the deposed leader goes on for up to 3 s, or for one tick, do mix maps: leases exclude that, and the model of these tests now does too.

`no_step_starts_with_two_maps` compares versions, as before.

--- a/crates/agent/tests/watch.rs
+++ b/crates/agent/tests/watch.rs
@@ -112,6 +112,7 @@
             queued: 0,
             incarnation: Incarnation(0),
             last_known_order: 0,
+            begun_orders: None,
             experts: vec![vec![0]],
             counts: reads_counts.then(|| ExpertCounts {
                 step: Step(self.step),
@@ -164,6 +165,7 @@
         generation: Generation(1),
         rank: world.rank,
         fencing_token: 1,
+        expected_begun_orders: None,
         action: RankAction::Prepare {
             version: Version(1),
             layers: vec![vec![vec![0]]].into(),
@@ -209,6 +211,7 @@
         generation: Generation(1),
         rank: Rank(0),
         fencing_token: 1,
+        expected_begun_orders: None,
         action: RankAction::Release { step: Step(1) },
     };
     let result = RankOrderResult {
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -103,7 +103,7 @@
             reads: PublicationReads::default(),
             state: State::default(),
             followers: Followers::default(),
-            groups: Groups::default(),
+            groups: Groups::new(options.engines_check_fencing),
             coordination: (options.spreads_groups).then(|| Coordination::new(local.clone())),
             slow_engines: Vec::new(),
             next_slow_engines_update: now,
--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -57,10 +57,12 @@
 }
 
 /// The groups that reported recently.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Groups {
     groups: BTreeMap<Group, GroupState>,
     authority: Authority,
+    /// Options of the controllers.
+    options: barrier::Options,
 }
 
 /// The groups that this process coordinates, with the term for each.
@@ -122,11 +124,11 @@
 }
 
 impl GroupState {
-    fn new(now: Instant, group: Group, report: &EngineReport) -> Self {
+    fn new(now: Instant, group: Group, options: barrier::Options, report: &EngineReport) -> Self {
         Self {
             service: report.service.clone(),
             term: None,
-            controller: Controller::new(group, barrier::Options::default()),
+            controller: Controller::new(group, options),
             loads: LoadEstimator::adaptive(),
             running: BTreeMap::new(),
             slowness: BTreeMap::new(),
@@ -297,6 +299,19 @@
 }
 
 impl Groups {
+    /// Creates the state of no group; `engines_check_fencing` tells whether engines refuse orders with a
+    /// lower fencing token than they have seen.
+    pub fn new(engines_check_fencing: bool) -> Self {
+        Self {
+            groups: BTreeMap::new(),
+            authority: Authority::None,
+            options: barrier::Options {
+                engines_check_fencing,
+                ..barrier::Options::default()
+            },
+        }
+    }
+
     /// Sets the groups that this process coordinates.
     pub fn set_authority(&mut self, now: Instant, authority: Authority) -> Vec<Output> {
         if self.authority == authority {
@@ -331,8 +346,9 @@
         let mut out = Vec::new();
         let group = report.group.clone();
         let term = self.authority.term(&group);
+        let options = &self.options;
         let state = self.groups.entry(group.clone()).or_insert_with(|| {
-            let mut state = GroupState::new(now, group, &report);
+            let mut state = GroupState::new(now, group, options.clone(), &report);
             state.set_term(now, term, &mut out);
             state
         });
--- a/crates/control/src/io.rs
+++ b/crates/control/src/io.rs
@@ -304,6 +304,8 @@
     pub server_lease: std::time::Duration,
     /// Whether the leader assigns rank groups to control processes; if not, it coordinates them itself.
     pub spreads_groups: bool,
+    /// Whether engines refuse orders with a lower fencing token than they have seen.
+    pub engines_check_fencing: bool,
     /// Options of the replicated log.
     pub log: crate::log::Options,
 }
--- a/crates/control/tests/cluster/mod.rs
+++ b/crates/control/tests/cluster/mod.rs
@@ -80,6 +80,7 @@
             control_addresses: control_addresses.clone(),
             wall_time_origin: WallTime(1_000_000),
             spreads_groups: false,
+            engines_check_fencing: true,
             log: LogOptions {
                 founders: control_addresses,
                 snapshot_records: 10,
--- a/crates/control/tests/coordination.rs
+++ b/crates/control/tests/coordination.rs
@@ -361,9 +361,15 @@
 
 /// Runs seeds with one kind of fault each time and checks every tick; returns the switches completed.
 fn explore(fault: Fault, checks_fencing: bool, loss: f64) -> u64 {
+    explore_worlds(fault, checks_fencing, |seed| {
+        World::new(seed, checks_fencing, loss)
+    })
+}
+
+fn explore_worlds(fault: Fault, checks_fencing: bool, world: impl Fn(u64) -> World) -> u64 {
     let mut switches = 0;
     for seed in 0..40 {
-        let mut world = World::new(seed, checks_fencing, loss);
+        let mut world = world(seed);
         world.run(fault);
         let name = format!("{fault:?}, seed {seed}, fencing checked: {checks_fencing}");
         assert_eq!(world.double_leases, 0, "two valid leases: {name}");
@@ -397,6 +403,21 @@
     assert!(switches > 400, "only {switches} switches");
 }
 
+/// Orders are carried out up to 8 s late, after the lease of their sender has ended.
+#[test_case(Fault::None)]
+#[test_case(Fault::EndCoordinator)]
+#[test_case(Fault::FreezeCoordinator)]
+#[test_case(Fault::CutCoordinator)]
+#[test_case(Fault::EndLeader)]
+#[test_case(Fault::FreezeLeader)]
+#[test_case(Fault::CutLeader)]
+fn late_orders_of_earlier_coordinators_mix_no_maps_where_tokens_are_not_checked(fault: Fault) {
+    let switches = explore_worlds(fault, false, |seed| {
+        World::new(seed, false, 0.05).with_guarded_orders()
+    });
+    assert!(switches > 400, "only {switches} switches");
+}
+
 /// Without leases two coordinators drive one group, and fencing tokens alone don't help where engines
 /// don't check them. This shows that the simulation finds the fault.
 #[test]
--- a/crates/control/tests/coordination_control.rs
+++ b/crates/control/tests/coordination_control.rs
@@ -81,6 +81,7 @@
         queued: 0,
         incarnation: Incarnation(1),
         last_known_order: 0,
+        begun_orders: None,
         experts: vec![vec![rank as u32]],
         counts: None,
     }
@@ -107,6 +108,7 @@
             let options = Options {
                 server_lease: eelgrassdyke_control::directory::DEFAULT_LEASE,
                 spreads_groups,
+                engines_check_fencing: true,
                 control_addresses: control_addresses.clone(),
                 wall_time_origin: WallTime(1_000_000),
                 log: LogOptions {
--- a/crates/control/tests/coordination_world/mod.rs
+++ b/crates/control/tests/coordination_world/mod.rs
@@ -37,7 +37,7 @@
 const STALE_VIEW: Duration = Duration::from_millis(50);
 /// Time between the end of a fault and the next one.
 const RECOVERY: Duration = Duration::from_secs(4);
-/// Fraction of the orders, where engines check fencing tokens, that are carried out seconds late.
+/// Fraction of the orders, where engines check fencing tokens or orders are guarded otherwise, that are carried out seconds late.
 const LATE_FRACTION: f64 = 0.1;
 const DUPLICATE_FRACTION: f64 = 0.02;
 
@@ -78,6 +78,7 @@
     armed: Option<(Version, Step)>,
     hold_step: Option<Step>,
     fencing_token: u64,
+    begun_orders: u64,
     last_known_order: u64,
     assignments: Assignments,
     leader: Option<SocketAddr>,
@@ -137,6 +138,8 @@
     now: Instant,
     rng: ChaCha8Rng,
     checks_fencing: bool,
+    /// Options of the switch controllers.
+    options: barrier::Options,
     loss: f64,
     processes: Vec<Process>,
     groups: Vec<EngineGroup>,
@@ -156,10 +159,10 @@
 }
 
 impl Process {
-    fn new(number: usize, incarnation: u64) -> Self {
+    fn new(number: usize, incarnation: u64, options: &barrier::Options) -> Self {
         let mut sender = sender(number);
         sender.incarnation = Incarnation(incarnation);
-        let controller = |number| Controller::new(group(number), barrier::Options::default());
+        let controller = |number| Controller::new(group(number), options.clone());
         Self {
             coordination: Coordination::new(sender.clone()),
             sender,
@@ -210,9 +213,10 @@
             now: Instant(0),
             rng: ChaCha8Rng::seed_from_u64(seed),
             checks_fencing,
+            options: barrier::Options::default(),
             loss,
             processes: (0..PROCESSES)
-                .map(|number| Process::new(number, 1))
+                .map(|number| Process::new(number, 1, &barrier::Options::default()))
                 .collect(),
             groups: (0..GROUPS).map(engine_group).collect(),
             log: View::default(),
@@ -230,6 +234,15 @@
         }
     }
 
+    /// The controllers know that engines don't check fencing tokens.
+    pub fn with_guarded_orders(mut self) -> Self {
+        self.options.engines_check_fencing = false;
+        for (number, process) in self.processes.iter_mut().enumerate() {
+            *process = Process::new(number, 1, &self.options);
+        }
+        self
+    }
+
     /// No rank reports until `start`.
     pub fn suppress_reports_until(&mut self, start: Instant) {
         self.next_report = start;
@@ -305,7 +318,7 @@
             Fault::EndCoordinator | Fault::EndLeader => {
                 self.switches_of_ended += process.completed_switches();
                 let next = process.sender.incarnation.0 + 1;
-                *process = Process::new(number, next);
+                *process = Process::new(number, next, &self.options);
                 process.ended_until = Some(until);
             }
             Fault::FreezeCoordinator | Fault::FreezeLeader => process.frozen_until = Some(until),
@@ -587,7 +600,8 @@
             let barrier::Output::Order { order, .. } = output else {
                 continue;
             };
-            if self.checks_fencing && self.rng.random_bool(LATE_FRACTION) {
+            let may_be_late = self.checks_fencing || !self.options.engines_check_fencing;
+            if may_be_late && self.rng.random_bool(LATE_FRACTION) {
                 let result = result_of(&order, RankOrderOutcome::Unanswered);
                 self.send_result(from, result);
                 let late = Duration::from_millis(self.rng.random_range(500..8000));
@@ -682,6 +696,7 @@
             queued: 0,
             incarnation: Incarnation(1),
             last_known_order: engine.last_known_order,
+            begun_orders: Some(engine.begun_orders),
             experts: vec![vec![rank.0 as u32]],
             counts: None,
         }
@@ -713,6 +728,10 @@
             return RankOrderOutcome::Fenced;
         }
         engine.fencing_token = engine.fencing_token.max(order.fencing_token);
+        let expected = order.expected_begun_orders;
+        if expected.is_some_and(|expected| expected != engine.begun_orders) {
+            return RankOrderOutcome::Refused;
+        }
         let prepared = engine.prepared;
         match &order.action {
             RankAction::Prepare { version, .. } => {
@@ -740,7 +759,10 @@
                 if engine.active_map == *version {
                     return RankOrderOutcome::Refused;
                 }
-                engine.armed.take_if(|(armed, _)| armed == version);
+                let disarmed = engine.armed.take_if(|(armed, _)| armed == version);
+                if disarmed.is_none() {
+                    return RankOrderOutcome::Accepted;
+                }
             }
             RankAction::Hold { step: at } => {
                 if engine.hold_step == Some(*at) {
@@ -752,9 +774,13 @@
                 engine.hold_step = Some(*at);
             }
             RankAction::Release { step: at } => {
-                engine.hold_step.take_if(|held| *held == *at);
+                let released = engine.hold_step.take_if(|held| *held == *at);
+                if released.is_none() {
+                    return RankOrderOutcome::Accepted;
+                }
             }
         }
+        engine.begun_orders += 1;
         RankOrderOutcome::Accepted
     }
 
--- a/crates/control/tests/earlier_folder.rs
+++ b/crates/control/tests/earlier_folder.rs
@@ -69,6 +69,7 @@
         control_addresses: vec![address(0)],
         wall_time_origin: WallTime(1_000_000),
         spreads_groups: true,
+        engines_check_fencing: true,
         log: LogOptions::default(),
     };
     let local = Sender {
--- a/crates/control/tests/restart_load.rs
+++ b/crates/control/tests/restart_load.rs
@@ -278,6 +278,7 @@
             control_addresses: controls.clone(),
             wall_time_origin: WallTime(1_000_000),
             spreads_groups: false,
+            engines_check_fencing: true,
             log: LogOptions {
                 founders: controls.clone(),
                 seed_addresses: controls,
--- a/crates/core/src/settings/mod.rs
+++ b/crates/core/src/settings/mod.rs
@@ -136,6 +136,9 @@
         /// Whether the leader assigns each rank group to a control process instead of coordinating all of
         /// them itself; the same for all control processes.
         pub spreads_groups: bool,
+        /// Whether engines refuse orders with a lower fencing token than they have seen. If not, the
+        /// coordinators of rank groups guard their orders by other means.
+        pub engines_check_fencing: bool,
     }
 
     /// How a replica with an empty data folder becomes a member of a cluster.
--- a/crates/core/src/settings/read.rs
+++ b/crates/core/src/settings/read.rs
@@ -300,6 +300,8 @@
         section.value_or("elects_after_restart", false, "give true or false");
     let heartbeat_ms = section.value_or("heartbeat_ms", DEFAULT_HEARTBEAT_MS, MILLISECONDS_REMEDY);
     let spreads_groups = section.value_or("spreads_groups", false, "give true or false");
+    let engines_check_fencing =
+        section.value_or("engines_check_fencing", true, "give true or false");
     section.report_unknown_fields();
     check_positive(section, "heartbeat_ms", heartbeat_ms);
     if let Some(ClusterStart::Bootstrap(founders)) = &start {
@@ -322,6 +324,7 @@
         elects_after_restart: elects_after_restart?,
         heartbeat_ms: heartbeat_ms?,
         spreads_groups: spreads_groups?,
+        engines_check_fencing: engines_check_fencing?,
     })
 }
 
--- a/crates/core/src/wire/rank.rs
+++ b/crates/core/src/wire/rank.rs
@@ -59,6 +59,9 @@
         /// Number of the last order whose outcome was known when the state was read.
         #[serde(rename = "after")]
         pub last_known_order: u64,
+        /// Number of orders that the engine has begun since it started; none if it doesn't report it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub begun_orders: Option<u64>,
         /// Experts of the rank in the active map, by layer; empty if they were not read, or were sent
         /// within the last second for the same generation and map.
         pub experts: Vec<Vec<u32>>,
@@ -93,6 +96,9 @@
         /// The fencing token: engines refuse a lower one than they have seen.
         #[serde(rename = "token")]
         pub fencing_token: u64,
+        /// The number of begun orders that the engine must have: it refuses the order if it has another.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub expected_begun_orders: Option<u64>,
         /// The action to perform.
         pub action: RankAction,
     }
--- a/crates/group/src/barrier.rs
+++ b/crates/group/src/barrier.rs
@@ -16,7 +16,11 @@
 //! on, the reported state can't change unexpectedly. If the group is held, the leader disarms and
 //! releases it as in step 4. Ranks that are armed without a hold have all been armed and released by
 //! the predecessor, so they are left to activate the map.
+//!
+//! Where engines don't check fencing tokens, each order names instead the number of orders that its
+//! engine had begun in the report that justifies it, and [`overtaking`] takes the place of step 4.
 
+mod overtaking;
 mod round;
 
 use std::collections::BTreeMap;
@@ -32,6 +36,7 @@
     EngineReport, RankAction, RankOrder, RankOrderOutcome, RankOrderResult,
 };
 
+use overtaking::Overtaking;
 use round::{Round, SentOrder, unconfirmed_ranks};
 
 /// Number of low bits of a fencing token that count within a term; the higher bits are the term.
@@ -105,6 +110,8 @@
     pub arm_timeout: Duration,
     /// Age from which a report is outdated.
     pub report_max_age: Duration,
+    /// Whether engines refuse orders with a lower fencing token than they have seen.
+    pub engines_check_fencing: bool,
 }
 
 impl Default for Options {
@@ -115,6 +122,7 @@
             prepare_timeout: Duration::from_millis(2500),
             arm_timeout: Duration::from_secs(3),
             report_max_age: Duration::from_millis(1500),
+            engines_check_fencing: true,
         }
     }
 }
@@ -189,6 +197,8 @@
         /// Number of the fencing order that each rank confirmed; reports from before it are outdated.
         fencing_orders: BTreeMap<Rank, u64>,
     },
+    /// Makes every rank begin an order where engines don't check fencing tokens, then releases the holds.
+    Overtaking(Overtaking),
     /// Every rank uses the same map and no switch is in progress.
     Settled,
     /// The ranks load experts.
@@ -249,6 +259,10 @@
     unanswered_fraction: f64,
     /// When each rank with a stray hold was last ordered to release it.
     stray_releases: BTreeMap<Rank, Instant>,
+    /// The last accepted order of each rank, and when its result arrived.
+    accepted_orders: BTreeMap<Rank, (u64, Instant)>,
+    /// The latest step before which this controller ordered a hold in this generation.
+    last_hold_step: Step,
     next_wakeup: Instant,
     completed_switches: u64,
     /// Smoothed round-trip time of an order and its mean deviation.
@@ -277,6 +291,8 @@
             step_time_seconds: INITIAL_STEP_TIME.as_secs_f64(),
             unanswered_fraction: 0.0,
             stray_releases: BTreeMap::new(),
+            accepted_orders: BTreeMap::new(),
+            last_hold_step: Step(0),
             next_wakeup: Instant::NEVER,
             completed_switches: 0,
             order_seconds: (INITIAL_ORDER_SECONDS, INITIAL_ORDER_SECONDS / 2.0),
@@ -401,7 +417,7 @@
             }
             // A restarted watch process does not know which orders were complete when it read the state
             // of the engine, so its reports can't show the effect of earlier fencing orders.
-            if restarted && matches!(self.phase, Phase::Fencing(_) | Phase::Clearing { .. }) {
+            if restarted && self.is_clearing() {
                 self.start_fencing();
             }
         }
@@ -409,6 +425,7 @@
             // A new generation starts without a prepared or armed map and without a hold.
             self.generation = report.generation;
             self.ranks.clear();
+            self.last_hold_step = Step(0);
             if self.is_leader() {
                 self.start_fencing();
             }
@@ -476,7 +493,13 @@
             self.phase = Phase::Idle;
             return;
         }
-        let is_clearing = matches!(self.phase, Phase::Fencing(_) | Phase::Clearing { .. });
+        if result.outcome == RankOrderOutcome::Accepted {
+            let accepted = (result.number, now);
+            self.accepted_orders.insert(result.rank, accepted);
+        }
+        let is_clearing = self.is_clearing();
+        let is_unchecked = !self.options.engines_check_fencing;
+        let is_switching = matches!(self.phase, Phase::Arming { .. } | Phase::Releasing { .. });
         let is_preparing = matches!(self.phase, Phase::Preparing { .. });
         let is_holding = matches!(self.phase, Phase::Holding { .. });
         let Some(round) = self.round_mut() else {
@@ -497,10 +520,13 @@
             // The rank is not armed with this version, so there is nothing to disarm.
             RankOrderOutcome::Refused if is_clearing => {
                 round.confirmed.insert(result.rank, result.number);
+                self.handle_overtaking_refusal(result.rank);
             }
             // The reports show whether the map is complete.
             RankOrderOutcome::Refused if is_preparing => {}
             RankOrderOutcome::Refused if is_holding => self.try_next_holder(now, result.rank),
+            // The engine had begun another order since the report; the next reports show what is left to do.
+            RankOrderOutcome::Refused if is_unchecked && is_switching => {}
             RankOrderOutcome::Refused => self.start_fencing(),
             RankOrderOutcome::Unanswered if is_holding => self.try_next_holder(now, result.rank),
             RankOrderOutcome::Unanswered => {
@@ -523,6 +549,7 @@
             Phase::Idle | Phase::Settled => None,
             Phase::Fencing(round)
             | Phase::Clearing { round, .. }
+            | Phase::Overtaking(Overtaking { round, .. })
             | Phase::Preparing { round, .. }
             | Phase::Holding { round, .. }
             | Phase::Arming { round, .. }
@@ -530,6 +557,14 @@
         }
     }
 
+    /// Whether this controller invalidates earlier orders or clears what they left.
+    fn is_clearing(&self) -> bool {
+        matches!(
+            self.phase,
+            Phase::Fencing(_) | Phase::Clearing { .. } | Phase::Overtaking(_)
+        )
+    }
+
     /// Raises the fencing token, which invalidates all earlier orders, and enters [`Phase::Fencing`].
     fn start_fencing(&mut self) {
         self.raise_token();
@@ -570,9 +605,15 @@
     }
 
     fn start_holding(&mut self, now: Instant, version: Version, holder: Rank) {
+        let mut step = self.activation_step(now);
+        if !self.options.engines_check_fencing {
+            // A delayed order to release an earlier hold can't release this one.
+            step = step.max(self.last_hold_step.next());
+        }
+        self.last_hold_step = step;
         self.phase = Phase::Holding {
             version,
-            step: self.activation_step(now),
+            step,
             round: Round::default(),
             holder,
         };
@@ -586,7 +627,12 @@
         };
         let current = self.ranks.values().map(estimated_step).fold(0.0, f64::max);
         let (mean, deviation) = self.order_seconds;
-        let orders = ORDERS_BEFORE_ACTIVATION * (mean + ORDER_DEVIATIONS * deviation);
+        let mut orders = ORDERS_BEFORE_ACTIVATION;
+        if !self.options.engines_check_fencing {
+            // Each order to the holder waits for a report that shows the last one.
+            orders += 1.0;
+        }
+        let orders = orders * (mean + ORDER_DEVIATIONS * deviation);
         let unanswered = self.options.unanswered_lead.as_secs_f64() * self.unanswered_fraction;
         let lead_steps = (orders + unanswered) / self.step_time_seconds;
         Step((current + lead_steps.max(MIN_STEPS_AHEAD)).ceil() as u64)
@@ -594,6 +640,7 @@
 
     /// Sends the orders of the current phase and enters the next one when its condition is met.
     fn advance_phase(&mut self, now: Instant, out: &mut Vec<Output>) {
+        self.confirm_armed_ranks();
         match &self.phase {
             Phase::Idle => {}
             Phase::Settled => {
@@ -606,6 +653,7 @@
             }
             Phase::Fencing(_) => self.advance_fencing(now, out),
             Phase::Clearing { .. } => self.advance_clearing(now, out),
+            Phase::Overtaking(_) => self.advance_overtaking(now, out),
             Phase::Preparing {
                 version,
                 layers,
@@ -673,7 +721,10 @@
             } => {
                 let (version, step, holder) = (*version, *step, *holder);
                 let ranks: Vec<Rank> = self.ranks.keys().copied().collect();
-                if round.confirmed.len() == self.group_size as usize
+                if self.has_lost_switch(version, step) {
+                    self.start_fencing();
+                    self.advance_phase(now, out);
+                } else if round.confirmed.len() == self.group_size as usize
                     && ranks.len() == round.confirmed.len()
                 {
                     self.phase = Phase::Releasing {
@@ -722,7 +773,10 @@
                     let detail = format!("version {version} at step {step}");
                     self.emit_event(Code::MapInForce, detail, out);
                     self.phase = Phase::Settled;
-                } else {
+                } else if self.is_holder_disarmed(holder, version) {
+                    self.start_fencing();
+                    self.advance_phase(now, out);
+                } else if self.may_release(holder, version, step) {
                     let unconfirmed = unconfirmed_ranks(&[holder], round);
                     self.send_due_orders(now, &unconfirmed, |_| RankAction::Release { step }, out);
                 }
@@ -748,6 +802,12 @@
         if !self.have_reported_since(&round.confirmed) {
             return;
         }
+        if !self.options.engines_check_fencing {
+            let fencing_orders = round.confirmed.clone();
+            self.start_overtaking(fencing_orders);
+            self.advance_phase(now, out);
+            return;
+        }
         let mut reports = self.ranks.values().map(|entry| &entry.report);
         if reports.clone().any(|report| report.hold_step.is_some()) {
             self.phase = Phase::Clearing {
@@ -849,12 +909,18 @@
 
     fn next_order(&mut self, rank: Rank, action: RankAction) -> RankOrder {
         self.last_order_number += 1;
+        let entry = match self.options.engines_check_fencing {
+            true => None,
+            false => self.ranks.get(&rank),
+        };
+        let begun_orders = entry.and_then(|entry| entry.report.begun_orders);
         RankOrder {
             number: self.last_order_number,
             group: self.group.clone(),
             generation: self.generation,
             rank,
             fencing_token: (self.term.0 << FENCING_COUNTER_BITS) + self.fencing_counter,
+            expected_begun_orders: begun_orders,
             action,
         }
     }
@@ -876,6 +942,10 @@
             .copied()
             .filter(|rank| round.is_due(now, *rank, resend_interval))
             .collect();
+        let due: Vec<Rank> = due
+            .into_iter()
+            .filter(|rank| self.shows_accepted_order(now, *rank))
+            .collect();
         self.send_orders(now, &due, action, out);
     }
 
--- a/crates/group/tests/barrier.rs
+++ b/crates/group/tests/barrier.rs
@@ -3,7 +3,8 @@
 //! Engines run their steps together. Orders and results are delayed and reordered; some orders get no
 //! result and are executed seconds later. Leaders change, and a deposed leader continues for a while.
 //! Two ranks must never use different maps in a step. If the engines ignore fencing tokens or holds,
-//! some seed must find mixed maps.
+//! some seed must find mixed maps. Controllers that know that engines don't check fencing tokens must
+//! not mix maps either.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -33,19 +34,39 @@
 enum Ignored {
     Nothing,
     FencingToken,
+    /// The controllers know that it is ignored.
+    KnownFencingToken,
     Hold,
 }
 
+impl Ignored {
+    fn options(self) -> Options {
+        Options {
+            engines_check_fencing: self != Self::KnownFencingToken,
+            ..Options::default()
+        }
+    }
+
+    fn includes_fencing(self) -> bool {
+        matches!(self, Self::FencingToken | Self::KnownFencingToken)
+    }
+}
+
 /// A simulated engine and the watch process beside it.
 #[derive(Clone, Debug, Default)]
 struct Engine {
     active_map: Version,
+    /// Experts of all ranks in the active map; empty for the first map of a generation.
+    active_layers: ExpertPlacement,
     highest_version: Version,
     /// Prepared map and the time at which it is complete.
     prepared: Option<(Version, Instant)>,
+    prepared_layers: ExpertPlacement,
     armed: Option<(Version, Step)>,
     hold_step: Option<Step>,
     fencing_token: u64,
+    /// Number of orders that the engine has begun.
+    begun_orders: u64,
     last_known_order: u64,
     /// Incarnation of the watch process.
     incarnation: Incarnation,
@@ -82,7 +103,17 @@
     in_transit: Vec<(Instant, Delivery)>,
     next_report: Instant,
     has_mixed_maps: bool,
+    /// Whether ranks have used maps of one version with different contents.
+    has_mixed_layers: bool,
     completed_switches: u64,
+    started_switches: u32,
+    /// Whether a leader sends nothing after the start of its successor.
+    has_leases: bool,
+    /// Mean number of ticks between two faults of a kind.
+    ticks_per_fault: u32,
+    /// Since when the group stands before a hold, and the longest time for which it did.
+    standing_since: Option<Instant>,
+    longest_stand: Duration,
 }
 
 fn address(rank: Rank) -> SocketAddr {
@@ -101,12 +132,18 @@
             step: Step(0),
             next_step: Instant(0),
             engines: ranks.map(|rank| (rank, Engine::default())).collect(),
-            leaders: vec![Controller::new(group, Options::default())],
+            leaders: vec![Controller::new(group, ignored.options())],
             late_fraction,
             in_transit: Vec::new(),
             next_report: Instant(0),
             has_mixed_maps: false,
+            has_mixed_layers: false,
             completed_switches: 0,
+            started_switches: 0,
+            has_leases: false,
+            ticks_per_fault: 2000,
+            standing_since: None,
+            longest_stand: Duration::ZERO,
         }
     }
 
@@ -152,13 +189,17 @@
         if order.generation != self.generation {
             return RankOrderOutcome::Refused;
         }
-        if order.fencing_token < engine.fencing_token && self.ignored != Ignored::FencingToken {
+        if order.fencing_token < engine.fencing_token && !self.ignored.includes_fencing() {
             return RankOrderOutcome::Fenced;
         }
         engine.fencing_token = engine.fencing_token.max(order.fencing_token);
         let has_started = |at: Step| at <= step;
+        let expected = order.expected_begun_orders;
+        if expected.is_some_and(|expected| expected != engine.begun_orders) {
+            return RankOrderOutcome::Refused;
+        }
         match &order.action {
-            RankAction::Prepare { version, .. } => {
+            RankAction::Prepare { version, layers } => {
                 if engine
                     .prepared
                     .is_some_and(|(prepared, _)| prepared == *version)
@@ -170,6 +211,7 @@
                 }
                 engine.highest_version = *version;
                 engine.prepared = Some((*version, now + load_time));
+                engine.prepared_layers = layers.to_vec();
             }
             RankAction::Arm { version, step: at } => {
                 if engine.armed == Some((*version, *at)) {
@@ -187,12 +229,10 @@
                 if engine.active_map == *version {
                     return RankOrderOutcome::Refused;
                 }
-                if engine
-                    .armed
-                    .is_some_and(|(prepared, _)| prepared == *version)
-                {
-                    engine.armed = None;
+                if engine.armed.is_none_or(|(armed, _)| armed != *version) {
+                    return RankOrderOutcome::Accepted;
                 }
+                engine.armed = None;
             }
             RankAction::Hold { step: at } => {
                 if engine.hold_step == Some(*at) {
@@ -204,11 +244,13 @@
                 engine.hold_step = Some(*at);
             }
             RankAction::Release { step: at } => {
-                if engine.hold_step == Some(*at) {
-                    engine.hold_step = None;
+                if engine.hold_step != Some(*at) {
+                    return RankOrderOutcome::Accepted;
                 }
+                engine.hold_step = None;
             }
         }
+        engine.begun_orders += 1;
         RankOrderOutcome::Accepted
     }
 
@@ -217,12 +259,16 @@
         let next = self.step.next();
         let holds = |engine: &Engine| engine.hold_step == Some(next);
         if self.ignored != Ignored::Hold && self.engines.values().any(holds) {
+            let since = *self.standing_since.get_or_insert(self.now);
+            self.longest_stand = self.longest_stand.max(self.now.since(since));
             return;
         }
+        self.standing_since = None;
         self.step = next;
         for engine in self.engines.values_mut() {
             if let Some((version, _)) = engine.armed.take_if(|(_, at)| *at == next) {
                 engine.active_map = version;
+                engine.active_layers = std::mem::take(&mut engine.prepared_layers);
                 engine.prepared = None;
             }
         }
@@ -232,6 +278,9 @@
             .values()
             .any(|engine| Some(engine.active_map) != first);
         self.has_mixed_maps |= has_mixed_maps;
+        let mut layers = self.engines.values().map(|engine| &engine.active_layers);
+        let first = layers.next();
+        self.has_mixed_layers |= layers.any(|layers| Some(layers) != first);
     }
 
     fn report(&mut self, rank: Rank) -> Box<EngineReport> {
@@ -257,7 +306,11 @@
             queued: 0,
             incarnation: engine.incarnation,
             last_known_order: engine.last_known_order,
-            experts: vec![vec![rank.0 as u32]],
+            begun_orders: Some(engine.begun_orders),
+            experts: match engine.active_layers.first() {
+                Some(layer) => vec![layer[rank.0 as usize].clone()],
+                None => vec![vec![rank.0 as u32]],
+            },
             counts: None,
         })
     }
@@ -326,8 +379,9 @@
             let is_copying = controller.copying().is_some();
             // A switch whose copies are under way is replaced now and then.
             if may_start && (!is_copying || self.rng.random_bool(REPLACED_FRACTION)) {
+                self.started_switches += 1;
                 let input = Input::StartSwitch {
-                    layers: layers(),
+                    layers: numbered_layers(self.started_switches),
                     copy_time: Duration::ZERO,
                 };
                 self.drive_controller(leader, input);
@@ -335,6 +389,26 @@
         }
     }
 
+    /// Ticks until a condition holds.
+    fn run_until(&mut self, what: &str, holds: impl Fn(&Self) -> bool) {
+        let end = self.now + Duration::from_secs(20);
+        while !holds(self) {
+            assert!(self.now < end, "{what}: not within 20 s");
+            self.tick();
+        }
+    }
+
+    /// Replaces the leader by one of the next term that sends nothing before its first report.
+    fn replace_leader(&mut self, term: u64) -> usize {
+        let last = self.leaders.len() - 1;
+        self.drive_controller(last, Input::LeadershipLost);
+        let group = "g0".parse().unwrap();
+        self.leaders
+            .push(Controller::new(group, self.ignored.options()));
+        self.drive_controller(last + 1, Input::LeadershipGained(Term(term)));
+        last + 1
+    }
+
     /// Simulates the loss of a rank: the group restarts without a prepared or armed map and without
     /// holds.
     fn restart_group(&mut self) {
@@ -359,13 +433,17 @@
             if !inject_faults || deposed.is_some() {
                 continue;
             }
-            match self.rng.random_range(0..2000) {
+            match self.rng.random_range(0..self.ticks_per_fault) {
+                0 if self.has_leases => {
+                    term += 1;
+                    self.replace_leader(term);
+                }
                 0 => {
                     // The deposed leader continues to act as leader for a while.
                     term += 1;
                     let group = "g0".parse().unwrap();
                     self.leaders
-                        .push(Controller::new(group, Options::default()));
+                        .push(Controller::new(group, self.ignored.options()));
                     let last = self.leaders.len() - 1;
                     self.drive_controller(last, Input::LeadershipGained(Term(term)));
                     let lag = Duration::from_millis(self.rng.random_range(0..3000));
@@ -404,6 +482,11 @@
     vec![(0..RANKS as u32).map(|rank| vec![rank]).collect()]
 }
 
+/// A placement that differs from those with other numbers.
+fn numbered_layers(number: u32) -> ExpertPlacement {
+    vec![(0..RANKS as u32).map(|rank| vec![rank, number]).collect()]
+}
+
 #[test]
 fn without_faults_switches_do_not_delay_steps() {
     let mut world = World::new(1, Ignored::Nothing, 0.0);
@@ -545,3 +628,87 @@
     report_without_experts(&mut world, Some(Incarnation(99)), map);
     assert_eq!(world.leaders[0].active_placement(world.now), None);
 }
+
+/// Time within which a hold is released: no longer than a late order takes at most.
+const HOLD_TIME_MAX: Duration = Duration::from_secs(12);
+
+#[test_case(0.0)]
+#[test_case(0.1)]
+#[test_case(0.35)]
+#[test_case(0.5)]
+fn no_step_starts_with_two_maps_where_tokens_are_not_checked(late_fraction: f64) {
+    let mut switches = 0;
+    for seed in 0..60 {
+        let mut world = World::new(seed, Ignored::KnownFencingToken, late_fraction);
+        world.has_leases = true;
+        world.ticks_per_fault = 600;
+        world.run(true);
+        assert!(!world.has_mixed_maps, "seed {seed} mixed maps");
+        world.late_fraction = 0.0;
+        let before = world.step;
+        let end = world.now + Duration::from_secs(20);
+        while world.now < end {
+            world.tick();
+        }
+        assert!(!world.has_mixed_maps, "seed {seed} mixed maps");
+        assert!(!world.has_mixed_layers, "seed {seed} mixed contents");
+        assert!(
+            world.step.0 > before.0 + 100,
+            "seed {seed}: the group has stalled"
+        );
+        let stand = world.longest_stand;
+        assert!(stand < HOLD_TIME_MAX, "seed {seed}: held for {stand:?}");
+        switches += world.completed_switches;
+    }
+    assert!(switches > 60, "only {switches} switches");
+}
+
+fn is_order(delivery: &Delivery, is_meant: impl Fn(&RankOrder) -> bool) -> bool {
+    matches!(delivery, Delivery::Order { order, .. } if is_meant(order))
+}
+
+fn arms_late_rank(order: &RankOrder) -> bool {
+    order.rank == Rank(3) && matches!(order.action, RankAction::Arm { .. })
+}
+
+/// An order to arm is carried out while a successor of its sender releases the hold.
+#[test_case(1, 0)]
+#[test_case(2, 30)]
+#[test_case(3, 30)]
+#[test_case(3, 150)]
+fn a_late_order_to_arm_has_no_effect_after_changes_of_leader(changes: u64, interval_ms: u64) {
+    let mut world = World::new(6, Ignored::KnownFencingToken, 0.0);
+    world.drive_controller(0, Input::LeadershipGained(Term(1)));
+    world.run_until("first switch", |world| {
+        world.leaders[0].completed_switches() > 0
+    });
+    let in_transit = |world: &World, is_meant: fn(&RankOrder) -> bool| {
+        let mut deliveries = world.in_transit.iter();
+        deliveries.any(|(_, delivery)| is_order(delivery, is_meant))
+    };
+    world.run_until("order to arm", |world| in_transit(world, arms_late_rank));
+    // The order stays in transit, and its sender ends.
+    let is_late = |(_, delivery): &mut (Instant, Delivery)| is_order(delivery, arms_late_rank);
+    let late: Vec<(Instant, Delivery)> = world.in_transit.extract_if(.., is_late).collect();
+    let Some((_, Delivery::Order { order: late, .. })) = late.into_iter().next() else {
+        panic!("no order to arm");
+    };
+    for change in 0..changes {
+        world.replace_leader(change + 2);
+        let until = world.now + Duration::from_millis(interval_ms);
+        while world.now < until {
+            world.tick();
+        }
+    }
+    world.run_until("order to release", |world| {
+        in_transit(world, |order| {
+            matches!(order.action, RankAction::Release { .. })
+        })
+    });
+    let mut engines = world.engines.values();
+    assert!(engines.any(|engine| engine.hold_step.is_some()));
+    assert_eq!(world.execute_order(&late), RankOrderOutcome::Refused);
+    let before = world.step;
+    world.run_until("steps", |world| world.step.0 > before.0 + 40);
+    assert!(!world.has_mixed_maps && !world.has_mixed_layers);
+}
--- a/crates/node/src/role/control.rs
+++ b/crates/node/src/role/control.rs
@@ -55,6 +55,7 @@
             wall_time_origin: context.clock.wall_at_start(),
             server_lease: Duration::from_millis(settings.heartbeat_ms) * LEASE_HEARTBEATS,
             spreads_groups: settings.spreads_groups,
+            engines_check_fencing: settings.engines_check_fencing,
             log: log_options(settings, control, context.me.address, seed),
         };
         let mut outputs = Vec::new();
