--- a/crates/control/tests/fact_relay.rs
+++ b/crates/control/tests/fact_relay.rs
@@ -75,8 +75,8 @@
                 let (to, sync) = entry.remove();
                 relays[to].merge(now, &sync);
             }
-            for from in 0..PROCESSES {
-                let Some(sync) = relays[from].take_due(now) else {
+            for (from, relay) in relays.iter_mut().enumerate() {
+                let Some(sync) = relay.take_due(now) else {
                     continue;
                 };
                 last_ms = now_ms;
--- a/crates/testkit/examples/recover.rs
+++ b/crates/testkit/examples/recover.rs
@@ -156,6 +156,7 @@
         series: arguments.series,
         requests_per_s: arguments.requests,
     };
+    // The sockets of the engines of an earlier seed may stay open until this process ends.
     let network = arguments
         .network
         .wrapping_add((seed - arguments.first) as u8);
--- a/crates/testkit/src/fleet/clients.rs
+++ b/crates/testkit/src/fleet/clients.rs
@@ -38,6 +38,9 @@
 /// Redirections that an operator follows.
 const REDIRECTIONS_MAX: usize = 2;
 
+/// Time between two checks of whether to stop.
+const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Longest wait of a caller.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(8);
 
@@ -66,19 +69,10 @@
     services: [String; 2],
 }
 
-/// The process of a fleet's engines and servers, until this is dropped. When it is killed, all of them end
-/// at one moment and connections to them are refused.
-#[derive(Debug)]
-pub struct Standins {
-    child: Child,
-}
-
-impl Standins {
-    /// Starts the engines and servers of a fleet in a process of this program, which calls
-    /// [`serve_standins`] for the argument [`STANDINS_ARGUMENT`].
-    pub fn start(fleet: &Fleet, folder: &Path) -> Result<Self> {
+impl Spec {
+    fn new(fleet: &Fleet) -> Self {
         let servers = fleet.servers().into_iter();
-        let spec = Spec {
+        Self {
             samples: fleet.samples.clone(),
             engines: fleet.engine_addresses(),
             controls: fleet.control_addresses(),
@@ -86,9 +80,47 @@
                 .map(|(server, address, zone)| (server, address, zone.to_owned()))
                 .collect(),
             services: [true, false].map(|has_engines| fleet.service(has_engines)),
-        };
+        }
+    }
+}
+
+/// The engines and servers of a fleet, until this is dropped.
+#[derive(Debug)]
+pub enum Standins {
+    /// On a thread of this process. Their sockets stay open until the process ends.
+    Thread {
+        /// Tells the thread to end.
+        stop: Arc<AtomicBool>,
+        /// The thread.
+        thread: Option<thread::JoinHandle<()>>,
+    },
+    /// In a process of their own. When it is killed, all of them end at one moment and connections to them are
+    /// refused.
+    Process(Child),
+}
+
+impl Standins {
+    /// Starts the engines and servers of a fleet on a thread.
+    pub fn start(fleet: &Fleet) -> Self {
+        let spec = Spec::new(fleet);
+        let stop = Arc::new(AtomicBool::new(false));
+        let stopped = stop.clone();
+        let thread = thread::spawn(move || {
+            if let Err(error) = serve(spec, &stopped) {
+                eprintln!("engines and servers: {error}");
+            }
+        });
+        Self::Thread {
+            stop,
+            thread: Some(thread),
+        }
+    }
+
+    /// Starts them in a process of this program, which calls [`serve_standins`] for the argument
+    /// [`STANDINS_ARGUMENT`].
+    pub fn start_process(fleet: &Fleet, folder: &Path) -> Result<Self> {
         let path = folder.join("standins.json");
-        let text = serde_json::to_vec(&spec).map_err(Error::harness)?;
+        let text = serde_json::to_vec(&Spec::new(fleet)).map_err(Error::harness)?;
         fs::write(&path, text).map_err(Error::harness)?;
         let program = env::current_exe().map_err(Error::harness)?;
         let child = Command::new(program)
@@ -96,26 +128,35 @@
             .arg(&path)
             .spawn()
             .map_err(Error::harness)?;
-        Ok(Self { child })
-    }
-
-    /// Kills the process and waits until it is gone.
-    pub fn kill(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        Ok(Self::Process(child))
     }
 }
 
 impl Drop for Standins {
     fn drop(&mut self) {
-        self.kill();
+        match self {
+            Self::Thread { stop, thread } => {
+                stop.store(true, Ordering::Relaxed);
+                if let Some(thread) = thread.take() {
+                    let _ = thread.join();
+                }
+            }
+            Self::Process(child) => {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
     }
 }
 
 /// Serves the engines and servers that a file describes, until the process is killed.
 pub fn serve_standins(path: &Path) -> Result<()> {
     let text = fs::read(path).map_err(Error::harness)?;
-    let spec: Spec = serde_json::from_slice(&text).map_err(Error::harness)?;
+    let spec = serde_json::from_slice(&text).map_err(Error::harness)?;
+    serve(spec, &AtomicBool::new(false))
+}
+
+fn serve(spec: Spec, stop: &AtomicBool) -> Result<()> {
     let all = async move {
         let ranks = spec.engines.len();
         for (rank, address) in spec.engines.iter().enumerate() {
@@ -127,15 +168,13 @@
                 "server": server, "address": address, "zone": zone, "service": service,
                 "born": now_ms(), "sequence": 0,
             });
-            let controls = spec.controls.clone();
-            monoio::spawn(announce(
-                spec.samples["heartbeat"].clone(),
-                fields,
-                controls,
-                number,
-            ));
+            let sample = spec.samples["heartbeat"].clone();
+            monoio::spawn(announce(sample, fields, spec.controls.clone(), number));
+        }
+        while !stop.load(Ordering::Relaxed) {
+            monoio::time::sleep(STOP_CHECK_INTERVAL).await;
         }
-        std::future::pending().await
+        Ok(())
     };
     runtime::block_on(all).map_err(Error::harness)?
 }
--- a/crates/testkit/src/fleet/mod.rs
+++ b/crates/testkit/src/fleet/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! [`Fleet`] starts the processes of the roles in `deploy/`, with settings rendered from the templates there,
 //! and stops them by signals. [`recovery`] plays a loss of disks and processes right after a confirmed
-//! configuration and measures how long the operator and the entries wait. Engines and servers, in a process
-//! of their own, and callers are those of [`clients`]. All names on the wire come from `deploy/loopback.json`.
+//! configuration and measures how long the operator and the entries wait. Engines, servers
+//! and callers are those of [`clients`]. All names on the wire come from `deploy/loopback.json`.
 
 use std::collections::BTreeMap;
 use std::fs::{self, File};
--- a/crates/testkit/src/fleet/recovery.rs
+++ b/crates/testkit/src/fleet/recovery.rs
@@ -225,7 +225,10 @@
     let fault = options.fault.unwrap_or(fault);
     let series = options.series.unwrap_or(run.rng.random_bool(0.4));
     let all: Vec<usize> = (0..run.fleet.members.len()).collect();
-    let standins = Standins::start(&run.fleet, folder)?;
+    let standins = match fault {
+        Fault::Servers => Standins::start_process(&run.fleet, folder)?,
+        _ => Standins::start(&run.fleet),
+    };
     run.start(&all, true).await?;
     run.publish_next().await?;
     let ready = probe_entries(&run.fleet, Instant::now(), OBSERVATION).await;
@@ -398,11 +401,7 @@
     }
 
     /// All servers end while requests run; then the operator reads at each control process in turn.
-    async fn play_end_of_servers(
-        mut self,
-        mut standins: Standins,
-        series: bool,
-    ) -> Result<Outcome> {
+    async fn play_end_of_servers(mut self, standins: Standins, series: bool) -> Result<Outcome> {
         let service = self.fleet.service(true);
         let routes = self.routes.iter();
         let routes = routes.filter(|route| route["service"] == service.as_str());
@@ -412,7 +411,7 @@
         let callers = Callers::start(&self.fleet, routes, self.options.requests_per_s);
         monoio::time::sleep(TRAFFIC).await;
         let (fault_at, fault_ms) = (Instant::now(), now_ms());
-        standins.kill();
+        drop(standins);
         drop(callers);
         let mut reads = (0, 0);
         let mut first = None;
