control: plan only for placements that have the experts of the configuration

An engine that reports an expert out of range ended the control process that coordinates its group, at each plan, and so on every process that took the group over.

Cause: the planner indexes its tables by the expert numbers in the ranks' reports. They come from the engines; the number of sets and experts comes from the configuration, and nothing compared the two. The same holds for a number of sets or experts in the configuration that is far larger than the ranks report: the tables were as large as the configuration said.

A placement is now planned for only if it has the sets, the experts and at most the slots of the configuration. The tables are therefore no larger than what the ranks reported. The class: numbers from outside as an index or a size without a check.

Ruled out: the decoder. It doesn't know the configuration, and a sound list may arrive before the configuration that it fits.

--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -257,6 +257,9 @@
         }
         let members: Vec<Rank> = (0..u64::from(self.size)).map(Rank).collect();
         let planner = self.planner(experts);
+        if !planner.accepts(&present) {
+            return;
+        }
         let attempt = planner.attempt(&self.loads, &present, &members);
         let switches = self.controller.completed_switches();
         if self.controller.copying().is_some() {
--- a/crates/group/src/plan.rs
+++ b/crates/group/src/plan.rs
@@ -159,6 +159,20 @@
         self.spec = spec;
     }
 
+    /// Whether a placement that the ranks reported has the layers and experts of the group: each expert is
+    /// on at least one rank, and none beyond the slots of a rank. No other one can be planned for.
+    pub fn accepts(&self, placement: &ExpertPlacement) -> bool {
+        let (experts, slots) = (self.spec.experts as usize, self.spec.slots as usize);
+        let is_complete = |ranks: &Vec<Vec<u32>>| {
+            let held: BTreeSet<u32> = ranks.iter().flatten().copied().collect();
+            ranks.len() == self.hosts.len()
+                && ranks.iter().all(|experts| experts.len() <= slots)
+                && held.len() == experts
+                && held.last().is_none_or(|last| (*last as usize) < experts)
+        };
+        placement.len() == self.spec.layers as usize && placement.iter().all(is_complete)
+    }
+
     /// Plans the next map for the ranks in `members`.
     ///
     /// Returns none if the active map is good enough, the group is frozen, or the slots can't hold
