group: keep following a group after an engine has reported another rank or size

One report of an engine with a rank out of range, or with the rank of another engine, kept its group from ever switching maps again in that generation, though all later reports were sound.

Cause: the controller kept the mistaken rank as one of the group, so the number of ranks never again matched the size of the group; and the size was whatever the latest report said.

A report with a rank beyond its size is ignored; an engine has one rank, so that its new one replaces the former one; the size is the one that most ranks report. The planner is built for the ranks that reported, as its tables are no longer bounded by the reported size.

Why it is safe for maps: a switch still begins only if the number of ranks matches the size, and now also only if none is out of range; it goes on only if all ranks confirm.

On the code before, the rows "a rank far out of range", "another rank in a huge group" and "the rank of another engine" failed (no plan for the group within 18 s of simulated time); they pass now. The tests of the barrier passed with it.

--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -108,7 +108,6 @@
     /// Slowness last reported by each rank, with the time of the report.
     slowness: BTreeMap<Rank, (SlowEngine, Instant)>,
     generation: Generation,
-    size: u32,
     next_plan: Instant,
     last_report: Instant,
     forecast: Forecast,
@@ -117,8 +116,8 @@
     completed_switches: u64,
     /// Skew, last change of demand and number of switches when a plan was last attempted.
     last_attempt: Option<(f64, Instant, u64)>,
-    /// The planner, with the size and the layout that it was built for.
-    planner: Option<(u32, ExpertLayout, Arc<Planner>)>,
+    /// The planner, with the number of ranks and the layout that it was built for.
+    planner: Option<(usize, ExpertLayout, Arc<Planner>)>,
 }
 
 impl GroupState {
@@ -131,7 +130,6 @@
             running: BTreeMap::new(),
             slowness: BTreeMap::new(),
             generation: report.generation,
-            size: report.group_size,
             next_plan: now + PLAN_INTERVAL,
             last_report: now,
             forecast: Forecast::new(now),
@@ -216,15 +214,15 @@
         )
     }
 
-    /// The planner of the group, which is built again only if the size or the layout changes.
-    fn planner(&mut self, experts: &ExpertLayout) -> Arc<Planner> {
+    /// The planner of the group, which is built again only if the number of ranks or the layout changes.
+    fn planner(&mut self, ranks: usize, experts: &ExpertLayout) -> Arc<Planner> {
         match &self.planner {
-            Some((size, layout, planner)) if (*size, layout) == (self.size, experts) => {
+            Some((count, layout, planner)) if (*count, layout) == (ranks, experts) => {
                 planner.clone()
             }
             _ => {
-                let planner = Arc::new(build_planner(&self.service, self.size, experts));
-                self.planner = Some((self.size, experts.clone(), planner.clone()));
+                let planner = Arc::new(build_planner(&self.service, ranks, experts));
+                self.planner = Some((ranks, experts.clone(), planner.clone()));
                 planner
             }
         }
@@ -255,8 +253,10 @@
         if self.loads.expert_loads().is_empty() {
             return;
         }
-        let members: Vec<Rank> = (0..u64::from(self.size)).map(Rank).collect();
-        let planner = self.planner(experts);
+        // The ranks that reported, as one of them may report any size.
+        let ranks = present.first().map_or(0, Vec::len);
+        let members: Vec<Rank> = (0..ranks as u64).map(Rank).collect();
+        let planner = self.planner(ranks, experts);
         if !planner.accepts(&present) {
             return;
         }
@@ -340,7 +340,6 @@
             state
         });
         state.last_report = now;
-        state.size = report.group_size;
         let slowness = SlowEngine {
             address: report.address,
             slowness_permille: report.slowness_permille,
@@ -431,7 +430,7 @@
 }
 
 /// A planner for a group in which each rank runs on a host of its own.
-fn build_planner(service: &Service, size: u32, experts: &ExpertLayout) -> Planner {
+fn build_planner(service: &Service, ranks: usize, experts: &ExpertLayout) -> Planner {
     let spec = GroupSpec {
         service: service.clone(),
         ranks: BTreeMap::new(),
@@ -450,8 +449,8 @@
         min_hosts_per_expert: 1,
         ..Default::default()
     };
-    let name = |rank: u32| format!("rank-{rank}");
-    let locations = (0..size).filter_map(|rank| {
+    let name = |rank: usize| format!("rank-{rank}");
+    let locations = (0..ranks).filter_map(|rank| {
         Some(RankLocation {
             data_centre: name(rank).parse().ok()?,
             host: name(rank).parse().ok()?,
--- a/crates/group/src/barrier.rs
+++ b/crates/group/src/barrier.rs
@@ -233,7 +233,7 @@
     term: Term,
     phase: Phase,
     generation: Generation,
-    /// Number of ranks of the group, as reported.
+    /// Number of ranks of the group, as most of them report it.
     group_size: u32,
     /// The ranks that have reported in this generation.
     ranks: BTreeMap<Rank, RankEntry>,
@@ -383,13 +383,16 @@
         let is_running = |entry: &RankEntry| {
             entry.report.open && now.since(entry.received_at) < self.options.report_max_age
         };
-        self.group_size > 0
-            && self.ranks.len() == self.group_size as usize
-            && self.ranks.values().all(is_running)
+        let is_complete = self.ranks.len() == self.group_size as usize
+            && self
+                .ranks
+                .keys()
+                .all(|rank| rank.0 < self.group_size.into());
+        self.group_size > 0 && is_complete && self.ranks.values().all(is_running)
     }
 
     fn handle_report(&mut self, now: Instant, watch: SocketAddr, mut report: EngineReport) {
-        if report.generation < self.generation {
+        if report.generation < self.generation || report.rank.0 >= report.group_size.into() {
             return;
         }
         let recency =
@@ -409,11 +412,11 @@
             // A new generation starts without a prepared or armed map and without a hold.
             self.generation = report.generation;
             self.ranks.clear();
+            self.group_size = 0;
             if self.is_leader() {
                 self.start_fencing();
             }
         }
-        self.group_size = report.group_size;
         let reported_versions = [
             Some(report.active_map),
             report.prepared_map,
@@ -435,7 +438,7 @@
                     (step_time - self.step_time_seconds) * STEP_TIME_SMOOTHING;
             }
         }
-        let rank = report.rank;
+        let (rank, report_size) = (report.rank, report.group_size);
         // Most reports leave the experts out, as the controller has them from an earlier one.
         let map =
             |report: &EngineReport| (report.incarnation, report.generation, report.active_map);
@@ -451,7 +454,26 @@
             received_at: now,
             step_base,
         };
+        // An engine has one rank; another one was reported by mistake.
+        let address = entry.report.address;
+        self.ranks
+            .retain(|_, other| other.report.address != address);
         self.ranks.insert(rank, entry);
+        if report_size != self.group_size {
+            self.group_size = self.most_reported_size();
+        }
+    }
+
+    /// The size that most ranks report, the larger one of two with as many.
+    fn most_reported_size(&self) -> u32 {
+        let mut counts: BTreeMap<u32, usize> = BTreeMap::new();
+        for entry in self.ranks.values() {
+            *counts.entry(entry.report.group_size).or_default() += 1;
+        }
+        let most = counts
+            .into_iter()
+            .max_by_key(|(size, count)| (*count, *size));
+        most.map_or(0, |(size, _)| size)
     }
 
     fn handle_order_result(
