control, agent, group: sums of reported numbers don't overflow

Sums of 32-bit numbers from engines' reports overflowed: running requests and sizes of groups in control, the rank in the watch, and the bytes of a plan. A debug build panicked, so one odd report ended the process at each of them; a release build went on with a wrapped value.

They are summed in 64 bits, wrapped where only the remainder counts, or saturated.

The product in the bytes of a plan was found by reading; no test shows it.

--- a/crates/agent/src/watch.rs
+++ b/crates/agent/src/watch.rs
@@ -268,7 +268,7 @@
 
     /// Position of the latest regular read in the cycle of which the first read sends counts.
     fn counts_turn(&self) -> u64 {
-        (self.reads + self.rank.0) % self.reads_per_counts
+        self.reads.wrapping_add(self.rank.0) % self.reads_per_counts
     }
 
     /// Reads the state more often until it shows the effect of an order.
--- a/crates/agent/tests/watch.rs
+++ b/crates/agent/tests/watch.rs
@@ -263,3 +263,16 @@
     assert!(world.reports.len() >= 45, "{} reports", world.reports.len());
     assert!(sent <= 7, "sent {sent} times in 5 s");
 }
+
+#[test]
+fn rank_far_out_of_range_is_reported_like_others() {
+    let mut world = World::new(u64::MAX, 10_000);
+    world.run(Duration::from_secs(10));
+    let reports = world.reports.iter();
+    assert!(
+        reports
+            .filter(|(_, report)| report.counts.is_some())
+            .count()
+            > 1
+    );
+}
--- a/crates/control/src/coordination/assign.rs
+++ b/crates/control/src/coordination/assign.rs
@@ -273,11 +273,11 @@
     }
 
     /// Number of ranks that a process coordinates.
-    fn ranks_of(&self, coordinator: &Sender) -> u32 {
+    fn ranks_of(&self, coordinator: &Sender) -> u64 {
         let of_coordinator = self.groups.values().filter(|entry| {
             matches!(&entry.assignment, Assignment::Coordinator { sender, .. } if sender == coordinator)
         });
-        of_coordinator.map(|entry| entry.size).sum()
+        of_coordinator.map(|entry| u64::from(entry.size)).sum()
     }
 
     fn next_term(&mut self, group: &Group, out: &mut Vec<Event>) -> Option<CoordinationTerm> {
--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -202,7 +202,8 @@
     /// What copies cost, and how long they are of use; copying matters less the fewer slots are occupied.
     fn copy_cost(&self, now: Instant, slots: u32, experts: &ExpertLayout) -> CopyCost {
         let slots = f64::from(slots.max(1)) * self.running.len().max(1) as f64;
-        let occupied = f64::from(self.running.values().sum::<u32>().max(1));
+        let running = self.running.values().copied().map(u64::from);
+        let occupied = running.sum::<u64>().max(1) as f64;
         let copy_seconds = experts.expert_bytes.0 as f64 / experts.copy_rate.0.max(1) as f64;
         CopyCost::new(
             Duration::from_secs_f64(copy_seconds),
--- a/crates/control/tests/coordination.rs
+++ b/crates/control/tests/coordination.rs
@@ -7,6 +7,7 @@
 
 mod coordination_world;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -427,3 +428,24 @@
         );
     }
 }
+
+#[test]
+fn groups_that_report_a_huge_size_are_assigned() {
+    let mut leader = Leader::new();
+    let mut out = Vec::new();
+    let mut granted = BTreeSet::new();
+    for step in 0..200 {
+        let now = ms(step * 50);
+        for index in 0..3 {
+            (leader.coordination).record_report(now, &group(index), u32::MAX, &mut out);
+        }
+        let grant = leader.poll(now, 1, Vec::new());
+        granted.extend(
+            grant
+                .into_iter()
+                .flat_map(|grant| grant.grants)
+                .map(|grant| grant.group),
+        );
+    }
+    assert_eq!(granted.len(), 3);
+}
--- a/crates/group/src/plan.rs
+++ b/crates/group/src/plan.rs
@@ -359,7 +359,9 @@
         let min_hosts = self.options.min_hosts_per_expert;
         Plan {
             skew: (problem.skew(before), problem.skew(after)),
-            bytes_to_load: Bytes(load_counts.iter().sum::<u64>() * self.spec.expert_bytes.0),
+            bytes_to_load: Bytes(
+                (load_counts.iter().sum::<u64>()).saturating_mul(self.spec.expert_bytes.0),
+            ),
             copies_of_busiest_rank: load_counts.iter().copied().max().unwrap_or(0),
             loading_ranks: load_counts.iter().filter(|count| **count > 0).count() as u64,
             under_replicated_experts: after
