group: one report with a mistaken step or generation doesn't outrank all later ones

After one report with a step or a generation far too high, the reports of the same rank, or of the whole group, were ignored for good: no map of the group was switched until the control process restarted.

Cause: reports are ordered by generation, order and step so that delayed ones are dropped, and the numbers come from the engines. Nothing ended the precedence of a number that no engine repeats.

The number of the last known order, which the watch process sets, still counts: a delayed report can't show that a rank has obeyed an order. Orders under a generation that a rank has left have no effect on it.

--- a/crates/group/src/barrier.rs
+++ b/crates/group/src/barrier.rs
@@ -392,14 +392,24 @@
     }
 
     fn handle_report(&mut self, now: Instant, watch: SocketAddr, mut report: EngineReport) {
-        if report.generation < self.generation || report.rank.0 >= report.group_size.into() {
+        if report.rank.0 >= report.group_size.into() || self.is_superseded(now, &report) {
             return;
         }
-        let recency =
-            |report: &EngineReport| (report.generation, report.last_known_order, report.step);
-        if let Some(previous) = self.ranks.get(&report.rank).map(|entry| &entry.report) {
+        if let Some(entry) = self.ranks.get(&report.rank) {
+            let previous = &entry.report;
             let restarted = previous.incarnation != report.incarnation;
-            if !restarted && recency(&report) < recency(previous) {
+            // Steps and generations come from the engine, and a mistaken one may be the highest there is.
+            let is_outdated = now.since(entry.received_at) >= self.options.report_max_age;
+            let recency =
+                |report: &EngineReport| (report.generation, report.last_known_order, report.step);
+            let is_older = match is_outdated {
+                true => {
+                    report.generation <= previous.generation
+                        && report.last_known_order < previous.last_known_order
+                }
+                false => recency(&report) < recency(previous),
+            };
+            if !restarted && is_older {
                 return;
             }
             // A restarted watch process does not know which orders were complete when it read the state
@@ -408,7 +418,7 @@
                 self.start_fencing();
             }
         }
-        if report.generation > self.generation {
+        if report.generation != self.generation {
             // A new generation starts without a prepared or armed map and without a hold.
             self.generation = report.generation;
             self.ranks.clear();
@@ -464,6 +474,14 @@
         }
     }
 
+    /// Whether a report is of an earlier generation than the present one. A generation of which no reports
+    /// come any more was a mistake; orders under it have no effect on ranks of another one.
+    fn is_superseded(&self, now: Instant, report: &EngineReport) -> bool {
+        let is_recent =
+            |entry: &RankEntry| now.since(entry.received_at) < self.options.report_max_age;
+        report.generation < self.generation && self.ranks.values().any(is_recent)
+    }
+
     /// The size that most ranks report, the larger one of two with as many.
     fn most_reported_size(&self) -> u32 {
         let mut counts: BTreeMap<u32, usize> = BTreeMap::new();
