control: a copy time that no duration holds doesn't end the process

A configuration with a huge expert_mb and a link_mbps of 0 was acknowledged and then ended the coordinator of the first group that reported, in any build and after each restart, as the configuration is stored.

Cause: the time of a copy is a quotient of the two, converted with Duration::from_secs_f64, which panics beyond 2^64 s; products with the number of copies panic likewise. The conversions now saturate.

Ruled out: refusing the configuration, as it holds nothing that makes one invalid.

Evidence: "copies that never end" panicked without the fix and passes with it. The other rows of odd_profile_of_an_engine_ends_no_process passed before; with sets or experts of 2^32 - 1 they do since only placements that fit the configuration are planned for.

--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -206,7 +206,7 @@
         let occupied = running.sum::<u64>().max(1) as f64;
         let copy_seconds = experts.expert_bytes.0 as f64 / experts.copy_rate.0.max(1) as f64;
         CopyCost::new(
-            Duration::from_secs_f64(copy_seconds),
+            Duration::try_from_secs_f64(copy_seconds).unwrap_or(Duration::MAX),
             self.controller.switch_time(),
             experts.layers as usize * experts.experts as usize,
             occupied / slots,
@@ -281,7 +281,8 @@
         let Some(plan) = planner.plan_attempt(&attempt, &cost) else {
             return;
         };
-        let copy_time = cost.copy_time * plan.copies_of_busiest_rank as u32;
+        let copies = u32::try_from(plan.copies_of_busiest_rank).unwrap_or(u32::MAX);
+        let copy_time = cost.copy_time.saturating_mul(copies);
         if let Some((layers, started_at, expected)) = self.controller.copying() {
             let rest = expected.saturating_sub(now.since(started_at));
             let is_of_use = attempt.skew_of(layers) < plan.skew.0;
--- a/crates/group/src/barrier.rs
+++ b/crates/group/src/barrier.rs
@@ -591,7 +591,9 @@
             version: self.highest_version,
             layers: Arc::new(layers),
             round: Round::default(),
-            deadline: now + self.options.prepare_timeout + copy_time * COPY_TIME_TOLERANCE,
+            deadline: now
+                + self.options.prepare_timeout
+                + copy_time.saturating_mul(COPY_TIME_TOLERANCE),
         };
         self.switch_started = (now, copy_time);
     }
