entry: the capacity of a service doesn't overflow

A server that registered with 2^32 - 1 slots made the sum of the slots overflow: a debug build of every entry panicked at each request that had to wait, and a release build was left with hardly any capacity and refused requests though all servers were idle. With exact shares its part was cut to 32 bits.

The sums saturate.

Evidence: the three new tests failed without the fix, two with "attempt to add with overflow" (debug build), "exact shares" with the cut value. They pass with it.

--- a/crates/entry/src/direct/line.rs
+++ b/crates/entry/src/direct/line.rs
@@ -33,8 +33,8 @@
 impl Capacity {
     /// Slots at all servers.
     pub fn total_slots(&self) -> u32 {
-        let limited = self.limited.iter().map(|(slots, _)| slots);
-        self.slots + limited.sum::<u32>()
+        let limited = self.limited.iter().map(|(slots, _)| *slots);
+        limited.fold(self.slots, u32::saturating_add)
     }
 
     /// Requests a second that servers complete if each occupies a slot for `service_time_s`.
--- a/crates/entry/src/direct/pool.rs
+++ b/crates/entry/src/direct/pool.rs
@@ -293,7 +293,7 @@
         for ((_, server), slots) in servers.into_iter().zip(slot_limits) {
             capacity.has_servers = true;
             match &server.limiter {
-                None => capacity.slots += slots,
+                None => capacity.slots = capacity.slots.saturating_add(slots),
                 Some(limiter) => capacity.limited.push((slots, limiter.rate())),
             }
         }
--- a/crates/entry/src/direct/slots.rs
+++ b/crates/entry/src/direct/slots.rs
@@ -112,7 +112,7 @@
         }
         Some(_) | None => share.count_units(units, server.unit_offset),
     };
-    part as u32
+    u32::try_from(part).unwrap_or(u32::MAX)
 }
 
 impl ServerPool {
--- a/crates/entry/tests/slots.rs
+++ b/crates/entry/tests/slots.rs
@@ -204,3 +204,33 @@
             .all(|(server, count)| *count == limits[server])
     );
 }
+
+/// Wrapped sums left hardly any capacity, so that requests were refused while all servers were idle.
+#[test_case(Allotment::equal(1); "equal parts")]
+#[test_case(Allotment::exact(1, Share::WHOLE); "exact shares")]
+fn servers_with_huge_slots_add_to_the_capacity(allotment: Allotment) {
+    let pool = pool(3, u32::MAX);
+    let capacity = pool.capacity(NOW, &service(), &allotment);
+    assert_eq!(capacity.total_slots(), u32::MAX);
+    let limits = pool.slot_limits(NOW, &service(), &allotment);
+    assert!(
+        limits.values().all(|limit| *limit == u32::MAX),
+        "{limits:?}"
+    );
+}
+
+#[test]
+fn servers_with_huge_slots_and_limits_add_to_the_capacity() {
+    let mut pool = pool(3, u32::MAX);
+    for number in 0..3 {
+        let record = LimitRecord {
+            server: server(number),
+            incarnation: Incarnation(1),
+            limit: Some(MilliRequestRate(999_999_000)),
+            age_ms: 0,
+        };
+        pool.record_limit(NOW, &record);
+    }
+    let capacity = pool.capacity(NOW, &service(), &Allotment::equal(1));
+    assert_eq!(capacity.total_slots(), u32::MAX);
+}
