node: continue a stream only with events that show by their ids that they follow

A stream had begun and broke off, and the next server's answer was a verified event stream, but not the rest of the stream. Callers got its text in the middle of their stream, at times with a whole head; or the events from the start once more; or a stream that ended as if it were complete.

Cause: events were checked in the parts in which they arrived, by the highest id of a part. A part that began with earlier events passed if it ended with a later one, and events without an id always passed. A body that ended with its connection before any event counted as the rest of the stream.

Each event of a stream must now have a higher id than the one before, and each event of a server that continues another one's stream must have an id. A stream without ids isn't continued. That nothing is left to send counts only where length or chunks state it. Otherwise the attempt has failed, another one follows if the mount allows it, and the caller's stream ends incomplete.

Ruled out: answers with another status, media type or coding, and those without a seal or of another request.

--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -259,6 +259,11 @@
         Ok(body.into())
     }
 
+    /// Whether the end of the connection delimits the body.
+    pub fn ends_with_connection(&self) -> bool {
+        matches!(self.body, ResponseBody::UntilClose(_))
+    }
+
     /// Whether the connection can be reused once the body has been read.
     pub fn keeps_alive(&self) -> bool {
         self.keeps_alive
--- a/crates/node/src/http/events.rs
+++ b/crates/node/src/http/events.rs
@@ -18,6 +18,22 @@
     pub bytes: Bytes,
     /// The greatest numeric id among them, if any has one.
     pub last_id: Option<u64>,
+    /// The numeric id of each, if it has one; comments between events are left out.
+    pub ids: Vec<Option<u64>>,
+}
+
+impl CompleteEvents {
+    /// Whether the ids increase, all after `last`. With `all_numbered`, each event must have one.
+    pub fn follow(&self, mut last: Option<u64>, all_numbered: bool) -> bool {
+        for id in &self.ids {
+            match id {
+                Some(id) if last.is_some_and(|last| *id <= last) => return false,
+                None if all_numbered => return false,
+                _ => last = id.or(last),
+            }
+        }
+        true
+    }
 }
 
 impl EventSplitter {
@@ -33,8 +49,13 @@
             return Ok(None);
         };
         let bytes = self.incomplete.split_to(end).freeze();
-        let last_id = event_ids(&bytes).max();
-        Ok(Some(CompleteEvents { bytes, last_id }))
+        let ids = event_ids(&bytes);
+        let last_id = ids.iter().flatten().copied().max();
+        Ok(Some(CompleteEvents {
+            bytes,
+            last_id,
+            ids,
+        }))
     }
 
     /// Whether no incomplete event is buffered.
@@ -55,10 +76,25 @@
     end
 }
 
-/// Numeric ids of the events.
-fn event_ids(events: &[u8]) -> impl Iterator<Item = u64> {
-    events.split(|byte| *byte == b'\n').filter_map(|line| {
-        let value = line.strip_prefix(b"id:")?;
-        std::str::from_utf8(value).ok()?.trim().parse().ok()
-    })
+/// The numeric id of each event.
+fn event_ids(events: &[u8]) -> Vec<Option<u64>> {
+    let mut ids = Vec::new();
+    // The id of an event that has begun.
+    let mut current = None;
+    for line in events.split(|byte| *byte == b'\n') {
+        match line.strip_suffix(b"\r").unwrap_or(line) {
+            b"" => ids.extend(current.take()),
+            [b':', ..] => {}
+            field => {
+                let id = current.get_or_insert(None);
+                *id = numeric_id(field).or(*id);
+            }
+        }
+    }
+    ids
+}
+
+fn numeric_id(field: &[u8]) -> Option<u64> {
+    let value = field.strip_prefix(b"id:")?;
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
--- a/crates/node/src/role/direct.rs
+++ b/crates/node/src/role/direct.rs
@@ -6,7 +6,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::id::{Incarnation, Server, Ticket};
 use eelgrassdyke_core::time::Instant;
@@ -23,7 +22,7 @@
 use crate::adapter::{Adapter, Response, ResponseClass};
 use crate::driver::Driver;
 use crate::http::client::{self, Connection};
-use crate::http::events::EventSplitter;
+use crate::http::events::{CompleteEvents, EventSplitter};
 use crate::http::server::{Request, Responder};
 use crate::latency;
 
@@ -413,18 +412,15 @@
     ) -> crate::http::Result<AttemptOutcome> {
         let ticket = attempt.ticket;
         let mut splitter = EventSplitter::default();
+        let continues = self.has_started(ticket);
+        let mut forwarded = false;
         while let Some(part) = server_response.next_part().await? {
             let events = match splitter.push(&part) {
                 Ok(Some(events)) => events,
                 Ok(None) => continue,
                 Err(problem) => return Err(crate::http::Error::Protocol(problem.to_owned())),
             };
-            if !self.forward_events(
-                ticket,
-                &server_response.headers,
-                events.bytes,
-                events.last_id,
-            ) {
+            if !self.forward_events(ticket, &server_response.headers, events, continues) {
                 self.record_failure(
                     attempt,
                     "stream out of order",
@@ -432,14 +428,17 @@
                 );
                 return Ok(AttemptOutcome::ResponseLost);
             }
+            forwarded = true;
             let attempt_number = attempt.spec.attempt;
             self.handle_input(Input::EventForwarded {
                 ticket,
                 attempt: attempt_number,
             });
         }
-        // A stream that ends within an event was truncated.
-        Ok(match splitter.is_empty() && self.has_started(ticket) {
+        // A stream that ends within an event was truncated. That none was left to send must be stated, as a
+        // connection may also end after an error.
+        let is_stated = continues && !server_response.ends_with_connection();
+        Ok(match splitter.is_empty() && (forwarded || is_stated) {
             true => AttemptOutcome::Streamed,
             false => {
                 self.record_failure(
@@ -460,22 +459,24 @@
     }
 
     /// Forwards events to the caller; returns false if the caller is gone or the events don't
-    /// follow the last one forwarded.
+    /// follow the last one forwarded. Those of a server that `continues` another one's stream must show by
+    /// their ids that they do.
     fn forward_events(
         &self,
         ticket: Ticket,
         headers: &HeaderMap,
-        events: Bytes,
-        last_id: Option<u64>,
+        events: CompleteEvents,
+        continues: bool,
     ) -> bool {
         let mut open_calls = self.open_calls.borrow_mut();
         let Some(open_call) = open_calls.get_mut(&ticket) else {
             return false;
         };
-        if last_id.is_some() && last_id <= open_call.last_event_id {
+        let last_id = open_call.last_event_id;
+        if continues && last_id.is_none() || !events.follow(last_id, continues) {
             return false;
         }
-        open_call.last_event_id = last_id.or(open_call.last_event_id);
+        open_call.last_event_id = events.last_id.or(last_id);
         if !open_call.stream_started {
             open_call.stream_started = true;
             let mut headers = end_to_end_headers(headers);
@@ -485,7 +486,7 @@
             open_call.responder.start_stream(StatusCode::OK, headers);
             latency::record_first_event(self.context.clock.now().since(open_call.received_at));
         }
-        open_call.responder.send_data(events);
+        open_call.responder.send_data(events.bytes);
         true
     }
 }
--- a/crates/node/tests/events.rs
+++ b/crates/node/tests/events.rs
@@ -46,3 +46,19 @@
     let chunk = vec![b'x'; 64 << 10];
     assert!((0..64).any(|_| splitter.push(&chunk).is_err()));
 }
+
+#[test_case("id: 4\n\nid: 5\n\n", true, true; "the next events")]
+#[test_case("id: 9\n\n", true, true; "a later event")]
+#[test_case("weight-versions: 2\nid: 4\ndata: x\n\n", true, true; "an id after another field")]
+#[test_case(": ping\n\nid: 4\n\n", true, true; "a comment")]
+#[test_case("id: 3\n\nid: 4\n\n", false, false; "the last event once more")]
+#[test_case("id: 4\n\nid: 4\n\n", false, false; "an event twice")]
+#[test_case("id: 5\r\n\r\nid: 4\r\n\r\n", false, false; "the wrong order")]
+#[test_case("data: x\n\nid: 4\n\n", true, false; "an event without an id")]
+#[test_case("id: x\n\n", true, false; "an id that is no number")]
+fn order_of_events_follows_from_their_ids(stream: &str, follows: bool, all_numbered: bool) {
+    let events = EventSplitter::default().push(stream.as_bytes());
+    let events = events.unwrap().unwrap();
+    assert_eq!(events.follow(Some(3), false), follows);
+    assert_eq!(events.follow(Some(3), true), all_numbered);
+}
