node, platform: a refusal on a kept connection must have the id of its request

A faulty server wrote an earlier refusal once more on a kept connection. Requests that had reached it, and ran there, were taken for "not run": callers of mounts that may be repeated got 503, or the request went to further servers beyond max_attempts. What the refusal said besides (Retry-After, a limit, that the server leaves) counted as news about the server, also if its id was another request's, and paused sound servers.

Cause: a response without an id was taken for the present request's if it was a refusal. On a connection that carried other requests nothing but the id tells whose response it is.

On such a connection a response without the request's own id now belongs to another request: the attempt may have run, the connection is closed, and its fields say nothing about the server. The first response on a new connection may do without an id, as servers may refuse before they have read the request.

--- a/crates/node/src/adapter.rs
+++ b/crates/node/src/adapter.rs
@@ -31,12 +31,14 @@
         resume_after: Option<u64>,
     ) -> HeaderMap;
 
-    /// Classifies a backend server's response to `request` by its head.
+    /// Classifies a backend server's response to `request` by its head; `on_reused` if the connection
+    /// carried other requests before, so that the response may belong to one of them.
     fn classify_response(
         &self,
         request: &Request,
         status: StatusCode,
         headers: &HeaderMap,
+        on_reused: bool,
     ) -> ResponseClass;
 
     /// What a backend server says about itself in the head of a response.
@@ -134,8 +136,10 @@
     NotRun,
     /// The address belongs to another server, so the request has not run.
     OtherServer,
-    /// The response belongs to another request or does not prove that a backend server sent it.
+    /// The response does not prove that a backend server sent it.
     Unverified,
+    /// The response belongs to another request, or may do so.
+    OtherRequest,
 }
 
 /// A request of an operator or a backend server to control.
--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -72,6 +72,8 @@
     encoder: GenericEncoder<OwnedWriteHalf<TcpStream>>,
     decoder: Decoder,
     host: HeaderValue,
+    /// Number of requests sent.
+    requests: u64,
     /// Whether the last request was a `HEAD` request, whose response has no body.
     is_head: bool,
     allowance: ReadAllowance,
@@ -123,6 +125,7 @@
             encoder: GenericEncoder::new(write_half),
             decoder: ClientResponseDecoder::new(reader),
             host,
+            requests: 0,
             is_head: false,
             allowance,
             part_bytes_max: BATCH_BYTES_MAX,
@@ -140,6 +143,11 @@
         self.keep_alive_timeout
     }
 
+    /// Whether a request preceded the last one, so that a response may belong to an earlier request.
+    pub fn is_reused(&self) -> bool {
+        self.requests > 1
+    }
+
     /// Whether the peer has neither closed the connection nor sent unsolicited bytes.
     ///
     /// Bytes that follow a complete response would be taken for the response to the next request.
@@ -174,6 +182,7 @@
                 .insert(header::CONTENT_LENGTH, length);
         }
         self.is_head = http_request.method() == Method::HEAD;
+        self.requests += 1;
         self.encoder
             .send_and_flush(http_request)
             .await
--- a/crates/node/src/role/direct.rs
+++ b/crates/node/src/role/direct.rs
@@ -346,18 +346,24 @@
     ) -> crate::http::Result<(AttemptResult, bool)> {
         let spec = &attempt.spec;
         connection.send(request).await?;
+        let on_reused = connection.is_reused();
         let mut server_response = connection.receive_response().await?;
         let class = self.adapter.classify_response(
             &attempt.request,
             server_response.status,
             &server_response.headers,
+            on_reused,
         );
-        let mut signal = self
-            .adapter
-            .server_signal(server_response.status, &server_response.headers);
+        let mut signal = match class {
+            ResponseClass::OtherRequest => ServerSignal::default(),
+            _ => (self.adapter).server_signal(server_response.status, &server_response.headers),
+        };
         // A limit ends with a verified response without one; most servers have none.
-        let ends_limit = class != ResponseClass::Unverified
-            && self.read(|direct| direct.is_limited(&spec.server));
+        let is_verified = !matches!(
+            class,
+            ResponseClass::Unverified | ResponseClass::OtherRequest
+        );
+        let ends_limit = is_verified && self.read(|direct| direct.is_limited(&spec.server));
         if signal.limit == LimitNotice::Unlimited && !ends_limit {
             signal.limit = LimitNotice::Unknown;
         }
@@ -372,9 +378,13 @@
             ResponseClass::Valid => None,
             ResponseClass::NotRun => Some(AttemptOutcome::NotRun(NotRunReason::Rejected)),
             ResponseClass::OtherServer => Some(AttemptOutcome::NotRun(NotRunReason::OtherServer)),
-            ResponseClass::Unverified => {
+            ResponseClass::Unverified | ResponseClass::OtherRequest => {
                 let status = server_response.status.as_u16().to_string();
-                self.record_failure(attempt, "response not verified", &status);
+                let detail = match class {
+                    ResponseClass::OtherRequest => "response to another request",
+                    _ => "response not verified",
+                };
+                self.record_failure(attempt, detail, &status);
                 return Ok((AttemptOutcome::ResponseLost.into(), false));
             }
         };
