entry: a rejected request goes back to the same server on a new connection only

A request that a server had rejected was sent to it again, with the same id, on the connection of the rejection. A server that repeats the rejection there is believed, as the id is right, though the second arrival runs.

Cause: attempts of one request share the caller's id. A server that has rejected the request now gets it on a new connection. Servers that have not keep theirs, so that few connections are added.

Evidence: refused_request_is_not_sent_again_on_the_connection_of_the_refusal failed without the fix.

--- a/crates/entry/src/direct/flight.rs
+++ b/crates/entry/src/direct/flight.rs
@@ -46,6 +46,8 @@
     pub possibly_run_at: Vec<Server>,
     /// Servers that must not be selected again.
     pub excluded_servers: Vec<Server>,
+    /// Servers that rejected the request.
+    pub rejected_by: Vec<Server>,
     /// Whether part of the response was forwarded.
     pub response_started: bool,
     /// Whether the next attempt must still be charged to the retry budget.
--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -256,6 +256,7 @@
             attempts: 0,
             possibly_run_at: Vec::new(),
             excluded_servers: Vec::new(),
+            rejected_by: Vec::new(),
             response_started: false,
             retry_unpaid: false,
             sent_as_suspect: false,
@@ -417,7 +418,9 @@
             time_left: request.deadline.since(now),
             team: request.team.clone(),
             priority: request.priority,
-            new_connection: !request.mount.retry_policy.allows_retry(),
+            // A server that repeats its rejection does so with the same id.
+            new_connection: !request.mount.retry_policy.allows_retry()
+                || request.rejected_by.contains(&choice.server),
             is_stream: request.mount.retry_policy.is_stream(),
         };
         self.record_dispatch(now, &request, &choice, out);
--- a/crates/entry/src/direct/retry.rs
+++ b/crates/entry/src/direct/retry.rs
@@ -69,6 +69,11 @@
         {
             request.excluded_servers.push(server.clone());
         }
+        if let (NotRunReason::Rejected, Stage::Running { server, .. }) = (reason, &request.stage)
+            && !request.rejected_by.contains(server)
+        {
+            request.rejected_by.push(server.clone());
+        }
         let may_resend =
             (request.response_started || request.attempts < ATTEMPTS_MAX) && now < request.deadline;
         // An attempt that was never sent put no load on servers, so its retry is not charged.
