node: a connection with part of an unsolicited response isn't reused

A complete response that followed an answer unasked kept a connection out of the pool, but part of one didn't: the check saw no response, and its dropped read lost the part, so that the rest was read as the start of the next response.

Bytes that are left in the buffer now show that the connection isn't idle.

--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -150,8 +150,12 @@
 
     /// Whether the peer has neither closed the connection nor sent unsolicited bytes.
     ///
-    /// Bytes that follow a complete response would be taken for the response to the next request.
+    /// Bytes that follow a complete response would be taken for the response to the next request. Part of
+    /// a head is no response yet, and a read that is dropped loses it.
     pub fn is_idle(&mut self) -> bool {
+        if !self.decoder.framed_mut().read_buffer().is_empty() {
+            return false;
+        }
         self.allowance.set(HEAD_BYTES_MAX);
         self.decoder.next().now_or_never().is_none()
     }
