entry: the weights of a mount are added in 64 bits

A valid configuration whose weights add up to more than 2^32 - 1 made a debug build of every entry panic at each request on that mount; a release build wrapped the sum and gave later services fewer requests or none.

--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -265,13 +265,14 @@
 
     /// Selects a service of a mount at random by weight.
     fn draw_service(&mut self, mount: &MountSpec) -> Service {
-        let total: u32 = mount.split.iter().map(|part| part.weight).sum();
+        let total: u64 = mount.split.iter().map(|part| u64::from(part.weight)).sum();
         let mut draw = self.rng.random_range(0..total.max(1));
         for part in &mount.split {
-            if draw < part.weight {
+            let weight = u64::from(part.weight);
+            if draw < weight {
                 return part.service.clone();
             }
-            draw -= part.weight;
+            draw -= weight;
         }
         // Unreachable for a valid mount, whose weights have a positive sum.
         mount.split[0].service.clone()
--- a/crates/entry/tests/direct.rs
+++ b/crates/entry/tests/direct.rs
@@ -1346,3 +1346,30 @@
         Some(MilliRequestRate(2000))
     );
 }
+
+/// The sum of the weights, wrapped to 32 bits, left the second service without requests.
+#[test]
+fn services_with_huge_weights_get_their_parts() {
+    let mut document = document();
+    let service = document.services[&"draft".parse().unwrap()].clone();
+    document.services.insert("other".parse().unwrap(), service);
+    let mount = document.mounts.get_mut(&"never".parse().unwrap()).unwrap();
+    mount.split = ["draft", "other"]
+        .map(|service| WeightedService {
+            service: service.parse().unwrap(),
+            weight: u32::MAX,
+        })
+        .to_vec();
+    let mut infos = server_infos(2, 2);
+    infos[1].service = "other".parse().unwrap();
+    let mut harness = Harness::new(2, Options::default());
+    harness.version = 2;
+    harness.apply_update(Some(document), infos);
+    let mut servers = BTreeSet::new();
+    for number in 0..100 {
+        let out = harness.submit_call(number, "never");
+        servers.insert(sent_attempt(&out).unwrap().server.clone());
+        harness.end_attempt(number, 1, AttemptOutcome::Responded(200));
+    }
+    assert_eq!(servers.len(), 2);
+}
