--- a/crates/core/tests/settings.rs
+++ b/crates/core/tests/settings.rs
@@ -229,3 +229,13 @@
     assert_eq!(files.warnings.len(), 1);
     assert_eq!(files.warnings[0].path, "peer_secret_file");
 }
+
+#[test]
+fn deeply_nested_text_is_refused() {
+    for (open, close) in [("[", "]"), ("{\"a\":", "}")] {
+        let nested = format!("{}1{}", open.repeat(100_000), close.repeat(100_000));
+        assert!(parse(&nested).is_err());
+        let text = VALID.replace("\"debug\"", &nested);
+        assert!(parse(&text).is_err());
+    }
+}
