--- a/crates/core/tests/settings.rs
+++ b/crates/core/tests/settings.rs
@@ -240,3 +240,13 @@
     assert_eq!(control.start, ClusterStart::FirstStart);
     assert_eq!(control.catch_up_ms, Some(4000));
 }
+
+#[test]
+fn deeply_nested_text_is_refused() {
+    for (open, close) in [("[", "]"), ("{\"a\":", "}")] {
+        let nested = format!("{}1{}", open.repeat(100_000), close.repeat(100_000));
+        assert!(parse(&nested).is_err());
+        let text = VALID.replace("\"debug\"", &nested);
+        assert!(parse(&text).is_err());
+    }
+}
--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -256,6 +256,7 @@
             attempts: 0,
             possibly_run_at: Vec::new(),
             excluded_servers: Vec::new(),
+            rejected_by: Vec::new(),
             response_started: false,
             retry_unpaid: false,
             sent_as_suspect: false,
@@ -264,13 +265,14 @@
 
     /// Selects a service of a mount at random by weight.
     fn draw_service(&mut self, mount: &MountSpec) -> Service {
-        let total: u32 = mount.split.iter().map(|part| part.weight).sum();
+        let total: u64 = mount.split.iter().map(|part| u64::from(part.weight)).sum();
         let mut draw = self.rng.random_range(0..total.max(1));
         for part in &mount.split {
-            if draw < part.weight {
+            let weight = u64::from(part.weight);
+            if draw < weight {
                 return part.service.clone();
             }
-            draw -= part.weight;
+            draw -= weight;
         }
         // Unreachable for a valid mount, whose weights have a positive sum.
         mount.split[0].service.clone()
@@ -417,7 +419,9 @@
             time_left: request.deadline.since(now),
             team: request.team.clone(),
             priority: request.priority,
-            new_connection: !request.mount.retry_policy.allows_retry(),
+            // A server that repeats its rejection does so with the same id.
+            new_connection: !request.mount.retry_policy.allows_retry()
+                || request.rejected_by.contains(&choice.server),
             is_stream: request.mount.retry_policy.is_stream(),
         };
         self.record_dispatch(now, &request, &choice, out);
--- a/crates/group/src/barrier.rs
+++ b/crates/group/src/barrier.rs
@@ -243,7 +243,7 @@
     term: Term,
     phase: Phase,
     generation: Generation,
-    /// Number of ranks of the group, as reported.
+    /// Number of ranks of the group, as most of them report it.
     group_size: u32,
     /// The ranks that have reported in this generation.
     ranks: BTreeMap<Rank, RankEntry>,
@@ -399,20 +399,33 @@
         let is_running = |entry: &RankEntry| {
             entry.report.open && now.since(entry.received_at) < self.options.report_max_age
         };
-        self.group_size > 0
-            && self.ranks.len() == self.group_size as usize
-            && self.ranks.values().all(is_running)
+        let is_complete = self.ranks.len() == self.group_size as usize
+            && self
+                .ranks
+                .keys()
+                .all(|rank| rank.0 < self.group_size.into());
+        self.group_size > 0 && is_complete && self.ranks.values().all(is_running)
     }
 
     fn handle_report(&mut self, now: Instant, watch: SocketAddr, mut report: EngineReport) {
-        if report.generation < self.generation {
+        if report.rank.0 >= report.group_size.into() || self.is_superseded(now, &report) {
             return;
         }
-        let recency =
-            |report: &EngineReport| (report.generation, report.last_known_order, report.step);
-        if let Some(previous) = self.ranks.get(&report.rank).map(|entry| &entry.report) {
+        if let Some(entry) = self.ranks.get(&report.rank) {
+            let previous = &entry.report;
             let restarted = previous.incarnation != report.incarnation;
-            if !restarted && recency(&report) < recency(previous) {
+            // Steps and generations come from the engine, and a mistaken one may be the highest there is.
+            let is_outdated = now.since(entry.received_at) >= self.options.report_max_age;
+            let recency =
+                |report: &EngineReport| (report.generation, report.last_known_order, report.step);
+            let is_older = match is_outdated {
+                true => {
+                    report.generation <= previous.generation
+                        && report.last_known_order < previous.last_known_order
+                }
+                false => recency(&report) < recency(previous),
+            };
+            if !restarted && is_older {
                 return;
             }
             // A restarted watch process does not know which orders were complete when it read the state
@@ -421,16 +434,16 @@
                 self.start_fencing();
             }
         }
-        if report.generation > self.generation {
+        if report.generation != self.generation {
             // A new generation starts without a prepared or armed map and without a hold.
             self.generation = report.generation;
             self.ranks.clear();
             self.last_hold_step = Step(0);
+            self.group_size = 0;
             if self.is_leader() {
                 self.start_fencing();
             }
         }
-        self.group_size = report.group_size;
         let reported_versions = [
             Some(report.active_map),
             report.prepared_map,
@@ -452,7 +465,7 @@
                     (step_time - self.step_time_seconds) * STEP_TIME_SMOOTHING;
             }
         }
-        let rank = report.rank;
+        let (rank, report_size) = (report.rank, report.group_size);
         // Most reports leave the experts out, as the controller has them from an earlier one.
         let map =
             |report: &EngineReport| (report.incarnation, report.generation, report.active_map);
@@ -468,7 +481,34 @@
             received_at: now,
             step_base,
         };
+        // An engine has one rank; another one was reported by mistake.
+        let address = entry.report.address;
+        self.ranks
+            .retain(|_, other| other.report.address != address);
         self.ranks.insert(rank, entry);
+        if report_size != self.group_size {
+            self.group_size = self.most_reported_size();
+        }
+    }
+
+    /// Whether a report is of an earlier generation than the present one. A generation of which no reports
+    /// come any more was a mistake; orders under it have no effect on ranks of another one.
+    fn is_superseded(&self, now: Instant, report: &EngineReport) -> bool {
+        let is_recent =
+            |entry: &RankEntry| now.since(entry.received_at) < self.options.report_max_age;
+        report.generation < self.generation && self.ranks.values().any(is_recent)
+    }
+
+    /// The size that most ranks report, the larger one of two with as many.
+    fn most_reported_size(&self) -> u32 {
+        let mut counts: BTreeMap<u32, usize> = BTreeMap::new();
+        for entry in self.ranks.values() {
+            *counts.entry(entry.report.group_size).or_default() += 1;
+        }
+        let most = counts
+            .into_iter()
+            .max_by_key(|(size, count)| (*count, *size));
+        most.map_or(0, |(size, _)| size)
     }
 
     fn handle_order_result(
@@ -583,7 +623,9 @@
             version: self.highest_version,
             layers: Arc::new(layers),
             round: Round::default(),
-            deadline: now + self.options.prepare_timeout + copy_time * COPY_TIME_TOLERANCE,
+            deadline: now
+                + self.options.prepare_timeout
+                + copy_time.saturating_mul(COPY_TIME_TOLERANCE),
         };
         self.switch_started = (now, copy_time);
     }
--- a/crates/group/src/plan.rs
+++ b/crates/group/src/plan.rs
@@ -159,6 +159,20 @@
         self.spec = spec;
     }
 
+    /// Whether a placement that the ranks reported has the layers and experts of the group: each expert is
+    /// on at least one rank, and none beyond the slots of a rank. No other one can be planned for.
+    pub fn accepts(&self, placement: &ExpertPlacement) -> bool {
+        let (experts, slots) = (self.spec.experts as usize, self.spec.slots as usize);
+        let is_complete = |ranks: &Vec<Vec<u32>>| {
+            let held: BTreeSet<u32> = ranks.iter().flatten().copied().collect();
+            ranks.len() == self.hosts.len()
+                && ranks.iter().all(|experts| experts.len() <= slots)
+                && held.len() == experts
+                && held.last().is_none_or(|last| (*last as usize) < experts)
+        };
+        placement.len() == self.spec.layers as usize && placement.iter().all(is_complete)
+    }
+
     /// Plans the next map for the ranks in `members`.
     ///
     /// Returns none if the active map is good enough, the group is frozen, or the slots can't hold
@@ -345,7 +359,9 @@
         let min_hosts = self.options.min_hosts_per_expert;
         Plan {
             skew: (problem.skew(before), problem.skew(after)),
-            bytes_to_load: Bytes(load_counts.iter().sum::<u64>() * self.spec.expert_bytes.0),
+            bytes_to_load: Bytes(
+                (load_counts.iter().sum::<u64>()).saturating_mul(self.spec.expert_bytes.0),
+            ),
             copies_of_busiest_rank: load_counts.iter().copied().max().unwrap_or(0),
             loading_ranks: load_counts.iter().filter(|count| **count > 0).count() as u64,
             under_replicated_experts: after
