--- a/crates/control/src/crashes.rs
+++ b/crates/control/src/crashes.rs
@@ -5,7 +5,7 @@
 //! on to its followers and to the other control processes, and tells an entry that has restarted what
 //! it lacks. A control process that has restarted learns the records from the entries.
 //!
-//! What is new is collected for [`RELAY_INTERVAL`], so that a receiver gets at most one message in that
+//! What is new is collected for a relay interval, so that a receiver gets at most one message in that
 //! time, with each record once, however many servers end and however many entries report it.
 
 use std::collections::BTreeSet;
--- a/crates/group/src/barrier.rs
+++ b/crates/group/src/barrier.rs
@@ -18,7 +18,7 @@
 //! the predecessor, so they are left to activate the map.
 //!
 //! Where engines don't check fencing tokens, each order names instead the number of orders that its
-//! engine had begun in the report that justifies it, and [`overtaking`] takes the place of step 4.
+//! engine had begun in the report that justifies it, and `barrier::overtaking` takes the place of step 4.
 
 mod overtaking;
 mod round;
--- a/crates/testkit/src/fleet/recovery.rs
+++ b/crates/testkit/src/fleet/recovery.rs
@@ -124,7 +124,7 @@
     pub leader_ready_ms: Option<i64>,
     /// First read of the newest configuration.
     pub first_read: Option<Duration>,
-    /// Reads that were answered after the first, or after [`CONTACT`] where all servers end.
+    /// Reads that were answered after the first, or after `contact_ms` where all servers end.
     pub later_reads: (usize, usize),
     /// Time of readiness of each entry, in order; entries that were not ready are absent.
     pub ready: Vec<Duration>,
