group: a second rank holds the group while armed ranks are disarmed

Where engines don't check fencing tokens, a late release of a predecessor is refused only if the engine compares the number of begun orders when it carries the order out, and counts orders to disarm. A hold at a second rank, where no earlier order can release it, doesn't depend on either. Seen before: no test fails without it. The 18 tests of group/tests/barrier.rs pass with it.

--- a/crates/group/src/barrier/overtaking.rs
+++ b/crates/group/src/barrier/overtaking.rs
@@ -12,10 +12,11 @@
 //!
 //! 1. Wait until the group stands before the earliest hold. All armed ranks are then armed for that
 //!    step or a later one.
-//! 2. Disarm and overtake the rank that holds there. If a predecessor's order to release it is carried
+//! 2. Hold the group at a second rank too, where no earlier order can release it.
+//! 3. Disarm and overtake the rank that holds there. If a predecessor's order to release it is carried
 //!    out before that, this order is refused, and all ranks activate the map.
-//! 3. From then on nothing but this controller can release the hold. Disarm and overtake the others.
-//! 4. When all ranks are overtaken, release the holds.
+//! 4. From then on nothing but this controller can release the hold. Disarm and overtake the others.
+//! 5. When all ranks are overtaken, release the holds.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -53,6 +54,7 @@
 enum Stage {
     Disarm(Version),
     Prepare(Version),
+    Hold(Step),
     Release(Step),
 }
 
@@ -142,6 +144,7 @@
         for (rank, stage) in due {
             let action = match (stage, &layers) {
                 (Stage::Disarm(version), _) => RankAction::Disarm { version },
+                (Stage::Hold(step), _) => RankAction::Hold { step },
                 (Stage::Release(step), _) => RankAction::Release { step },
                 (Stage::Prepare(version), Some(layers)) => RankAction::Prepare {
                     version,
@@ -168,14 +171,34 @@
     fn ranks_to_overtake(&self, overtaking: &Overtaking) -> BTreeMap<Rank, Stage> {
         let mut stages = BTreeMap::new();
         let first_hold = self.first_hold();
-        let is_firm = first_hold.is_some_and(|rank| overtaking.is_overtaken(&self.ranks[&rank]));
+        let is_overtaken = |rank: Rank| overtaking.is_overtaken(&self.ranks[&rank]);
+        let is_firm = first_hold.is_some_and(|(_, rank)| is_overtaken(rank));
+        let is_held_twice = first_hold.is_some_and(|(step, _)| {
+            let holds = |entry: &&RankEntry| entry.report.hold_step == Some(step);
+            self.ranks.values().filter(holds).count() > 1
+        });
+        if let Some((step, _)) = first_hold.filter(|_| !is_held_twice)
+            && self
+                .ranks
+                .values()
+                .any(|entry| entry.report.armed_map.is_some())
+        {
+            let mut free = self.ranks.iter();
+            let free = free.find(|(_, entry)| entry.report.hold_step.is_none());
+            return free
+                .map(|(rank, _)| (*rank, Stage::Hold(step)))
+                .into_iter()
+                .collect();
+        }
         for (rank, entry) in &self.ranks {
             if overtaking.is_overtaken(entry) {
                 continue;
             }
             let stage = match entry.report.armed_map {
                 None => Stage::Prepare(overtaking.version),
-                Some(version) if is_firm || first_hold == Some(*rank) => Stage::Disarm(version),
+                Some(version) if is_firm || first_hold.is_some_and(|(_, first)| first == *rank) => {
+                    Stage::Disarm(version)
+                }
                 Some(_) => continue,
             };
             stages.insert(*rank, stage);
@@ -184,12 +207,12 @@
     }
 
     /// The rank with the earliest hold, if the group stands before it.
-    fn first_hold(&self) -> Option<Rank> {
+    fn first_hold(&self) -> Option<(Step, Rank)> {
         let holds = self.ranks.iter();
         let holds = holds.filter_map(|(rank, entry)| Some((entry.report.hold_step?, *rank)));
         let (step, rank) = holds.min()?;
         let present = self.ranks.values().map(|entry| entry.report.step).max()?;
-        (present.next() == step).then_some(rank)
+        (present.next() == step).then_some((step, rank))
     }
 
     /// The active map of all ranks; none while they are not known to use the same one.
