entry: test that harmful content is quarantined by an entry whose clock is behind

Since a full ledger refuses crashes found earlier, by the clock of the process that found them, than those that it holds, and an entry sends only what its own ledger took. An entry whose clock is an hour behind therefore neither records nor reports its own crashes while its ledger is full of records of others: a prompt part goes to a seventh server after it ended six. The same happens at all other entries if the records in the ledger come from one entry whose clock is ahead.

--- a/crates/entry/tests/direct.rs
+++ b/crates/entry/tests/direct.rs
@@ -7,7 +7,7 @@
 use eelgrassdyke_core::config::{
     Document, MountSpec, RetryPolicy, ServiceSpec, TeamSpec, WeightedService,
 };
-use eelgrassdyke_core::crash::{Content, FactSync, Fingerprint};
+use eelgrassdyke_core::crash::{Content, Crash, CrashRecord, FactSync, Fingerprint, RECORDS_MAX};
 use eelgrassdyke_core::digest::Sha256;
 use eelgrassdyke_core::id::{Incarnation, PromptPart, Server, Ticket, Version};
 use eelgrassdyke_core::limit::{LimitLedger, LimitRecord};
@@ -1346,3 +1346,53 @@
         Some(MilliRequestRate(2000))
     );
 }
+
+// An entry whose clock is behind those of others dropped what it found itself while its ledger was full, and
+// content that went on ending its servers was not quarantined.
+#[test_case(0; "same clock")]
+#[test_case(3_600_000_000; "clock an hour behind")]
+fn harmful_content_is_quarantined_by_an_entry_with_another_clock(behind_us: u64) {
+    let mut harness = Harness::new(8, Options::default());
+    let incarnation = Incarnation(1);
+    let mut records = Vec::new();
+    for number in 0..RECORDS_MAX {
+        records.push(CrashRecord {
+            service: "draft".parse().unwrap(),
+            content: Content::Request(Fingerprint::of(&[&number.to_be_bytes()])),
+            is_common: false,
+            requests: 1,
+            crashes: vec![Crash {
+                server: format!("other-{number}").parse().unwrap(),
+                incarnation,
+                age_ms: 0,
+                is_cleared: false,
+                found_us: incarnation.0 + harness.now.0 + behind_us,
+            }],
+        });
+    }
+    let sync = FactSync {
+        records,
+        ..FactSync::default()
+    };
+    let from = sender("control-1");
+    let message = Message::FactSync(sync);
+    harness.feed(Input::Message { from, message });
+    harness.advance(Duration::from_secs(1));
+    for number in 1..=6 {
+        let out = submit_prompt(&mut harness, number, &["harmful"]);
+        let Some(attempt) = sent_attempt(&out) else {
+            break;
+        };
+        break_off(&mut harness, number, &attempt, true);
+        harness.feed(Input::CallerGone {
+            ticket: Ticket(number),
+        });
+        harness.advance(Duration::from_secs(1));
+    }
+    let out = submit_prompt(&mut harness, 9, &["harmful"]);
+    assert_eq!(
+        refusal(&out),
+        Some((Reason::Quarantined, RunStatus::No)),
+        "sent to a seventh server"
+    );
+}
