core, entry: an entry whose clock is behind can record what it finds in a full ledger

A full ledger keeps what was found last, by the clocks of the finders, so an entry that is behind them refused its own finding, and did not send it: requests with content on which six servers had ended were sent to a seventh. The time of a finding is now also later than all that its finder knows, as with a logical clock. Each crash still has one fixed time, so the exchange still ends.

Left: a time of 2^64-1 from a faulty process blocks a full ledger until its record expires.

--- a/crates/core/src/crash.rs
+++ b/crates/core/src/crash.rs
@@ -96,8 +96,9 @@
         pub age_ms: u64,
         /// Whether the part has been found sound since, or the operator lifted its quarantine.
         pub is_cleared: bool,
-        /// When it was found, in microseconds since 1970 by the clock of the process that found it. It stays as
-        /// it is when the crash is passed on, unlike the age. Zero from builds that don't send it.
+        /// When it was found, in microseconds since 1970 by the clock of the process that found it, and later than
+        /// all crashes that this process knew. It stays as it is when the crash is passed on, unlike the age.
+        /// Zero from builds that don't send it.
         #[serde(default, rename = "found")]
         pub found_us: u64,
     }
@@ -597,6 +598,12 @@
         uncleared.map(|crash| crash.at - CRASH_AGE_MAX).max()
     }
 
+    /// When the last of all crashes was found.
+    pub fn last_found_us(&self) -> u64 {
+        let times = self.parts.values().map(ContentState::found_us);
+        times.max().unwrap_or_default()
+    }
+
     /// The record of a part.
     pub fn record(&self, now: Instant, key: &ContentKey) -> Option<CrashRecord> {
         let state = self.parts.get(key)?;
--- a/crates/entry/src/direct/crash.rs
+++ b/crates/entry/src/direct/crash.rs
@@ -327,7 +327,8 @@
                 incarnation: *incarnation,
                 age_ms: 0,
                 is_cleared: false,
-                found_us: self.started_us.saturating_add(now.0),
+                found_us: (self.started_us.saturating_add(now.0))
+                    .max(self.ledger.last_found_us().saturating_add(1)),
             };
             let record = CrashRecord {
                 service: service.clone(),
