control: what one control process tells another about servers is passed on to followers only

Entries send every change to all control processes, and each of these passes on what entries send, so a second hop among control processes adds nothing but the means to go round. Without it the exchange ends by construction, for limits and for crashes. What is lost on the way comes with the complete exchange every 5 s. The tests of both files take the source of a record and the two lists to pass on from the interface; their checks are unchanged.

--- a/crates/control/src/crashes.rs
+++ b/crates/control/src/crashes.rs
@@ -29,13 +29,47 @@
 pub struct FactRelay {
     ledger: CrashLedger,
     limits: LimitLedger,
-    /// Records of crashes that have not been passed on.
-    pending_crashes: BTreeSet<ContentKey>,
-    /// Servers whose limits have not been passed on.
-    pending_limits: BTreeSet<Server>,
+    /// What is new for the followers.
+    for_followers: Pending,
+    /// What is new for the other control processes: entries have sent it.
+    for_peers: Pending,
     next_relay: Instant,
 }
 
+/// From where records come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// An entry: they are passed on to followers and control processes.
+    Entry,
+    /// Another control process, which has passed them on to all control processes: they are passed on to
+    /// followers only. Otherwise two limits of a server, observed within the time of a message, could
+    /// replace each other at control processes for ever.
+    Control,
+}
+
+/// Records to pass on.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Relay {
+    /// For the followers.
+    pub followers: FactSync,
+    /// For the other control processes.
+    pub peers: FactSync,
+}
+
+/// Records that have not been passed on.
+#[derive(Clone, Debug, Default)]
+struct Pending {
+    crashes: BTreeSet<ContentKey>,
+    /// Servers with new limits.
+    limits: BTreeSet<Server>,
+}
+
+impl Pending {
+    fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.limits.is_empty()
+    }
+}
+
 impl FactRelay {
     /// The ledger.
     pub fn ledger(&self) -> &CrashLedger {
@@ -43,38 +77,53 @@
     }
 
     /// Merges records; what is new is passed on with the next [`FactRelay::take_due`].
-    pub fn merge(&mut self, now: Instant, sync: &FactSync) {
-        let mut news = self.ledger.merge_all(now, &sync.records);
-        self.pending_crashes.append(&mut news);
+    pub fn merge(&mut self, now: Instant, sync: &FactSync, source: Source) {
+        let crashes = self.ledger.merge_all(now, &sync.records);
+        let mut limits = BTreeSet::new();
         for record in &sync.limits {
             if self.limits.merge(now, record) {
-                self.pending_limits.insert(record.server.clone());
+                limits.insert(record.server.clone());
             }
         }
+        if source == Source::Entry {
+            self.for_peers.crashes.extend(crashes.iter().cloned());
+            self.for_peers.limits.extend(limits.iter().cloned());
+        }
+        self.for_followers.crashes.extend(crashes);
+        self.for_followers.limits.extend(limits);
     }
 
     /// The records to pass on, if it is time.
-    pub fn take_due(&mut self, now: Instant) -> Option<FactSync> {
+    pub fn take_due(&mut self, now: Instant) -> Option<Relay> {
         if now < self.next_deadline() {
             return None;
         }
         self.next_relay = now + RELAY_INTERVAL;
-        let crashes = std::mem::take(&mut self.pending_crashes);
-        let limits = std::mem::take(&mut self.pending_limits);
-        Some(FactSync {
-            records: (crashes.iter())
+        let followers = std::mem::take(&mut self.for_followers);
+        let peers = std::mem::take(&mut self.for_peers);
+        Some(Relay {
+            followers: self.sync_of(now, &followers),
+            peers: self.sync_of(now, &peers),
+        })
+    }
+
+    fn sync_of(&self, now: Instant, pending: &Pending) -> FactSync {
+        let crashes = pending.crashes.iter();
+        let limits = pending.limits.iter();
+        FactSync {
+            records: crashes
                 .filter_map(|key| self.ledger.record(now, key))
                 .collect(),
-            limits: (limits.iter())
+            limits: limits
                 .filter_map(|server| self.limits.record(now, server))
                 .collect(),
             ..FactSync::default()
-        })
+        }
     }
 
     /// When [`FactRelay::take_due`] next returns records.
     pub fn next_deadline(&self) -> Instant {
-        match self.pending_crashes.is_empty() && self.pending_limits.is_empty() {
+        match self.for_followers.is_empty() {
             true => Instant::NEVER,
             false => self.next_relay,
         }
@@ -133,7 +182,12 @@
         sync: &FactSync,
         out: &mut Vec<Output>,
     ) {
-        self.crashes.merge(now, sync);
+        let is_peer = self.replica.peer_addresses().contains(&from.address);
+        let source = match is_peer {
+            true => Source::Control,
+            false => Source::Entry,
+        };
+        self.crashes.merge(now, sync, source);
         if sync.is_complete {
             out.push(Output::Send {
                 to: from.address,
@@ -166,28 +220,33 @@
             records: vec![record],
             ..FactSync::default()
         };
-        self.relay_facts(now, sync, out);
+        let relay = Relay {
+            followers: sync.clone(),
+            peers: sync,
+        };
+        self.relay_facts(now, &relay, out);
         let response = OperatorResponse::Quarantines(self.crashes.status(now));
         out.push(Output::Respond { ticket, response });
     }
 
     /// Passes on what is new.
     pub(crate) fn relay_due_facts(&mut self, now: Instant, out: &mut Vec<Output>) {
-        if let Some(sync) = self.crashes.take_due(now) {
-            self.relay_facts(now, sync, out);
+        if let Some(relay) = self.crashes.take_due(now) {
+            self.relay_facts(now, &relay, out);
         }
     }
 
     /// Sends records to the entries that follow this process and to the other control processes.
-    fn relay_facts(&mut self, now: Instant, sync: FactSync, out: &mut Vec<Output>) {
-        if sync.is_empty() {
-            return;
-        }
+    fn relay_facts(&mut self, now: Instant, relay: &Relay, out: &mut Vec<Output>) {
         let followers = self.followers.subscribed(now).into_iter();
         let entries = followers.filter(|(_, follower)| follower.poll.wants_directory);
-        let mut receivers: Vec<_> = entries.map(|(_, follower)| follower.address).collect();
-        receivers.extend(self.replica.peer_addresses());
-        for to in receivers {
+        let entries = entries.map(|(_, follower)| follower.address);
+        let peers = self.replica.peer_addresses().into_iter();
+        let to_entries = entries.map(|to| (to, &relay.followers));
+        for (to, sync) in to_entries.chain(peers.map(|to| (to, &relay.peers))) {
+            if sync.is_empty() {
+                continue;
+            }
             let message = Message::FactSync(sync.clone());
             out.push(Output::Send { to, message });
         }
--- a/crates/control/tests/fact_exchange.rs
+++ b/crates/control/tests/fact_exchange.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use eelgrassdyke_control::crashes::FactRelay;
+use eelgrassdyke_control::crashes::{FactRelay, Source};
 use eelgrassdyke_core::crash::{
     Content, ContentKey, Crash, CrashLedger, CrashRecord, FactSync, Fingerprint, RECORDS_MAX,
 };
@@ -68,12 +68,12 @@
     for seed in 0..50 {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let mut relays = vec![FactRelay::default(); PROCESSES];
-        let mut deliveries: BTreeMap<(u64, u64), (usize, FactSync)> = BTreeMap::new();
+        let mut deliveries: BTreeMap<(u64, u64), (usize, Source, FactSync)> = BTreeMap::new();
         let mut number = 0;
         let mut count = 0;
-        let mut send = |deliveries: &mut BTreeMap<_, _>, at_ms: u64, to, sync| {
+        let mut send = |deliveries: &mut BTreeMap<_, _>, at_ms: u64, to, source, sync| {
             number += 1;
-            deliveries.insert((at_ms, number), (to, sync));
+            deliveries.insert((at_ms, number), (to, source, sync));
         };
         for (observed_ms, limit) in [(0, 3000), (rng.random_range(0..=delay_ms_max), 5000)] {
             let limits = vec![LimitRecord {
@@ -88,7 +88,7 @@
             };
             for to in 0..PROCESSES {
                 let at_ms = observed_ms + rng.random_range(delay_ms_min..=delay_ms_max);
-                send(&mut deliveries, at_ms, to, sync.clone());
+                send(&mut deliveries, at_ms, to, Source::Entry, sync.clone());
             }
         }
         let mut last_ms = 0;
@@ -97,18 +97,24 @@
             while let Some(entry) = deliveries.first_entry()
                 && entry.key().0 <= now_ms
             {
-                let (to, sync) = entry.remove();
-                relays[to].merge(now, &sync);
+                let (to, source, sync) = entry.remove();
+                relays[to].merge(now, &sync, source);
             }
             for (from, relay) in relays.iter_mut().enumerate() {
-                let Some(sync) = relay.take_due(now) else {
+                let Some(due) = relay.take_due(now) else {
                     continue;
                 };
                 last_ms = now_ms;
                 for to in (0..PROCESSES).filter(|to| *to != from) {
                     let at_ms = now_ms + rng.random_range(delay_ms_min..=delay_ms_max);
                     count += 1;
-                    send(&mut deliveries, at_ms, to, sync.clone());
+                    send(
+                        &mut deliveries,
+                        at_ms,
+                        to,
+                        Source::Control,
+                        due.peers.clone(),
+                    );
                 }
             }
         }
@@ -168,7 +174,7 @@
             let record = record(content, vec![crash(content, 0, content as u64)]);
             for relay in &mut relays {
                 let late = Duration::from_millis(rng.random_range(0..=delay_ms_max));
-                relay.merge(start + late, &sync_of(vec![record.clone()]));
+                relay.merge(start + late, &sync_of(vec![record.clone()]), Source::Entry);
             }
             for entry in &mut entries {
                 let late = Duration::from_millis(rng.random_range(0..=2 * delay_ms_max));
@@ -194,7 +200,11 @@
                     entries[to - PROCESSES].merge_all(now, &sync.records);
                     continue;
                 }
-                relays[to].merge(now, &sync);
+                let source = match from < PROCESSES {
+                    true => Source::Control,
+                    false => Source::Entry,
+                };
+                relays[to].merge(now, &sync, source);
                 if sync.is_complete {
                     let response = relays[to].response(now, &sync);
                     number += 1;
@@ -215,11 +225,18 @@
                 deliveries.insert((at_ms, number), (to, PROCESSES + index, sync));
             }
             for (from, relay) in relays.iter_mut().enumerate() {
-                let Some(sync) = relay.take_due(now) else {
+                let Some(due) = relay.take_due(now) else {
                     continue;
                 };
                 last_ms = now_ms;
                 for to in (0..PROCESSES + ENTRIES).filter(|to| *to != from) {
+                    let sync = match to < PROCESSES {
+                        true => &due.peers,
+                        false => &due.followers,
+                    };
+                    if sync.is_empty() {
+                        continue;
+                    }
                     number += 1;
                     count += 1;
                     let at_ms = now_ms + rng.random_range(1..=delay_ms_max);
--- a/crates/control/tests/fact_relay.rs
+++ b/crates/control/tests/fact_relay.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use eelgrassdyke_control::crashes::FactRelay;
+use eelgrassdyke_control::crashes::{FactRelay, Source};
 use eelgrassdyke_core::crash::{Content, Crash, CrashRecord, FactSync, Fingerprint};
 use eelgrassdyke_core::id::Incarnation;
 use eelgrassdyke_core::time::Instant;
@@ -45,11 +45,11 @@
     for seed in 0..50 {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let mut relays = vec![FactRelay::default(); PROCESSES];
-        let mut deliveries: BTreeMap<(u64, u64), (usize, FactSync)> = BTreeMap::new();
+        let mut deliveries: BTreeMap<(u64, u64), (usize, Source, FactSync)> = BTreeMap::new();
         let mut number = 0;
-        let mut send = |deliveries: &mut BTreeMap<_, _>, at_ms: u64, to, sync| {
+        let mut send = |deliveries: &mut BTreeMap<_, _>, at_ms: u64, to, source, sync| {
             number += 1;
-            deliveries.insert((at_ms, number), (to, sync));
+            deliveries.insert((at_ms, number), (to, source, sync));
         };
         for index in 0..contents.max(servers) {
             let records = vec![record(
@@ -63,7 +63,7 @@
             };
             for to in 0..PROCESSES {
                 let at_ms = rng.random_range(0..DELAY_MS_MAX);
-                send(&mut deliveries, at_ms, to, sync.clone());
+                send(&mut deliveries, at_ms, to, Source::Entry, sync.clone());
             }
         }
         let mut last_ms = 0;
@@ -72,17 +72,23 @@
             while let Some(entry) = deliveries.first_entry()
                 && entry.key().0 <= now_ms
             {
-                let (to, sync) = entry.remove();
-                relays[to].merge(now, &sync);
+                let (to, source, sync) = entry.remove();
+                relays[to].merge(now, &sync, source);
             }
             for (from, relay) in relays.iter_mut().enumerate() {
-                let Some(sync) = relay.take_due(now) else {
+                let Some(due) = relay.take_due(now) else {
                     continue;
                 };
                 last_ms = now_ms;
                 for to in (0..PROCESSES).filter(|to| *to != from) {
                     let at_ms = now_ms + rng.random_range(1..=DELAY_MS_MAX);
-                    send(&mut deliveries, at_ms, to, sync.clone());
+                    send(
+                        &mut deliveries,
+                        at_ms,
+                        to,
+                        Source::Control,
+                        due.peers.clone(),
+                    );
                 }
             }
         }
--- a/crates/testkit/src/model/crash.rs
+++ b/crates/testkit/src/model/crash.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use eelgrassdyke_control::crashes::FactRelay;
+use eelgrassdyke_control::crashes::{FactRelay, Source};
 use eelgrassdyke_control::followers::Followers;
 use eelgrassdyke_core::config::{
     Document, MountSpec, RetryPolicy, ServiceSpec, TeamSpec, WeightedService,
@@ -743,7 +743,7 @@
             Message::Poll(poll) => return self.record_poll(entry, control, poll),
             _ => return,
         };
-        self.relays[control].merge(self.now, &sync);
+        self.relays[control].merge(self.now, &sync, Source::Entry);
         if sync.is_complete {
             let response = self.relays[control].response(self.now, &sync);
             self.schedule(LINK_DELAY, Event::CrashRecords(entry, control, response));
@@ -755,11 +755,11 @@
     }
 
     fn relay_records(&mut self, control: usize) {
-        let Some(sync) = self.relays[control].take_due(self.now) else {
+        let Some(relay) = self.relays[control].take_due(self.now) else {
             return;
         };
         for entry in (0..self.entries.len()).filter(|entry| entry % CONTROLS == control) {
-            let sync = sync.clone();
+            let sync = relay.followers.clone();
             self.schedule(LINK_DELAY * 2, Event::CrashRecords(entry, control, sync));
         }
     }
