--- a/crates/node/src/mail.rs
+++ b/crates/node/src/mail.rs
@@ -118,6 +118,8 @@
             HeaderValue::from_str(secret.as_str()).unwrap_or(HeaderValue::from_static(""));
         value.set_sensitive(true);
         let outboxes = RefCell::new(HashMap::new());
+        // The counter is exported before a message is dropped.
+        counter!("eelgrassdyke_messages_dropped_total", "kind" => "log").increment(0);
         Rc::new(Self {
             me,
             secret: value,
