core: a record from before the start of a process expires in time

Seen in the read-through: the default time of a quarantine, zero, was moved to the scale of the ledger, where it is the start of the process. So a record without a quarantine from before the start of a process was kept until ten minutes after the start. A missing quarantine now has no time.

--- a/crates/core/src/crash.rs
+++ b/crates/core/src/crash.rs
@@ -648,10 +648,9 @@
         let quarantines = &self.quarantines;
         let count = self.parts.len();
         self.parts.retain(|key, state| {
-            let until = quarantines.get(key).map(|quarantine| quarantine.until);
-            let last = state
-                .last_crash()
-                .max(ledger_time(until.unwrap_or_default()));
+            let quarantine = quarantines.get(key);
+            let until = quarantine.map(|quarantine| ledger_time(quarantine.until));
+            let last = state.last_crash().max(until.unwrap_or_default());
             ledger_time(now).since(last) < RETENTION
         });
         if self.parts.len() != count {
--- a/crates/core/tests/crash.rs
+++ b/crates/core/tests/crash.rs
@@ -234,3 +234,13 @@
     let learned = started.quarantine(Instant(5000), &key("a")).unwrap();
     assert_eq!(learned.until.since(Instant(5000)), Duration::from_secs(1));
 }
+
+// A process that had just started kept records from before its start for ten minutes more.
+#[test]
+fn record_from_before_the_start_of_a_process_expires_in_time() {
+    let mut started = CrashLedger::default();
+    started.merge(Instant(5000), &record("a", &[1], 1, 590_000));
+    let later = Instant(5000) + Duration::from_secs(20);
+    started.expire(later);
+    assert!(started.records(later).is_empty());
+}
