--- a/crates/control/tests/fact_exchange.rs
+++ b/crates/control/tests/fact_exchange.rs
@@ -1,6 +1,7 @@
-//! What is lost or never settles in the exchange of crash records and limits.
+//! The exchange of crash records and limits of servers.
 
 use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use eelgrassdyke_control::crashes::{FactRelay, Source};
@@ -18,6 +19,9 @@
 /// Control processes.
 const PROCESSES: usize = 5;
 
+/// Longest delivery of a crash record, in milliseconds.
+const DELAY_MS_MAX: u64 = 300;
+
 /// Entries.
 const ENTRIES: usize = 20;
 
@@ -57,6 +61,98 @@
     }
 }
 
+/// The records of control processes after an exchange, and what it took.
+struct Exchange {
+    relays: Vec<FactRelay>,
+    /// When the last message was sent, in milliseconds.
+    last_ms: u64,
+    /// Messages among control processes.
+    messages: u64,
+}
+
+/// What entries send to control processes, by the time at which it arrives, in milliseconds, and the receiver.
+type Arrivals = Vec<(u64, usize, FactSync)>;
+
+/// Lets control processes exchange what arrives from entries; each message takes one of the `delays`.
+fn exchange(
+    arrivals: Arrivals,
+    delays_ms: RangeInclusive<u64>,
+    length: Duration,
+    rng: &mut ChaCha8Rng,
+) -> Exchange {
+    let mut relays = vec![FactRelay::default(); PROCESSES];
+    let mut deliveries: BTreeMap<(u64, u64), (usize, Source, FactSync)> = BTreeMap::new();
+    let mut number = 0;
+    for (at_ms, to, sync) in arrivals {
+        number += 1;
+        deliveries.insert((at_ms, number), (to, Source::Entry, sync));
+    }
+    let (mut last_ms, mut messages) = (0, 0);
+    for now_ms in 0..length.as_millis() as u64 {
+        let now = Instant(0) + Duration::from_secs(1) + Duration::from_millis(now_ms);
+        while let Some(delivery) = deliveries.first_entry()
+            && delivery.key().0 <= now_ms
+        {
+            let (to, source, sync) = delivery.remove();
+            relays[to].merge(now, &sync, source);
+        }
+        for (from, relay) in relays.iter_mut().enumerate() {
+            let Some(due) = relay.take_due(now) else {
+                continue;
+            };
+            last_ms = now_ms;
+            for to in (0..PROCESSES).filter(|to| *to != from) {
+                number += 1;
+                messages += 1;
+                let at_ms = now_ms + rng.random_range(delays_ms.clone());
+                deliveries.insert((at_ms, number), (to, Source::Control, due.peers.clone()));
+            }
+        }
+    }
+    Exchange {
+        relays,
+        last_ms,
+        messages,
+    }
+}
+
+// More records, or more crashes of one content, than a ledger holds were dropped and passed on again for
+// ever, so that control processes had no time left for their log.
+#[test_case(500, 129; "many contents")]
+#[test_case(1, 129; "one content")]
+#[test_case(65, 1; "one record too many")]
+fn exchange_of_crash_records_comes_to_rest(contents: usize, servers: usize) {
+    for seed in 0..50 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut arrivals = Arrivals::new();
+        for index in 0..contents.max(servers) {
+            let crash = crash(index % servers, 0, seed + index as u64);
+            let sync = sync_of(vec![record(index % contents, vec![crash])]);
+            for to in 0..PROCESSES {
+                arrivals.push((rng.random_range(0..DELAY_MS_MAX), to, sync.clone()));
+            }
+        }
+        let run = exchange(arrivals, 1..=DELAY_MS_MAX, 2 * REST, &mut rng);
+        assert!(
+            run.last_ms < REST.as_millis() as u64,
+            "seed {seed}: a message after {} ms",
+            run.last_ms
+        );
+        let held = |relay: &FactRelay| {
+            let records = relay.ledger().records(Instant(0)).into_iter();
+            let servers = |record: CrashRecord| {
+                let crashes = record.crashes.into_iter();
+                let servers = crashes.map(|crash| crash.server).collect::<Vec<_>>();
+                (record.content, servers)
+            };
+            records.map(servers).collect::<Vec<_>>()
+        };
+        for relay in &run.relays[1..] {
+            assert_eq!(held(relay), held(&run.relays[0]), "seed {seed}");
+        }
+    }
+}
+
 // Two limits of a server, observed by two entries within the time of a message, replaced each other for ever.
 #[test_case(1, 1; "host")]
 #[test_case(1, 20; "data centre")]
@@ -67,14 +163,7 @@
     let mut failed = Vec::new();
     for seed in 0..50 {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let mut relays = vec![FactRelay::default(); PROCESSES];
-        let mut deliveries: BTreeMap<(u64, u64), (usize, Source, FactSync)> = BTreeMap::new();
-        let mut number = 0;
-        let mut count = 0;
-        let mut send = |deliveries: &mut BTreeMap<_, _>, at_ms: u64, to, source, sync| {
-            number += 1;
-            deliveries.insert((at_ms, number), (to, source, sync));
-        };
+        let mut arrivals = Arrivals::new();
         for (observed_ms, limit) in [(0, 3000), (rng.random_range(0..=delay_ms_max), 5000)] {
             let limits = vec![LimitRecord {
                 server: "server-1".parse().unwrap(),
@@ -88,38 +177,12 @@
             };
             for to in 0..PROCESSES {
                 let at_ms = observed_ms + rng.random_range(delay_ms_min..=delay_ms_max);
-                send(&mut deliveries, at_ms, to, Source::Entry, sync.clone());
-            }
-        }
-        let mut last_ms = 0;
-        for now_ms in 0..20 * REST.as_millis() as u64 {
-            let now = Instant(0) + Duration::from_secs(1) + Duration::from_millis(now_ms);
-            while let Some(entry) = deliveries.first_entry()
-                && entry.key().0 <= now_ms
-            {
-                let (to, source, sync) = entry.remove();
-                relays[to].merge(now, &sync, source);
-            }
-            for (from, relay) in relays.iter_mut().enumerate() {
-                let Some(due) = relay.take_due(now) else {
-                    continue;
-                };
-                last_ms = now_ms;
-                for to in (0..PROCESSES).filter(|to| *to != from) {
-                    let at_ms = now_ms + rng.random_range(delay_ms_min..=delay_ms_max);
-                    count += 1;
-                    send(
-                        &mut deliveries,
-                        at_ms,
-                        to,
-                        Source::Control,
-                        due.peers.clone(),
-                    );
-                }
+                arrivals.push((at_ms, to, sync.clone()));
             }
         }
-        if last_ms >= REST.as_millis() as u64 {
-            failed.push((seed, last_ms, count));
+        let run = exchange(arrivals, delay_ms_min..=delay_ms_max, 20 * REST, &mut rng);
+        if run.last_ms >= REST.as_millis() as u64 {
+            failed.push((seed, run.last_ms, run.messages));
         }
     }
     assert!(
