entry: the contents of one crash are judged once

Found by the review and again in the read-through: an entry merged the records of one crash one at a time, up to 32, and judged the whole ledger after each, when many servers end at once and time is short. They are now one batch, like records from other processes, and share the time at which the crash was found. Entry direct (45), limited (1) and the simulations of crashes (18 of 18) pass.

--- a/crates/entry/src/direct/crash.rs
+++ b/crates/entry/src/direct/crash.rs
@@ -316,33 +316,32 @@
         (server, incarnation): &(Server, Incarnation),
         contents: &[Content],
     ) -> Vec<Content> {
-        let mut blamed = Vec::new();
+        let found_us = (self.started_us.saturating_add(now.0))
+            .max(self.ledger.last_found_us().saturating_add(1));
+        let crash = Crash {
+            server: server.clone(),
+            incarnation: *incarnation,
+            age_ms: 0,
+            is_cleared: false,
+            found_us,
+        };
+        let mut records = Vec::new();
         for content in contents {
             let key = (service.clone(), content.clone());
-            if self.is_sound_at(&key, now) || blamed.len() >= REPORTED_CONTENTS_MAX {
+            if self.is_sound_at(&key, now) || records.len() >= REPORTED_CONTENTS_MAX {
                 continue;
             }
-            let crash = Crash {
-                server: server.clone(),
-                incarnation: *incarnation,
-                age_ms: 0,
-                is_cleared: false,
-                found_us: (self.started_us.saturating_add(now.0))
-                    .max(self.ledger.last_found_us().saturating_add(1)),
-            };
-            let record = CrashRecord {
+            records.push(CrashRecord {
                 service: service.clone(),
                 content: content.clone(),
                 is_common: self.uses.is_common(&key),
                 requests: self.uses.get(&key).requests,
-                crashes: vec![crash],
-            };
-            if self.ledger.merge(now, &record) {
-                self.changed.insert(key);
-            }
-            blamed.push(content.clone());
+                crashes: vec![crash.clone()],
+            });
         }
-        blamed
+        let mut news = self.ledger.merge_all(now, &records);
+        self.changed.append(&mut news);
+        records.into_iter().map(|record| record.content).collect()
     }
 
     fn is_sound_at(&self, key: &ContentKey, at: Instant) -> bool {
