core: what another process lacks is found with two judgements of a ledger, not one a record

Found in the read-through: a control process answers each complete exchange of an entry, ten a second with 53 entries, and judged a ledger of up to 64 records after each record, twice. Both sides are now one batch. The time saved was not measured.

--- a/crates/core/src/crash.rs
+++ b/crates/core/src/crash.rs
@@ -635,11 +635,10 @@
     /// The records of which `other`, a list of records, lacks something.
     pub fn records_beyond(&self, now: Instant, other: &[CrashRecord]) -> Vec<CrashRecord> {
         let mut held = Self::default();
-        for record in other.iter().take(RECORDS_MAX) {
-            held.merge(now, record);
-        }
+        held.merge_all(now, &other[..other.len().min(RECORDS_MAX)]);
         let mut records = self.records(now);
-        records.retain(|record| held.merge(now, record));
+        let news = held.merge_all(now, &records);
+        records.retain(|record| news.contains(&(record.service.clone(), record.content.clone())));
         records
     }
 
