group: the placement that ranks report is read in one place

Found in the read-through: overtaking.rs built the placement from the reports a second time. What differs, which reports count as alike, stays where it was.

--- a/crates/control/src/log/members.rs
+++ b/crates/control/src/log/members.rs
@@ -4,8 +4,9 @@
 //! promotes a learner that has caught up, and removes a voter only after the promotion of its
 //! successor, so that a network partition never reduces the number of voters. If a replica with
 //! another identity appears at the address of a voter, that voter has lost its disk and is replaced
-//! at once; of five voters it is removed first, as soon as a successor has caught up. Any other voter is replaced only after it has not responded for a time: [`VOTER_SILENCE_MAX`], or a
-//! part of the time that the deployment gives new hosts to catch up, since from then on two more hosts may be
+//! at once; of five voters it is removed first, as soon as a successor has caught up. Any other voter is
+//! replaced only after it has not responded for a time: [`VOTER_SILENCE_MAX`], or a part of the time that the
+//! deployment gives new hosts to catch up, since from then on two more hosts may be
 //! lost. A voter that is replaced although it comes back announces itself and becomes a learner.
 
 use std::net::SocketAddr;
--- a/crates/group/src/barrier.rs
+++ b/crates/group/src/barrier.rs
@@ -353,14 +353,17 @@
     /// The placement that all ranks use; none unless a switch may start.
     pub fn active_placement(&self, now: Instant) -> Option<ExpertPlacement> {
         let layers = self.layers_to_switch(now)?;
+        Some(self.reported_experts(layers))
+    }
+
+    /// The experts of every rank in the first `layers` layers, which all reports must have.
+    fn reported_experts(&self, layers: usize) -> ExpertPlacement {
         let ranks = || self.ranks.values();
         let experts_of_layer =
             |layer: usize| ranks().map(move |entry| entry.report.experts[layer].clone());
-        Some(
-            (0..layers)
-                .map(|layer| experts_of_layer(layer).collect())
-                .collect(),
-        )
+        (0..layers)
+            .map(|layer| experts_of_layer(layer).collect())
+            .collect()
     }
 
     /// Number of layers of the placement that all ranks use; none unless a switch may start and the
--- a/crates/group/src/barrier/overtaking.rs
+++ b/crates/group/src/barrier/overtaking.rs
@@ -226,14 +226,7 @@
         if layers == 0 || !reports.all(is_alike) {
             return None;
         }
-        let ranks = || self.ranks.values();
-        let experts_of_layer =
-            |layer: usize| ranks().map(move |entry| entry.report.experts[layer].clone());
-        Some(
-            (0..layers)
-                .map(|layer| experts_of_layer(layer).collect())
-                .collect(),
-        )
+        Some(self.reported_experts(layers))
     }
 
     /// Whether the latest report of a rank shows the effect of the last order that it accepted. Where
