control: a voter that is stopped gives its vote to its successor first

Cause: a voter that has ended counts for every quorum until it is removed. The leader noticed only by its silence (1 s, and an election if it led), and then needed two changes of members. The successor had caught up as a learner, and the process had 8 s to say that it would end; nothing told the leader.

Ruled out: a successor that lags, lost records, a shorter wait (it leaves the election and the two changes). Held by four of five voters the record would be safe, but nothing would be served without a majority.

Fix: with control_role.grace_s, a replica whose process is stopped asks all members to be released; the leader promotes a learner that has caught up, removes the voter, and says so once that is committed. The process ends then, at once if nobody can take its place, or at 0.95 of its grace.

Mutations that fail a test: the process ends at once; no promotion for a voter that stops; released before the removal is committed.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -71,6 +71,8 @@
     /// Whether the usage counters of the other control processes have been requested.
     resync_requested: bool,
     order_sender: OrderSender,
+    /// Whether the process is about to stop.
+    is_leaving: bool,
     /// Version, directory revision and leader of the last push.
     last_push: (Version, u64, Option<SocketAddr>),
     pub(crate) next_push: Instant,
@@ -111,6 +113,7 @@
             ledger: UsageLedger::default(),
             resync_requested: false,
             order_sender: OrderSender::default(),
+            is_leaving: false,
             last_push: (Version(0), 0, None),
             next_push: now,
             next_sweep: now,
@@ -168,6 +171,10 @@
             Input::RankOrderResult(result) => {
                 self.handle_rank_order_result(now, result, out);
             }
+            Input::Leave => {
+                self.is_leaving = true;
+                self.step_log(now, log::Input::Leave, out);
+            }
             Input::Tick => self.step_log(now, log::Input::Tick, out),
         }
         self.update_groups(now, out);
@@ -194,6 +201,11 @@
         self.replica.has_quorum(now) && self.replica.has_caught_up()
     }
 
+    /// Whether the process may stop without costing the cluster a voter that another replica could replace.
+    pub fn may_stop(&self, now: Instant) -> bool {
+        self.replica.may_stop(now)
+    }
+
     /// The records of servers that ended, and the quarantines that follow from them.
     pub fn crashes(&self) -> &FactRelay {
         &self.crashes
@@ -532,6 +544,9 @@
             format!("continues as replica {}", self.replica.id()),
         )));
         self.handle_log_outputs(now, log_outputs, out);
+        if self.is_leaving {
+            self.step_log(now, log::Input::Leave, out);
+        }
     }
 
     /// Stops the log replica, since this process can no longer encode or decode the state.
--- a/crates/control/src/io.rs
+++ b/crates/control/src/io.rs
@@ -114,6 +114,8 @@
     },
     /// Result of an order that this process sent directly to an engine.
     RankOrderResult(rank::RankOrderResult),
+    /// The process is about to stop; see [`Control::may_stop`](crate::Control::may_stop).
+    Leave,
     /// A deadline passed.
     Tick,
 }
--- a/crates/control/src/log/io.rs
+++ b/crates/control/src/log/io.rs
@@ -64,6 +64,8 @@
         /// The encoded state.
         data: Vec<u8>,
     },
+    /// The process is about to stop; see [`Replica::may_stop`](super::Replica::may_stop).
+    Leave,
     /// Time passed.
     Tick,
 }
--- a/crates/control/src/log/leader.rs
+++ b/crates/control/src/log/leader.rs
@@ -43,6 +43,8 @@
     last_input: Instant,
     /// When its last pause ended.
     resumed_at: Instant,
+    /// When each member whose process is about to stop last said so.
+    pub(super) leaving: BTreeMap<Id, Instant>,
     /// Numbers and starts of the latest rounds.
     round_starts: VecDeque<(u64, Instant)>,
     read_queries: Vec<ReadQuery>,
@@ -127,6 +129,7 @@
             earlier_contact,
             last_input: now,
             resumed_at: now,
+            leaving: BTreeMap::new(),
             round_starts: VecDeque::new(),
             read_queries: Vec::new(),
         };
--- a/crates/control/src/log/members.rs
+++ b/crates/control/src/log/members.rs
@@ -25,6 +25,10 @@
 /// Target number of voters, of which two may be lost at once.
 const TARGET_VOTERS: usize = 5;
 
+/// Even number of voters from which one that is about to stop is removed even if no learner takes its place:
+/// one voter less has as many to spare.
+pub(super) const EVEN_VOTERS_MIN: usize = 4;
+
 /// Number of members, including learners, from which the leader adds no more replicas.
 const MEMBERS_MAX: usize = 9;
 
@@ -73,7 +77,9 @@
         let has_caught_up = |id: &&Id| {
             let responsive =
                 leader.time_since_response(now, **id) < self.options.election_timeout_max;
-            responsive && leader.match_index(**id) >= self.commit_index
+            responsive
+                && leader.match_index(**id) >= self.commit_index
+                && !self.is_leaving(now, **id)
         };
         // The identity of a lost disk never votes again, so its removal from an odd number of voters leaves
         // the quorum of the others as it is. Promoting the successor first would raise it by one.
@@ -118,19 +124,28 @@
         })
     }
 
-    /// A voter that a learner may replace: one that has lost its disk, or else one without a
-    /// response for [`Self::voter_silence_max`].
+    /// A voter that a learner may replace: one that has lost its disk, or else one whose process is about to
+    /// stop, or else one without a response for [`Self::voter_silence_max`].
     fn replaceable_voter(&self, now: Instant, members: &Members) -> Option<Id> {
         let Role::Leader(leader) = &self.role else {
             return None;
         };
         let silence_max = self.voter_silence_max();
         let mut others = members.voters.keys().filter(|id| **id != self.id);
-        self.lost_voter(now, members).or_else(|| {
-            others
-                .find(|id| leader.is_silent(now, **id, silence_max))
-                .copied()
-        })
+        self.lost_voter(now, members)
+            .or_else(|| self.leaving_voter(now, members))
+            .or_else(|| {
+                others
+                    .find(|id| leader.is_silent(now, **id, silence_max))
+                    .copied()
+            })
+    }
+
+    /// A voter whose process is about to stop; the leader itself is the last one.
+    fn leaving_voter(&self, now: Instant, members: &Members) -> Option<Id> {
+        let voters = members.voters.keys().copied();
+        let leaving = voters.filter(|id| self.is_leaving(now, *id));
+        leaving.min_by_key(|id| *id == self.id)
     }
 
     /// A voter that has lost its disk.
@@ -156,15 +171,19 @@
             || unattached.is_some_and(|other| other != id && members.address(other).is_none())
     }
 
-    /// Whether a voter can be removed: another voter has its address or there are more than
-    /// [`TARGET_VOTERS`], and a majority of the voters that would remain is live.
+    /// Whether a voter can be removed: another voter has its address, there are more than
+    /// [`TARGET_VOTERS`], or it is about to stop and the others tolerate as many losses without it; and a
+    /// majority of the voters that would remain is live.
     fn is_removable(&self, now: Instant, members: &Members, voter: Id) -> bool {
         let address = members.voters.get(&voter);
         let has_successor = members
             .voters
             .iter()
             .any(|(id, at)| *id != voter && Some(at) == address);
-        (has_successor || members.voters.len() > TARGET_VOTERS)
+        let count = members.voters.len();
+        let is_dispensable =
+            count >= EVEN_VOTERS_MIN && count.is_multiple_of(2) && self.is_leaving(now, voter);
+        (has_successor || is_dispensable || count > TARGET_VOTERS)
             && self.leaves_live_majority(now, members, voter)
     }
 
--- a/crates/control/src/log/mod.rs
+++ b/crates/control/src/log/mod.rs
@@ -18,6 +18,7 @@
 mod halt;
 mod io;
 mod leader;
+mod leave;
 mod members;
 mod progress;
 mod replica;
--- a/crates/control/src/log/replica.rs
+++ b/crates/control/src/log/replica.rs
@@ -18,6 +18,7 @@
     HardState, Input, Options, Output, RecoveredState, Refusal, ReplicaStatus, Snapshot, Write,
 };
 use super::leader::Leader;
+use super::leave::Leave;
 use super::replication::IncomingSnapshot;
 use super::restart::RestartElection;
 
@@ -48,6 +49,8 @@
     pub(super) election_deadline: Instant,
     pub(super) restart: RestartElection,
     pub(super) formation: Formation,
+    /// Present once the process is about to stop.
+    pub(super) leave: Option<Leave>,
     pub(super) incoming_snapshot: Option<IncomingSnapshot>,
     /// Term and token of each uncommitted proposal made at this replica.
     pub(super) proposal_tokens: BTreeMap<Index, (Term, u64)>,
@@ -137,6 +140,7 @@
             election_deadline: now,
             restart: RestartElection::new(now),
             formation: Formation::default(),
+            leave: None,
             incoming_snapshot: None,
             proposal_tokens: BTreeMap::new(),
             cached_snapshot: None,
@@ -181,6 +185,7 @@
             Input::ReadIndex { query_number } => self.request_read_index(query_number, out),
             Input::ApplyFailed { index, problem } => self.halt(now, index, &problem, out),
             Input::Snapshot { data } => self.handle_snapshot(data, out),
+            Input::Leave => self.begin_leave(now, out),
             Input::Tick => {}
         }
         self.tick(now, out);
@@ -193,7 +198,7 @@
         if self.stop_reason.is_some() {
             return Instant::NEVER;
         }
-        match &self.role {
+        let next_step = match &self.role {
             Role::Unattached => self.formation.next_hello,
             Role::Leader(leader) => leader.next_round_at,
             _ if self.is_voter() => self
@@ -202,7 +207,8 @@
                 .min(self.next_restart_request()),
             _ if self.had_quorum => self.last_leader_contact + self.options.election_timeout_max,
             _ => self.next_hello_without_leader(),
-        }
+        };
+        next_step.min(self.next_leave_request())
     }
 
     /// Whether this replica has stopped because of a failure.
@@ -356,6 +362,8 @@
                     index,
                 });
             }
+            Body::Leave => self.handle_leave(now, message.from, out),
+            Body::LeaveResponse { released } => self.handle_leave_response(now, released, out),
             Body::Hello { .. } => {}
         }
     }
@@ -404,6 +412,7 @@
                 self.request_restart_votes(now, out);
             }
         }
+        self.tick_leave(now, out);
         let has_quorum = self.has_quorum(now);
         if self.had_quorum && !has_quorum {
             let detail = format!("term {}", self.hard_state.term);
--- a/crates/control/tests/log_members.rs
+++ b/crates/control/tests/log_members.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use eelgrassdyke_control::log::Input;
 use log_net::{Cluster, MANY_FAULTS, Outcome};
 use rand::RngExt as _;
 use test_case::test_case;
@@ -513,3 +514,280 @@
         cluster.converge_and_check();
     }
 }
+
+/// Time between the stop signal and the end of a process.
+const GRACE: Duration = Duration::from_secs(8);
+
+/// Part of [`GRACE`] after which a process ends in any case.
+const LEAVE_MAX: Duration = Duration::from_millis(7600);
+
+/// Asks the process of a host to stop.
+fn stop(cluster: &mut Cluster, number: usize) {
+    cluster.handle_input(number, Input::Leave);
+}
+
+/// Ends the processes that were asked to stop at `since` as soon as they may; returns whether all have ended.
+fn end_stopped(
+    cluster: &mut Cluster,
+    stopped: &mut Vec<usize>,
+    since: eelgrassdyke_core::time::Instant,
+) -> bool {
+    let may_end = |cluster: &Cluster, number: usize| {
+        cluster.may_stop(number) || cluster.now.since(since) >= LEAVE_MAX
+    };
+    let ended: Vec<usize> = stopped
+        .iter()
+        .copied()
+        .filter(|number| may_end(cluster, *number))
+        .collect();
+    for number in ended {
+        cluster.crash(number, false);
+        stopped.retain(|other| *other != number);
+    }
+    stopped.is_empty()
+}
+
+/// Commits a command and returns as soon as it is acknowledged.
+fn commit_at_once(cluster: &mut Cluster, timeout: Duration) -> bool {
+    let end = cluster.now + timeout;
+    while cluster.now < end {
+        let Some(leader) = cluster.leader() else {
+            cluster.run(Duration::from_millis(1));
+            continue;
+        };
+        let token = cluster.propose(leader);
+        while cluster.outcomes[&token] == Outcome::Pending && cluster.now < end {
+            cluster.run(Duration::from_millis(1));
+        }
+        if matches!(cluster.outcomes[&token], Outcome::Acknowledged(_)) {
+            return true;
+        }
+    }
+    false
+}
+
+fn lose_disks(cluster: &mut Cluster, numbers: &[usize]) {
+    for number in numbers {
+        cluster.lose_disk(*number);
+        cluster.hosts[*number].founders.clear();
+        cluster.hosts[*number].restart_at = cluster.now + Duration::from_secs(1);
+    }
+}
+
+/// Five voters and `learners` hosts that have started [`CATCH_UP_MAX`] ago; returns the voters, the leader
+/// first.
+fn cluster_with_successors(seed: u64, learners: usize) -> (Cluster, Vec<usize>) {
+    let mut cluster = Cluster::new(seed, 3, 2 + learners);
+    cluster.options.manages_members = true;
+    cluster.options.catch_up = Some(CATCH_UP_MAX);
+    for number in 0..5 + learners {
+        cluster.crash(number, false);
+        cluster.hosts[number].restart_at = cluster.now;
+    }
+    for number in 5..5 + learners {
+        cluster.hosts[number].restart_at = cluster.now + Duration::from_secs(3600);
+    }
+    cluster.run_until(RECOVERY_MAX, all_five_are_voters);
+    cluster.run(DURABLE_AFTER);
+    for number in 5..5 + learners {
+        cluster.hosts[number].restart_at = cluster.now;
+    }
+    cluster.run(CATCH_UP_MAX + Duration::from_secs(1));
+    let leader = cluster.leader().expect("a leader");
+    let mut voters: Vec<usize> = (0..5).filter(|number| *number != leader).collect();
+    voters.rotate_left(seed as usize % 4);
+    voters.insert(0, leader);
+    (cluster, voters)
+}
+
+/// Guards against a planned replacement that leaves the vote at the removed host: two disks that were lost
+/// within seconds of its end left no majority.
+#[test_case(false, 0; "a follower stops, losses at once")]
+#[test_case(true, 0; "the leader stops, losses at once")]
+#[test_case(false, 500; "a follower stops, losses half a second later")]
+#[test_case(true, 500; "the leader stops, losses half a second later")]
+fn voter_that_stops_has_given_its_vote_to_its_successor(is_leader_stopped: bool, after_ms: u64) {
+    for seed in 0..100 {
+        println!("seed {seed}");
+        let (mut cluster, voters) = cluster_with_successors(seed, 1);
+        let removed = voters[usize::from(!is_leader_stopped)];
+        stop(&mut cluster, removed);
+        let (since, mut stopped) = (cluster.now, vec![removed]);
+        while !end_stopped(&mut cluster, &mut stopped, since) {
+            cluster.run(Duration::from_millis(1));
+        }
+        let waited = cluster.now.since(since);
+        assert!(
+            waited < GRACE / 4,
+            "the vote was given away after {waited:?}"
+        );
+        cluster.hosts[removed].restart_at = cluster.now + Duration::from_secs(3600);
+        cluster.run(Duration::from_millis(after_ms));
+        assert!(commit_at_once(&mut cluster, RECOVERY_MAX));
+        let others = voters.iter().copied().filter(|number| *number != removed);
+        let mut others: Vec<usize> = others.chain([5]).collect();
+        others.rotate_left(seed as usize % 5);
+        lose_disks(&mut cluster, &others[..2]);
+        others.sort_unstable();
+        cluster.run_until(RECOVERY_MAX, |cluster| {
+            are_voters(cluster, others.iter().copied())
+        });
+        cluster.hosts.remove(removed);
+        cluster.converge_and_check();
+    }
+}
+
+/// Guards against losses in the middle of a replacement, while the removed host still runs.
+#[test_case(false; "a follower stops")]
+#[test_case(true; "the leader stops")]
+fn two_disks_lost_at_any_moment_of_a_planned_stop_leave_a_majority(is_leader_stopped: bool) {
+    let offsets = (0..60).map(|step| step * 3).chain([300, 700, 1500, 3000]);
+    for (seed, offset_ms) in offsets.enumerate() {
+        let seed = seed as u64;
+        println!("seed {seed}, losses {offset_ms} ms after the signal");
+        let (mut cluster, voters) = cluster_with_successors(seed, 1);
+        let removed = voters[usize::from(!is_leader_stopped)];
+        let others: Vec<usize> = voters.iter().copied().filter(|n| *n != removed).collect();
+        let lost = [others[seed as usize % 4], others[(seed as usize + 1) % 4]];
+        stop(&mut cluster, removed);
+        let (since, mut stopped) = (cluster.now, vec![removed]);
+        let mut has_lost = false;
+        cluster.hosts[removed].restart_at = cluster.now + Duration::from_secs(3600);
+        while !(end_stopped(&mut cluster, &mut stopped, since) && has_lost) {
+            let elapsed = cluster.now.since(since);
+            if !has_lost && elapsed >= Duration::from_millis(offset_ms) {
+                commit_at_once(&mut cluster, Duration::from_millis(200));
+                lose_disks(&mut cluster, &lost);
+                has_lost = true;
+            }
+            cluster.run(Duration::from_millis(1));
+        }
+        let voters = (0..6).filter(|number| *number != removed);
+        cluster.run_until(RECOVERY_MAX, |cluster| are_voters(cluster, voters.clone()));
+        cluster.hosts.remove(removed);
+        cluster.converge_and_check();
+    }
+}
+
+/// Guards against an end of the process while its removal is known to the leader only, which may be lost.
+#[test]
+fn voter_is_not_released_before_its_removal_is_committed() {
+    for seed in 0..20 {
+        println!("seed {seed}");
+        let (mut cluster, voters) = cluster_with_successors(seed, 1);
+        let (leader, removed) = (voters[0], voters[1]);
+        let id = cluster.id(removed).expect("the host runs");
+        stop(&mut cluster, removed);
+        while cluster.members(leader).voters.contains_key(&id) {
+            cluster.run(Duration::from_millis(1));
+        }
+        for number in (0..6).filter(|number| ![leader, removed].contains(number)) {
+            cluster.hosts[number].partitioned = true;
+        }
+        for _ in 0..1500 {
+            cluster.run(Duration::from_millis(1));
+            assert!(
+                !cluster.may_stop(removed),
+                "released by a leader that alone knows of it"
+            );
+        }
+        for host in &mut cluster.hosts {
+            host.partitioned = false;
+        }
+        cluster.run_until(RECOVERY_MAX, |cluster| cluster.may_stop(removed));
+        cluster.converge_and_check();
+    }
+}
+
+/// Guards against a replacement of several hosts at the same time that keeps one of the votes.
+#[test]
+fn two_voters_that_stop_together_are_both_replaced() {
+    for seed in 0..50 {
+        println!("seed {seed}");
+        let (mut cluster, voters) = cluster_with_successors(seed, 2);
+        let at = seed as usize % 4;
+        let mut stopped = vec![voters[at], voters[at + 1]];
+        let removed = stopped.clone();
+        for number in &removed {
+            stop(&mut cluster, *number);
+            cluster.hosts[*number].restart_at = cluster.now + Duration::from_secs(3600);
+        }
+        let since = cluster.now;
+        while !end_stopped(&mut cluster, &mut stopped, since) {
+            cluster.run(Duration::from_millis(1));
+        }
+        assert!(commit_at_once(&mut cluster, RECOVERY_MAX));
+        let left: Vec<usize> = (0..7).filter(|number| !removed.contains(number)).collect();
+        lose_disks(&mut cluster, &left[seed as usize % 4..][..2]);
+        cluster.run_until(RECOVERY_MAX, |cluster| {
+            are_voters(cluster, left.iter().copied())
+        });
+        cluster
+            .hosts
+            .retain(|host| left.iter().any(|n| host.address == log_net::address(*n)));
+        cluster.converge_and_check();
+    }
+}
+
+/// Guards against a rolling restart that costs votes: each process comes back with its disk and takes part
+/// again.
+#[test_case(0; "no learner")]
+#[test_case(1; "one learner")]
+fn rolling_restart_keeps_five_voters(learners: usize) {
+    for seed in 0..30 {
+        println!("seed {seed}");
+        let (mut cluster, _) = cluster_with_successors(seed, learners);
+        let hosts = 5 + learners;
+        for number in 0..hosts {
+            stop(&mut cluster, number);
+            let (since, mut stopped) = (cluster.now, vec![number]);
+            cluster.hosts[number].restart_at = cluster.now + Duration::from_secs(3600);
+            while !end_stopped(&mut cluster, &mut stopped, since) {
+                cluster.run(Duration::from_millis(1));
+            }
+            if learners == 0 {
+                assert_eq!(
+                    cluster.now, since,
+                    "nobody can take the place of host {number}"
+                );
+            }
+            let downtime = cluster.rng.random_range(200..1000);
+            cluster.hosts[number].restart_at = cluster.now + Duration::from_millis(downtime);
+            let pause = cluster.rng.random_range(0..3000);
+            cluster.run(Duration::from_millis(pause));
+            assert!(commit_at_once(&mut cluster, RECOVERY_MAX));
+        }
+        cluster.run(CATCH_UP_MAX);
+        let members = cluster.members(cluster.leader().expect("a leader"));
+        assert_eq!(members.voters.len(), 5);
+        assert_eq!(members.learners.len(), learners);
+        for number in 0..hosts {
+            let id = cluster.id(number).expect("the host runs");
+            assert!(members.address(id).is_some(), "host {number} is a member");
+        }
+        assert!(commit_at_once(&mut cluster, RECOVERY_MAX));
+        lose_disks(&mut cluster, &[seed as usize % 5, (seed as usize + 2) % 5]);
+        cluster.converge_and_check();
+    }
+}
+
+/// Guards against a host that dies without a signal, although its successor has caught up, and takes a
+/// majority with it when two disks are lost right afterwards.
+#[test_case(false; "a follower dies")]
+#[test_case(true; "the leader dies")]
+fn two_disks_lost_right_after_a_host_with_a_successor_died_leave_a_majority(is_leader: bool) {
+    for seed in 0..20 {
+        println!("seed {seed}");
+        let (mut cluster, voters) = cluster_with_successors(seed, 1);
+        let removed = voters[usize::from(!is_leader)];
+        cluster.crash(removed, false);
+        cluster.hosts[removed].restart_at = cluster.now + Duration::from_secs(3600);
+        assert!(commit_at_once(&mut cluster, RECOVERY_MAX));
+        let others: Vec<usize> = voters.into_iter().filter(|n| *n != removed).collect();
+        lose_disks(&mut cluster, &others[..2]);
+        let voters = (0..6).filter(|number| *number != removed);
+        cluster.run_until(RECOVERY_MAX, |cluster| are_voters(cluster, voters.clone()));
+        cluster.hosts.remove(removed);
+        cluster.converge_and_check();
+    }
+}
--- a/crates/control/tests/log_net/mod.rs
+++ b/crates/control/tests/log_net/mod.rs
@@ -477,6 +477,13 @@
         token
     }
 
+    /// Whether the process of a host that was asked to stop may end.
+    pub fn may_stop(&self, number: usize) -> bool {
+        let now = self.local_time(number);
+        let process = self.hosts[number].process.as_ref();
+        process.is_none_or(|process| process.replica.may_stop(now))
+    }
+
     pub fn query_read_index(&mut self, number: usize) {
         self.last_token += 1;
         let query_number = self.last_token;
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -82,6 +82,7 @@
     210 LeaderReady "A leader committed the first record of its term; confirmed reads and changes succeed from here on.";
     211 ElectionFailed "A replica got no majority in an election or a pre-vote and tries again.";
     212 ApplyHalted "A replica met a record of a newer build; it keeps all records, but applies none until that build runs on its data folder.";
+    213 VoterLeaving "A voter whose process stops asks for a replica to take its place, or has been released.";
     220 ConfigAccepted "A configuration change was accepted.";
     221 ConfigRefused "A configuration change was refused; nothing was applied.";
     222 ConfigApplied "A process applied a configuration version.";
--- a/crates/core/src/settings/mod.rs
+++ b/crates/core/src/settings/mod.rs
@@ -131,6 +131,9 @@
         /// Time within which a new host must have taken the place of one that is gone for good, in
         /// milliseconds; bounds how long a silent voter is waited for.
         pub catch_up_ms: Option<u64>,
+        /// Time between the stop signal and the forced termination of the process, in milliseconds. If given, a
+        /// voter that stops gives its vote to another replica first.
+        pub grace_ms: Option<u64>,
         /// Whether control processes that all restart at once elect a leader without waiting for an
         /// earlier leader's lease to end.
         pub elects_after_restart: bool,
--- a/crates/core/src/settings/read.rs
+++ b/crates/core/src/settings/read.rs
@@ -298,6 +298,7 @@
     let start: Option<ClusterStart> = section.required("start", remedy);
     let manages_members = section.value_or("keeps_members", false, "give true or false");
     let catch_up_ms = milliseconds(section.optional("catch_up_s", SECONDS_REMEDY));
+    let grace_ms = milliseconds(section.optional("grace_s", SECONDS_REMEDY));
     let elects_after_restart =
         section.value_or("elects_after_restart", false, "give true or false");
     let heartbeat_ms = section.value_or("heartbeat_ms", DEFAULT_HEARTBEAT_MS, MILLISECONDS_REMEDY);
@@ -307,6 +308,7 @@
     section.report_unknown_fields();
     check_positive(section, "heartbeat_ms", heartbeat_ms);
     check_positive(section, "catch_up_s", catch_up_ms);
+    check_positive(section, "grace_s", grace_ms);
     if let Some(ClusterStart::Bootstrap(founders)) = &start {
         let own_addresses = [listen, advertise];
         let omits_self = !founders
@@ -325,6 +327,7 @@
         start: start?,
         manages_members: manages_members?,
         catch_up_ms,
+        grace_ms,
         elects_after_restart: elects_after_restart?,
         heartbeat_ms: heartbeat_ms?,
         spreads_groups: spreads_groups?,
--- a/crates/core/src/wire/log.rs
+++ b/crates/core/src/wire/log.rs
@@ -175,6 +175,14 @@
             /// The commit index when the query arrived.
             index: Index,
         },
+        /// From a replica whose process is about to stop, until it is released: asks the leader to give its
+        /// vote to another replica.
+        Leave,
+        /// From the leader: response to [`Body::Leave`].
+        LeaveResponse {
+            /// Whether the replica is no voter any more, and this is committed.
+            released: bool,
+        },
     }
 }
 
--- a/crates/core/tests/settings.rs
+++ b/crates/core/tests/settings.rs
@@ -98,6 +98,7 @@
 #[test_case("[\"127.0.0.1:7101\"]", "[]", "control_role.start.found"; "no founder")]
 #[test_case("{ \"found\": [\"127.0.0.1:7101\"] }", "\"merge\"", "control_role.start"; "unknown start")]
 #[test_case("\"data\": \"data\"", "\"data\": \"data\", \"catch_up_s\": 0", "control_role.catch_up_s"; "no time to catch up")]
+#[test_case("\"data\": \"data\"", "\"data\": \"data\", \"grace_s\": 0", "control_role.grace_s"; "no time to stop")]
 #[test_case("\"group\": \"g\",", "", "agent_role.rank"; "rank without group")]
 #[test_case("{ \"level\": \"debug\", \"ring\": 64 }", "3", "log"; "no object")]
 fn fault_is_reported_with_its_path(valid: &str, invalid: &str, path: &str) {
@@ -232,13 +233,14 @@
 }
 
 #[test]
-fn first_start_and_time_to_catch_up_are_read() {
-    let start = "\"first_start\", \"catch_up_s\": 4";
+fn first_start_and_times_of_members_are_read() {
+    let start = "\"first_start\", \"catch_up_s\": 4, \"grace_s\": 8";
     let text = VALID.replacen("{ \"found\": [\"127.0.0.1:7101\"] }", start, 1);
     let settings = parse(&text).expect("valid settings");
     let control = settings.control_role.expect("a control role");
     assert_eq!(control.start, ClusterStart::FirstStart);
     assert_eq!(control.catch_up_ms, Some(4000));
+    assert_eq!(control.grace_ms, Some(8000));
 }
 
 #[test]
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -457,6 +457,12 @@
         if let Some(agent) = &self.agent {
             agent.handle_input(eelgrassdyke_agent::Input::Drain);
         }
+        let control = self.settings.control_role.as_ref();
+        if control.is_some_and(|settings| settings.grace_ms.is_some())
+            && let Some(control) = &self.control
+        {
+            control.handle_input(eelgrassdyke_control::Input::Leave);
+        }
     }
 
     /// Whether a graceful shutdown has begun.
@@ -470,8 +476,13 @@
         let started = self.context.clock.now();
         let entry = self.settings.entry_role.as_ref();
         let direct = entry.and_then(|entry| entry.direct.as_ref());
-        let grace =
-            direct.map(|direct| Duration::from_millis(direct.grace_ms).mul_f64(GRACE_FRACTION));
+        let control = self.settings.control_role.as_ref();
+        let graces = [
+            direct.map(|direct| direct.grace_ms),
+            control.and_then(|control| control.grace_ms),
+        ];
+        let grace = graces.into_iter().flatten().min();
+        let grace = grace.map(|grace| Duration::from_millis(grace).mul_f64(GRACE_FRACTION));
         let limit = Duration::from_millis(self.settings.limits.drain_ms);
         let limit = grace.map_or(limit, |grace| grace.min(limit));
         // Responses to the requests that were received until the roles had nothing left to do. Later ones
@@ -527,7 +538,11 @@
             .agent
             .as_ref()
             .is_none_or(|role| role.read(Agent::is_drained));
-        entry && direct && agent
+        let control = self
+            .control
+            .as_ref()
+            .is_none_or(|role| role.read(|control| control.may_stop(now)));
+        entry && direct && agent && control
     }
 
     fn is_usage_replicated(&self) -> bool {
