group: no switch starts while a rank copies a map of an earlier coordinator

Cause: a rank reports a prepared map only when its copies are complete. A coordinator that took over in between gave its first map the version of the one being copied; the rank took the order for a repetition, reported the version as prepared, and was armed with the earlier content. The test compared versions only.

Ruled out: late orders of the predecessor (refused after the fencing round), and two coordinators at the same time (their orders are fenced).

Fix: reports say whether an order is in progress (the platform's `busy`). After the fencing round no switch starts until each rank that was busy then is not. Reports of earlier builds don't have the field, and nothing is waited for.

--- a/crates/agent/tests/watch.rs
+++ b/crates/agent/tests/watch.rs
@@ -113,6 +113,7 @@
             incarnation: Incarnation(0),
             last_known_order: 0,
             begun_orders: None,
+            is_busy: None,
             experts: vec![vec![0]],
             counts: reads_counts.then(|| ExpertCounts {
                 step: Step(self.step),
--- a/crates/control/tests/coordination_control.rs
+++ b/crates/control/tests/coordination_control.rs
@@ -82,6 +82,7 @@
         incarnation: Incarnation(1),
         last_known_order: 0,
         begun_orders: None,
+        is_busy: None,
         experts: vec![vec![rank as u32]],
         counts: None,
     }
--- a/crates/control/tests/coordination_world/mod.rs
+++ b/crates/control/tests/coordination_world/mod.rs
@@ -697,6 +697,7 @@
             incarnation: Incarnation(1),
             last_known_order: engine.last_known_order,
             begun_orders: Some(engine.begun_orders),
+            is_busy: Some(engine.prepared != prepared),
             experts: vec![vec![rank.0 as u32]],
             counts: None,
         }
--- a/crates/core/src/wire/rank.rs
+++ b/crates/core/src/wire/rank.rs
@@ -62,6 +62,10 @@
         /// Number of orders that the engine has begun since it started; none if it doesn't report it.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         pub begun_orders: Option<u64>,
+        /// Whether it is still carrying out an order, such as the copies for a map; none if it doesn't report
+        /// it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub is_busy: Option<bool>,
         /// Experts of the rank in the active map, by layer; empty if they were not read, or were sent
         /// within the last second for the same generation and map.
         pub experts: Vec<Vec<u32>>,
--- a/crates/group/src/barrier.rs
+++ b/crates/group/src/barrier.rs
@@ -13,7 +13,8 @@
 //!
 //! A hold remains in effect after a change of leader. A new leader first sends a higher fencing token
 //! to every rank, which invalidates the orders of its predecessor and changes nothing else. From then
-//! on, the reported state can't change unexpectedly. If the group is held, the leader disarms and
+//! on, the reported state can't change unexpectedly, but for copies that are still under way. Their map is not
+//! reported before they are complete, and a new map could get its version, so no switch starts until then. If the group is held, the leader disarms and
 //! releases it as in step 4. Ranks that are armed without a hold have all been armed and released by
 //! the predecessor, so they are left to activate the map.
 //!
@@ -23,7 +24,7 @@
 mod overtaking;
 mod round;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -261,6 +262,9 @@
     stray_releases: BTreeMap<Rank, Instant>,
     /// The last accepted order of each rank, and when its result arrived.
     accepted_orders: BTreeMap<Rank, (u64, Instant)>,
+    /// Ranks that still copy experts for a map of an earlier controller, whose version their reports don't show
+    /// yet.
+    copying_earlier_map: BTreeSet<Rank>,
     /// The latest step before which this controller ordered a hold in this generation.
     last_hold_step: Step,
     next_wakeup: Instant,
@@ -292,6 +296,7 @@
             unanswered_fraction: 0.0,
             stray_releases: BTreeMap::new(),
             accepted_orders: BTreeMap::new(),
+            copying_earlier_map: BTreeSet::new(),
             last_hold_step: Step(0),
             next_wakeup: Instant::NEVER,
             completed_switches: 0,
@@ -370,7 +375,8 @@
     /// experts of every rank are known.
     fn layers_to_switch(&self, now: Instant) -> Option<usize> {
         let may_start = matches!(self.phase, Phase::Settled | Phase::Preparing { .. });
-        if !may_start || !self.is_group_running(now) {
+        let are_versions_known = self.copying_earlier_map.is_empty();
+        if !may_start || !are_versions_known || !self.is_group_running(now) {
             return None;
         }
         let mut reports = self.ranks.values().map(|entry| &entry.report);
@@ -441,6 +447,7 @@
             // A new generation starts without a prepared or armed map and without a hold.
             self.generation = report.generation;
             self.ranks.clear();
+            self.copying_earlier_map.clear();
             self.last_hold_step = Step(0);
             self.group_size = 0;
             if self.is_leader() {
@@ -469,6 +476,9 @@
             }
         }
         let (rank, report_size) = (report.rank, report.group_size);
+        if report.is_busy != Some(true) {
+            self.copying_earlier_map.remove(&rank);
+        }
         // Most reports leave the experts out, as the controller has them from an earlier one.
         let map =
             |report: &EngineReport| (report.incarnation, report.generation, report.active_map);
@@ -844,6 +854,9 @@
         if !self.have_reported_since(&round.confirmed) {
             return;
         }
+        let is_busy = |(_, entry): &(&Rank, &RankEntry)| entry.report.is_busy == Some(true);
+        let busy = self.ranks.iter().filter(is_busy);
+        self.copying_earlier_map = busy.map(|(rank, _)| *rank).collect();
         if !self.options.engines_check_fencing {
             let fencing_orders = round.confirmed.clone();
             self.start_overtaking(fencing_orders);
--- a/crates/group/tests/barrier.rs
+++ b/crates/group/tests/barrier.rs
@@ -307,6 +307,7 @@
             incarnation: engine.incarnation,
             last_known_order: engine.last_known_order,
             begun_orders: Some(engine.begun_orders),
+            is_busy: Some(engine.prepared.is_some_and(|(_, at)| at > self.now)),
             experts: match engine.active_layers.first() {
                 Some(layer) => vec![layer[rank.0 as usize].clone()],
                 None => vec![vec![rank.0 as u32]],
@@ -512,6 +513,7 @@
 #[test_case(0.5)]
 fn no_step_starts_with_two_maps(late_fraction: f64) {
     let mut switches = 0;
+    let mut mixed_layers = Vec::new();
     for seed in 0..60 {
         let mut world = World::new(seed, Ignored::Nothing, late_fraction);
         world.run(true);
@@ -524,12 +526,20 @@
             world.tick();
         }
         assert!(!world.has_mixed_maps, "seed {seed} mixed maps");
+        if world.has_mixed_layers {
+            mixed_layers.push(seed);
+        }
         assert!(
             world.step.0 > before.0 + 100,
             "seed {seed}: the group has stalled"
         );
         switches += world.completed_switches;
     }
+    // A successor that didn't know of a copy gave its version to another map.
+    assert!(
+        mixed_layers.is_empty(),
+        "seeds {mixed_layers:?} mixed contents"
+    );
     assert!(switches > 60, "only {switches} switches");
 }
 
