control: a departure is acknowledged once two other control processes hold it

The same class was left on two paths: the process that acknowledged the departure ends before it has passed it on, or that one message is lost. Entries that follow the other processes then use the server until its lease ends.

Cause: a departure was acknowledged at once and passed on once.

Ruled out: entries that change their control process or restart, and `draining` heartbeats, which repeat themselves within drain_ms.

Fix: control processes confirm departures (ServerLeftNoted). The notice is acknowledged with two confirmations, or after 0.4 s, and sent again every 250 ms to each process that has not confirmed it, for one lease.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -17,6 +17,7 @@
 use crate::confirm::Confirmations;
 use crate::coordination::Coordination;
 use crate::crashes::FactRelay;
+use crate::departures::Departures;
 use crate::directory::Directory;
 use crate::evacuation;
 use crate::fence::OrderSender;
@@ -67,6 +68,7 @@
     pub(crate) slow_engines: Vec<rank::SlowEngine>,
     pub(crate) next_slow_engines_update: Instant,
     pub(crate) crashes: FactRelay,
+    pub(crate) departures: Departures,
     ledger: UsageLedger,
     /// Whether the usage counters of the other control processes have been requested.
     resync_requested: bool,
@@ -110,6 +112,7 @@
             slow_engines: Vec::new(),
             next_slow_engines_update: now,
             crashes: FactRelay::default(),
+            departures: Departures::new(options.server_lease),
             ledger: UsageLedger::default(),
             resync_requested: false,
             order_sender: OrderSender::default(),
@@ -181,6 +184,7 @@
         self.send_confirmed_updates(now, out);
         self.complete_reads(now, out);
         self.relay_due_facts(now, out);
+        self.complete_departures(now, out);
         self.sweep(now, out);
         self.push_changes(now, out);
     }
@@ -192,6 +196,7 @@
             .min(self.reads.next_deadline())
             .min(self.groups.next_deadline())
             .min(self.crashes.next_deadline())
+            .min(self.departures.next_deadline())
             .min(self.next_coordination_deadline())
     }
 
@@ -259,6 +264,7 @@
             }
             Message::ServerLeft(server) => self.handle_server_left(now, from, &server, out),
             Message::Rank(message) => self.handle_rank_message(now, from, *message, out),
+            Message::ServerLeftNoted(server) => self.handle_departure_noted(from, &server, out),
             Message::FactSync(sync) => self.handle_fact_sync(now, from, &sync, out),
             Message::ActiveEntries(entries) => self.followers.record_remote_entries(now, entries),
             Message::EntryDemands(demands) => self.followers.record_remote_demands(now, demands),
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -20,6 +20,7 @@
 
 pub mod coordination;
 pub mod crashes;
+mod departures;
 pub mod directory;
 pub mod fence;
 pub mod followers;
--- a/crates/control/src/publish.rs
+++ b/crates/control/src/publish.rs
@@ -1,6 +1,7 @@
 //! Submissions; publications, which are whole configurations under a number chosen by the operator, and
 //! reads of the last one. Also handles the notices of servers without an agent.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use eelgrassdyke_core::config::{Publication, Submission};
@@ -89,31 +90,64 @@
             out.push(PublicationReads::no_quorum_response(ticket));
             return;
         }
-        let (messages, event) = match notice {
+        let peers = self.replica.peer_addresses();
+        let (event, accepted) = match notice {
             ServerNotice::Heartbeat(heartbeat) => {
                 let event = self.directory.record_heartbeat(now, heartbeat.clone());
-                (vec![Message::Heartbeat(heartbeat)], event)
+                for to in peers {
+                    let message = Message::Heartbeat(heartbeat.clone());
+                    out.push(Output::Send { to, message });
+                }
+                (event, Some(ticket))
             }
             ServerNotice::Left(server) => {
                 let event = self.directory.remove_server(now, &server);
-                // The departure names the incarnation, for those that know no heartbeat of the server.
-                let departure = self.directory.departure(&server).map(Message::Heartbeat);
-                let mut messages: Vec<Message> = departure.into_iter().collect();
-                messages.push(Message::ServerLeft(server));
-                (messages, event)
+                self.pass_on_departure(&server, &peers, out);
+                (event, self.departures.add(now, ticket, server, peers))
             }
         };
-        for to in self.replica.peer_addresses() {
-            for message in messages.iter().cloned() {
-                out.push(Output::Send { to, message });
-            }
-        }
         if event.is_some() {
             self.next_push = now;
         }
         out.extend(event.map(Output::Event));
-        let response = OperatorResponse::NoticeAccepted;
-        out.push(Output::Respond { ticket, response });
+        accept_notices(accepted, out);
+    }
+
+    /// Tells other control processes that a server has left.
+    fn pass_on_departure<'a>(
+        &self,
+        server: &Server,
+        peers: impl IntoIterator<Item = &'a SocketAddr>,
+        out: &mut Vec<Output>,
+    ) {
+        // The departure names the incarnation, for those that know no heartbeat of the server.
+        let departure = self.directory.departure(server).map(Message::Heartbeat);
+        for to in peers {
+            let left = Message::ServerLeft(server.clone());
+            for message in departure.iter().cloned().chain([left]) {
+                out.push(Output::Send { to: *to, message });
+            }
+        }
+    }
+
+    /// Acknowledges the notices that enough control processes hold, or that have waited long enough, and
+    /// sends the others again.
+    pub(crate) fn complete_departures(&mut self, now: Instant, out: &mut Vec<Output>) {
+        accept_notices(self.departures.take_overdue(now), out);
+        for (server, peers) in self.departures.take_due(now) {
+            self.pass_on_departure(&server, &peers, out);
+        }
+    }
+
+    /// Records that another control process holds a departure.
+    pub(crate) fn handle_departure_noted(
+        &mut self,
+        from: &Sender,
+        server: &Server,
+        out: &mut Vec<Output>,
+    ) {
+        let accepted = self.departures.record_confirmation(server, from.address);
+        accept_notices(accepted, out);
     }
 
     /// Removes a server that has announced to another control process that it leaves.
@@ -124,6 +158,10 @@
         server: &Server,
         out: &mut Vec<Output>,
     ) {
+        out.push(Output::Send {
+            to: from.address,
+            message: Message::ServerLeftNoted(server.clone()),
+        });
         let Some(event) = self.directory.remove_server(now, server) else {
             return;
         };
@@ -149,3 +187,10 @@
         }
     }
 }
+
+fn accept_notices(tickets: impl IntoIterator<Item = Ticket>, out: &mut Vec<Output>) {
+    for ticket in tickets {
+        let response = OperatorResponse::NoticeAccepted;
+        out.push(Output::Respond { ticket, response });
+    }
+}
--- a/crates/control/tests/departure.rs
+++ b/crates/control/tests/departure.rs
@@ -32,6 +32,9 @@
 /// Time after an acknowledged notice within which entries must act on it, in milliseconds.
 const NOTICE_MS_MAX: u64 = 2000;
 
+/// Time for which a server waits for the response to a notice.
+const RESPONSE_WAIT_MAX: Duration = Duration::from_secs(1);
+
 const STEP_MS: u64 = 50;
 
 fn server(number: u64) -> Server {
@@ -135,6 +138,14 @@
             self.cluster.last_ticket += 1;
             let ticket = eelgrassdyke_core::id::Ticket(self.cluster.last_ticket);
             self.cluster.handle_input(to % 3, input(ticket));
+            // The entries get what is sent meanwhile with the next step.
+            let end = self.cluster.now + RESPONSE_WAIT_MAX;
+            while self.cluster.processes[to % 3].is_some()
+                && !self.cluster.responses.contains_key(&ticket)
+                && self.cluster.now < end
+            {
+                self.cluster.run(5);
+            }
             let response = self.cluster.responses.remove(&ticket);
             matches!(response, Some(OperatorResponse::NoticeAccepted))
         })
@@ -399,3 +410,58 @@
         }
     }
 }
+
+/// Guards against a departure that only the process which acknowledged it knew of: entries that follow the
+/// others used the server until its lease expired.
+#[test_case(0)]
+#[test_case(1)]
+#[test_case(2)]
+fn acknowledged_departure_outlives_the_process_that_acknowledged_it(to: usize) {
+    let mut site = Site::new(6, 8);
+    // Processes have the lease from their next start on.
+    site.restart(&[0, 1, 2]);
+    site.run(CONTACT + LEASE.as_millis() as u64);
+    site.leave(to, 1);
+    // What its outboxes hold ends with the process.
+    let ended = address(to);
+    let messages = &mut site.cluster.messages;
+    messages.retain(|(from, ..)| from.address != ended);
+    site.cluster.kill(to);
+    site.run(CONTACT);
+    site.assert_gone(1, &format!("{to} ended after the acknowledgement"));
+}
+
+/// Guards against a notice that is passed on once: its loss lasted until the lease expired.
+#[test]
+fn departure_that_is_lost_on_its_way_to_another_control_process_is_sent_again() {
+    let mut site = Site::new(6, 8);
+    site.run(CONTACT);
+    site.cluster.rewrite = Some(|receiver, message| {
+        let names_departure = match message {
+            Message::ServerLeft(_) => true,
+            Message::Heartbeat(heartbeat) => heartbeat.info.state == ServerState::Left,
+            _ => false,
+        };
+        if receiver == 1 && names_departure {
+            *message = Message::ActiveEntries(Vec::new());
+        }
+    });
+    site.leave(0, 1);
+    site.cluster.rewrite = None;
+    site.run(NOTICE_MS_MAX);
+    site.assert_gone(1, "lost once");
+}
+
+/// Guards against a notice that is never acknowledged because other control processes are down.
+#[test]
+fn departure_is_acknowledged_in_time_while_another_control_process_is_down() {
+    let mut site = Site::new(6, 8);
+    site.cluster.kill(2);
+    site.run(CONTACT);
+    let before = site.cluster.now;
+    site.leave(0, 1);
+    let waited = site.cluster.now.since(before);
+    assert!(waited < RESPONSE_WAIT_MAX, "acknowledged after {waited:?}");
+    site.run(NOTICE_MS_MAX);
+    site.assert_gone(1, "one is down");
+}
--- a/crates/core/src/wire/mod.rs
+++ b/crates/core/src/wire/mod.rs
@@ -123,6 +123,8 @@
         /// Between control processes: a server has announced that it leaves.
         #[serde(rename = "Dismiss")]
         ServerLeft(crate::id::Server),
+        /// Between control processes: the receiver of [`Message::ServerLeft`] holds the departure.
+        ServerLeftNoted(crate::id::Server),
         /// Between control and the watch processes beside the engines of a group.
         Rank(Box<rank::Message>),
         /// Between entries and control, and between control processes: the servers that ended, and the
@@ -167,6 +169,7 @@
             Self::ReportAck(_) => "report_ack",
             Self::ReportResync => "report_resync",
             Self::ServerLeft(_) => "server_left",
+            Self::ServerLeftNoted(_) => "server_left_noted",
             Self::Rank(message) => message.kind(),
             Self::FactSync(_) => "fact_sync",
             Self::ActiveEntries(_) => "active_entries",
