entry: a stopping entry takes only requests that end in time, and answers all open ones

Cause: for 0.3 of its grace period a stopping entry took every request, whatever time it has left or needs; and what was open at the end was cut by the end of the process.

Ruled out: the wait for written responses, which holds; the platform's detection, as these callers use open connections.

Fix: a request is taken if its own time limit ends before the process does, or if the slowest request of its mount in the last 30 to 60 s took less. Any other is refused at once as not run. At 0.9 of the period, open requests without a started response get 502 (may have run) or 503 (not run).

Tests in entry/tests/direct.rs; mutations that fail them: every request is taken; open requests aren't answered.

--- a/crates/entry/src/direct/flight.rs
+++ b/crates/entry/src/direct/flight.rs
@@ -40,6 +40,8 @@
     /// When the request was received.
     pub received_at: Instant,
     pub deadline: Instant,
+    /// When it is answered in any case, as the process stops.
+    pub answer_by: Instant,
     pub stage: Stage,
     pub attempts: u32,
     /// Servers at which an ended attempt may have run.
@@ -91,7 +93,16 @@
             }
             Stage::Running { .. } => Instant::NEVER,
         };
-        at.min(self.deadline)
+        at.min(self.end())
+    }
+
+    /// When the request ends if it is not complete. A response that has started can only be cut off, so it
+    /// goes on until its deadline, or the end of the process.
+    pub fn end(&self) -> Instant {
+        match self.response_started {
+            true => self.deadline,
+            false => self.deadline.min(self.answer_by),
+        }
     }
 
     /// Whether the request may have run; valid only while no attempt is running.
--- a/crates/entry/src/direct/io.rs
+++ b/crates/entry/src/direct/io.rs
@@ -249,6 +249,10 @@
 /// accepted requests must still have time to finish.
 const DRAIN_GRACE_FRACTION: f64 = 0.3;
 
+/// Fraction of that time after which open requests are answered: the responses must still be written before
+/// the process ends, shortly before it is killed.
+const SHUTDOWN_FRACTION: f64 = 0.9;
+
 /// Options of the direct path.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -266,6 +270,8 @@
     pub retry_window: Duration,
     /// Time after the start of a graceful shutdown during which new requests are still served.
     pub drain_grace: Duration,
+    /// Time after the start of a graceful shutdown at which all open requests are answered.
+    pub shutdown_time: Duration,
     /// What all entries together may send to a cold server.
     pub cold_bound: ColdBound,
     /// Whether the entries' shares of a server's slots are exact.
@@ -282,6 +288,7 @@
             retry_slack: 0,
             retry_window: Duration::from_secs(10),
             drain_grace: Duration::from_secs(4),
+            shutdown_time: Duration::from_secs(12),
             cold_bound: ColdBound::default(),
             exact_slots: false,
         }
@@ -303,6 +310,7 @@
             retry_slack: direct.retry_slack,
             retry_window: Duration::from_millis(direct.retry_window_ms),
             drain_grace: Duration::from_millis(direct.grace_ms).mul_f64(DRAIN_GRACE_FRACTION),
+            shutdown_time: Duration::from_millis(direct.grace_ms).mul_f64(SHUTDOWN_FRACTION),
             cold_bound: ColdBound {
                 overage: direct.cold_overage,
                 slack: direct.cold_slack,
--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -25,6 +25,7 @@
 mod report;
 mod retry;
 mod return_time;
+mod shutdown;
 mod signal;
 mod slots;
 mod slow_start;
--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -26,6 +26,7 @@
 use super::limit::DemandMeter;
 use super::line::WaitQueue;
 use super::pool::{HealthSignal, ServerPool};
+use super::shutdown::CompletionTimes;
 use super::slots::shared_demands;
 use super::table::MountTable;
 
@@ -67,6 +68,7 @@
     pub(super) usage: UsageReporter,
     pub(super) rng: ChaCha8Rng,
     pub(super) draining_since: Option<Instant>,
+    pub(super) completion_times: CompletionTimes,
 }
 
 impl Direct {
@@ -91,6 +93,7 @@
             usage: UsageReporter::new(local, ReportSource::Entry, &options.control_addresses),
             rng,
             draining_since: None,
+            completion_times: CompletionTimes::default(),
             options,
         }
     }
@@ -124,9 +127,7 @@
             } => self.handle_server_check(now, &server, incarnation, has_ended, out),
             Input::Message { from, message } => self.handle_message(now, &from, message, out),
             Input::Tick => {}
-            Input::Drain => {
-                self.draining_since.get_or_insert(now);
-            }
+            Input::Drain => self.begin_shutdown(now),
         }
         while let Some((to, poll)) = self.follower.next_poll_with(now, || {
             shared_demands(now, &self.pool, &self.demands, self.options.exact_slots)
@@ -239,6 +240,7 @@
         if time_left.is_zero() {
             return Err(Reason::Deadline);
         }
+        self.check_shutdown(now, &mount, time_left)?;
         let caller = team.as_ref().map_or("", Team::as_str);
         Ok(DirectRequest {
             call_id: call.id.clone(),
@@ -249,6 +251,7 @@
             team,
             received_at: now,
             deadline: now + time_left,
+            answer_by: self.shutdown_end(),
             stage: Stage::Queued {
                 queue_key: (0, 0),
                 refuse_at: now,
@@ -416,7 +419,7 @@
             server: choice.server.clone(),
             incarnation: choice.incarnation,
             address: choice.address,
-            time_left: request.deadline.since(now),
+            time_left: request.end().since(now),
             team: request.team.clone(),
             priority: request.priority,
             // A server that repeats its rejection does so with the same id.
@@ -516,6 +519,7 @@
             AttemptOutcome::Streamed => {
                 self.record_event(now, Code::RequestDelivered, &request, "stream", out);
                 self.count_delivered(now, &request);
+                self.record_completion_time(now, &request);
                 out.push(Output::EndStream { ticket });
             }
             AttemptOutcome::NotRun(reason) => {
@@ -636,23 +640,24 @@
         out: &mut Vec<Output>,
     ) {
         let service = request.service.clone();
-        let is_overdue = now >= request.deadline;
+        let is_overdue = now >= request.end();
+        let cause = match now >= request.deadline {
+            true => Reason::Deadline,
+            false => Reason::Draining,
+        };
         match request.stage.clone() {
             Stage::Queued { queue_key, .. } => {
                 self.queue(&service).remove(queue_key);
                 let run = request.run_status();
-                self.give_up(now, ticket, request, Reason::Overload, run, out);
+                let reason = match now >= request.answer_by {
+                    true => Reason::Draining,
+                    false => Reason::Overload,
+                };
+                self.give_up(now, ticket, request, reason, run, out);
             }
             Stage::Running { .. } if is_overdue => {
                 self.release_stage(now, ticket, &request, HealthSignal::Unknown, out);
-                self.give_up(
-                    now,
-                    ticket,
-                    request,
-                    Reason::Deadline,
-                    RunStatus::Unknown,
-                    out,
-                );
+                self.give_up(now, ticket, request, cause, RunStatus::Unknown, out);
             }
             Stage::Running { server, .. } => {
                 let is_hung = self.pool.is_hung(now, &server, request.hang_timeout());
--- a/crates/entry/src/direct/retry.rs
+++ b/crates/entry/src/direct/retry.rs
@@ -52,6 +52,7 @@
         let detail = format!("status {status}");
         self.record_event(now, Code::RequestDelivered, &request, &detail, out);
         self.count_delivered(now, &request);
+        self.record_completion_time(now, &request);
         out.push(Output::Deliver { ticket });
     }
 
--- a/crates/entry/tests/direct.rs
+++ b/crates/entry/tests/direct.rs
@@ -529,6 +529,103 @@
     );
 }
 
+/// Options of an entry that takes requests for a second of its shutdown and answers all of them after three.
+fn short_shutdown() -> Options {
+    Options {
+        drain_grace: Duration::from_secs(1),
+        shutdown_time: Duration::from_secs(3),
+        ..Options::default()
+    }
+}
+
+/// Submits a call whose caller waits for longer than the process goes on.
+fn submit_long_call(harness: &mut Harness, number: u64, path: &str) -> Vec<Output> {
+    let call = Call {
+        time_left: Some(Duration::from_secs(5)),
+        ..harness.call(number, path)
+    };
+    let ticket = Ticket(number);
+    harness.feed(Input::Call { ticket, call })
+}
+
+/// Guards against a request that is taken during a shutdown although it can't end before the process does, and
+/// is then cut off without an answer.
+#[test_case(None, false; "nothing known")]
+#[test_case(Some(200), true; "mount with short requests")]
+#[test_case(Some(3500), false; "mount with long requests")]
+fn draining_entry_takes_what_can_end_in_time(completion_ms: Option<u64>, is_taken: bool) {
+    let mut harness = Harness::new(2, short_shutdown());
+    if let Some(completion_ms) = completion_ms {
+        submit_long_call(&mut harness, 1, "never");
+        harness.advance(Duration::from_millis(completion_ms));
+        harness.end_attempt(1, 1, AttemptOutcome::Responded(200));
+    }
+    harness.feed(Input::Drain);
+    let out = submit_long_call(&mut harness, 2, "never");
+    assert_eq!(sent_attempt(&out).is_some(), is_taken);
+    let expected = (!is_taken).then_some((Reason::Draining, RunStatus::No));
+    assert_eq!(refusal(&out), expected);
+    // Its own time limit ends before the process does.
+    assert!(sent_attempt(&harness.submit_call(3, "never")).is_some());
+}
+
+#[test]
+fn completion_times_are_forgotten() {
+    let mut harness = Harness::new(2, short_shutdown());
+    submit_long_call(&mut harness, 1, "never");
+    harness.advance(Duration::from_millis(3500));
+    harness.end_attempt(1, 1, AttemptOutcome::Responded(200));
+    for number in 2..8 {
+        harness.advance(Duration::from_secs(15));
+        submit_long_call(&mut harness, number, "never");
+        harness.advance(Duration::from_millis(200));
+        harness.end_attempt(number, 1, AttemptOutcome::Responded(200));
+    }
+    harness.feed(Input::Drain);
+    assert!(sent_attempt(&submit_long_call(&mut harness, 9, "never")).is_some());
+}
+
+/// Guards against connections that end without an answer at the end of a shutdown.
+#[test]
+fn draining_entry_answers_open_requests_before_it_ends() {
+    let mut harness = Harness::new(2, short_shutdown());
+    for (number, path) in [(1, "never"), (2, "idempotent"), (3, "stream")] {
+        assert!(sent_attempt(&submit_long_call(&mut harness, number, path)).is_some());
+    }
+    harness.advance(Duration::from_millis(500));
+    harness.feed(Input::Drain);
+    let out = harness.advance(Duration::from_millis(2900));
+    assert!(!out.iter().any(|out| matches!(out, Output::Refuse { .. })));
+    let out = harness.advance(Duration::from_millis(200));
+    for number in 1..4 {
+        let refusals = out.iter().filter_map(|output| match output {
+            Output::Refuse { ticket, refusal } if *ticket == Ticket(number) => Some(refusal),
+            _ => None,
+        });
+        let refusals: Vec<_> = refusals.collect();
+        assert_eq!(refusals.len(), 1, "request {number}");
+        let expected = (Reason::Draining, RunStatus::Unknown);
+        assert_eq!((refusals[0].reason, refusals[0].run_status), expected);
+    }
+    assert!(harness.direct.is_done(harness.now));
+}
+
+/// A response that has started can't be replaced by a refusal, so it goes on.
+#[test]
+fn draining_entry_lets_started_streams_go_on() {
+    let mut harness = Harness::new(2, short_shutdown());
+    submit_long_call(&mut harness, 1, "stream");
+    harness.feed(Input::Drain);
+    harness.feed(Input::EventForwarded {
+        ticket: Ticket(1),
+        attempt: 1,
+    });
+    let out = harness.advance(Duration::from_millis(3500));
+    assert!(out.is_empty(), "{out:?}");
+    let out = harness.end_attempt(1, 1, AttemptOutcome::Streamed);
+    assert!(matches!(out[..], [Output::EndStream { .. }]), "{out:?}");
+}
+
 #[test]
 fn retries_stay_within_the_budget_in_any_window() {
     let options = Options {
