control: a plan is tried again when the price of a copy is a quarter, not half

So the extra plans seem to cost more than they gain: the number of running requests doubles in each wave of the load, and each time a plan was tried.

Tests of group_plans pass.

--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -39,8 +39,12 @@
 /// engines of the same make differ by less.
 const MIN_SLOW_PERMILLE: u32 = 1300;
 
-/// Factor by which copies must become cheaper, or demand last longer, before another plan is attempted.
-const COST_CHANGE_MIN: f64 = 2.0;
+/// Factor by which copies must become cheaper before another plan is attempted; a smaller one would be reached
+/// in each wave of the load.
+const PRICE_CHANGE_MIN: f64 = 4.0;
+
+/// Factor by which the expected life of demand must grow before another plan is attempted.
+const LIFE_CHANGE_MIN: f64 = 2.0;
 
 /// Age from which a reported slowness is ignored.
 const SLOWNESS_AGE_MAX: Duration = Duration::from_secs(2);
@@ -205,11 +209,11 @@
     /// longer. Planning takes much of a small process's processor time.
     fn may_gain(&mut self, attempt: PlanAttempt) -> bool {
         let may_gain = self.last_attempt.is_none_or(|last| {
-            let lasts_longer = attempt.demand_life >= last.demand_life.mul_f64(COST_CHANGE_MIN);
+            let lasts_longer = attempt.demand_life >= last.demand_life.mul_f64(LIFE_CHANGE_MIN);
             attempt.changed_at != last.changed_at
                 || attempt.switches != last.switches
                 || attempt.skew >= last.skew + SKEW_INCREASE_MIN
-                || attempt.price * COST_CHANGE_MIN <= last.price
+                || attempt.price * PRICE_CHANGE_MIN <= last.price
                 || lasts_longer
         });
         if may_gain {
