--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -39,13 +39,6 @@
 /// engines of the same make differ by less.
 const MIN_SLOW_PERMILLE: u32 = 1300;
 
-/// Factor by which copies must become cheaper before another plan is attempted; a smaller one would be reached
-/// in each wave of the load.
-const PRICE_CHANGE_MIN: f64 = 4.0;
-
-/// Factor by which the expected life of demand must grow before another plan is attempted.
-const LIFE_CHANGE_MIN: f64 = 2.0;
-
 /// Age from which a reported slowness is ignored.
 const SLOWNESS_AGE_MAX: Duration = Duration::from_secs(2);
 
@@ -104,20 +97,6 @@
     }
 }
 
-/// What a plan depended on when it was last attempted.
-#[derive(Clone, Copy, Debug)]
-struct PlanAttempt {
-    skew: f64,
-    /// Last change of demand.
-    changed_at: Instant,
-    /// Number of switches.
-    switches: u64,
-    /// Price of copying one expert.
-    price: f64,
-    /// Expected time until demand changes.
-    demand_life: Duration,
-}
-
 /// A rank group.
 #[derive(Clone, Debug)]
 struct GroupState {
@@ -137,7 +116,8 @@
     /// When the last map was planned, and its predicted skew.
     planned: (Instant, f64),
     completed_switches: u64,
-    last_attempt: Option<PlanAttempt>,
+    /// Skew, last change of demand and number of switches when a plan was last attempted.
+    last_attempt: Option<(f64, Instant, u64)>,
     /// The planner, with the number of ranks and the layout that it was built for.
     planner: Option<(usize, ExpertLayout, Arc<Planner>)>,
 }
@@ -205,17 +185,16 @@
     }
 
     /// Whether a plan may save something though the last attempt found none: demand or the map has
-    /// changed, the skew has increased, or copies have become cheaper, as more requests run, or of use for
-    /// longer. Planning takes much of a small process's processor time.
-    fn may_gain(&mut self, attempt: PlanAttempt) -> bool {
-        let may_gain = self.last_attempt.is_none_or(|last| {
-            let lasts_longer = attempt.demand_life >= last.demand_life.mul_f64(LIFE_CHANGE_MIN);
-            attempt.changed_at != last.changed_at
-                || attempt.switches != last.switches
-                || attempt.skew >= last.skew + SKEW_INCREASE_MIN
-                || attempt.price * PRICE_CHANGE_MIN <= last.price
-                || lasts_longer
-        });
+    /// changed, or the skew has increased. Planning takes much of a small process's processor time.
+    fn may_gain(&mut self, attempt: (f64, Instant, u64)) -> bool {
+        let (skew, changed_at, switches) = attempt;
+        let may_gain = self
+            .last_attempt
+            .is_none_or(|(last_skew, last_change, last_switches)| {
+                changed_at != last_change
+                    || switches != last_switches
+                    || skew >= last_skew + SKEW_INCREASE_MIN
+            });
         if may_gain {
             self.last_attempt = Some(attempt);
         }
@@ -296,17 +275,11 @@
             let skew = planner.latest_skew(&self.loads, &present, &members);
             self.forecast.record_skew(skew, attempt.skew());
         }
-        let cost = self.copy_cost(now, slots, experts);
-        let inputs = PlanAttempt {
-            skew: attempt.skew(),
-            changed_at: self.forecast.changed_at(),
-            switches: self.completed_switches,
-            price: cost.price,
-            demand_life: cost.demand_life,
-        };
-        if !self.may_gain(inputs) {
+        let changed_at = self.forecast.changed_at();
+        if !self.may_gain((attempt.skew(), changed_at, self.completed_switches)) {
             return;
         }
+        let cost = self.copy_cost(now, slots, experts);
         let Some(plan) = planner.plan_attempt(&attempt, &cost) else {
             return;
         };
