control: one rule for voters that can be spared, one wait for stopped processes in tests

Read once more: whether an even number of voters can spare one was worked out in members.rs (may it be removed) and again in leave.rs (is there reason to wait); the two must agree, or a process waits for a release that never comes. Both call has_dispensable_voter now. No behaviour, bound or assertion has changed.

Looked at and left: Departures and the entry's crash code, and the histories of full_disks, share shape only; may_stop asks again what tick_leave records, as it is asked before the next tick.

--- a/crates/control/src/log/leave.rs
+++ b/crates/control/src/log/leave.rs
@@ -18,7 +18,7 @@
 use eelgrassdyke_core::wire::log::Body;
 
 use super::io::Output;
-use super::members::EVEN_VOTERS_MIN;
+use super::members::has_dispensable_voter;
 use super::replica::{Replica, Role};
 
 /// Time between two requests of a replica to be released.
@@ -59,10 +59,8 @@
     /// Whether the leader can release this voter, as far as is known here.
     fn can_be_replaced(&self, now: Instant) -> bool {
         let members = self.log.members();
-        let voters = members.voters.len();
-        let is_dispensable = voters >= EVEN_VOTERS_MIN && voters.is_multiple_of(2);
         self.options.manages_members
-            && (is_dispensable
+            && (has_dispensable_voter(members)
                 || !members.learners.is_empty()
                 || !self.formation.unattached(now).is_empty())
     }
--- a/crates/control/src/log/members.rs
+++ b/crates/control/src/log/members.rs
@@ -27,7 +27,7 @@
 
 /// Even number of voters from which one that is about to stop is removed even if no learner takes its place:
 /// one voter less has as many to spare.
-pub(super) const EVEN_VOTERS_MIN: usize = 4;
+const EVEN_VOTERS_MIN: usize = 4;
 
 /// Number of members, including learners, from which the leader adds no more replicas.
 const MEMBERS_MAX: usize = 9;
@@ -180,10 +180,8 @@
             .voters
             .iter()
             .any(|(id, at)| *id != voter && Some(at) == address);
-        let count = members.voters.len();
-        let is_dispensable =
-            count >= EVEN_VOTERS_MIN && count.is_multiple_of(2) && self.is_leaving(now, voter);
-        (has_successor || is_dispensable || count > TARGET_VOTERS)
+        let is_dispensable = has_dispensable_voter(members) && self.is_leaving(now, voter);
+        (has_successor || is_dispensable || members.voters.len() > TARGET_VOTERS)
             && self.leaves_live_majority(now, members, voter)
     }
 
@@ -284,6 +282,12 @@
     }
 }
 
+/// Whether the others tolerate as many losses without one of the voters.
+pub(super) fn has_dispensable_voter(members: &Members) -> bool {
+    let count = members.voters.len();
+    count >= EVEN_VOTERS_MIN && count.is_multiple_of(2)
+}
+
 fn refusal(problem: impl Into<String>, remedy: &'static str) -> Refusal {
     Refusal::MembershipChange {
         problem: problem.into(),
--- a/crates/control/tests/log_members.rs
+++ b/crates/control/tests/log_members.rs
@@ -547,6 +547,17 @@
     stopped.is_empty()
 }
 
+/// Runs until all processes that were asked to stop at `since` have ended.
+fn wait_stopped(
+    cluster: &mut Cluster,
+    stopped: &mut Vec<usize>,
+    since: eelgrassdyke_core::time::Instant,
+) {
+    while !end_stopped(cluster, stopped, since) {
+        cluster.run(Duration::from_millis(1));
+    }
+}
+
 /// Commits a command and returns as soon as it is acknowledged.
 fn commit_at_once(cluster: &mut Cluster, timeout: Duration) -> bool {
     let end = cluster.now + timeout;
@@ -613,9 +624,7 @@
         let removed = voters[usize::from(!is_leader_stopped)];
         stop(&mut cluster, removed);
         let (since, mut stopped) = (cluster.now, vec![removed]);
-        while !end_stopped(&mut cluster, &mut stopped, since) {
-            cluster.run(Duration::from_millis(1));
-        }
+        wait_stopped(&mut cluster, &mut stopped, since);
         let waited = cluster.now.since(since);
         assert!(
             waited < GRACE / 4,
@@ -713,9 +722,7 @@
             cluster.hosts[*number].restart_at = cluster.now + Duration::from_secs(3600);
         }
         let since = cluster.now;
-        while !end_stopped(&mut cluster, &mut stopped, since) {
-            cluster.run(Duration::from_millis(1));
-        }
+        wait_stopped(&mut cluster, &mut stopped, since);
         assert!(commit_at_once(&mut cluster, RECOVERY_MAX));
         let left: Vec<usize> = (0..7).filter(|number| !removed.contains(number)).collect();
         lose_disks(&mut cluster, &left[seed as usize % 4..][..2]);
@@ -742,9 +749,7 @@
             stop(&mut cluster, number);
             let (since, mut stopped) = (cluster.now, vec![number]);
             cluster.hosts[number].restart_at = cluster.now + Duration::from_secs(3600);
-            while !end_stopped(&mut cluster, &mut stopped, since) {
-                cluster.run(Duration::from_millis(1));
-            }
+            wait_stopped(&mut cluster, &mut stopped, since);
             if learners == 0 {
                 assert_eq!(
                     cluster.now, since,
@@ -783,9 +788,7 @@
         stop(&mut cluster, number);
         let (since, mut stopped) = (cluster.now, vec![number]);
         cluster.hosts[number].restart_at = cluster.now + Duration::from_secs(3600);
-        while !end_stopped(&mut cluster, &mut stopped, since) {
-            cluster.run(Duration::from_millis(1));
-        }
+        wait_stopped(&mut cluster, &mut stopped, since);
         assert!(commit_at_once(&mut cluster, RECOVERY_MAX));
         lose_disks(&mut cluster, &[(number + 1 + seed as usize / 4 % 3) % 4]);
         assert!(
