tests: processes are started on ports that the test has bound

The test bound port 0, let the port go, and had the process bind it again; meanwhile a connection of another test can get the same number as its own end.

Node::start_with_ports takes an adapter too now, so tests of the platform bind first and read the addresses from the ports, as those of the SDK and of eelgrassctl did already (Node::start and start_with_adapter are one function). process.rs starts the real program, whose settings name its own port; it is started again on another port if, and only if, it ends with "Address already in use".

No assertion is changed.

--- a/crates/eelgrassctl/tests/operate.rs
+++ b/crates/eelgrassctl/tests/operate.rs
@@ -97,7 +97,7 @@
         },
     });
     let settings = Settings::parse(&settings.to_string(), Path::new("trial")).unwrap();
-    Node::start_with_ports(ports, settings, None).unwrap()
+    Node::start_with_ports(ports, settings, None, None).unwrap()
 }
 
 /// An address on which no process listens.
--- a/crates/eelgrassdyke/src/demo.rs
+++ b/crates/eelgrassdyke/src/demo.rs
@@ -98,7 +98,7 @@
             "control_role": {"data": folder.join("control"), "start": {"found": [control]}},
         });
         let settings = process_settings(folder, "main", control, control, roles)?;
-        nodes.push(Node::start_with_ports(main_ports, settings, None)?);
+        nodes.push(Node::start_with_ports(main_ports, settings, None, None)?);
         let engine_role = json!({"agent_role": {
             "server": "engine-1", "service": "draft", "backend": engine,
             "slots": 8, "token_rate": 400,
@@ -109,7 +109,7 @@
         for (name, role) in [("agent-engine", engine_role), ("agent-orders", orders_role)] {
             let ports = Ports::bind(free_port, None)?;
             let settings = process_settings(folder, name, ports.peer_address()?, control, role)?;
-            nodes.push(Node::start_with_ports(ports, settings, None)?);
+            nodes.push(Node::start_with_ports(ports, settings, None, None)?);
         }
         Ok(Self {
             control,
--- a/crates/eelgrassdyke/tests/process.rs
+++ b/crates/eelgrassdyke/tests/process.rs
@@ -34,24 +34,42 @@
 impl Process {
     /// Starts a process with the entry, control and agent roles and waits until it is serving.
     fn start() -> Self {
+        // Its settings name its own port, which a connection of another test can take before it.
+        let is_port_taken = |errors: &str| errors.contains("Address already in use");
+        loop {
+            match Self::try_start() {
+                Ok(process) => return process,
+                Err(errors) if is_port_taken(&errors) => {}
+                Err(errors) => panic!("the process did not log ProcessStarted: {errors}"),
+            }
+        }
+    }
+
+    /// Returns what the process wrote to its standard error if it ends before it is serving.
+    fn try_start() -> Result<Self, String> {
         let folder = tempfile::tempdir().unwrap();
         let control = unused_address();
         let settings = write_settings(folder.path(), &all_roles_settings(control));
+        let errors = folder.path().join("stderr");
         let mut child = Command::new(env!("CARGO_BIN_EXE_eelgrassdyke"))
             .args(["run", "--settings"])
             .arg(&settings)
             .stdout(Stdio::piped())
+            .stderr(fs::File::create(&errors).unwrap())
             .spawn()
             .unwrap();
         let mut log = BufReader::new(child.stdout.take().unwrap()).lines();
-        let started = log.any(|line| line.is_ok_and(|line| line.contains("ProcessStarted")));
-        assert!(started, "the process did not log ProcessStarted");
+        let is_started = log.any(|line| line.is_ok_and(|line| line.contains("ProcessStarted")));
+        if !is_started {
+            child.wait().unwrap();
+            return Err(fs::read_to_string(&errors).unwrap());
+        }
         std::thread::spawn(move || log.for_each(drop));
-        Self {
+        Ok(Self {
             child,
             folder,
             control,
-        }
+        })
     }
 
     fn signal(&self, signal: Signal) {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -148,32 +148,19 @@
 }
 
 impl Node {
-    /// Binds the ports of a process and starts its roles, within a running runtime.
-    pub fn start(settings: Settings, metrics: Option<PrometheusHandle>) -> Result<Rc<Self>> {
-        let ports = Ports::bind_all(&settings)?;
-        Self::start_with_ports(ports, settings, metrics)
-    }
-
-    /// Starts the roles of a process on ports that are already bound.
-    pub fn start_with_ports(
-        ports: Ports,
-        settings: Settings,
-        metrics: Option<PrometheusHandle>,
-    ) -> Result<Rc<Self>> {
-        Self::start_roles(ports, settings, metrics, None)
-    }
-
-    /// Binds the ports of a process and starts its roles for the platform of `adapter`.
-    pub fn start_with_adapter(
+    /// Binds the ports of a process and starts its roles, within a running runtime; with an adapter, they
+    /// serve its platform.
+    pub fn start(
         settings: Settings,
         metrics: Option<PrometheusHandle>,
-        adapter: Rc<dyn Adapter>,
+        adapter: Option<Rc<dyn Adapter>>,
     ) -> Result<Rc<Self>> {
         let ports = Ports::bind_all(&settings)?;
-        Self::start_roles(ports, settings, metrics, Some(adapter))
+        Self::start_with_ports(ports, settings, metrics, adapter)
     }
 
-    fn start_roles(
+    /// Starts the roles of a process on ports that are already bound.
+    pub fn start_with_ports(
         ports: Ports,
         settings: Settings,
         metrics: Option<PrometheusHandle>,
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -31,10 +31,7 @@
     let metrics = crate::latency::set_buckets(PrometheusBuilder::new())?.install_recorder()?;
     let signals = Signals::install()?;
     let shutdown = crate::runtime::block_on(async {
-        let node = match adapter {
-            Some(adapter) => Node::start_with_adapter(settings.clone(), Some(metrics), adapter)?,
-            None => Node::start(settings.clone(), Some(metrics))?,
-        };
+        let node = Node::start(settings.clone(), Some(metrics), adapter)?;
         while signals.stop_count() == 0 && !node.is_draining() {
             if signals.take_reload() {
                 node.timeline()
--- a/crates/node/tests/stream.rs
+++ b/crates/node/tests/stream.rs
@@ -122,7 +122,7 @@
         },
     });
     let settings = Settings::parse(&settings.to_string(), Path::new("trial")).unwrap();
-    let node = Node::start_with_ports(ports, settings, None).unwrap();
+    let node = Node::start_with_ports(ports, settings, None, None).unwrap();
     (control, callers, node)
 }
 
