core: a full crash ledger takes in earlier records that have enough crashes for a quarantine

Callers: after a control process or an entry had restarted while many servers ended, its ledger was full of later records with one crash each. A record found earlier ranked below all of them, whether it was quarantined elsewhere or not, so the process never learned of the quarantine, and the content ended one more server.

Cause: whether a record is kept depended on this ledger's own quarantines, which it can't have judged for a record that it doesn't hold.

Records rank by the number of their crashes now, if these are enough for a quarantine of their kind, then by the time they were found. That is a property of the record alone, so all processes keep the same ones and the exchange comes to rest as before (exchange_of_crash_records_comes_to_rest).

Ruled out: to judge first and drop then. Quarantines depend on the other records, so two processes with different ones could send each other the same records for ever.

--- a/crates/core/src/crash.rs
+++ b/crates/core/src/crash.rs
@@ -6,9 +6,9 @@
 //! for each service and content, the servers that ended while a request with the content was about to
 //! write. Entries and control processes exchange these [`CrashRecord`]s and merge them: crashes are
 //! identified by server and incarnation, so reports of several entries about one crash count once, and
-//! the order and number of merges doesn't matter. A full ledger keeps what was found last, by times that are
-//! the same at all processes: what a process has dropped is not news to it when it comes back from
-//! another one, so that the exchange comes to rest. Content on which a server has written without ending is
+//! the order and number of merges doesn't matter. A full ledger keeps the records with the most crashes, and of
+//! the others those found last. This depends on nothing but the records, so what a process has dropped is not
+//! news to it when it comes back from another one, and the exchange comes to rest. Content on which a server has written without ending is
 //! sound, which clears its crashes.
 //!
 //! Content is quarantined once its crashes can't be explained otherwise: servers that end at the same
@@ -326,6 +326,21 @@
         self.crashes.insert(id, reported);
     }
 
+    /// Number of crashes that count against the content if they are enough for a quarantine, else 0.
+    fn evidence(&self, content: &Content) -> usize {
+        let crashes_min = match content {
+            Content::Request(_) => REQUEST_CRASHES_MIN,
+            Content::Part(_) if self.is_common => COMMON_CRASHES_MIN,
+            Content::Part(_) => CRASHES_MIN,
+        };
+        let crashes = self.crashes.values().filter(|crash| !crash.is_cleared);
+        let count = crashes.count();
+        match count < crashes_min {
+            true => 0,
+            false => count,
+        }
+    }
+
     /// When the last of its crashes was found.
     fn found_us(&self) -> u64 {
         let times = self.crashes.values().map(|crash| crash.found_us);
@@ -436,7 +451,7 @@
             (state.is_common, crashes.collect::<Vec<_>>())
         };
         let is_news = facts(&state) != facts(&before);
-        if before.crashes.is_empty() && !self.make_room(&key, state.found_us()) {
+        if before.crashes.is_empty() && !self.make_room(&key, &state) {
             return Merged::Nothing;
         }
         self.parts.insert(key, state);
@@ -456,23 +471,21 @@
         self.judge();
     }
 
-    /// Makes room for a record whose last crash was found at `found_us`, if it was found later than those of the
-    /// record that would be dropped: the one found first, but quarantined content last of all.
-    fn make_room(&mut self, key: &ContentKey, found_us: u64) -> bool {
+    /// Makes room for a record, if it ranks above the one that would be dropped.
+    fn make_room(&mut self, key: &ContentKey, state: &ContentState) -> bool {
         if self.parts.len() < RECORDS_MAX {
             return true;
         }
-        let candidates = self.parts.iter().map(|(key, state)| {
-            let is_quarantined = self.quarantines.contains_key(key);
-            (is_quarantined, state.found_us(), key)
-        });
-        let Some((_, first_found_us, first)) = candidates.min() else {
+        fn rank<'a>((key, state): (&'a ContentKey, &ContentState)) -> (usize, u64, &'a ContentKey) {
+            (state.evidence(&key.1), state.found_us(), key)
+        }
+        let Some(first) = self.parts.iter().map(rank).min() else {
             return false;
         };
-        if (found_us, key) <= (first_found_us, first) {
+        if rank((key, state)) <= first {
             return false;
         }
-        let first = first.clone();
+        let first = first.2.clone();
         self.parts.remove(&first);
         true
     }
