core: a crash record that is about to expire is not taken from another process

Cause: processes drop a record at different times, as each counts its age from when it first heard of the crash. An entry that still held a record sent it to a control process that had dropped it, for which it was news: it passed it on to all entries, and the ones that had dropped it too took it up again.

A record that a process doesn't hold is taken only while its last crash is younger than 540 s (records are kept for 600 s) or its content is in quarantine. What is known to the process is merged at any age, so a quarantine that is lifted late is still passed on. The same cause for quarantined content: entries have quarantines of different lengths, so a control process could take a record back for minutes after its own quarantine had ended; now it doesn't, as it judges by its own.

The test of a process that has just started has a second case of 530 s, because the one of 590 s is no longer taken.

--- a/crates/core/src/crash.rs
+++ b/crates/core/src/crash.rs
@@ -59,6 +59,11 @@
 /// Time after its last crash, or its quarantine, at which a record is dropped.
 const RETENTION: Duration = Duration::from_secs(600);
 
+/// Age of the last crash from which a record is not taken from another process, unless its content is in
+/// quarantine. Processes drop records at different times; one that has dropped a record must not take it
+/// back from another one that is about to drop it.
+const NEWS_AGE_MAX: Duration = Duration::from_secs(540);
+
 /// Age from which a crash is ignored: twice the longest time for which a record is needed.
 const CRASH_AGE_MAX: Duration = Duration::from_secs(2 * 3600);
 
@@ -409,21 +414,44 @@
     /// Merges records; returns the keys of those that held news.
     pub fn merge_all(&mut self, now: Instant, records: &[CrashRecord]) -> BTreeSet<ContentKey> {
         let mut news = BTreeSet::new();
+        let mut unknown = BTreeSet::new();
         let mut has_changed = false;
         for record in records {
+            let key = (record.service.clone(), record.content.clone());
+            let is_known = self.parts.contains_key(&key);
             let merged = self.merge_without_judgement(now, record);
             has_changed |= merged != Merged::Nothing;
-            if merged == Merged::News {
-                news.insert((record.service.clone(), record.content.clone()));
+            if merged != Merged::News {
+                continue;
             }
+            if !is_known {
+                unknown.insert(key.clone());
+            }
+            news.insert(key);
         }
         if has_changed {
             self.judge();
+            self.drop_old(now, &unknown);
             news.retain(|key| self.parts.contains_key(key));
         }
         news
     }
 
+    /// Drops the records among `unknown` that are too old to be taken from another process.
+    fn drop_old(&mut self, now: Instant, unknown: &BTreeSet<ContentKey>) {
+        let count = self.parts.len();
+        let quarantines = &self.quarantines;
+        self.parts.retain(|key, state| {
+            let is_old = ledger_time(now).since(state.last_crash()) >= NEWS_AGE_MAX;
+            let quarantine = quarantines.get(key);
+            let is_quarantined = quarantine.is_some_and(|quarantine| now < quarantine.until);
+            !is_old || is_quarantined || !unknown.contains(key)
+        });
+        if self.parts.len() != count {
+            self.judge();
+        }
+    }
+
     fn merge_without_judgement(&mut self, now: Instant, record: &CrashRecord) -> Merged {
         let key = (record.service.clone(), record.content.clone());
         let before = self.parts.get(&key).cloned().unwrap_or_default();
--- a/crates/core/tests/crash.rs
+++ b/crates/core/tests/crash.rs
@@ -10,6 +10,7 @@
 use eelgrassdyke_core::wire;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use test_case::test_case;
 
 fn key(part: &str) -> ContentKey {
     ("draft".parse().unwrap(), part.parse().unwrap())
@@ -236,11 +237,27 @@
 }
 
 // A process that had just started kept records from before its start for ten minutes more.
-#[test]
-fn record_from_before_the_start_of_a_process_expires_in_time() {
+#[test_case(590; "too old to be taken")]
+#[test_case(530; "taken")]
+fn record_from_before_the_start_of_a_process_expires_in_time(age_s: u64) {
     let mut started = CrashLedger::default();
-    started.merge(Instant(5000), &record("a", &[1], 1, 590_000));
-    let later = Instant(5000) + Duration::from_secs(20);
+    started.merge(Instant(5000), &record("a", &[1], 1, age_s * 1000));
+    let later = Instant(5000) + Duration::from_secs(610 - age_s);
     started.expire(later);
     assert!(started.records(later).is_empty());
 }
+
+// The end of a quarantine by an operator must be passed on, however long ago the crashes were.
+#[test]
+fn old_quarantine_that_is_lifted_is_news() {
+    let mut ledger = CrashLedger::default();
+    for server in 0..6 {
+        ledger.merge(at(server * 2000), &record("a", &[server], 5, 0));
+    }
+    let later = at(10_000) + Duration::from_secs(1800);
+    let mut lifted = ledger.clone();
+    assert!(lifted.clear(&key("a")));
+    assert!(ledger.merge(later, &lifted.record(later, &key("a")).unwrap()));
+    assert_eq!(ledger.quarantine(later, &key("a")), None);
+    assert_eq!(ledger.records(later).len(), 1);
+}
