group: a new coordinator doesn't wait for copies of its predecessor's map

To give no version to two maps, it starts no switch until each rank that was copying at the change of coordinator has finished. These copies take about as long as those of the new map, and the new plan was made only after them.

Fix: a coordinator that finds copies under way takes versions that begin with its term. They are above all that earlier terms can have used, so its maps can't share a version with a map that no report shows yet. Only if the versions of the present log term are used up does it wait as before. Copies of its own earlier maps are known to it and no longer waited for either.

--- a/crates/group/src/barrier.rs
+++ b/crates/group/src/barrier.rs
@@ -13,9 +13,10 @@
 //!
 //! A hold remains in effect after a change of leader. A new leader first sends a higher fencing token
 //! to every rank, which invalidates the orders of its predecessor and changes nothing else. From then
-//! on, the reported state can't change unexpectedly, but for copies that are still under way. Their map is not
-//! reported before they are complete, and a new map could get its version, so no switch starts until then. If the group is held, the leader disarms and
-//! releases it as in step 4. Ranks that are armed without a hold have all been armed and released by
+//! on, the reported state can't change unexpectedly, but for copies that are still under way: their map is not
+//! reported before they are complete, and a new map could get its version. So the versions of a leader that finds
+//! copies under way begin with its term, above all versions of earlier terms. If the group is held, the leader
+//! disarms and releases it as in step 4. Ranks that are armed without a hold have all been armed and released by
 //! the predecessor, so they are left to activate the map.
 //!
 //! Where engines don't check fencing tokens, each order names instead the number of orders that its
@@ -46,6 +47,13 @@
 /// Number of low bits of an order number that count within a term; the higher bits are the term.
 const ORDER_COUNTER_BITS: u32 = 32;
 
+/// Number of low bits of a version that count within a term, if the higher bits are the term. Platforms may
+/// store a version in 32 bits.
+const VERSION_COUNTER_BITS: u32 = 8;
+
+/// Maximum number of maps that earlier controllers have ordered and no report has shown.
+const UNKNOWN_MAPS_MAX: u64 = 1 << (VERSION_COUNTER_BITS - 1);
+
 /// A version that no map has, to send a fencing token to a rank without disarming it.
 const NO_VERSION: Version = Version(u32::MAX as u64);
 
@@ -242,6 +250,8 @@
     options: Options,
     group: Group,
     term: Term,
+    /// Whether the maps that earlier controllers have ordered are still to be found.
+    is_new_leader: bool,
     phase: Phase,
     generation: Generation,
     /// Number of ranks of the group, as most of them report it.
@@ -263,7 +273,7 @@
     /// The last accepted order of each rank, and when its result arrived.
     accepted_orders: BTreeMap<Rank, (u64, Instant)>,
     /// Ranks that still copy experts for a map of an earlier controller, whose version their reports don't show
-    /// yet.
+    /// yet; empty once the versions of this controller can't be theirs.
     copying_earlier_map: BTreeSet<Rank>,
     /// The latest step before which this controller ordered a hold in this generation.
     last_hold_step: Step,
@@ -284,6 +294,7 @@
             options,
             group,
             term: Term(0),
+            is_new_leader: false,
             phase: Phase::Idle,
             generation: Generation(0),
             group_size: 0,
@@ -311,6 +322,7 @@
         match input {
             Input::LeadershipGained(term) => {
                 self.term = term;
+                self.is_new_leader = true;
                 self.fencing_counter = 0;
                 // With the term in the high bits, order numbers are unique across leaders.
                 self.last_order_number = term.0 << ORDER_COUNTER_BITS;
@@ -375,8 +387,7 @@
     /// experts of every rank are known.
     fn layers_to_switch(&self, now: Instant) -> Option<usize> {
         let may_start = matches!(self.phase, Phase::Settled | Phase::Preparing { .. });
-        let are_versions_known = self.copying_earlier_map.is_empty();
-        if !may_start || !are_versions_known || !self.is_group_running(now) {
+        if !may_start || !self.is_next_version_unused() || !self.is_group_running(now) {
             return None;
         }
         let mut reports = self.ranks.values().map(|entry| &entry.report);
@@ -631,6 +642,10 @@
             return;
         }
         self.raise_token();
+        if !self.copying_earlier_map.is_empty() {
+            self.highest_version = self.highest_version.max(self.first_version_of_term());
+            self.copying_earlier_map.clear();
+        }
         self.highest_version = self.highest_version.next();
         self.phase = Phase::Preparing {
             version: self.highest_version,
@@ -643,6 +658,17 @@
         self.switch_started = (now, copy_time);
     }
 
+    fn first_version_of_term(&self) -> Version {
+        Version(self.term.0 << VERSION_COUNTER_BITS)
+    }
+
+    /// Whether no rank can hold another map under the version of the next switch. After more switches than the
+    /// bits count, this is known only when the copies of earlier maps are complete.
+    fn is_next_version_unused(&self) -> bool {
+        let unknown = Version(self.highest_version.0 + UNKNOWN_MAPS_MAX);
+        self.copying_earlier_map.is_empty() || unknown < self.first_version_of_term()
+    }
+
     /// Orders the rank after `tried_holder` to hold the group before a newly chosen activation step,
     /// because a delayed order may still make `tried_holder` hold it.
     fn try_next_holder(&mut self, now: Instant, tried_holder: Rank) {
@@ -854,9 +880,11 @@
         if !self.have_reported_since(&round.confirmed) {
             return;
         }
-        let is_busy = |(_, entry): &(&Rank, &RankEntry)| entry.report.is_busy == Some(true);
-        let busy = self.ranks.iter().filter(is_busy);
-        self.copying_earlier_map = busy.map(|(rank, _)| *rank).collect();
+        if std::mem::take(&mut self.is_new_leader) {
+            let is_busy = |(_, entry): &(&Rank, &RankEntry)| entry.report.is_busy == Some(true);
+            let busy = self.ranks.iter().filter(is_busy);
+            self.copying_earlier_map = busy.map(|(rank, _)| *rank).collect();
+        }
         if !self.options.engines_check_fencing {
             let fencing_orders = round.confirmed.clone();
             self.start_overtaking(fencing_orders);
--- a/crates/group/tests/barrier.rs
+++ b/crates/group/tests/barrier.rs
@@ -543,6 +543,29 @@
     assert!(switches > 60, "only {switches} switches");
 }
 
+// A new leader waited for the copies of its predecessor's map, though no rank needed them any more.
+#[test]
+fn successor_switches_while_an_earlier_map_is_copied() {
+    for seed in 0..20 {
+        let mut world = World::new(seed, Ignored::Nothing, 0.0);
+        world.drive_controller(0, Input::LeadershipGained(Term(1)));
+        let is_copying = |engine: &Engine| engine.prepared.is_some();
+        world.run_until("a copy", |world| world.engines.values().any(is_copying));
+        let successor = world.replace_leader(2);
+        let copied_at = world.now + Duration::from_secs(10);
+        for engine in world.engines.values_mut() {
+            if let Some((_, complete_at)) = &mut engine.prepared {
+                *complete_at = copied_at;
+            }
+        }
+        world.run_until("a switch", |world| {
+            world.leaders[successor].completed_switches() > 0
+        });
+        assert!(world.now < copied_at, "seed {seed}");
+        assert!(!world.has_mixed_layers, "seed {seed} mixed contents");
+    }
+}
+
 #[test_case(Ignored::FencingToken)]
 #[test_case(Ignored::Hold)]
 fn maps_mix_if_engines_ignore_a_mechanism(ignored: Ignored) {
