--- a/crates/group/src/barrier.rs
+++ b/crates/group/src/barrier.rs
@@ -665,7 +665,7 @@
     /// Whether no rank can hold another map under the version of the next switch. After more switches than the
     /// bits count, this is known only when the copies of earlier maps are complete.
     fn is_next_version_unused(&self) -> bool {
-        let unknown = Version(self.highest_version.0 + UNKNOWN_MAPS_MAX);
+        let unknown = Version(self.highest_version.0.saturating_add(UNKNOWN_MAPS_MAX));
         self.copying_earlier_map.is_empty() || unknown < self.first_version_of_term()
     }
 
