group: copies are looked for in a new generation too

Callers: a step may start with two maps of one version (MAP, by content).

Cause: looks for ranks that copy an earlier controller's map only in the first round of fencing orders after a change of leader. When the group restarts, its ranks forget the fencing tokens, so a former leader can order a copy before the present one has fenced it; its round of the new generation then didn't see that copy.

--- a/crates/group/src/barrier.rs
+++ b/crates/group/src/barrier.rs
@@ -250,8 +250,9 @@
     options: Options,
     group: Group,
     term: Term,
-    /// Whether the maps that earlier controllers have ordered are still to be found.
-    is_new_leader: bool,
+    /// Whether copies that other controllers have ordered are still to be looked for: after a change of leader, and
+    /// in a new generation, which an earlier leader may use before it is fenced.
+    looks_for_copies: bool,
     phase: Phase,
     generation: Generation,
     /// Number of ranks of the group, as most of them report it.
@@ -294,7 +295,7 @@
             options,
             group,
             term: Term(0),
-            is_new_leader: false,
+            looks_for_copies: false,
             phase: Phase::Idle,
             generation: Generation(0),
             group_size: 0,
@@ -322,7 +323,7 @@
         match input {
             Input::LeadershipGained(term) => {
                 self.term = term;
-                self.is_new_leader = true;
+                self.looks_for_copies = true;
                 self.fencing_counter = 0;
                 // With the term in the high bits, order numbers are unique across leaders.
                 self.last_order_number = term.0 << ORDER_COUNTER_BITS;
@@ -459,6 +460,7 @@
             self.generation = report.generation;
             self.ranks.clear();
             self.copying_earlier_map.clear();
+            self.looks_for_copies = true;
             self.last_hold_step = Step(0);
             self.group_size = 0;
             if self.is_leader() {
@@ -880,7 +882,7 @@
         if !self.have_reported_since(&round.confirmed) {
             return;
         }
-        if std::mem::take(&mut self.is_new_leader) {
+        if std::mem::take(&mut self.looks_for_copies) {
             let is_busy = |(_, entry): &(&Rank, &RankEntry)| entry.report.is_busy == Some(true);
             let busy = self.ranks.iter().filter(is_busy);
             self.copying_earlier_map = busy.map(|(rank, _)| *rank).collect();
--- a/crates/group/tests/barrier.rs
+++ b/crates/group/tests/barrier.rs
@@ -566,6 +566,32 @@
     }
 }
 
+// A former leader may order a copy after a restart of the group, before the orders of the present one arrive.
+#[test]
+fn copy_ordered_by_a_former_leader_in_a_new_generation_shares_no_version() {
+    for seed in 0..20 {
+        let mut world = World::new(seed, Ignored::Nothing, 0.0);
+        world.drive_controller(0, Input::LeadershipGained(Term(1)));
+        world.run_until("a switch", |world| {
+            world.leaders[0].completed_switches() > 0
+        });
+        // The present leader may have chosen the next version for orders that are on their way.
+        let known = world.engines.values().map(|engine| engine.highest_version);
+        let version = Version(known.max().unwrap().0 + 1 + seed % 3);
+        world.restart_group();
+        let complete_at = world.now + Duration::from_secs(1);
+        if let Some(engine) = world.engines.get_mut(&Rank(0)) {
+            engine.highest_version = version;
+            engine.prepared = Some((version, complete_at));
+            engine.prepared_layers = numbered_layers(99).to_vec();
+        }
+        world.run_until("another switch", |world| {
+            world.leaders[0].completed_switches() > 1
+        });
+        assert!(!world.has_mixed_layers, "seed {seed} mixed contents");
+    }
+}
+
 #[test_case(Ignored::FencingToken)]
 #[test_case(Ignored::Hold)]
 fn maps_mix_if_engines_ignore_a_mechanism(ignored: Ignored) {
