core: one rule for the crashes that a quarantine needs, and one lookup for an unknown record

 wrote the least number of crashes by kind of content a second time, beside crashes_min; both call crashes_min_alone now. looked each record up once more to know whether it had been unknown, and then went through the whole ledger; merging a record says that it was added, and only those are looked at. A line of the module's text is wrapped.

--- a/crates/core/src/crash.rs
+++ b/crates/core/src/crash.rs
@@ -8,8 +8,8 @@
 //! identified by server and incarnation, so reports of several entries about one crash count once, and
 //! the order and number of merges doesn't matter. A full ledger keeps the records with the most crashes, and of
 //! the others those found last. This depends on nothing but the records, so what a process has dropped is not
-//! news to it when it comes back from another one, and the exchange comes to rest. Content on which a server has written without ending is
-//! sound, which clears its crashes.
+//! news to it when it comes back from another one, and the exchange comes to rest. Content on which a server has
+//! written without ending is sound, which clears its crashes.
 //!
 //! Content is quarantined once its crashes can't be explained otherwise: servers that end at the same
 //! moment have a common cause and count once, and crashes are ignored if they are also crashes of
@@ -265,7 +265,10 @@
     Nothing,
     /// A count or a time, which is passed on with the next crash.
     Detail,
+    /// Crashes, or facts about them, of a known record.
     News,
+    /// A record that was unknown.
+    Added,
 }
 
 impl ContentState {
@@ -280,6 +283,15 @@
         counted
     }
 
+    /// Number of crashes after which the content is quarantined if no server ended without it meanwhile.
+    fn crashes_min_alone(&self, content: &Content) -> usize {
+        match content {
+            Content::Request(_) => REQUEST_CRASHES_MIN,
+            Content::Part(_) if self.is_common => COMMON_CRASHES_MIN,
+            Content::Part(_) => CRASHES_MIN,
+        }
+    }
+
     /// Number of crashes after which the part is quarantined; `others` are the unexplained crashes of
     /// the service.
     fn crashes_min(
@@ -288,21 +300,19 @@
         counted: &[(&CrashId, Instant)],
         others: &CrashTimes,
     ) -> usize {
-        if let Content::Request(_) = content {
-            return REQUEST_CRASHES_MIN;
-        }
-        if self.is_common {
-            return COMMON_CRASHES_MIN;
+        let alone = self.crashes_min_alone(content);
+        if matches!(content, Content::Request(_)) || self.is_common {
+            return alone;
         }
         let times = || counted.iter().map(|(_, at)| *at);
         let (Some(first), Some(last)) = (times().min(), times().max()) else {
-            return CRASHES_MIN;
+            return alone;
         };
         let is_meanwhile =
             |at: &&Instant| **at + COMMON_CAUSE_TIME >= first && **at <= last + COMMON_CAUSE_TIME;
         match others.values().filter(is_meanwhile).count() > counted.len() {
             true => CRASHES_AMONG_OTHERS_MIN,
-            false => CRASHES_MIN,
+            false => alone,
         }
     }
 
@@ -333,14 +343,9 @@
 
     /// Number of crashes that count against the content if they are enough for a quarantine, else 0.
     fn evidence(&self, content: &Content) -> usize {
-        let crashes_min = match content {
-            Content::Request(_) => REQUEST_CRASHES_MIN,
-            Content::Part(_) if self.is_common => COMMON_CRASHES_MIN,
-            Content::Part(_) => CRASHES_MIN,
-        };
         let crashes = self.crashes.values().filter(|crash| !crash.is_cleared);
         let count = crashes.count();
-        match count < crashes_min {
+        match count < self.crashes_min_alone(content) {
             true => 0,
             false => count,
         }
@@ -414,39 +419,38 @@
     /// Merges records; returns the keys of those that held news.
     pub fn merge_all(&mut self, now: Instant, records: &[CrashRecord]) -> BTreeSet<ContentKey> {
         let mut news = BTreeSet::new();
-        let mut unknown = BTreeSet::new();
+        let mut added = Vec::new();
         let mut has_changed = false;
         for record in records {
-            let key = (record.service.clone(), record.content.clone());
-            let is_known = self.parts.contains_key(&key);
             let merged = self.merge_without_judgement(now, record);
             has_changed |= merged != Merged::Nothing;
-            if merged != Merged::News {
+            if !matches!(merged, Merged::News | Merged::Added) {
                 continue;
             }
-            if !is_known {
-                unknown.insert(key.clone());
+            let key = (record.service.clone(), record.content.clone());
+            if merged == Merged::Added {
+                added.push(key.clone());
             }
             news.insert(key);
         }
         if has_changed {
             self.judge();
-            self.drop_old(now, &unknown);
+            self.drop_old(now, &added);
             news.retain(|key| self.parts.contains_key(key));
         }
         news
     }
 
-    /// Drops the records among `unknown` that are too old to be taken from another process.
-    fn drop_old(&mut self, now: Instant, unknown: &BTreeSet<ContentKey>) {
+    /// Drops the records among those just `added` that are too old to be taken from another process.
+    fn drop_old(&mut self, now: Instant, added: &[ContentKey]) {
         let count = self.parts.len();
-        let quarantines = &self.quarantines;
-        self.parts.retain(|key, state| {
-            let is_old = ledger_time(now).since(state.last_crash()) >= NEWS_AGE_MAX;
-            let quarantine = quarantines.get(key);
-            let is_quarantined = quarantine.is_some_and(|quarantine| now < quarantine.until);
-            !is_old || is_quarantined || !unknown.contains(key)
-        });
+        for key in added {
+            let is_old =
+                |state: &ContentState| ledger_time(now).since(state.last_crash()) >= NEWS_AGE_MAX;
+            if self.parts.get(key).is_some_and(is_old) && self.quarantine(now, key).is_none() {
+                self.parts.remove(key);
+            }
+        }
         if self.parts.len() != count {
             self.judge();
         }
@@ -484,6 +488,7 @@
         }
         self.parts.insert(key, state);
         match is_news {
+            true if before.crashes.is_empty() => Merged::Added,
             true => Merged::News,
             false => Merged::Detail,
         }
