--- a/review/support2/scene.py
+++ b/review/support2/scene.py
@@ -192,8 +192,8 @@
         return time.monotonic() - self.begun
 
     def note(self, text):
-        self.record.write(f"{self.now():8.3f} {text}\n")
-        self.record.flush()
+        if not self.record.closed:
+            self.record.write(f"{self.now():8.3f} {text}\n")
 
     def processes(self):
         return self.controls + self.entries + self.watches
