--- a/review/9/case.py
+++ b/review/9/case.py
@@ -7,7 +7,7 @@
 
 import asyncio
 
-from scene import (FRONT, KEY, TENANT, ZONES, Scene, Server, attempt_id, call, configuration, play, request_headers,
+from scene import (FRONT, KEY, ZONES, Scene, Server, attempt_id, call, configuration, play, request_headers,
                    route, sealed, service, verdict)
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -62,7 +62,8 @@
             print(f"could not run: {held} {unknown}")
             return 2
         document["version"] = 8
-        document["tenants"] = [] if TROUBLE else [{"name": TENANT, "api_keys": [], "priority": 1}]
+        if TROUBLE:
+            document["tenants"] = []
         await scene.publish(document)
         await asyncio.sleep(CONTACT_S)
         revoked, unknown = await ask(KEY), await ask(NEVER_HELD)
