--- a/review/6/case.py
+++ b/review/6/case.py
@@ -3,8 +3,6 @@
 import os
 import sys
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "support2"))
-
 import asyncio
 import json
 import shutil
