--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -331,8 +331,8 @@
                 query_number,
                 server,
             } => {
-                let voters = &self.replica.members().voters;
-                if !voters.contains_key(&self.replica.id()) {
+                let members = self.replica.members();
+                if !members.has_vote(self.replica.id()) {
                     return;
                 }
                 let (replica, term) = (self.replica.id(), self.replica.term());
@@ -342,7 +342,7 @@
                     &server,
                     replica,
                     term,
-                    voters.len(),
+                    members.electorate().count(),
                     orders,
                 );
                 out.push(Output::Send {
--- a/crates/control/src/log/election.rs
+++ b/crates/control/src/log/election.rs
@@ -12,6 +12,7 @@
 use super::halt;
 use super::io::Output;
 use super::leader::Leader;
+use super::quorum::{self, Losses};
 use super::replica::{Replica, Role};
 
 /// Rounds of pre-votes in which a candidate may be yielded to: it may be unable to reach a replica whose vote it
@@ -28,6 +29,10 @@
     pub(super) votes: Option<BTreeSet<Id>>,
     /// Rounds of pre-votes since it last followed a leader or began an election.
     rounds: u32,
+    /// Losses known before it requested the pre-votes or votes that it last requested.
+    losses: Losses,
+    /// Losses known before it entered its term as a candidate.
+    term_losses: Losses,
 }
 
 impl Replica {
@@ -47,14 +52,15 @@
         self.report_failed_election(now, out);
         self.reset_election_timeout(now);
         self.leader = None;
-        let (votes, rounds) = match &mut self.role {
-            Role::Candidate(candidacy) => (candidacy.votes.take(), candidacy.rounds),
-            _ => (None, 0),
+        let earlier = match &mut self.role {
+            Role::Candidate(candidacy) => std::mem::take(candidacy),
+            _ => Candidacy::default(),
         };
         self.role = Role::Candidate(Candidacy {
             pre_votes: Some(BTreeSet::from([self.id])),
-            votes,
-            rounds: rounds + 1,
+            rounds: earlier.rounds + 1,
+            losses: self.losses.clone(),
+            ..earlier
         });
         self.request_votes(true, false, out);
         self.count_votes(now, out);
@@ -65,7 +71,7 @@
         let Role::Candidate(candidacy) = &self.role else {
             return;
         };
-        let voters = self.log.members().voters.len();
+        let voters = self.log.members().electorate().count();
         let (detail, votes) = match (&candidacy.pre_votes, &candidacy.votes) {
             (Some(pre_votes), _) => ("pre-vote", pre_votes.len()),
             (None, votes) => ("vote", votes.as_ref().map_or(0, BTreeSet::len)),
@@ -89,6 +95,8 @@
             pre_votes: None,
             votes: Some(BTreeSet::new()),
             rounds: 0,
+            losses: self.losses.clone(),
+            term_losses: self.losses.clone(),
         });
         self.request_votes(false, after_restart, out);
     }
@@ -104,9 +112,10 @@
             last_index: self.log.last_index(),
             last_term: self.log.last_term(),
             after_restart,
+            knows_settled: true,
         };
-        let voters: Vec<_> = self.log.members().voters.keys().copied().collect();
-        for voter in voters {
+        let voters: Vec<_> = self.log.members().electorate().collect();
+        for (voter, _) in voters {
             if voter == self.id {
                 continue;
             }
@@ -139,13 +148,17 @@
             return;
         };
         let members = self.log.members();
-        let has_quorum = |granted: &Option<BTreeSet<Id>>| {
-            let granted = granted.as_ref();
-            granted.is_some_and(|ids| members.is_quorum(|id| ids.contains(&id)))
+        let has_quorum = |granted: &Option<BTreeSet<Id>>, losses: &Losses| {
+            let Some(ids) = granted else {
+                return false;
+            };
+            // A vote is cast after its request, and so after the losses were known.
+            let grant = |id: Id| ids.contains(&id).then_some(());
+            quorum::reached(members, losses, grant, grant).is_some()
         };
-        if has_quorum(&candidacy.votes) {
+        if has_quorum(&candidacy.votes, &candidacy.term_losses) {
             self.become_leader(now, out);
-        } else if has_quorum(&candidacy.pre_votes) {
+        } else if has_quorum(&candidacy.pre_votes, &candidacy.losses) {
             self.start_election(now, false, out);
         }
     }
@@ -181,10 +194,15 @@
             last_index,
             last_term,
             after_restart,
+            knows_settled,
         } = message.body
         else {
             return;
         };
+        // An earlier build would remove a voter without the agreement of the voters before the removal.
+        if self.log.members().settled && !knows_settled {
+            return;
+        }
         // Refusing votes while a leader is alive keeps its lease valid.
         if self.has_recent_leader(now) && !(after_restart && self.may_help_restart(now)) {
             return;
--- a/crates/control/src/log/found.rs
+++ b/crates/control/src/log/found.rs
@@ -25,6 +25,8 @@
 use eelgrassdyke_core::wire;
 use eelgrassdyke_core::wire::log::{Body, FormationStage, Members, Message, Payload, Record};
 
+use rand::RngExt as _;
+
 use super::io::{HardState, Output};
 use super::replica::{Replica, Role};
 
@@ -47,6 +49,11 @@
     unattached: BTreeMap<Id, (SocketAddr, Instant)>,
     /// Members of an existing cluster, as reported by one of them.
     cluster_members: BTreeSet<SocketAddr>,
+    /// The number that shows that an answer to it was given later than `challenge_members` was known.
+    challenge: u64,
+    challenge_members: Members,
+    /// The last challenge of each member.
+    received_challenges: BTreeMap<SocketAddr, u64>,
     reported_problems: BTreeSet<String>,
 }
 
@@ -113,7 +120,7 @@
         let with_id = |address: &SocketAddr| (founder_id(*address, founders), *address);
         let members = Members {
             voters: founders.iter().map(with_id).collect(),
-            learners: BTreeMap::new(),
+            ..Members::default()
         };
         self.form_cluster(now, members);
         self.issue_job(now, out);
@@ -132,7 +139,7 @@
     }
 
     /// Sends a `Hello` to all replicas that may know of a cluster.
-    fn send_hellos(&self, out: &mut Vec<Output>) {
+    fn send_hellos(&mut self, out: &mut Vec<Output>) {
         let mut others: BTreeSet<SocketAddr> = self.formation.cluster_members.clone();
         others.extend(&self.options.founders);
         others.extend(&self.options.seed_addresses);
@@ -165,7 +172,8 @@
         }
     }
 
-    fn send_hello(&self, to: SocketAddr, out: &mut Vec<Output>) {
+    fn send_hello(&mut self, to: SocketAddr, out: &mut Vec<Output>) {
+        let challenge = self.challenge();
         let stage = match &self.hard_state.promise {
             _ if self.hard_state.cluster != 0 => FormationStage::Formed(self.log.members().clone()),
             // A promise is announced only once it is durable.
@@ -181,21 +189,76 @@
                 address: self.address,
                 founders: self.options.founders.clone(),
                 stage,
+                challenge,
+                answer: self
+                    .formation
+                    .received_challenges
+                    .get(&to)
+                    .copied()
+                    .unwrap_or(0),
             },
         };
         out.push(Output::Send { to, message });
     }
 
+    /// The challenge in a `Hello` of a member; 0 if this replica belongs to no cluster.
+    fn challenge(&mut self) -> u64 {
+        if self.hard_state.cluster == 0 {
+            return 0;
+        }
+        if self.formation.challenge == 0 || self.formation.challenge_members != *self.log.members()
+        {
+            self.formation.challenge = self.rng.random_range(1..=u64::MAX);
+            self.formation.challenge_members = self.log.members().clone();
+        }
+        self.formation.challenge
+    }
+
+    /// Records the loss of the voter at an address at which another identity has answered the challenge.
+    fn record_loss(
+        &mut self,
+        now: Instant,
+        (successor, address): (Id, SocketAddr),
+        answer: u64,
+        out: &mut Vec<Output>,
+    ) {
+        if answer == 0 || answer != self.challenge() {
+            return;
+        }
+        self.losses.retain_electorate(self.log.members());
+        let voters: Vec<_> = self.log.members().electorate().collect();
+        for (voter, at) in voters {
+            if at != address || [successor, self.id].contains(&voter) {
+                continue;
+            }
+            if !self.losses.insert(now, voter) {
+                continue;
+            }
+            let detail = format!("voter {voter} at {address} is lost with its disk");
+            let event =
+                Event::new(Code::VoterLost, detail).with_fact("successor", successor.to_string());
+            out.push(Output::Event(event));
+        }
+    }
+
     /// Handles a `Hello` of another replica.
     pub(super) fn handle_hello(&mut self, now: Instant, message: Message, out: &mut Vec<Output>) {
         let Body::Hello {
             address,
             founders,
             stage,
+            challenge,
+            answer,
         } = message.body
         else {
             return;
         };
+        if challenge != 0 {
+            self.record_challenge(address, challenge);
+        }
+        if self.hard_state.cluster != 0 {
+            self.record_loss(now, (message.from, address), answer, out);
+        }
         if self.hard_state.cluster != 0 {
             let is_formed = matches!(stage, FormationStage::Formed(_));
             let is_member = self.log.members().address(message.from).is_some();
@@ -210,8 +273,8 @@
             return;
         }
         if let FormationStage::Formed(members) = &stage {
-            let addresses = members.voters.values().chain(members.learners.values());
-            self.formation.cluster_members = addresses.copied().collect();
+            let addresses = members.all().map(|(_, address)| address);
+            self.formation.cluster_members = addresses.collect();
             self.handle_formed_cluster(now, message.cluster, out);
             return;
         }
@@ -255,6 +318,13 @@
         }
     }
 
+    fn record_challenge(&mut self, address: SocketAddr, challenge: u64) {
+        let challenges = &mut self.formation.received_challenges;
+        if challenges.len() < UNATTACHED_MAX || challenges.contains_key(&address) {
+            challenges.insert(address, challenge);
+        }
+    }
+
     fn record_unattached(&mut self, now: Instant, id: Id, address: SocketAddr) {
         let unattached = &mut self.formation.unattached;
         // A new identity at an address replaces the earlier one.
--- a/crates/control/src/log/io.rs
+++ b/crates/control/src/log/io.rs
@@ -297,6 +297,9 @@
     /// Time within which a new host must have taken the place of one that is gone for good, if the deployment
     /// states it; it bounds how long the leader waits for a silent voter.
     pub catch_up: Option<Duration>,
+    /// Whether a learner that has caught up becomes a sixth voter at once, so that the loss of a host whose
+    /// successor runs leaves as many to spare as before.
+    pub spare_voter: bool,
     /// Whether voters that all restart at once elect a leader without waiting for an earlier leader's
     /// lease to end.
     pub elects_after_restart: bool,
@@ -323,6 +326,7 @@
             snapshot_part_bytes: 256 << 10,
             manages_members: false,
             catch_up: None,
+            spare_voter: false,
             elects_after_restart: false,
             timeout_seed: 0,
         }
--- a/crates/control/src/log/leader.rs
+++ b/crates/control/src/log/leader.rs
@@ -14,6 +14,7 @@
 use eelgrassdyke_core::wire::log::{Body, Members, Message, Payload, Record};
 
 use super::io::{Output, Refusal, Snapshot};
+use super::quorum::{self, Losses};
 use super::replica::{Replica, Role};
 
 /// Rounds whose start is kept; a response to an older one doesn't count as contact.
@@ -71,6 +72,8 @@
     last_response: Option<Instant>,
     /// When the leader began to replicate to it.
     added_at: Instant,
+    /// Whether its build knows settled members, by its last response.
+    knows_settled: Option<bool>,
 }
 
 /// Snapshot transfer to a member.
@@ -106,6 +109,7 @@
             heartbeat_due: true,
             last_round: 0,
             last_response: None,
+            knows_settled: None,
         }
     }
 }
@@ -142,10 +146,10 @@
         let id = self.id;
         self.peers
             .retain(|peer, _| members.address(*peer).is_some());
-        for peer in members.voters.keys().chain(members.learners.keys()) {
-            if *peer != id {
+        for (peer, _) in members.all() {
+            if peer != id {
                 self.peers
-                    .entry(*peer)
+                    .entry(peer)
                     .or_insert_with(|| Peer::new(now, next_index));
             }
         }
@@ -214,25 +218,35 @@
         }
     }
 
-    /// Greatest value that a majority of the voters has reached; `leader_value` is the value of the
+    /// Greatest value that a quorum of the voters has reached; `leader_value` is the value of the
     /// leader itself.
-    fn quorum_value<T: Ord>(
+    fn quorum_value<T: Ord + Copy>(
         &self,
         members: &Members,
+        losses: &Losses,
         leader_value: T,
         value_of: impl Fn(&Peer) -> T,
     ) -> Option<T> {
-        let mut leader_value = Some(leader_value);
-        let mut values = Vec::new();
-        for voter in members.voters.keys() {
-            match self.peers.get(voter) {
-                Some(peer) => values.push(value_of(peer)),
-                None if *voter == self.id => values.extend(leader_value.take()),
-                None => {}
-            }
+        let value = |id: Id| match self.peers.get(&id) {
+            Some(peer) => Some(value_of(peer)),
+            None => (id == self.id).then_some(leader_value),
+        };
+        let known_since = losses.known_since();
+        let is_fresh = |peer: &Peer| peer.last_response.is_some_and(|start| start > known_since);
+        let fresh_value = |id: Id| match self.peers.get(&id) {
+            Some(peer) => is_fresh(peer).then(|| value_of(peer)),
+            None => (id == self.id).then_some(leader_value),
+        };
+        quorum::reached(members, losses, value, fresh_value)
+    }
+
+    /// Whether a member's last response shows that its build knows settled members; `None` if it has not
+    /// responded.
+    pub fn knows_settled(&self, id: Id) -> Option<bool> {
+        if id == self.id {
+            return Some(true);
         }
-        values.sort_unstable_by(|a, b| b.cmp(a));
-        values.into_iter().nth(members.voters.len() / 2)
+        self.peers.get(&id).and_then(|peer| peer.knows_settled)
     }
 }
 
@@ -240,7 +254,8 @@
     /// Start of the latest round that a majority has responded to. Every voter of that majority
     /// accepted this leader at that time or later.
     pub(super) fn quorum_contact(&self, leader: &Leader) -> Instant {
-        let contact = leader.quorum_value(self.log.members(), Some(Instant::NEVER), |peer| {
+        let (members, losses) = (self.log.members(), &self.losses);
+        let contact = leader.quorum_value(members, losses, Some(Instant::NEVER), |peer| {
             peer.last_response
         });
         contact.flatten().unwrap_or_default()
@@ -356,11 +371,13 @@
                 matched,
                 index,
                 round,
+                knows_settled,
             } => {
                 leader.record_response(message.from, round);
                 let Some(peer) = leader.peers.get_mut(&message.from) else {
                     return;
                 };
+                peer.knows_settled = Some(knows_settled);
                 match matched {
                     true => peer.record_match(index),
                     false => peer.rewind(index),
@@ -387,15 +404,16 @@
         self.advance_commit(now, out);
     }
 
-    /// Advances the commit index to the last index that a majority holds durably, if the record
+    /// Advances the commit index to the last index that a quorum holds durably, if the record
     /// there is of this leader's own term.
     pub(super) fn advance_commit(&mut self, now: Instant, out: &mut Vec<Output>) {
         let Role::Leader(leader) = &self.role else {
             return;
         };
         let members = self.log.members();
+        let (losses, durable_index) = (&self.losses, self.durable_index);
         let quorum_index =
-            leader.quorum_value(members, self.durable_index, |peer| peer.match_index);
+            leader.quorum_value(members, losses, durable_index, |peer| peer.match_index);
         let index = quorum_index.unwrap_or_default();
         if index <= self.commit_index || self.log.term_at(index) != Some(self.hard_state.term) {
             return;
@@ -439,7 +457,9 @@
             return;
         };
         leader.sync_peers(now, &members, next_index);
-        let quorum_round = leader.quorum_value(&members, leader.round, |peer| peer.last_round);
+        let round = leader.round;
+        let quorum_round =
+            leader.quorum_value(&members, &self.losses, round, |peer| peer.last_round);
         let mut targets = leader.read_queries.iter().filter_map(|query| query.target);
         let round_needed = targets.any(|(round, _)| round > leader.round);
         // Queries don't start a round while an earlier one waits for its quorum.
@@ -474,7 +494,9 @@
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
-        let quorum_round = leader.quorum_value(members, leader.round, |peer| peer.last_round);
+        let round = leader.round;
+        let quorum_round =
+            leader.quorum_value(members, &self.losses, round, |peer| peer.last_round);
         let quorum_round = quorum_round.unwrap_or_default();
         let mut confirmed = Vec::new();
         leader.read_queries.retain(|query| match query.target {
--- a/crates/control/src/log/leave.rs
+++ b/crates/control/src/log/leave.rs
@@ -107,8 +107,8 @@
             return;
         }
         let members = self.log.members();
-        let others = members.voters.keys().chain(members.learners.keys());
-        let others: Vec<Id> = others.copied().filter(|id| *id != self.id).collect();
+        let others = members.all().map(|(id, _)| id);
+        let others: Vec<Id> = others.filter(|id| *id != self.id).collect();
         for other in others {
             self.send(other, Body::Leave, out);
         }
@@ -129,7 +129,7 @@
     /// Handles the request of another replica to be released.
     pub(super) fn handle_leave(&mut self, now: Instant, from: Id, out: &mut Vec<Output>) {
         let is_committed = self.log.members_index() <= self.commit_index;
-        let is_voter = self.log.members().voters.contains_key(&from);
+        let is_voter = self.log.members().has_vote(from);
         let commit_index = self.commit_index;
         let Role::Leader(leader) = &mut self.role else {
             return;
--- a/crates/control/src/log/members.rs
+++ b/crates/control/src/log/members.rs
@@ -8,7 +8,12 @@
 //! replaced only after it has not responded for a time: [`VOTER_SILENCE_MAX`], or a part of the time that the
 //! deployment gives new hosts to catch up, since from then on two more hosts may be
 //! lost. A voter that is replaced although it comes back announces itself and becomes a learner.
+//!
+//! With [`super::Options::spare_voter`] a sixth voter is promoted as soon as it has caught up; see
+//! [`super::quorum`] for what that needs. The members are then settled: a change of the voters takes two records,
+//! one with both sets of voters and, once that is committed, one with the new set alone.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -40,27 +45,25 @@
 /// take place in the rest.
 const CATCH_UP_PARTS: u32 = 4;
 
+/// The same part while a sixth voter has taken the place already: six voters bear a silent one better than five,
+/// of which one is back but has no vote yet.
+const CATCH_UP_PARTS_WITH_SPARE: u32 = 2;
+
 /// Time without a response after which a learner is removed.
 const LEARNER_SILENCE_MAX: Duration = Duration::from_secs(20);
 
 impl Replica {
-    /// Appends the next automatic membership change, if one is due.
+    /// Appends the next membership record, if one is due.
     pub(super) fn adjust_members(&mut self, now: Instant) {
-        if !self.options.manages_members {
-            return;
-        }
-        let Some(change) = self.next_change(now) else {
-            return;
-        };
-        if let Ok(members) = self.next_members(now, change)
+        if let Some(members) = self.due_members(now)
             && members != *self.log.members()
         {
             self.append_in_current_term(None, Payload::Members(members));
         }
     }
 
-    /// The automatic membership change that is due, if any.
-    fn next_change(&self, now: Instant) -> Option<MembershipChange> {
+    /// The members of the next record that is due without an operator, if any.
+    fn due_members(&self, now: Instant) -> Option<Members> {
         let Role::Leader(leader) = &self.role else {
             return None;
         };
@@ -68,6 +71,46 @@
             return None;
         }
         let members = self.log.members();
+        if members.is_changing() {
+            return Some(Members {
+                outgoing: BTreeMap::new(),
+                ..members.clone()
+            });
+        }
+        let settled = self.may_be_settled(members);
+        if settled != members.settled {
+            return Some(Members {
+                settled,
+                ..members.clone()
+            });
+        }
+        if !self.options.manages_members {
+            return None;
+        }
+        self.next_members(now, self.next_change(now)?).ok()
+    }
+
+    /// Whether committed members may count as settled: no member is known to run a build that doesn't know
+    /// what that means, and to begin with, every voter is known to run one that does.
+    fn may_be_settled(&self, members: &Members) -> bool {
+        let Role::Leader(leader) = &self.role else {
+            return false;
+        };
+        let mut all = members.all();
+        if all.any(|(id, _)| leader.knows_settled(id) == Some(false)) {
+            return false;
+        }
+        let mut voters = members.voters.keys();
+        members.settled
+            || self.options.spare_voter && voters.all(|id| leader.knows_settled(*id) == Some(true))
+    }
+
+    /// The automatic membership change that is due, if any.
+    fn next_change(&self, now: Instant) -> Option<MembershipChange> {
+        let Role::Leader(leader) = &self.role else {
+            return None;
+        };
+        let members = self.log.members();
         let count = members.voters.len() + members.learners.len();
         for id in self.formation.unattached(now).into_keys() {
             if members.address(id).is_none() && count < MEMBERS_MAX {
@@ -90,11 +133,15 @@
         {
             return Some(MembershipChange::Remove(voter));
         }
+        // A sixth voter takes the place of a host that is gone before anyone knows that it is gone. Beside it,
+        // two more disks may be lost, as half of the voters then suffice.
+        let has_room_to_spare = self.options.spare_voter && members.settled;
         // Any other successor is promoted before the old voter is removed. In the other order, two disks
         // lost in between would leave no majority even though a third host is only unreachable.
         let promotable = |learner: &&Id| {
             let below_target = members.voters.len() < TARGET_VOTERS;
-            let replaces_voter = self.replaceable_voter(now, members).is_some();
+            let replaces_voter =
+                has_room_to_spare || self.replaceable_voter(now, members).is_some();
             has_caught_up(learner)
                 && (below_target || replaces_voter && members.voters.len() == TARGET_VOTERS)
         };
@@ -117,8 +164,12 @@
 
     /// Time without a response after which a voter may be replaced. It is at least the shortest election
     /// timeout, within which a voter that restarts is usually back.
-    fn voter_silence_max(&self) -> Duration {
-        let part = self.options.catch_up.map(|time| time / CATCH_UP_PARTS);
+    fn voter_silence_max(&self, members: &Members) -> Duration {
+        let parts = match members.voters.len() > TARGET_VOTERS {
+            true => CATCH_UP_PARTS_WITH_SPARE,
+            false => CATCH_UP_PARTS,
+        };
+        let part = self.options.catch_up.map(|time| time / parts);
         part.map_or(VOTER_SILENCE_MAX, |part| {
             part.max(self.options.election_timeout_min)
         })
@@ -130,7 +181,7 @@
         let Role::Leader(leader) = &self.role else {
             return None;
         };
-        let silence_max = self.voter_silence_max();
+        let silence_max = self.voter_silence_max(members);
         let mut others = members.voters.keys().filter(|id| **id != self.id);
         self.lost_voter(now, members)
             .or_else(|| self.leaving_voter(now, members))
@@ -224,13 +275,14 @@
                 "try again in a second",
             ));
         }
-        if self.log.members_index() > self.commit_index {
+        if self.log.members_index() > self.commit_index || self.log.members().is_changing() {
             return Err(refusal(
                 "another membership change is in progress",
                 "try again when it is committed",
             ));
         }
-        let mut members = self.log.members().clone();
+        let current = self.log.members();
+        let mut members = current.clone();
         match change {
             MembershipChange::Add(id) => {
                 if members.address(id).is_some() {
@@ -278,6 +330,9 @@
                 }
             }
         }
+        if members.settled && members.voters != current.voters {
+            members.outgoing = current.voters.clone();
+        }
         Ok(members)
     }
 }
--- a/crates/control/src/log/mod.rs
+++ b/crates/control/src/log/mod.rs
@@ -21,6 +21,7 @@
 mod leave;
 mod members;
 mod progress;
+mod quorum;
 mod replica;
 mod replication;
 mod restart;
--- a/crates/control/src/log/replica.rs
+++ b/crates/control/src/log/replica.rs
@@ -19,6 +19,7 @@
 };
 use super::leader::Leader;
 use super::leave::Leave;
+use super::quorum::Losses;
 use super::replication::IncomingSnapshot;
 use super::restart::RestartElection;
 
@@ -49,6 +50,8 @@
     pub(super) election_deadline: Instant,
     pub(super) restart: RestartElection,
     pub(super) formation: Formation,
+    /// Identities with a vote that are lost with their disks.
+    pub(super) losses: Losses,
     /// Present once the process is about to stop.
     pub(super) leave: Option<Leave>,
     pub(super) incoming_snapshot: Option<IncomingSnapshot>,
@@ -140,6 +143,7 @@
             election_deadline: now,
             restart: RestartElection::new(now),
             formation: Formation::default(),
+            losses: Losses::default(),
             leave: None,
             incoming_snapshot: None,
             proposal_tokens: BTreeMap::new(),
@@ -255,9 +259,8 @@
 
     /// Addresses of all members.
     pub fn member_addresses(&self) -> Vec<SocketAddr> {
-        let members = self.log.members();
-        let all = members.voters.values().chain(members.learners.values());
-        all.copied().collect()
+        let members = self.log.members().all();
+        members.map(|(_, address)| address).collect()
     }
 
     /// Whether this replica leads with a quorum, or has recent contact with a leader.
@@ -485,13 +488,13 @@
         self.incoming_snapshot = None;
     }
 
-    /// Whether this replica is a voter by the latest membership record.
+    /// Whether this replica has a vote by the latest membership record.
     pub(super) fn is_voter(&self) -> bool {
-        self.hard_state.cluster != 0 && self.log.members().voters.contains_key(&self.id)
+        self.hard_state.cluster != 0 && self.log.members().has_vote(self.id)
     }
 
     pub(super) fn is_only_voter(&self) -> bool {
-        self.is_voter() && self.log.members().voters.len() == 1
+        self.is_voter() && self.log.members().electorate().count() == 1
     }
 
     pub(super) fn address_of(&self, id: Id) -> Option<SocketAddr> {
--- a/crates/control/src/log/replication.rs
+++ b/crates/control/src/log/replication.rs
@@ -146,6 +146,7 @@
                 matched: false,
                 index: Index(0),
                 round,
+                knows_settled: true,
             };
             self.send(message.from, body, out);
             return;
@@ -205,6 +206,7 @@
                 matched: false,
                 index: self.conflict_hint(index),
                 round,
+                knows_settled: true,
             };
             self.send(from, body, out);
             return;
@@ -261,6 +263,7 @@
             matched: true,
             index: self.verified_index.min(self.durable_index),
             round,
+            knows_settled: true,
         };
         self.send(to, body, out);
     }
--- a/crates/control/src/log/restart.rs
+++ b/crates/control/src/log/restart.rs
@@ -129,9 +129,12 @@
             self.restart.grants.clear();
         }
         self.restart.grants.insert(from);
-        let voters = self.log.members().voters.keys();
-        let mut others = voters.filter(|voter| **voter != self.id);
-        if others.all(|voter| self.restart.grants.contains(voter)) {
+        let grants = &self.restart.grants;
+        let has_granted = |voter: Id| voter == self.id || grants.contains(&voter);
+        let mut voters = self.log.members().electorate().map(|(voter, _)| voter);
+        let all_have_granted = voters.all(has_granted);
+        drop(voters);
+        if all_have_granted {
             self.restart.record_vote(now);
             self.start_election(now, true, out);
         }
--- a/crates/control/tests/log_members.rs
+++ b/crates/control/tests/log_members.rs
@@ -7,19 +7,14 @@
 use std::time::Duration;
 
 use eelgrassdyke_control::log::Input;
+use log_net::members::{
+    CATCH_UP_MAX, DURABLE_AFTER, RECOVERY_MAX, all_five_are_voters, are_voters,
+    cluster_with_successors, commit_at_once, lose_disks,
+};
 use log_net::{Cluster, MANY_FAULTS, Outcome};
 use rand::RngExt as _;
 use test_case::test_case;
 
-/// Time within which a restarted or new host must be a voter.
-const CATCH_UP_MAX: Duration = Duration::from_secs(4);
-
-/// Time after which a host's writes are durable.
-const DURABLE_AFTER: Duration = Duration::from_secs(1);
-
-/// Time within which the cluster must recover after the last fault.
-const RECOVERY_MAX: Duration = Duration::from_secs(30);
-
 fn new_cluster(seed: u64, founders: usize, joiners: usize) -> Cluster {
     let mut cluster = Cluster::new(seed, founders, joiners);
     cluster.options.manages_members = true;
@@ -37,25 +32,6 @@
     members.unwrap_or_default().voters.into_values().collect()
 }
 
-/// Whether exactly these hosts are the voters, each with its current identity.
-fn are_voters(cluster: &Cluster, numbers: impl IntoIterator<Item = usize>) -> bool {
-    let members = cluster.leader().map(|leader| cluster.members(leader));
-    let members = members.unwrap_or_default();
-    let ids: BTreeSet<_> = numbers.into_iter().filter_map(|n| cluster.id(n)).collect();
-    !ids.is_empty() && members.voters.keys().copied().collect::<BTreeSet<_>>() == ids
-}
-
-/// Whether all five hosts run, are voters and hold the record that made them voters.
-fn all_five_are_voters(cluster: &Cluster) -> bool {
-    let all_run = (0..5).all(|number| cluster.id(number).is_some());
-    let holds_membership = |number: usize| {
-        let voters = cluster.members(number).voters;
-        let ids = (0..5).filter_map(|other| cluster.id(other));
-        voters.len() == 5 && ids.into_iter().all(|id| voters.contains_key(&id))
-    };
-    all_run && (0..5).all(holds_membership)
-}
-
 fn commit_command(cluster: &mut Cluster) -> u64 {
     for _ in 0..200 {
         let Some(leader) = cluster.leader() else {
@@ -558,59 +534,6 @@
     }
 }
 
-/// Commits a command and returns as soon as it is acknowledged.
-fn commit_at_once(cluster: &mut Cluster, timeout: Duration) -> bool {
-    let end = cluster.now + timeout;
-    while cluster.now < end {
-        let Some(leader) = cluster.leader() else {
-            cluster.run(Duration::from_millis(1));
-            continue;
-        };
-        let token = cluster.propose(leader);
-        while cluster.outcomes[&token] == Outcome::Pending && cluster.now < end {
-            cluster.run(Duration::from_millis(1));
-        }
-        if matches!(cluster.outcomes[&token], Outcome::Acknowledged(_)) {
-            return true;
-        }
-    }
-    false
-}
-
-fn lose_disks(cluster: &mut Cluster, numbers: &[usize]) {
-    for number in numbers {
-        cluster.lose_disk(*number);
-        cluster.hosts[*number].founders.clear();
-        cluster.hosts[*number].restart_at = cluster.now + Duration::from_secs(1);
-    }
-}
-
-/// Five voters and `learners` hosts that have started [`CATCH_UP_MAX`] ago; returns the voters, the leader
-/// first.
-fn cluster_with_successors(seed: u64, learners: usize) -> (Cluster, Vec<usize>) {
-    let mut cluster = Cluster::new(seed, 3, 2 + learners);
-    cluster.options.manages_members = true;
-    cluster.options.catch_up = Some(CATCH_UP_MAX);
-    for number in 0..5 + learners {
-        cluster.crash(number, false);
-        cluster.hosts[number].restart_at = cluster.now;
-    }
-    for number in 5..5 + learners {
-        cluster.hosts[number].restart_at = cluster.now + Duration::from_secs(3600);
-    }
-    cluster.run_until(RECOVERY_MAX, all_five_are_voters);
-    cluster.run(DURABLE_AFTER);
-    for number in 5..5 + learners {
-        cluster.hosts[number].restart_at = cluster.now;
-    }
-    cluster.run(CATCH_UP_MAX + Duration::from_secs(1));
-    let leader = cluster.leader().expect("a leader");
-    let mut voters: Vec<usize> = (0..5).filter(|number| *number != leader).collect();
-    voters.rotate_left(seed as usize % 4);
-    voters.insert(0, leader);
-    (cluster, voters)
-}
-
 /// Guards against a planned replacement that leaves the vote at the removed host: two disks that were lost
 /// within seconds of its end left no majority.
 #[test_case(false, 0; "a follower stops, losses at once")]
@@ -620,7 +543,7 @@
 fn voter_that_stops_has_given_its_vote_to_its_successor(is_leader_stopped: bool, after_ms: u64) {
     for seed in 0..100 {
         println!("seed {seed}");
-        let (mut cluster, voters) = cluster_with_successors(seed, 1);
+        let (mut cluster, voters) = cluster_with_successors(seed, 1, false);
         let removed = voters[usize::from(!is_leader_stopped)];
         stop(&mut cluster, removed);
         let (since, mut stopped) = (cluster.now, vec![removed]);
@@ -654,7 +577,7 @@
     for (seed, offset_ms) in offsets.enumerate() {
         let seed = seed as u64;
         println!("seed {seed}, losses {offset_ms} ms after the signal");
-        let (mut cluster, voters) = cluster_with_successors(seed, 1);
+        let (mut cluster, voters) = cluster_with_successors(seed, 1, false);
         let removed = voters[usize::from(!is_leader_stopped)];
         let others: Vec<usize> = voters.iter().copied().filter(|n| *n != removed).collect();
         let lost = [others[seed as usize % 4], others[(seed as usize + 1) % 4]];
@@ -683,7 +606,7 @@
 fn voter_is_not_released_before_its_removal_is_committed() {
     for seed in 0..20 {
         println!("seed {seed}");
-        let (mut cluster, voters) = cluster_with_successors(seed, 1);
+        let (mut cluster, voters) = cluster_with_successors(seed, 1, false);
         let (leader, removed) = (voters[0], voters[1]);
         let id = cluster.id(removed).expect("the host runs");
         stop(&mut cluster, removed);
@@ -713,7 +636,7 @@
 fn two_voters_that_stop_together_are_both_replaced() {
     for seed in 0..50 {
         println!("seed {seed}");
-        let (mut cluster, voters) = cluster_with_successors(seed, 2);
+        let (mut cluster, voters) = cluster_with_successors(seed, 2, false);
         let at = seed as usize % 4;
         let mut stopped = vec![voters[at], voters[at + 1]];
         let removed = stopped.clone();
@@ -743,7 +666,7 @@
 fn rolling_restart_keeps_five_voters(learners: usize) {
     for seed in 0..30 {
         println!("seed {seed}");
-        let (mut cluster, _) = cluster_with_successors(seed, learners);
+        let (mut cluster, _) = cluster_with_successors(seed, learners, false);
         let hosts = 5 + learners;
         for number in 0..hosts {
             stop(&mut cluster, number);
@@ -808,7 +731,7 @@
 fn two_disks_lost_right_after_a_host_with_a_successor_died_leave_a_majority(is_leader: bool) {
     for seed in 0..20 {
         println!("seed {seed}");
-        let (mut cluster, voters) = cluster_with_successors(seed, 1);
+        let (mut cluster, voters) = cluster_with_successors(seed, 1, true);
         let removed = voters[usize::from(!is_leader)];
         cluster.crash(removed, false);
         cluster.hosts[removed].restart_at = cluster.now + Duration::from_secs(3600);
--- a/crates/control/tests/log_net/mod.rs
+++ b/crates/control/tests/log_net/mod.rs
@@ -19,6 +19,8 @@
 use rand_chacha::ChaCha8Rng;
 
 pub mod disk;
+pub mod earlier;
+pub mod members;
 
 use disk::{FakeDisk, keep_random};
 
@@ -112,6 +114,10 @@
     last_token: u64,
     /// Pairs of a sender and a receiver between which messages are lost.
     pub cut: BTreeSet<(SocketAddr, SocketAddr)>,
+    /// Whether some hosts may run a build which doesn't know settled members and keeps records without its fields.
+    pub mixes_builds: bool,
+    /// The hosts that run such a build.
+    pub earlier_builds: BTreeSet<SocketAddr>,
     /// A host whose messages, from and to it, take longer by the given time.
     pub distant: Option<(SocketAddr, Duration)>,
     /// Receiver, index and offset of each part of a snapshot that was sent.
@@ -138,26 +144,35 @@
     }
 }
 
+impl Host {
+    /// A host that starts at once.
+    fn new(number: usize, founders: Vec<SocketAddr>, clock_rate_permille: u64) -> Self {
+        Self {
+            address: address(number),
+            disk: FakeDisk::default(),
+            process: None,
+            founders,
+            frozen: false,
+            partitioned: false,
+            restart_at: Instant(0),
+            clock_rate_permille,
+            disk_idle_at: [Instant(0); 2],
+        }
+    }
+}
+
 impl Cluster {
     pub fn new(seed: u64, founder_count: usize, joiner_count: usize) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let founders: Vec<SocketAddr> = (0..founder_count).map(address).collect();
         let mut hosts = Vec::new();
         for number in 0..founder_count + joiner_count {
-            hosts.push(Host {
-                address: address(number),
-                disk: FakeDisk::default(),
-                process: None,
-                founders: match number < founder_count {
-                    true => founders.clone(),
-                    false => Vec::new(),
-                },
-                frozen: false,
-                partitioned: false,
-                restart_at: Instant(0),
-                clock_rate_permille: rng.random_range(970..=1030),
-                disk_idle_at: [Instant(0); 2],
-            });
+            let founders = match number < founder_count {
+                true => founders.clone(),
+                false => Vec::new(),
+            };
+            let clock_rate_permille = rng.random_range(970..=1030);
+            hosts.push(Host::new(number, founders, clock_rate_permille));
         }
         let mut cluster = Self {
             now: Instant(0),
@@ -180,6 +195,8 @@
             last_acknowledged: Index(0),
             last_token: 0,
             cut: BTreeSet::new(),
+            mixes_builds: false,
+            earlier_builds: BTreeSet::new(),
             distant: None,
             parts: Vec::new(),
             messages: Vec::new(),
@@ -207,6 +224,13 @@
         cluster
     }
 
+    /// Adds a host that starts at once; returns its number.
+    pub fn add_host(&mut self) -> usize {
+        let number = self.hosts.len();
+        self.hosts.push(Host::new(number, Vec::new(), 1000));
+        number
+    }
+
     /// The time on a host's clock.
     fn local_time(&self, host: usize) -> Instant {
         Instant(self.now.0 * self.hosts[host].clock_rate_permille / 1000)
@@ -224,7 +248,7 @@
         if self.is_first_start && host.founders.contains(&host.address) {
             new_id = founder_id(host.address, &self.seeds);
         }
-        let (store, recovered) = match Store::open(host.disk.clone(), new_id) {
+        let (store, mut recovered) = match Store::open(host.disk.clone(), new_id) {
             Ok(opened) => opened,
             Err(error @ Error::Damaged { .. }) => panic!("{error}"),
             Err(_) => {
@@ -233,7 +257,14 @@
                 return;
             }
         };
+        let is_earlier_build = self.earlier_builds.contains(&host.address);
+        if is_earlier_build {
+            recovered.records.iter_mut().for_each(earlier::strip_record);
+            let snapshot = recovered.snapshot.iter_mut();
+            snapshot.for_each(|snapshot| earlier::strip_members(&mut snapshot.members));
+        }
         let options = Options {
+            spare_voter: self.options.spare_voter && !is_earlier_build,
             founders: match self.is_first_start {
                 true => Vec::new(),
                 false => host.founders.clone(),
@@ -347,6 +378,10 @@
             roll if roll < self.faults.loss_permille + self.faults.duplication_permille => 2,
             _ => 1,
         };
+        let mut message = message;
+        if self.earlier_builds.contains(&from) || self.earlier_builds.contains(&to) {
+            earlier::strip_message(&mut message);
+        }
         // Messages are encoded and decoded as between processes.
         let bytes = encode(&message).expect("encodable");
         for _ in 0..copies {
@@ -380,7 +415,13 @@
     }
 
     /// Checks that each index holds the same record at all replicas that apply it.
-    fn apply(&mut self, number: usize, record: Record, token: Option<u64>) {
+    fn apply(&mut self, number: usize, mut record: Record, token: Option<u64>) {
+        if self.mixes_builds {
+            earlier::strip_record(&mut record);
+            self.reference_log
+                .iter_mut()
+                .for_each(earlier::strip_record);
+        }
         let at = record.index.0 as usize - 1;
         assert!(
             at <= self.reference_log.len(),
--- a/crates/control/tests/log_retained.rs
+++ b/crates/control/tests/log_retained.rs
@@ -112,6 +112,7 @@
             matched,
             index,
             round,
+            knows_settled: true,
         };
         self.receive(from, 2, body);
     }
--- a/crates/control/tests/log_steps.rs
+++ b/crates/control/tests/log_steps.rs
@@ -10,13 +10,13 @@
 };
 use eelgrassdyke_core::id::{Index, Replica as Id, Term};
 use eelgrassdyke_core::time::Instant;
-use eelgrassdyke_core::wire::log::{Body, Members, Message, Payload, Record};
+use eelgrassdyke_core::wire::log::{Body, FormationStage, Members, Message, Payload, Record};
 use log_net::{Cluster, MANY_FAULTS, Outcome, address};
 use rand::RngExt as _;
 
 const CLUSTER: u64 = 9;
 
-/// One replica of a cluster of three; the test plays its peers.
+/// One replica of a cluster, of three if nothing else is said; the test plays its peers.
 struct ReplicaHarness {
     now: Instant,
     replica: Replica,
@@ -39,7 +39,16 @@
 }
 
 fn recovered(term: u64, vote: Option<Id>, later_records: Vec<Record>) -> RecoveredState {
-    let mut records = vec![record(0, 1, Payload::Members(members()))];
+    recovered_with(members(), term, vote, later_records)
+}
+
+fn recovered_with(
+    members: Members,
+    term: u64,
+    vote: Option<Id>,
+    later_records: Vec<Record>,
+) -> RecoveredState {
+    let mut records = vec![record(0, 1, Payload::Members(members))];
     records.extend(later_records);
     RecoveredState {
         hard_state: HardState {
@@ -114,6 +123,7 @@
         last_index: Index(last_index),
         last_term: Term(last_term),
         after_restart: false,
+        knows_settled: true,
     }
 }
 
@@ -130,6 +140,7 @@
         matched: true,
         index: Index(index),
         round,
+        knows_settled: true,
     }
 }
 
@@ -401,6 +412,7 @@
         matched: true,
         index: Index(5),
         round: 1,
+        knows_settled: true,
     };
     assert_eq!(sent_messages(&out)[0].body, expected);
 }
@@ -583,3 +595,225 @@
     }
     assert!(formed > 100, "only {formed} clusters formed");
 }
+
+/// Six voters that are settled.
+fn six_voters() -> Members {
+    let voters = (0..6).map(|number| (Id(number), address(number as usize)));
+    Members {
+        voters: voters.collect(),
+        settled: true,
+        ..Members::default()
+    }
+}
+
+fn six_replicas() -> ReplicaHarness {
+    ReplicaHarness::start(recovered_with(six_voters(), 3, None, Vec::new()))
+}
+
+/// Identity that the process of a host has after the loss of its disk.
+fn successor(number: u64) -> Id {
+    Id(number + 100)
+}
+
+impl ReplicaHarness {
+    /// Sends a `Hello` of a process with an empty folder; returns the challenge in the response.
+    fn announce(&mut self, number: u64, answer: u64) -> u64 {
+        let from = address(number as usize);
+        let message = Message {
+            cluster: 0,
+            from: successor(number),
+            to: Id::default(),
+            term: Term(0),
+            body: Body::Hello {
+                address: from,
+                founders: Vec::new(),
+                stage: FormationStage::Unformed,
+                challenge: 0,
+                answer,
+            },
+        };
+        let out = self.handle_input(Input::Message { from, message });
+        let challenges = sent_messages(&out)
+            .into_iter()
+            .filter_map(|m| match m.body {
+                Body::Hello { challenge, .. } => Some(challenge),
+                _ => None,
+            });
+        challenges.last().expect("a response")
+    }
+
+    /// Shows that the disk of a host is lost.
+    fn lose_disk(&mut self, number: u64) {
+        let challenge = self.announce(number, 0);
+        self.announce(number, challenge);
+    }
+
+    fn begin_pre_vote(&mut self) {
+        self.wait(2000);
+        self.handle_input(Input::Tick);
+    }
+
+    /// Requests votes, after the pre-votes of the given replicas.
+    fn begin_election(&mut self, pre_votes: &[u64]) {
+        self.begin_pre_vote();
+        let term = self.replica.term().0 + 1;
+        for from in pre_votes {
+            self.receive(*from, term, vote_response(true));
+        }
+        self.complete_writes();
+    }
+
+    fn receive_votes(&mut self, from: &[u64]) {
+        for from in from {
+            let term = self.replica.term().0;
+            self.receive(*from, term, vote_response(false));
+        }
+    }
+}
+
+#[test]
+fn half_of_six_voters_elect_a_leader_only_beside_two_lost_disks() {
+    for (lost, elects) in [(&[][..], false), (&[2], false), (&[2, 3], true)] {
+        let mut harness = six_replicas();
+        for number in lost {
+            harness.lose_disk(*number);
+        }
+        harness.begin_election(&[1, 4, 5]);
+        harness.receive_votes(&[4, 5]);
+        assert_eq!(harness.replica.is_leader(), elects, "{lost:?} are lost");
+    }
+}
+
+/// The vote of a lost disk may still be on its way, and the two halves of the voters elect one leader each.
+#[test]
+fn vote_of_a_lost_disk_counts_for_no_half() {
+    let mut harness = six_replicas();
+    harness.lose_disk(2);
+    harness.lose_disk(3);
+    harness.begin_election(&[1, 4, 5]);
+    harness.receive_votes(&[2, 3]);
+    assert!(!harness.replica.is_leader());
+}
+
+/// Votes that were cast before the losses were known may be those of replicas that were lost meanwhile.
+#[test]
+fn losses_that_become_known_after_the_votes_were_requested_count_for_the_next_term() {
+    let mut harness = six_replicas();
+    harness.begin_election(&[1, 4, 5]);
+    harness.lose_disk(2);
+    harness.lose_disk(3);
+    harness.receive_votes(&[4, 5]);
+    assert!(!harness.replica.is_leader());
+    harness.begin_election(&[4, 5]);
+    harness.receive_votes(&[4, 5]);
+    assert!(harness.replica.is_leader());
+}
+
+/// A `Hello` may be late: from an identity that the host had before the one that votes.
+#[test]
+fn identity_that_answers_no_challenge_or_an_earlier_one_shows_no_loss() {
+    let mut harness = six_replicas();
+    for number in [2, 3] {
+        harness.announce(number, 0);
+        harness.announce(number, 12345);
+    }
+    harness.begin_election(&[4, 5]);
+    harness.receive_votes(&[4, 5]);
+    assert!(!harness.replica.is_leader());
+    // The challenges of the time before the members changed.
+    let earlier: Vec<u64> = [2, 3].map(|number| harness.announce(number, 0)).to_vec();
+    let mut members = six_voters();
+    members.learners.insert(Id(7), address(7));
+    let records = vec![record(4, 2, Payload::Members(members))];
+    harness.receive(1, 9, append_request((1, 0), records, 1));
+    harness.complete_writes();
+    for (number, challenge) in [2, 3].into_iter().zip(earlier) {
+        harness.announce(number, challenge);
+    }
+    harness.wait(2000);
+    harness.begin_election(&[4, 5]);
+    harness.receive_votes(&[4, 5]);
+    assert!(!harness.replica.is_leader());
+}
+
+/// A replica that acknowledged a record may have lost its disk before the losses of others were known.
+#[test]
+fn half_of_six_voters_commit_only_by_answers_since_the_losses_were_known() {
+    let mut harness = six_replicas();
+    harness.begin_election(&[1, 4, 5]);
+    harness.receive_votes(&[1, 4, 5]);
+    harness.complete_writes();
+    assert!(harness.replica.is_leader());
+    harness.wait(200);
+    let round = greatest_round(&harness.handle_input(Input::Tick));
+    harness.acknowledge(4, 2, round);
+    harness.acknowledge(5, 2, round);
+    harness.wait(100);
+    harness.lose_disk(2);
+    harness.lose_disk(3);
+    assert!(applied_indexes(&harness.acknowledge(5, 2, round)).is_empty());
+    harness.wait(200);
+    let round = greatest_round(&harness.handle_input(Input::Tick));
+    assert!(applied_indexes(&harness.acknowledge(4, 2, round)).is_empty());
+    assert_eq!(applied_indexes(&harness.acknowledge(5, 2, round)), [1, 2]);
+}
+
+/// The voters before a removal and those after it may have quorums without a voter in common.
+#[test]
+fn removal_from_six_voters_takes_a_quorum_of_both_sets() {
+    let mut harness = six_replicas();
+    harness.begin_election(&[1, 2, 3]);
+    harness.receive_votes(&[1, 2, 3]);
+    harness.complete_writes();
+    for from in [1, 2, 3] {
+        harness.acknowledge(from, 2, 0);
+    }
+    harness.handle_input(Input::ChangeMembers {
+        token: 1,
+        change: MembershipChange::Remove(Id(5)),
+    });
+    assert!(harness.replica.members().is_changing());
+    harness.complete_writes();
+    // Three of five, but also three of six.
+    for from in [1, 2] {
+        assert!(applied_indexes(&harness.acknowledge(from, 3, 0)).is_empty());
+    }
+    // Four of six, and the one that is removed still counts for that set.
+    let out = harness.acknowledge(5, 3, 0);
+    assert_eq!(applied_indexes(&out), [3]);
+    assert!(!harness.replica.members().is_changing());
+    assert_eq!(harness.replica.members().voters.len(), 5);
+}
+
+/// A candidate that knows of a removal may be elected by votes of lost disks that arrive late.
+#[test]
+fn candidate_with_a_removal_in_progress_needs_the_votes_of_both_sets() {
+    let mut members = six_voters();
+    members.outgoing = members.voters.clone();
+    members.voters.remove(&Id(5));
+    let mut harness = ReplicaHarness::start(recovered_with(members, 3, None, Vec::new()));
+    harness.begin_election(&[1, 2, 3]);
+    harness.receive_votes(&[1, 2]);
+    assert!(!harness.replica.is_leader());
+    harness.receive_votes(&[5]);
+    assert!(harness.replica.is_leader());
+}
+
+/// A leader of an earlier build would remove a voter with the agreement of the remaining ones alone.
+#[test]
+fn settled_voter_grants_no_vote_to_an_earlier_build() {
+    for knows_settled in [false, true] {
+        let mut harness = six_replicas();
+        let mut request = vote_request(false, 1, 0);
+        if let Body::RequestVote {
+            knows_settled: k, ..
+        } = &mut request
+        {
+            *k = knows_settled;
+        }
+        harness.wait(2000);
+        harness.receive(1, 4, request);
+        let out = harness.complete_writes();
+        assert_eq!(grants_vote(&out), knows_settled);
+    }
+}
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -83,6 +83,7 @@
     211 ElectionFailed "A replica got no majority in an election or a pre-vote and tries again.";
     212 ApplyHalted "A replica met a record of a newer build; it keeps all records, but applies none until that build runs on its data folder.";
     213 VoterLeaving "A voter whose process stops asks for a replica to take its place, or has been released.";
+    214 VoterLost "A voter is known to be lost with its disk: another replica has shown itself at its address.";
     220 ConfigAccepted "A configuration change was accepted.";
     221 ConfigRefused "A configuration change was refused; nothing was applied.";
     222 ConfigApplied "A process applied a configuration version.";
--- a/crates/core/src/settings/mod.rs
+++ b/crates/core/src/settings/mod.rs
@@ -131,6 +131,9 @@
         /// Time within which a new host must have taken the place of one that is gone for good, in
         /// milliseconds; bounds how long a silent voter is waited for.
         pub catch_up_ms: Option<u64>,
+        /// Whether a learner that has caught up becomes a sixth voter at once; the same for all control
+        /// processes.
+        pub spare_voter: bool,
         /// Time between the stop signal and the forced termination of the process, in milliseconds. If given, a
         /// voter that stops gives its vote to another replica first.
         pub grace_ms: Option<u64>,
--- a/crates/core/src/settings/read.rs
+++ b/crates/core/src/settings/read.rs
@@ -299,6 +299,7 @@
     let manages_members = section.value_or("keeps_members", false, "give true or false");
     let catch_up_ms = milliseconds(section.optional("catch_up_s", SECONDS_REMEDY));
     let grace_ms = milliseconds(section.optional("grace_s", SECONDS_REMEDY));
+    let spare_voter = section.value_or("spare_voter", false, "give true or false");
     let elects_after_restart =
         section.value_or("elects_after_restart", false, "give true or false");
     let heartbeat_ms = section.value_or("heartbeat_ms", DEFAULT_HEARTBEAT_MS, MILLISECONDS_REMEDY);
@@ -327,6 +328,7 @@
         start: start?,
         manages_members: manages_members?,
         catch_up_ms,
+        spare_voter: spare_voter?,
         grace_ms,
         elects_after_restart: elects_after_restart?,
         heartbeat_ms: heartbeat_ms?,
--- a/crates/core/src/wire/log.rs
+++ b/crates/core/src/wire/log.rs
@@ -1,5 +1,6 @@
 //! Messages between replicas of the control log.
 
+use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
 
@@ -34,9 +35,16 @@
     #[derive(Default, Eq)]
     pub struct Members {
         /// Voters and their addresses.
-        pub voters: std::collections::BTreeMap<Replica, SocketAddr>,
+        pub voters: BTreeMap<Replica, SocketAddr>,
         /// Learners and their addresses.
-        pub learners: std::collections::BTreeMap<Replica, SocketAddr>,
+        pub learners: BTreeMap<Replica, SocketAddr>,
+        /// During a change of the voters: the voters before it. Both sets have to agree until it ends.
+        #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+        pub outgoing: BTreeMap<Replica, SocketAddr>,
+        /// Whether no other set of voters can still decide anything, and every voter runs a build that changes
+        /// the voters only by way of `outgoing`.
+        #[serde(default, skip_serializing_if = "is_false")]
+        pub settled: bool,
     }
 
     /// Progress of a replica in the formation of a cluster.
@@ -83,6 +91,9 @@
             /// answered that it knows of no leader.
             #[serde(default, skip_serializing_if = "is_false")]
             after_restart: bool,
+            /// Whether the candidate's build knows settled members.
+            #[serde(default, skip_serializing_if = "is_false")]
+            knows_settled: bool,
         },
         /// Response to [`Body::RequestVote`].
         #[serde(rename = "Voted")]
@@ -120,6 +131,9 @@
             index: Index,
             /// Number of the round that it responds to.
             round: u64,
+            /// Whether the sender's build knows settled members.
+            #[serde(default, skip_serializing_if = "is_false")]
+            knows_settled: bool,
         },
         /// Transfers a part of a snapshot.
         #[serde(rename = "Install")]
@@ -157,6 +171,12 @@
             founders: Vec<SocketAddr>,
             /// Stage of the sender.
             stage: FormationStage,
+            /// From a member: a number that a later `Hello` to it should repeat; 0 if there is none.
+            #[serde(default, skip_serializing_if = "is_zero")]
+            challenge: u64,
+            /// The last challenge of the receiver; 0 if there is none.
+            #[serde(default, skip_serializing_if = "is_zero")]
+            answer: u64,
         },
         /// From any replica to the leader: request for a commit index confirmed by a quorum.
         #[serde(rename = "Confirm")]
@@ -189,21 +209,48 @@
 impl Members {
     /// Address of the member `id`.
     pub fn address(&self, id: Replica) -> Option<SocketAddr> {
-        let voter = self.voters.get(&id);
+        let voter = self.voters.get(&id).or_else(|| self.outgoing.get(&id));
         voter.or_else(|| self.learners.get(&id)).copied()
     }
 
-    /// Whether the voters for which `agrees` is true form a majority.
-    pub fn is_quorum(&self, agrees: impl Fn(Replica) -> bool) -> bool {
-        let count = self.voters.keys().filter(|id| agrees(**id)).count();
-        count * 2 > self.voters.len()
+    /// Whether the voters are being changed.
+    pub fn is_changing(&self) -> bool {
+        !self.outgoing.is_empty()
+    }
+
+    /// Whether `id` has a vote, before or after a change of the voters that is in progress.
+    pub fn has_vote(&self, id: Replica) -> bool {
+        self.voters.contains_key(&id) || self.outgoing.contains_key(&id)
+    }
+
+    /// All that have a vote, and their addresses.
+    pub fn electorate(&self) -> impl Iterator<Item = (Replica, SocketAddr)> {
+        let removed = self.outgoing.iter();
+        let removed = removed.filter(|(id, _)| !self.voters.contains_key(id));
+        let all = self.voters.iter().chain(removed);
+        all.map(|(id, address)| (*id, *address))
+    }
+
+    /// All members and their addresses.
+    pub fn all(&self) -> impl Iterator<Item = (Replica, SocketAddr)> {
+        let learners = self.learners.iter().map(|(id, address)| (*id, *address));
+        let learners = learners.filter(|(id, _)| !self.has_vote(*id));
+        self.electorate().chain(learners)
     }
 }
 
 impl fmt::Display for Members {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let mut separator = "";
-        for (kind, members) in [("voter", &self.voters), ("learner", &self.learners)] {
+        let outgoing = self.outgoing.iter();
+        let removed = outgoing.filter(|(id, _)| !self.voters.contains_key(id));
+        let removed: BTreeMap<_, _> = removed.map(|(id, address)| (*id, *address)).collect();
+        let kinds = [
+            ("voter", &self.voters),
+            ("outgoing voter", &removed),
+            ("learner", &self.learners),
+        ];
+        for (kind, members) in kinds {
             for (id, address) in members {
                 write!(f, "{separator}{kind} {id} at {address}")?;
                 separator = ", ";
@@ -216,3 +263,7 @@
 fn is_false(value: &bool) -> bool {
     !value
 }
+
+fn is_zero(value: &u64) -> bool {
+    *value == 0
+}
--- a/crates/node/src/role/control.rs
+++ b/crates/node/src/role/control.rs
@@ -244,6 +244,7 @@
         seed_addresses: control.to_vec(),
         manages_members: settings.manages_members,
         catch_up: settings.catch_up_ms.map(Duration::from_millis),
+        spare_voter: settings.spare_voter,
         elects_after_restart: settings.elects_after_restart,
         timeout_seed: seed,
         ..Default::default()
