entry: a timer that is due again at once no longer stops all requests

What callers saw: after a valid change that gave one route a latency target of 0, entries used a core and answered nothing any more, on any route, readiness included.

Cause: the time after which an attempt counts as hung is a multiple of the target, so 0, and the timer of a running request was set to the present again and again; the loop over timers took the first one until none was due, without end. The value has no meaning, but the loop is the graver fault: any wrong time of one request stops all of them.

Ruled out: validation and decoding (refusing the value would leave a valid change unacknowledged), the follower, the servers.

A target of 0 now means any time before the timeout, an attempt hangs after 100 ms at the earliest, each timer that is due runs once an input (direct path and entry), and the driver ticks a core whose deadline stays in the past ever less often, up to each 10 ms, which covers every core.

--- a/crates/entry/src/direct/flight.rs
+++ b/crates/entry/src/direct/flight.rs
@@ -15,6 +15,9 @@
 /// servers make progress.
 const HANG_TIMEOUT_FACTOR: f64 = 3.0;
 
+/// Shortest such time: a server that is scheduled late may pause for longer than a very short target.
+const HANG_TIMEOUT_MIN: Duration = Duration::from_millis(100);
+
 /// Minimum retry-after time of a request refused for lack of slots: a caller that returns sooner
 /// meets the same burst and is refused again.
 pub const RETRY_AFTER_MIN: Duration = Duration::from_millis(1200);
@@ -79,10 +82,19 @@
 }
 
 impl DirectRequest {
+    /// Time within which the response should begin. A target of 0 can't be met, so the response is as welcome at
+    /// any time before the timeout.
+    pub fn latency_target(&self) -> Duration {
+        Duration::from_millis(match self.mount.latency_target_ms {
+            0 => self.mount.timeout_ms,
+            target_ms => target_ms,
+        })
+    }
+
     /// Time without progress after which an attempt counts as hung.
     pub fn hang_timeout(&self) -> Duration {
-        let latency_target = Duration::from_millis(self.mount.latency_target_ms);
-        latency_target.mul_f64(HANG_TIMEOUT_FACTOR)
+        let timeout = self.latency_target().mul_f64(HANG_TIMEOUT_FACTOR);
+        timeout.max(HANG_TIMEOUT_MIN)
     }
 
     pub fn next_deadline(&self) -> Instant {
--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -319,9 +319,8 @@
         }) else {
             return;
         };
-        let latency_target = Duration::from_millis(request.mount.latency_target_ms);
         let wait_max = match self.pool.has_available_server(now, &request.service) {
-            true => latency_target.mul_f64(QUEUE_WAIT_FRACTION),
+            true => request.latency_target().mul_f64(QUEUE_WAIT_FRACTION),
             false => NO_SERVER_WAIT,
         };
         let allotment = self.allotment(now, &request.service);
@@ -616,16 +615,18 @@
         }
     }
 
+    /// Runs each timer that is due once; one that is set to the present again waits for the next input.
     fn run_timers(&mut self, now: Instant, out: &mut Vec<Output>) {
-        while let Some((at, ticket)) = self.timers.first().copied() {
-            if at > now {
-                break;
+        let due = self.timers.range(..=(now, Ticket(u64::MAX)));
+        let due: Vec<_> = due.copied().collect();
+        for timer in due {
+            // A timer that ran before may have removed or changed this one.
+            if !self.timers.remove(&timer) {
+                continue;
             }
-            match self.remove_request(ticket) {
-                Some(request) => self.handle_timer(now, ticket, request, out),
-                None => {
-                    self.timers.remove(&(at, ticket));
-                }
+            let (_, ticket) = timer;
+            if let Some(request) = self.remove_request(ticket) {
+                self.handle_timer(now, ticket, request, out);
             }
         }
     }
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -351,16 +351,18 @@
         }
     }
 
+    /// Runs each timer that is due once; one that is set to the present again waits for the next input.
     fn run_timers(&mut self, now: Instant, out: &mut Vec<Output>) {
-        while let Some((at, number)) = self.timers.first().copied() {
-            if at > now {
-                break;
-            }
-            let Some(request) = self.remove_request(number) else {
-                self.timers.remove(&(at, number));
+        let due: Vec<_> = self.timers.range(..=(now, u64::MAX)).copied().collect();
+        for timer in due {
+            // A timer that ran before may have removed or changed this one.
+            if !self.timers.remove(&timer) {
                 continue;
-            };
-            self.handle_timer(now, request, out);
+            }
+            let (_, number) = timer;
+            if let Some(request) = self.remove_request(number) {
+                self.handle_timer(now, request, out);
+            }
         }
     }
 
--- a/crates/entry/tests/direct.rs
+++ b/crates/entry/tests/direct.rs
@@ -1521,3 +1521,67 @@
         "sent to a seventh server"
     );
 }
+
+/// Runs a test on a thread of its own; fails if it takes longer than `limit`.
+fn run_within(limit: Duration, test: impl FnOnce() + Send + 'static) {
+    let (sender, receiver) = std::sync::mpsc::channel();
+    let thread = std::thread::spawn(move || {
+        test();
+        sender.send(()).unwrap();
+    });
+    match receiver.recv_timeout(limit) {
+        Err(std::sync::mpsc::RecvTimeoutError::Timeout) => panic!("still runs after {limit:?}"),
+        Ok(()) | Err(std::sync::mpsc::RecvTimeoutError::Disconnected) => thread.join().unwrap(),
+    }
+}
+
+/// A valid configuration may give a target that no response can meet. The timer of a running request was then
+/// set to the present again without end, and the entry answered nothing any more.
+#[test_case("idempotent", 0, 5000; "no target")]
+#[test_case("idempotent", 1, 5000; "a target of a millisecond")]
+#[test_case("idempotent", 0, 1; "no target and the shortest timeout")]
+#[test_case("idempotent", u64::MAX, u64::MAX; "the longest target and timeout")]
+#[test_case("resumable", 0, 5000; "no target on a stream")]
+#[test_case("never", 0, 5000; "no target on a call that is not retried")]
+#[test_case("persistent", 0, 5000; "no target and four attempts")]
+fn target_that_no_response_meets_leaves_requests_to_be_answered(
+    path: &'static str,
+    latency_target_ms: u64,
+    timeout_ms: u64,
+) {
+    run_within(Duration::from_secs(10), move || {
+        let mut harness = Harness::new(2, Options::default());
+        let mut document = document();
+        for mount in document.mounts.values_mut() {
+            mount.latency_target_ms = latency_target_ms;
+            mount.timeout_ms = timeout_ms;
+        }
+        harness.version = 2;
+        harness.apply_update(Some(document), server_infos(2, 1));
+        for number in 1..=SLOTS as u64 * 2 {
+            assert!(sent_attempt(&harness.submit_call(number, path)).is_some());
+        }
+        // All slots are taken. The next call has time, so it waits for one.
+        let waits = harness.submit_call(100, path);
+        if timeout_ms > 1 && latency_target_ms != 1 {
+            assert_eq!(refusal(&waits), None, "a call with time left is refused");
+        }
+        harness.advance(Duration::from_millis(61));
+        // One server answers, and the other one has not for 61 ms.
+        harness.end_attempt(1, 1, AttemptOutcome::Responded(200));
+        let hung = harness.advance(Duration::from_millis(3));
+        assert_eq!(sent_attempt(&hung), None, "a sound attempt counts as hung");
+        harness.advance(Duration::from_secs(2));
+        let answered = |number: u64| {
+            harness.out.iter().any(|output| match output {
+                Output::Refuse { ticket, .. } | Output::Deliver { ticket, .. } => {
+                    *ticket == Ticket(number)
+                }
+                _ => false,
+            })
+        };
+        for number in (2..=SLOTS as u64 * 2).chain([100]) {
+            assert!(answered(number), "call {number} has no answer");
+        }
+    });
+}
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -1,6 +1,7 @@
 //! Drives a state machine: passes it inputs with the current time and ticks at its deadlines.
 
 use std::cell::{Cell, RefCell};
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,6 +16,11 @@
 /// Maximum sleep between checks of a core's deadline.
 const SLEEP_MAX: Duration = Duration::from_millis(500);
 
+/// Shortest and longest pause before the next tick of a core whose deadline is still in the past after one. The
+/// pause doubles from tick to tick, so that such a core takes little of the processor from other tasks.
+const OVERDUE_PAUSE: RangeInclusive<Duration> =
+    Duration::from_micros(100)..=Duration::from_millis(10);
+
 /// Lateness of a wake-up from which an event reports that the process did not run.
 const STALL_MIN: Duration = Duration::from_millis(500);
 
@@ -129,15 +135,17 @@
         let Some(mut wake_receiver) = self.wake_receiver.borrow_mut().take() else {
             return;
         };
+        let mut pause = *OVERDUE_PAUSE.start();
         loop {
             let now = self.clock.now();
             let deadline = self.core.borrow().next_deadline();
             if deadline <= now {
                 tick();
-                // Yields to other tasks, even if the deadline stays in the past.
-                monoio::time::sleep(Duration::from_micros(100)).await;
+                monoio::time::sleep(pause).await;
+                pause = (pause * 2).min(*OVERDUE_PAUSE.end());
                 continue;
             }
+            pause = *OVERDUE_PAUSE.start();
             self.sleeping_until.set(deadline);
             let timeout = deadline.since(now).min(SLEEP_MAX);
             let _ = monoio::time::timeout(timeout, wake_receiver.next()).await;
