http: bodies of all requests and responses together stay within the memory of a process

What happened here: 200 callers at such servers, 698 to 846 MiB at each entry, whose machines have 112 to 260 MB; in the size of a chunk, sound requests went unanswered (2 of 18).

Cause: 8 MiB for a response, whatever their number, and no role read its memory; rejections were read whole; the decoder takes the memory of a body with a length at once and keeps it with the connection; it reads the size of a chunk from its first byte again at every read.

Ruled out: heads, interim responses, trailers, extensions, bytes after a response (at most 15 MiB before); the allocator (with low thresholds 363 MiB instead of 403; it was the buffers of idle connections).

A body needs a permit beyond 64 KiB, from an eighth of limits.memory_mb for each direction, and waits for it without reading; waiting ones are served by peer in turn. Connections that have carried a large body aren't used again. Chunked responses are followed before the decoder.

--- a/crates/core/src/settings/mod.rs
+++ b/crates/core/src/settings/mod.rs
@@ -82,6 +82,9 @@
         pub idle_ms: u64,
         /// Longest time that a graceful shutdown waits for in-flight requests, in milliseconds.
         pub drain_ms: u64,
+        /// Memory that the process may use, in MiB; bounds what it holds of the bodies of requests and
+        /// responses.
+        pub memory_mb: u64,
     }
 
     /// The entry role.
@@ -220,6 +223,7 @@
             connections: 4096,
             idle_ms: 30_000,
             drain_ms: 120_000,
+            memory_mb: 512,
         }
     }
 }
--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -4,6 +4,7 @@
 //! arrive.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -22,6 +23,7 @@
 use monoio_http::h1::codec::encoder::GenericEncoder;
 use monoio_http::h1::payload::{FixedPayload, FramedPayload, Payload};
 
+use super::budget::{Budget, Permit};
 use super::guard::{LimitedReader, ReadAllowance, check_body_length};
 use super::{Error, HEAD_BYTES_MAX, Result, has_no_body};
 
@@ -91,6 +93,7 @@
     body: ResponseBody<'a>,
     allowance: ReadAllowance,
     part_bytes_max: usize,
+    has_length: bool,
     keeps_alive: bool,
 }
 
@@ -133,6 +136,11 @@
         })
     }
 
+    /// Charges the memory of larger response bodies to a budget, on behalf of the server at `address`.
+    pub fn charge_to(&self, budget: Rc<Budget>, address: SocketAddr) {
+        self.allowance.charge_to(budget, address);
+    }
+
     /// Limits the parts of response bodies to this many bytes; a body with a length is one part.
     pub fn limit_parts(&mut self, bytes: usize) {
         self.part_bytes_max = bytes;
@@ -195,6 +203,7 @@
 
     /// Receives the head of the response; skips interim responses.
     pub async fn receive_response(&mut self) -> Result<Response<'_>> {
+        drop(self.allowance.end_body());
         // Covers the interim responses as well, of which there may be any number.
         self.allowance.set(HEAD_BYTES_MAX);
         let (head, decoder) = loop {
@@ -220,6 +229,17 @@
             return Err(body_too_large());
         }
         self.keep_alive_timeout = parse_keep_alive(&head.headers);
+        let is_chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
+        let scanned = self.decoder.framed_mut().read_buffer();
+        let body_bytes_max = length.unwrap_or(self.part_bytes_max);
+        if !self
+            .allowance
+            .begin_body(body_bytes_max, is_chunked.then_some(&scanned[..]))
+        {
+            return Err(Error::Protocol(
+                "the size of a chunk is too long".to_owned(),
+            ));
+        }
         let framed = head.headers.contains_key(header::CONTENT_LENGTH)
             || head.headers.contains_key(header::TRANSFER_ENCODING);
         let body = match framed {
@@ -236,6 +256,7 @@
             body,
             allowance: self.allowance.clone(),
             part_bytes_max: self.part_bytes_max,
+            has_length: length.is_some(),
             keeps_alive,
         })
     }
@@ -245,6 +266,9 @@
     /// Receives the next part of the body; none at its end.
     pub async fn next_part(&mut self) -> Result<Option<Bytes>> {
         self.allowance.set(self.part_bytes_max);
+        if self.has_length {
+            self.allowance.wait_for_whole().await;
+        }
         let part = match &mut self.body {
             ResponseBody::Absent => None,
             ResponseBody::Framed(payload) => payload.next_data().await,
@@ -272,6 +296,32 @@
         Ok(body.into())
     }
 
+    /// Reads and drops the rest of the body; false if it has more than `bytes_max` bytes or breaks off.
+    pub async fn skip_to_end(&mut self, bytes_max: usize) -> bool {
+        let mut skipped = 0;
+        self.part_bytes_max = self.part_bytes_max.min(bytes_max);
+        while let Ok(part) = self.next_part().await {
+            let Some(part) = part else {
+                return true;
+            };
+            skipped += part.len();
+            if skipped > bytes_max {
+                return false;
+            }
+        }
+        false
+    }
+
+    /// Records that all parts received so far have been passed on, and take no memory any more.
+    pub fn release_read(&self) {
+        self.allowance.release_read();
+    }
+
+    /// Ends the body; returns the permit for the memory of its parts, if they needed one.
+    pub fn take_permit(&self) -> Option<Permit> {
+        self.allowance.end_body()
+    }
+
     /// Whether the end of the connection delimits the body.
     pub fn ends_with_connection(&self) -> bool {
         matches!(self.body, ResponseBody::UntilClose(_))
--- a/crates/node/src/http/guard.rs
+++ b/crates/node/src/http/guard.rs
@@ -3,10 +3,11 @@
 //! The decoder buffers a complete head, fixed-length body or chunk in memory without a limit. A
 //! [`LimitedReader`] below it fails the read once a [`ReadAllowance`] is used up. The connection
 //! sets the allowance before each head and, once the head is checked, again to the limit of the
-//! body.
+//! body. The reader also waits for the memory of a large body, see [`super::budget`].
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use http::HeaderMap;
@@ -15,6 +16,9 @@
 use monoio::buf::{IoBufMut, IoVecBufMut, IoVecWrapperMut};
 use monoio::io::AsyncReadRent;
 
+use super::budget::{Budget, Permit, SMALL_BODY_BYTES};
+use super::chunks::Scanner;
+
 /// Maximum size of a read, in bytes.
 ///
 /// Bytes read beyond the end of a request belong to the next head but are not counted against its
@@ -27,6 +31,21 @@
 pub struct ReadAllowance {
     remaining: Rc<Cell<usize>>,
     discarding: Rc<Cell<bool>>,
+    body: Rc<RefCell<BodyState>>,
+}
+
+/// The body that is being read, if any.
+#[derive(Debug, Default)]
+struct BodyState {
+    /// Budget for the body, and the peer that sends it.
+    budget: Option<(Rc<Budget>, SocketAddr)>,
+    /// Bytes that may be read without a permit.
+    free_bytes: usize,
+    /// Bytes of the permit that is needed beyond that; 0 if none is.
+    permit_bytes: usize,
+    permit: Option<Permit>,
+    /// Follows a chunked body.
+    scanner: Option<Scanner>,
 }
 
 impl ReadAllowance {
@@ -35,6 +54,74 @@
         self.remaining.set(bytes);
     }
 
+    /// Charges the bodies of the connection to `peer` to a budget.
+    pub fn charge_to(&self, budget: Rc<Budget>, peer: SocketAddr) {
+        self.body.borrow_mut().budget = Some((budget, peer));
+    }
+
+    /// Begins to read a body of at most `bytes_max` bytes. `scanned` are bytes of a chunked body that have been read
+    /// with the head; false if its framing is too long already.
+    pub fn begin_body(&self, bytes_max: usize, scanned: Option<&[u8]>) -> bool {
+        let mut body = self.body.borrow_mut();
+        body.free_bytes = SMALL_BODY_BYTES;
+        body.permit_bytes = bytes_max;
+        body.permit = None;
+        body.scanner = scanned.map(|_| Scanner::default());
+        let scanner = body.scanner.as_mut().zip(scanned);
+        scanner.is_none_or(|(scanner, scanned)| scanner.follow(scanned))
+    }
+
+    /// Records that what was read of the body has been passed on.
+    pub fn release_read(&self) {
+        let mut body = self.body.borrow_mut();
+        body.free_bytes = SMALL_BODY_BYTES;
+        body.permit = None;
+    }
+
+    /// Ends the body; returns the permit for its memory, if it needed one.
+    pub fn end_body(&self) -> Option<Permit> {
+        let mut body = self.body.borrow_mut();
+        body.permit_bytes = 0;
+        body.scanner = None;
+        body.permit.take()
+    }
+
+    /// Waits until all of the body may be kept in memory: the decoder takes the memory for a body with a length
+    /// before it reads it.
+    pub async fn wait_for_whole(&self) {
+        {
+            let mut body = self.body.borrow_mut();
+            if body.permit_bytes > SMALL_BODY_BYTES {
+                body.free_bytes = 0;
+            }
+        }
+        self.wait_for_memory().await;
+    }
+
+    /// Waits until more of the body may be kept in memory.
+    async fn wait_for_memory(&self) {
+        let (budget, peer, bytes) = {
+            let body = self.body.borrow();
+            let Some((budget, peer)) = &body.budget else {
+                return;
+            };
+            if body.permit_bytes == 0 || body.free_bytes > 0 || body.permit.is_some() {
+                return;
+            }
+            (budget.clone(), *peer, body.permit_bytes)
+        };
+        let permit = budget.acquire(peer, bytes).await;
+        self.body.borrow_mut().permit = Some(permit);
+    }
+
+    /// Follows the framing of a chunked body; false if it is too long.
+    fn follow_framing(&self, bytes: &[u8]) -> bool {
+        let mut body = self.body.borrow_mut();
+        body.free_bytes = body.free_bytes.saturating_sub(bytes.len());
+        let scanner = body.scanner.as_mut();
+        scanner.is_none_or(|scanner| scanner.follow(bytes))
+    }
+
     /// Makes the reader discard up to `bytes` bytes and then report the end of the stream.
     pub fn discard_up_to(&self, bytes: usize) {
         self.remaining.set(bytes);
@@ -104,6 +191,9 @@
     }
 
     async fn read_once(&mut self, capacity: usize) -> io::Result<Vec<u8>> {
+        if !self.allowance.discarding.get() {
+            self.allowance.wait_for_memory().await;
+        }
         let limit = self.allowance.remaining().min(READ_BYTES_MAX);
         let (result, part) = self
             .inner
@@ -111,7 +201,10 @@
             .await;
         result?;
         self.allowance.consume(part.len());
-        Ok(part)
+        match self.allowance.follow_framing(&part) {
+            true => Ok(part),
+            false => Err(Self::limit_exceeded()),
+        }
     }
 }
 
--- a/crates/node/src/http/mod.rs
+++ b/crates/node/src/http/mod.rs
@@ -1,7 +1,8 @@
 //! HTTP/1.1 server and client, based on `monoio-http`.
 //!
-//! The library decodes heads and bodies and encodes responses of known length. Three modules add to
-//! it: [`guard`] limits the size of what a peer may send, because the decoder does not;
+//! The library decodes heads and bodies and encodes responses of known length. Four modules add to
+//! it: [`guard`] limits the size of what a peer may send, because the decoder does not; [`budget`] limits the memory of
+//! all bodies together;
 //! [`mod@write`] writes each part of a streamed response at once, because the encoder buffers them;
 //! and [`pool`] reuses client connections.
 
@@ -10,6 +11,8 @@
 use http::StatusCode;
 use thiserror::Error;
 
+pub mod budget;
+mod chunks;
 pub mod client;
 pub mod events;
 pub mod guard;
--- a/crates/node/src/http/pool.rs
+++ b/crates/node/src/http/pool.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use eelgrassdyke_core::wire::BATCH_BYTES_MAX;
 use http::StatusCode;
 
 use super::client::{CONNECT_TIMEOUT, Connection, Request};
@@ -76,28 +77,55 @@
         }
     }
 
-    /// Sends a request and reads the complete response, within `timeout`.
+    /// Sends a request to a process of this system and reads the complete response, within `timeout`.
     pub async fn call(
         &self,
         address: SocketAddr,
         request: Request,
         timeout: Duration,
+    ) -> Result<(StatusCode, Bytes)> {
+        self.call_limited(address, request, BATCH_BYTES_MAX, timeout)
+            .await
+    }
+
+    /// The same with a response of at most `body_bytes_max` bytes.
+    pub async fn call_limited(
+        &self,
+        address: SocketAddr,
+        request: Request,
+        body_bytes_max: usize,
+        timeout: Duration,
     ) -> Result<(StatusCode, Bytes)> {
         let exchange = async {
             let mut connection = self.acquire(address).await?;
-            connection.send(request).await?;
-            let mut response = connection.receive_response().await?;
-            let body = response.read_to_end().await?;
-            let (status, keeps_alive) = (response.status, response.keeps_alive());
+            let (status, body, keeps_alive) =
+                exchange(&mut connection, request, body_bytes_max).await?;
             if keeps_alive {
                 self.release(address, connection);
             }
             Ok((status, body))
         };
-        match monoio::time::timeout(timeout, exchange).await {
-            Ok(result) => result,
-            Err(_) => Err(Error::Timeout(timeout)),
-        }
+        within(timeout, exchange).await
+    }
+}
+
+/// Sends a request and reads the complete response; also returns whether the connection can be reused.
+async fn exchange(
+    connection: &mut Connection,
+    request: Request,
+    body_bytes_max: usize,
+) -> Result<(StatusCode, Bytes, bool)> {
+    connection.limit_parts(body_bytes_max);
+    connection.send(request).await?;
+    let mut response = connection.receive_response().await?;
+    let body = response.read_to_end().await?;
+    Ok((response.status, body, response.keeps_alive()))
+}
+
+async fn within<T>(timeout: Duration, exchange: impl Future<Output = Result<T>>) -> Result<T> {
+    match monoio::time::timeout(timeout, exchange).await {
+        Ok(result) => result,
+        Err(_) => Err(Error::Timeout(timeout)),
     }
 }
 
--- a/crates/node/src/http/respond.rs
+++ b/crates/node/src/http/respond.rs
@@ -6,7 +6,9 @@
 use bytes::Bytes;
 use futures_channel::mpsc::UnboundedSender;
 use http::header::CONNECTION;
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, HeaderValue, StatusCode};
+
+use super::budget::Permit;
 
 /// Maximum size of the unsent part of a stream, in bytes; beyond it, the connection is closed
 /// because the reader is too slow.
@@ -73,6 +75,7 @@
 
 impl Drop for OpenResponse {
     fn drop(&mut self) {
+        drop(self.exchange.permits.take());
         let group = &self.exchange.group;
         group.open.set(group.open.get() - 1);
         if self.exchange.progress.replace(Progress::Closed) == Progress::Queued {
@@ -106,6 +109,10 @@
     /// Whether the response states that the connection closes after it.
     pub closes_connection: Cell<bool>,
     pub on_disconnect: RefCell<Option<Box<dyn FnOnce()>>>,
+    /// Memory of the bodies of the request and of the response, until the response is written.
+    permits: RefCell<Vec<Permit>>,
+    /// Whether the connection must close after the response: its decoder keeps the memory of a large request.
+    must_close: Cell<bool>,
 }
 
 impl Exchange {
@@ -117,6 +124,25 @@
         }
     }
 
+    /// Keeps the permit for the memory of a request until the response is written, and closes the connection then.
+    pub(super) fn hold_request(&self, permit: Option<Permit>) {
+        self.must_close.set(permit.is_some());
+        self.hold(permit);
+    }
+
+    /// Keeps the permit for the memory of a body until the response is written.
+    fn hold(&self, permit: Option<Permit>) {
+        self.permits.borrow_mut().extend(permit);
+    }
+
+    /// Records whether the connection closes after a response with these header fields, which state so if it must.
+    fn announce_close(&self, headers: &mut HeaderMap) {
+        if self.must_close.get() {
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        self.closes_connection.set(requests_close(headers));
+    }
+
     /// Records that all parts of the response are queued.
     fn set_queued(&self) {
         if self.progress.get() == Progress::Open {
@@ -155,20 +181,21 @@
         *self.exchange.on_disconnect.borrow_mut() = Some(Box::new(hook));
     }
 
+    /// Keeps the permit for the memory of the response until it is written.
+    pub fn hold(&self, permit: Option<Permit>) {
+        self.exchange.hold(permit);
+    }
+
     /// Sends a complete response.
-    pub fn respond(self, status: StatusCode, headers: HeaderMap, body: impl Into<Bytes>) {
-        self.exchange
-            .closes_connection
-            .set(requests_close(&headers));
+    pub fn respond(self, status: StatusCode, mut headers: HeaderMap, body: impl Into<Bytes>) {
+        self.exchange.announce_close(&mut headers);
         self.exchange.set_queued();
         self.send_part(ResponsePart::Complete(status, headers, body.into()));
     }
 
     /// Starts a streamed response.
-    pub fn start_stream(&self, status: StatusCode, headers: HeaderMap) {
-        self.exchange
-            .closes_connection
-            .set(requests_close(&headers));
+    pub fn start_stream(&self, status: StatusCode, mut headers: HeaderMap) {
+        self.exchange.announce_close(&mut headers);
         self.send_part(ResponsePart::Head(status, headers));
     }
 
--- a/crates/node/src/http/server.rs
+++ b/crates/node/src/http/server.rs
@@ -16,7 +16,7 @@
 use futures_channel::mpsc::{UnboundedSender, unbounded};
 use futures_util::future::{Either, select};
 use futures_util::{FutureExt, StreamExt};
-use http::header::{CONNECTION, EXPECT};
+use http::header::{CONNECTION, EXPECT, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri, Version};
 use monoio::io::stream::Stream as _;
 use monoio::io::{OwnedReadHalf, OwnedWriteHalf, Splitable};
@@ -25,6 +25,7 @@
 use monoio_http::common::error::HttpError;
 use monoio_http::h1::codec::decoder::{FillPayload, RequestDecoder};
 
+use super::budget::Budget;
 use super::guard::{LimitedReader, ReadAllowance, check_body_length};
 use super::respond::{Exchange, OpenResponse, ResponsePart, requests_close};
 use super::write::Framing;
@@ -89,7 +90,7 @@
 /// Accepts connections on `listener` until the runtime ends.
 pub async fn serve(listener: TcpListener, options: Options, handler: Handler) {
     let body_limit = fixed_body_limit(options);
-    serve_counted(listener, options, body_limit, Rc::default(), handler).await;
+    serve_counted(listener, options, body_limit, None, Rc::default(), handler).await;
 }
 
 /// A limit that is the same for all bodies.
@@ -98,11 +99,12 @@
 }
 
 /// Accepts connections until the runtime ends; `body_limit` sets the limit of each body by its
-/// head, and `unwritten` counts the responses.
+/// head, the larger ones are charged to `memory`, and `unwritten` counts the responses.
 pub async fn serve_counted(
     listener: TcpListener,
     options: Options,
     body_limit: BodyLimit,
+    memory: Option<Rc<Budget>>,
     unwritten: Rc<Unwritten>,
     handler: Handler,
 ) {
@@ -123,13 +125,16 @@
         open_connections.set(open_connections.get() + 1);
         let handler = handler.clone();
         let body_limit = body_limit.clone();
+        let memory = memory.clone();
         let unwritten = unwritten.clone();
         let open_connections = open_connections.clone();
         monoio::spawn(async move {
             let _ = stream.set_nodelay(true);
-            Connection::new(stream, peer, options, body_limit)
-                .run(handler, &unwritten)
-                .await;
+            let connection = Connection::new(stream, peer, options, body_limit);
+            if let Some(memory) = memory {
+                connection.allowance.charge_to(memory, peer);
+            }
+            connection.run(handler, &unwritten).await;
             open_connections.set(open_connections.get() - 1);
         });
     }
@@ -187,6 +192,7 @@
             let close_requested = requests_close(&request.headers);
             let is_head = request.method == Method::HEAD;
             let exchange = Rc::new(Exchange::new(unwritten.latest()));
+            exchange.hold_request(self.allowance.end_body());
             let open_response = OpenResponse::new(exchange.clone());
             let answer = |parts| {
                 let exchange = exchange.clone();
@@ -279,6 +285,12 @@
             }
         }
 
+        let is_chunked = request.headers().contains_key(TRANSFER_ENCODING);
+        let bytes_max = match is_chunked {
+            true => body_bytes_max,
+            false => length,
+        };
+        self.allowance.begin_body(bytes_max, None);
         // The extra bytes are for the framing of a chunked body.
         self.allowance.set(body_bytes_max + HEAD_BYTES_MAX);
         let result =
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -22,6 +22,7 @@
 use crate::adapter::Adapter;
 use crate::clock::Clock;
 use crate::errors::{Error, Result};
+use crate::http::budget::Budget;
 use crate::http::pool::Pool;
 use crate::http::server::{self, Request, Responder};
 use crate::mail::Outboxes;
@@ -30,6 +31,10 @@
 use crate::timeline::Timeline;
 use crate::{gauges, operator, peer};
 
+/// Part of a process's memory that the larger bodies of each direction may take. A body is copied while it is received,
+/// so it may take twice its size for a moment.
+const BODY_MEMORY_PARTS: u64 = 8;
+
 /// Maximum body size of a caller's request, in bytes; services may set lower limits.
 const CALL_BYTES_MAX: usize = 32 << 20;
 
@@ -266,7 +271,7 @@
         );
         let unwritten = self.unwritten.clone();
         monoio::spawn(server::serve_counted(
-            listener, options, body_limit, unwritten, handler,
+            listener, options, body_limit, None, unwritten, handler,
         ));
 
         if let Some(health) = ports.health {
@@ -323,9 +328,15 @@
         handler: server::Handler,
     ) {
         let body_limit = server::fixed_body_limit(options);
+        let memory = body_memory(&self.settings);
         let unwritten = self.unwritten.clone();
         monoio::spawn(server::serve_counted(
-            listener, options, body_limit, unwritten, handler,
+            listener,
+            options,
+            body_limit,
+            Some(memory),
+            unwritten,
+            handler,
         ));
     }
 
@@ -662,9 +673,16 @@
         pool,
         outboxes,
         timeline,
+        response_memory: body_memory(settings),
     }
 }
 
+/// Budget for the bodies of one direction.
+fn body_memory(settings: &Settings) -> Rc<Budget> {
+    let memory_bytes = settings.limits.memory_mb.saturating_mul(1 << 20);
+    Budget::new((memory_bytes / BODY_MEMORY_PARTS) as usize)
+}
+
 /// Binds a port. Uses the standard library's listener because it doesn't share the port with other
 /// processes.
 fn bind(address: SocketAddr) -> Result<StdListener> {
--- a/crates/node/src/role/agent.rs
+++ b/crates/node/src/role/agent.rs
@@ -16,6 +16,7 @@
 use super::waiting::PendingResponses;
 use super::{Cancellers, Context, EXCHANGE_GRACE};
 use crate::driver::Driver;
+use crate::http::budget::SMALL_BODY_BYTES;
 use crate::http::client;
 use crate::http::server::Responder;
 
@@ -182,7 +183,7 @@
         let result = self
             .context
             .pool
-            .call(self.backend, request, HEALTH_TIMEOUT)
+            .call_limited(self.backend, request, SMALL_BODY_BYTES, HEALTH_TIMEOUT)
             .await;
         let passed = result.is_ok_and(|(status, _)| !status.is_server_error());
         self.handle_input(Input::HealthCheckResult(passed));
--- a/crates/node/src/role/control.rs
+++ b/crates/node/src/role/control.rs
@@ -204,7 +204,8 @@
                 };
                 let role = self.clone();
                 monoio::spawn(async move {
-                    let result = watch::send_order(&*adapter, &role.context, engine, &order).await;
+                    let result =
+                        watch::send_order(&*adapter, &role.context.pool, engine, &order).await;
                     role.handle_input(Input::RankOrderResult(result));
                 });
             }
--- a/crates/node/src/role/direct.rs
+++ b/crates/node/src/role/direct.rs
@@ -21,6 +21,7 @@
 use super::Context;
 use crate::adapter::{Adapter, Response, ResponseClass};
 use crate::driver::Driver;
+use crate::http::budget::{Permit, SMALL_BODY_BYTES};
 use crate::http::client::{self, Connection};
 use crate::http::events::{CompleteEvents, EventSplitter};
 use crate::http::server::{Request, Responder};
@@ -54,7 +55,7 @@
     responder: Responder,
     /// Cancels the running attempt when it is dropped.
     cancel: Option<oneshot::Sender<()>>,
-    response: Option<Response>,
+    response: Option<Received>,
     /// Whether the head of a stream was forwarded.
     stream_started: bool,
     /// Id of the last event forwarded, or of the event after which the caller resumes.
@@ -74,7 +75,13 @@
 /// The outcome of an attempt, and the response if it is to be forwarded as a whole.
 struct AttemptResult {
     outcome: AttemptOutcome,
-    response: Option<Response>,
+    response: Option<Received>,
+}
+
+/// A complete response, and the permit for its memory if it needed one.
+struct Received {
+    response: Response,
+    permit: Option<Permit>,
 }
 
 impl From<AttemptOutcome> for AttemptResult {
@@ -169,9 +176,10 @@
             }
             Output::Deliver { ticket } => {
                 if let Some(open_call) = self.finish(ticket, latency::Outcome::Answered)
-                    && let Some(response) = open_call.response
+                    && let Some(Received { response, permit }) = open_call.response
                     && !open_call.stream_started
                 {
+                    open_call.responder.hold(permit);
                     self.respond(open_call.responder, response);
                 }
             }
@@ -294,6 +302,7 @@
             body: request.body.clone(),
         };
         connection.limit_parts(RESPONSE_BYTES_MAX);
+        connection.charge_to(self.context.response_memory.clone(), spec.address);
         let exchange = self
             .send_and_receive(attempt, attempt_request, &mut connection)
             .await;
@@ -390,7 +399,7 @@
         };
         if let Some(outcome) = outcome {
             // The head proves that the request did not run, even if the body can't be read.
-            let is_complete = server_response.read_to_end().await.is_ok();
+            let is_complete = server_response.skip_to_end(SMALL_BODY_BYTES).await;
             return Ok((outcome.into(), is_complete && server_response.keeps_alive()));
         }
         if spec.is_stream
@@ -407,11 +416,14 @@
             headers: end_to_end_headers(&server_response.headers),
             body,
         };
+        let permit = server_response.take_permit();
+        // The decoder of the connection keeps the memory of a large body.
+        let reusable = server_response.keeps_alive() && permit.is_none();
         let result = AttemptResult {
             outcome: AttemptOutcome::Responded(server_response.status.as_u16()),
-            response: Some(response),
+            response: Some(Received { response, permit }),
         };
-        Ok((result, server_response.keeps_alive()))
+        Ok((result, reusable))
     }
 
     /// Forwards a stream in complete events.
@@ -439,6 +451,9 @@
                 return Ok(AttemptOutcome::ResponseLost);
             }
             forwarded = true;
+            if splitter.is_empty() {
+                server_response.release_read();
+            }
             let attempt_number = attempt.spec.attempt;
             self.handle_input(Input::EventForwarded {
                 ticket,
--- a/crates/node/src/role/mod.rs
+++ b/crates/node/src/role/mod.rs
@@ -8,6 +8,7 @@
 use futures_channel::oneshot;
 
 use crate::clock::Clock;
+use crate::http::budget::Budget;
 use crate::http::pool::Pool;
 use crate::mail::Outboxes;
 use crate::timeline::Timeline;
@@ -35,6 +36,8 @@
     pub outboxes: Rc<Outboxes>,
     /// Its timeline.
     pub timeline: Rc<Timeline>,
+    /// Memory for the larger responses of servers.
+    pub response_memory: Rc<Budget>,
 }
 
 /// Senders that cancel the exchanges in progress when they are dropped, by the key of the exchange.
--- a/crates/node/src/role/watch.rs
+++ b/crates/node/src/role/watch.rs
@@ -13,6 +13,7 @@
 use super::Context;
 use crate::adapter::{Adapter, EngineEndpoint, EngineResponses};
 use crate::driver::Driver;
+use crate::http::pool::Pool;
 
 /// Timeout of a read from an engine on the same host.
 const READ_TIMEOUT: Duration = Duration::from_millis(500);
@@ -20,6 +21,9 @@
 /// Timeout of an order; afterwards its outcome is unanswered.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Largest response of an engine that is read: its counts and maps take some 100 kB for a large group.
+const ENGINE_BYTES_MAX: usize = 4 << 20;
+
 /// The watch role of a process.
 pub struct Role {
     driver: Rc<Driver<Watch>>,
@@ -76,7 +80,7 @@
                 let role = self.clone();
                 monoio::spawn(async move {
                     let result =
-                        send_order(&*role.adapter, &role.context, role.engine, &order).await;
+                        send_order(&*role.adapter, &role.context.pool, role.engine, &order).await;
                     role.handle_input(Input::OrderResult(result));
                 });
             }
@@ -106,7 +110,8 @@
 
     async fn fetch(&self, endpoint: EngineEndpoint) -> Option<Bytes> {
         let request = self.adapter.engine_request(endpoint);
-        let response = self.context.pool.call(self.engine, request, READ_TIMEOUT);
+        let response =
+            (self.context.pool).call_limited(self.engine, request, ENGINE_BYTES_MAX, READ_TIMEOUT);
         match response.await {
             Ok((status, body)) if status.is_success() => Some(body),
             Ok((status, _)) => {
@@ -146,12 +151,14 @@
 /// Sends an order to an engine and waits for its outcome.
 pub async fn send_order(
     adapter: &dyn Adapter,
-    context: &Context,
+    pool: &Pool,
     engine: SocketAddr,
     order: &RankOrder,
 ) -> RankOrderResult {
     let request = adapter.encode_engine_order(order);
-    let response = context.pool.call(engine, request, ORDER_TIMEOUT).await;
+    let response = pool
+        .call_limited(engine, request, ENGINE_BYTES_MAX, ORDER_TIMEOUT)
+        .await;
     let outcome = match response {
         Ok((status, _)) => adapter.classify_order_response(status),
         Err(error) => {
--- /dev/null
+++ b/crates/node/tests/memory.rs
@@ -0,0 +1,271 @@
+//! Bodies of many requests and responses together stay within the memory of a process.
+
+use std::cell::{Cell, RefCell};
+use std::io::{Read as _, Write as _};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+use eelgrassdyke_node::http::budget::{Budget, SMALL_BODY_BYTES};
+use eelgrassdyke_node::http::client::{Connection, Request};
+use eelgrassdyke_node::http::server::{self, Handler, Options, Responder};
+use eelgrassdyke_node::runtime::block_on;
+use futures_util::FutureExt as _;
+use futures_util::future::join_all;
+use http::{HeaderMap, StatusCode};
+use test_case::test_case;
+
+/// Time limit that keeps a failing test from hanging.
+const TEST_TIMEOUT: Duration = Duration::from_secs(30);
+
+const BUDGET_BYTES: usize = 2 << 20;
+
+/// Limit on one body.
+const BODY_BYTES_MAX: usize = 1 << 20;
+
+fn peer(number: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], number))
+}
+
+#[test]
+fn permits_go_to_the_peers_in_turn() {
+    let order = block_on(async {
+        let budget = Budget::new(100);
+        let first = budget.acquire(peer(1), 100).await;
+        let order = Rc::new(RefCell::new(Vec::new()));
+        // Three bodies of one server wait before one of another.
+        let waiting = [1, 1, 1, 2].map(|number| {
+            let (budget, order) = (budget.clone(), order.clone());
+            async move {
+                let _permit = budget.acquire(peer(number), 80).await;
+                order.borrow_mut().push(number);
+                monoio::time::sleep(Duration::from_millis(1)).await;
+            }
+        });
+        let release = async {
+            monoio::time::sleep(Duration::from_millis(5)).await;
+            drop(first);
+        };
+        futures_util::future::join(join_all(waiting), release).await;
+        assert_eq!(budget.used_bytes(), 0);
+        order.take()
+    });
+    assert_eq!(order.unwrap(), [1, 2, 1, 1]);
+}
+
+#[test]
+fn body_that_no_longer_waits_takes_no_permit() {
+    block_on(async {
+        let budget = Budget::new(100);
+        let first = budget.acquire(peer(1), 100).await;
+        assert!(budget.acquire(peer(2), 100).now_or_never().is_none());
+        let mut last = Box::pin(budget.acquire(peer(3), 1000));
+        assert!(last.as_mut().now_or_never().is_none());
+        drop(first);
+        // More than the budget has is all of it.
+        let last = last.await;
+        assert_eq!(budget.used_bytes(), 100);
+        drop(last);
+        assert_eq!(budget.used_bytes(), 0);
+    })
+    .unwrap();
+}
+
+/// Accepts connections and answers each request with `start` and then `repeated`, again and again.
+fn serve_endless(start: &'static str, repeated: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        while let Ok((mut stream, _)) = listener.accept() {
+            std::thread::spawn(move || {
+                let mut request = [0; 1024];
+                let _ = stream.read(&mut request);
+                let block = repeated.repeat(64_000 / repeated.len());
+                let _ = stream.write_all(start.as_bytes());
+                while stream.write_all(block.as_bytes()).is_ok() {}
+            });
+        }
+    });
+    address
+}
+
+/// Answers one request; the head and the rest of the response arrive apart if it `pauses`.
+fn serve_once(response: &'static str, pauses: bool) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut request = [0; 1024];
+        let _ = stream.read(&mut request);
+        let head_bytes = response.find("\r\n\r\n").unwrap() + 4;
+        let (head, body) = response.split_at(head_bytes);
+        let _ = stream.write_all(head.as_bytes());
+        if pauses {
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        let _ = stream.write_all(body.as_bytes());
+        // Until the client closes.
+        let _ = stream.read(&mut request);
+    });
+    address
+}
+
+async fn fetch(address: SocketAddr, budget: &Rc<Budget>) -> Option<usize> {
+    let mut connection = Connection::open(address).await.ok()?;
+    connection.limit_parts(BODY_BYTES_MAX);
+    connection.charge_to(budget.clone(), address);
+    connection.send(Request::get("/x")).await.ok()?;
+    let mut response = connection.receive_response().await.ok()?;
+    let body = response.read_to_end().await.ok()?;
+    Some(body.len())
+}
+
+/// An entry kept 8 MiB of each body that did not end, and ran out of memory.
+#[test_case("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "5\r\nabcde\r\n"; "in chunks")]
+#[test_case("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nffffff\r\n", "x"; "in one chunk")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: 900000\r\n\r\n", "x"; "with a length")]
+#[test_case("HTTP/1.1 200 OK\r\n\r\n", "x"; "until the connection closes")]
+fn bodies_of_many_responses_wait_for_memory(start: &'static str, repeated: &'static str) {
+    let endless = serve_endless(start, repeated);
+    let sound = serve_once("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok", false);
+    let exchanges = async move {
+        let budget = Budget::new(BUDGET_BYTES);
+        // While others hold all memory, small bodies are read and large ones wait.
+        let held = budget.acquire(peer(1), BUDGET_BYTES).await;
+        let most = Rc::new(Cell::new(0));
+        let ended = Rc::new(Cell::new(0));
+        for _ in 0..24 {
+            let (budget, ended) = (budget.clone(), ended.clone());
+            monoio::spawn(async move {
+                fetch(endless, &budget).await;
+                ended.set(ended.get() + 1);
+            });
+        }
+        let watching = async {
+            while ended.get() < 24 {
+                most.set(most.get().max(budget.used_bytes()));
+                monoio::time::sleep(Duration::from_millis(1)).await;
+            }
+        };
+        let small = async {
+            monoio::time::sleep(Duration::from_millis(300)).await;
+            let fetched = fetch(sound, &budget).await;
+            let ended_before = ended.get();
+            drop(held);
+            (fetched, ended_before)
+        };
+        let both = futures_util::future::join(watching, small);
+        let ((), (fetched, ended_before)) = monoio::time::timeout(TEST_TIMEOUT, both)
+            .await
+            .expect("all end");
+        (fetched, ended_before, most.get(), budget.used_bytes())
+    };
+    let (fetched, ended_before, most, left) = block_on(exchanges).unwrap();
+    assert_eq!(fetched, Some(2));
+    assert_eq!(ended_before, 0, "a large body was read without a permit");
+    assert!(most <= BUDGET_BYTES, "{most} bytes at a time");
+    assert_eq!(left, 0);
+}
+
+/// The decoder read the size of a chunk from its first byte again whenever more of it arrived.
+#[test_case("", "0", 4096; "the size of a chunk")]
+#[test_case("5;", "x", 4096; "an extension of a chunk")]
+#[test_case("0\r\n", "a: b\r\n", 20_000; "trailers")]
+#[test_case("5\r\nabcde\r\n2", "0", 4096; "the size of a later chunk")]
+fn framing_that_is_too_long_is_broken_off_at_once(start: &str, repeated: &str, count: usize) {
+    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    let response = format!("{head}{start}{}", repeated.repeat(count)).leak();
+    for pauses in [false, true] {
+        let address = serve_once(response, pauses);
+        let exchange = async move {
+            let budget = Budget::new(BUDGET_BYTES);
+            monoio::time::timeout(Duration::from_secs(5), fetch(address, &budget)).await
+        };
+        let outcome = block_on(exchange).unwrap();
+        assert_eq!(outcome.expect("broken off"), None);
+    }
+}
+
+/// Chunks of any size, in reads of any size, are followed to their end.
+#[test]
+fn chunked_bodies_are_read_as_before() {
+    for size in [1, 15, 16, 255, 4095, 70_000] {
+        let chunk = format!("{size:X};name=value\r\n{}\r\n", "x".repeat(size));
+        let response = format!(
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{}0\r\n\r\n",
+            chunk.replace(";name=value", "").repeat(3)
+        );
+        let address = serve_once(response.leak(), true);
+        let fetched = block_on(async move {
+            let budget = Budget::new(BUDGET_BYTES);
+            fetch(address, &budget).await
+        });
+        assert_eq!(fetched.unwrap(), Some(3 * size));
+    }
+}
+
+/// Callers whose bodies are large wait before they are read, and small ones don't wait for them.
+#[test]
+fn bodies_of_many_requests_wait_for_memory() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (sender, receiver) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        block_on(async move {
+            listener.set_nonblocking(true).unwrap();
+            let listener = monoio::net::TcpListener::from_std(listener).unwrap();
+            let budget = Budget::new(BUDGET_BYTES);
+            let open = Rc::new(Cell::new(0));
+            let handler: Handler = Rc::new(move |request, responder: Responder| {
+                let (open, sender) = (open.clone(), sender.clone());
+                let length = request.body.len();
+                if length > SMALL_BODY_BYTES {
+                    open.set(open.get() + 1);
+                }
+                monoio::spawn(async move {
+                    monoio::time::sleep(Duration::from_millis(20)).await;
+                    sender.send((length, open.get())).unwrap();
+                    if length > SMALL_BODY_BYTES {
+                        open.set(open.get() - 1);
+                    }
+                    responder.respond(StatusCode::OK, HeaderMap::new(), "done");
+                });
+            });
+            let options = Options {
+                body_bytes_max: BODY_BYTES_MAX,
+                ..Options::default()
+            };
+            let limit = server::fixed_body_limit(options);
+            let memory = Some(budget);
+            server::serve_counted(listener, options, limit, memory, Rc::default(), handler).await;
+        })
+        .unwrap();
+    });
+    let mut threads = Vec::new();
+    for number in 0..13 {
+        let length = if number == 12 { 10 } else { BODY_BYTES_MAX };
+        threads.push(std::thread::spawn(move || {
+            let mut stream = TcpStream::connect(address).unwrap();
+            stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+            let head = format!("POST /x HTTP/1.1\r\nhost: x\r\ncontent-length: {length}\r\n\r\n");
+            stream.write_all(head.as_bytes()).unwrap();
+            stream.write_all(&vec![b'x'; length]).unwrap();
+            let mut response = [0; 1024];
+            let count = stream.read(&mut response).unwrap();
+            assert!(response[..count].starts_with(b"HTTP/1.1 200"));
+        }));
+    }
+    for thread in threads {
+        thread.join().unwrap();
+    }
+    let handled: Vec<(usize, usize)> = receiver.try_iter().collect();
+    assert_eq!(handled.len(), 13);
+    assert!(
+        handled
+            .iter()
+            .all(|(_, open)| *open <= BUDGET_BYTES / BODY_BYTES_MAX),
+        "{handled:?}"
+    );
+    let small = handled.iter().position(|(length, _)| *length == 10);
+    assert!(small.is_some_and(|at| at < 12), "the small body came last");
+}
