http: idle connections are closed although nobody calls their peer again

What callers saw: with servers replaced one a second, an entry took no channel any more after 64 to 70 of them, and did not recover.

Cause: the pool dropped expired connections of an address only when one to it was wanted or returned, which nothing does for a server that is gone; up to 64 descriptors for each stayed open for the life of the process.

Ruled out: connections that are lost in an exchange (held with a fixed set of servers).

The new test fails with the task taken out.

--- a/crates/node/src/http/pool.rs
+++ b/crates/node/src/http/pool.rs
@@ -19,6 +19,9 @@
 /// Maximum time for which an idle connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time between two checks for idle connections that have expired.
+const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Fraction of the peer's stated idle timeout for which a connection is kept; the rest allows for
 /// the network delay.
 const KEEP_ALIVE_FRACTION: f64 = 0.7;
@@ -67,6 +70,19 @@
         None
     }
 
+    /// Closes idle connections that have expired, in intervals; never returns. Those to a peer that is gone are
+    /// neither returned nor wanted again, so nothing else closes them.
+    pub async fn close_expired(&self) {
+        loop {
+            monoio::time::sleep(EXPIRY_CHECK_INTERVAL).await;
+            self.idle.borrow_mut().retain(|_, connections| {
+                connections
+                    .retain(|(since, connection)| since.elapsed() < idle_timeout(connection));
+                !connections.is_empty()
+            });
+        }
+    }
+
     /// Returns a connection whose last exchange is complete.
     pub fn release(&self, address: SocketAddr, connection: Connection) {
         let mut idle = self.idle.borrow_mut();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -250,6 +250,8 @@
 
     /// Starts to serve the ports.
     fn serve(self: Rc<Self>, ports: Ports) -> Result<()> {
+        let pool = self.context.pool.clone();
+        monoio::spawn(async move { pool.close_expired().await });
         let listener = into_async(ports.peers)?;
         let limits = &self.settings.limits;
         let options = server::Options {
--- a/crates/node/tests/client.rs
+++ b/crates/node/tests/client.rs
@@ -2,9 +2,12 @@
 
 use std::io::{Read as _, Write as _};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
 use std::thread::JoinHandle;
+use std::time::Duration;
 
 use eelgrassdyke_node::http::client::{Connection, Request};
+use eelgrassdyke_node::http::pool::Pool;
 use eelgrassdyke_node::runtime::block_on;
 use test_case::test_case;
 
@@ -153,3 +156,44 @@
     };
     block_on(exchange).unwrap()
 }
+
+/// Connections to servers that are gone are neither wanted nor returned again. They stayed open until the process
+/// had no descriptor left.
+#[test]
+fn idle_connections_are_closed_without_further_calls() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut request = [0; 1024];
+        assert!(stream.read(&mut request).unwrap() > 0);
+        let response = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\nkeep-alive: timeout=1\r\n\r\nok";
+        stream.write_all(response).unwrap();
+        stream
+            .set_read_timeout(Some(Duration::from_secs(5)))
+            .unwrap();
+        stream.read(&mut request).unwrap()
+    });
+    block_on(async move {
+        let pool = Rc::new(Pool::default());
+        let closing = pool.clone();
+        monoio::spawn(async move { closing.close_expired().await });
+        let request = Request::get("/x");
+        assert!(
+            pool.call(address, request, Duration::from_secs(1))
+                .await
+                .is_ok()
+        );
+        let mut is_closed = false;
+        for _ in 0..40 {
+            monoio::time::sleep(Duration::from_millis(100)).await;
+            is_closed = server.is_finished();
+            if is_closed {
+                break;
+            }
+        }
+        assert!(is_closed, "the connection was not closed");
+        assert_eq!(server.join().unwrap(), 0);
+    })
+    .unwrap();
+}
