watch: an order gets a connection of its own

What engines saw: a pass begins with two maps, beside second responses that come late and orders that engines leave unanswered and carry out later.

Cause: orders went out on kept connections, and the first response that followed counted as the outcome. A second copy of an earlier response passed for that of an order which the engine had left unanswered, so a rank counted as armed that was not.

--- a/crates/node/src/http/pool.rs
+++ b/crates/node/src/http/pool.rs
@@ -123,6 +123,22 @@
         };
         within(timeout, exchange).await
     }
+
+    /// The same on a connection of its own, which no earlier exchange can have left a response on.
+    pub async fn call_apart(
+        &self,
+        address: SocketAddr,
+        request: Request,
+        body_bytes_max: usize,
+        timeout: Duration,
+    ) -> Result<(StatusCode, Bytes)> {
+        let exchange = async {
+            let mut connection = Connection::open_within(address, self.connect_timeout).await?;
+            let (status, body, _) = exchange(&mut connection, request, body_bytes_max).await?;
+            Ok((status, body))
+        };
+        within(timeout, exchange).await
+    }
 }
 
 /// Sends a request and reads the complete response; also returns whether the connection can be reused.
--- a/crates/node/src/role/watch.rs
+++ b/crates/node/src/role/watch.rs
@@ -148,7 +148,8 @@
     }
 }
 
-/// Sends an order to an engine and waits for its outcome.
+/// Sends an order to an engine and waits for its outcome. It gets a connection of its own: on one that carried another
+/// exchange, a second response to that would pass for the outcome.
 pub async fn send_order(
     adapter: &dyn Adapter,
     pool: &Pool,
@@ -157,7 +158,7 @@
 ) -> RankOrderResult {
     let request = adapter.encode_engine_order(order);
     let response = pool
-        .call_limited(engine, request, ENGINE_BYTES_MAX, ORDER_TIMEOUT)
+        .call_apart(engine, request, ENGINE_BYTES_MAX, ORDER_TIMEOUT)
         .await;
     let outcome = match response {
         Ok((status, _)) => adapter.classify_order_response(status),
