control: test that voters which aren't settled need a majority beside lost disks

The mutation that lets half of the voters decide although they aren't settled failed no test of log_spare, log_steps and log_members. It fails this one. No change of the product.

--- a/crates/control/tests/log_steps.rs
+++ b/crates/control/tests/log_steps.rs
@@ -684,6 +684,21 @@
     }
 }
 
+/// Beside members that aren't settled, earlier voters may still decide.
+#[test]
+fn half_of_voters_that_are_not_settled_elect_no_leader() {
+    let members = Members {
+        settled: false,
+        ..six_voters()
+    };
+    let mut harness = ReplicaHarness::start(recovered_with(members, 3, None, Vec::new()));
+    harness.lose_disk(2);
+    harness.lose_disk(3);
+    harness.begin_election(&[1, 4, 5]);
+    harness.receive_votes(&[4, 5]);
+    assert!(!harness.replica.is_leader());
+}
+
 /// The vote of a lost disk may still be on its way, and the two halves of the voters elect one leader each.
 #[test]
 fn vote_of_a_lost_disk_counts_for_no_half() {
