http: the size of a chunk in a request has a limit as well

Cause: as for responses, the decoder reads the size of a chunk from its first byte again at every read, up to the limit of a body (32 MiB). The fix for responses didn't cover it, as the decoder of requests doesn't show where a body begins.

Ruled out: only the limit of the body, which a sound caller may need.

All requests of a connection are followed from its first byte on, and the line with the size of a chunk may take 256 bytes.

--- a/crates/control/tests/log_steps.rs
+++ b/crates/control/tests/log_steps.rs
@@ -633,13 +633,13 @@
             },
         };
         let out = self.handle_input(Input::Message { from, message });
-        let challenges = sent_messages(&out)
+        let mut challenges = sent_messages(&out)
             .into_iter()
             .filter_map(|m| match m.body {
                 Body::Hello { challenge, .. } => Some(challenge),
                 _ => None,
             });
-        challenges.last().expect("a response")
+        challenges.next().expect("a response")
     }
 
     /// Shows that the disk of a host is lost.
--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -24,6 +24,7 @@
 use monoio_http::h1::payload::{FixedPayload, FramedPayload, Payload};
 
 use super::budget::{Budget, Permit};
+use super::chunks::TooLong;
 use super::guard::{LimitedReader, ReadAllowance, check_body_length};
 use super::{Error, HEAD_BYTES_MAX, Result, has_no_body};
 
@@ -232,9 +233,8 @@
         let is_chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
         let scanned = self.decoder.framed_mut().read_buffer();
         let body_bytes_max = length.unwrap_or(self.part_bytes_max);
-        if !self
-            .allowance
-            .begin_body(body_bytes_max, is_chunked.then_some(&scanned[..]))
+        if let Err(TooLong) =
+            (self.allowance).begin_response(body_bytes_max, is_chunked.then_some(&scanned[..]))
         {
             return Err(Error::Protocol(
                 "the size of a chunk is too long".to_owned(),
--- a/crates/node/src/http/guard.rs
+++ b/crates/node/src/http/guard.rs
@@ -17,7 +17,7 @@
 use monoio::io::AsyncReadRent;
 
 use super::budget::{Budget, Permit, SMALL_BODY_BYTES};
-use super::chunks::Scanner;
+use super::chunks::{Delimiter, Scanner, TooLong, Tracker};
 
 /// Maximum size of a read, in bytes.
 ///
@@ -44,8 +44,18 @@
     /// Bytes of the permit that is needed beyond that; 0 if none is.
     permit_bytes: usize,
     permit: Option<Permit>,
-    /// Follows a chunked body.
+    /// Follows a chunked response.
     scanner: Option<Scanner>,
+    /// Follows the requests of a caller.
+    tracker: Option<Tracker>,
+}
+
+impl BodyState {
+    fn begin(&mut self, bytes_max: usize) {
+        self.free_bytes = SMALL_BODY_BYTES;
+        self.permit_bytes = bytes_max;
+        self.permit = None;
+    }
 }
 
 impl ReadAllowance {
@@ -59,16 +69,32 @@
         self.body.borrow_mut().budget = Some((budget, peer));
     }
 
-    /// Begins to read a body of at most `bytes_max` bytes. `scanned` are bytes of a chunked body that have been read
-    /// with the head; false if its framing is too long already.
-    pub fn begin_body(&self, bytes_max: usize, scanned: Option<&[u8]>) -> bool {
+    /// Follows the requests of the connection from its first byte on, and fails reads of those whose framing is too
+    /// long.
+    pub fn track_requests(&self) {
+        self.body.borrow_mut().tracker = Some(Tracker::default());
+    }
+
+    /// Begins to read the body of a response, of at most `bytes_max` bytes. `scanned` are bytes of a chunked body that
+    /// have been read with the head; an error if its framing is too long already.
+    pub fn begin_response(&self, bytes_max: usize, scanned: Option<&[u8]>) -> Result<(), TooLong> {
         let mut body = self.body.borrow_mut();
-        body.free_bytes = SMALL_BODY_BYTES;
-        body.permit_bytes = bytes_max;
-        body.permit = None;
+        body.begin(bytes_max);
         body.scanner = scanned.map(|_| Scanner::default());
-        let scanner = body.scanner.as_mut().zip(scanned);
-        scanner.is_none_or(|(scanner, scanned)| scanner.follow(scanned))
+        if let (Some(scanner), Some(scanned)) = (&mut body.scanner, scanned) {
+            scanner.follow(scanned)?;
+        }
+        Ok(())
+    }
+
+    /// Begins to read the body of a request, of at most `bytes_max` bytes.
+    pub fn begin_request(&self, bytes_max: usize, delimiter: Delimiter) -> Result<(), TooLong> {
+        let mut body = self.body.borrow_mut();
+        body.begin(bytes_max);
+        match &mut body.tracker {
+            Some(tracker) => tracker.begin_body(delimiter),
+            None => Ok(()),
+        }
     }
 
     /// Records that what was read of the body has been passed on.
@@ -114,12 +140,17 @@
         self.body.borrow_mut().permit = Some(permit);
     }
 
-    /// Follows the framing of a chunked body; false if it is too long.
-    fn follow_framing(&self, bytes: &[u8]) -> bool {
+    /// Follows the framing of chunked bodies.
+    fn follow_framing(&self, bytes: &[u8]) -> Result<(), TooLong> {
         let mut body = self.body.borrow_mut();
         body.free_bytes = body.free_bytes.saturating_sub(bytes.len());
-        let scanner = body.scanner.as_mut();
-        scanner.is_none_or(|scanner| scanner.follow(bytes))
+        if let Some(scanner) = &mut body.scanner {
+            scanner.follow(bytes)?;
+        }
+        match &mut body.tracker {
+            Some(tracker) => tracker.follow(bytes),
+            None => Ok(()),
+        }
     }
 
     /// Makes the reader discard up to `bytes` bytes and then report the end of the stream.
@@ -202,8 +233,8 @@
         result?;
         self.allowance.consume(part.len());
         match self.allowance.follow_framing(&part) {
-            true => Ok(part),
-            false => Err(Self::limit_exceeded()),
+            Ok(()) => Ok(part),
+            Err(TooLong) => Err(Self::limit_exceeded()),
         }
     }
 }
--- a/crates/node/src/http/mod.rs
+++ b/crates/node/src/http/mod.rs
@@ -12,7 +12,7 @@
 use thiserror::Error;
 
 pub mod budget;
-mod chunks;
+pub mod chunks;
 pub mod client;
 pub mod events;
 pub mod guard;
--- a/crates/node/src/http/server.rs
+++ b/crates/node/src/http/server.rs
@@ -26,6 +26,7 @@
 use monoio_http::h1::codec::decoder::{FillPayload, RequestDecoder};
 
 use super::budget::Budget;
+use super::chunks::{Delimiter, TooLong};
 use super::guard::{LimitedReader, ReadAllowance, check_body_length};
 use super::respond::{Exchange, OpenResponse, ResponsePart, requests_close};
 use super::write::Framing;
@@ -171,6 +172,7 @@
     fn new(stream: TcpStream, peer: SocketAddr, options: Options, body_limit: BodyLimit) -> Self {
         let (read_half, writer) = stream.into_split();
         let (reader, allowance) = LimitedReader::new(read_half);
+        allowance.track_requests();
         Self {
             decoder: RequestDecoder::new(reader),
             writer,
@@ -290,7 +292,13 @@
             true => body_bytes_max,
             false => length,
         };
-        self.allowance.begin_body(bytes_max, None);
+        let delimiter = match is_chunked {
+            true => Delimiter::Chunked,
+            false => Delimiter::Length(length as u64),
+        };
+        if let Err(TooLong) = self.allowance.begin_request(bytes_max, delimiter) {
+            return ReadOutcome::Invalid(StatusCode::BAD_REQUEST, "the request body is malformed");
+        }
         // The extra bytes are for the framing of a chunked body.
         self.allowance.set(body_bytes_max + HEAD_BYTES_MAX);
         let result =
--- a/crates/node/tests/driver.rs
+++ b/crates/node/tests/driver.rs
@@ -53,7 +53,7 @@
     let answered = block_on(async move {
         let clock = Clock::default();
         let process = "entry-1".parse().unwrap();
-        let timeline = Timeline::new(process, Incarnation(1), clock.clone(), 16);
+        let timeline = Timeline::new(process, Incarnation(1), clock, 16);
         let core = Restless {
             deadline,
             now: Instant(0),
--- a/crates/node/tests/memory.rs
+++ b/crates/node/tests/memory.rs
@@ -269,3 +269,126 @@
     let small = handled.iter().position(|(length, _)| *length == 10);
     assert!(small.is_some_and(|at| at < 12), "the small body came last");
 }
+
+/// Answers each request with the length of its body.
+fn serve_lengths() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        block_on(async move {
+            listener.set_nonblocking(true).unwrap();
+            let listener = monoio::net::TcpListener::from_std(listener).unwrap();
+            let handler: Handler = Rc::new(|request, responder: Responder| {
+                let length = request.body.len().to_string();
+                responder.respond(StatusCode::OK, HeaderMap::new(), length);
+            });
+            let options = Options {
+                body_bytes_max: BODY_BYTES_MAX,
+                ..Options::default()
+            };
+            server::serve(listener, options, handler).await;
+        })
+        .unwrap();
+    });
+    address
+}
+
+/// A few callers that sent the size of a chunk without end kept an entry from all other requests.
+#[test_case("", "0"; "the size of a chunk")]
+#[test_case("5;", "x"; "an extension of a chunk")]
+#[test_case("0\r\n", "a: b\r\n"; "trailers")]
+#[test_case("5\r\nabcde\r\n2", "0"; "the size of a later chunk")]
+fn requests_whose_framing_is_too_long_are_refused_at_once(start: &str, repeated: &str) {
+    let head = "POST /x HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n";
+    let earlier = [
+        "",
+        "GET /x HTTP/1.1\r\nhost: x\r\n\r\n",
+        "POST /x HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\n\r\n\r\n\r\n",
+        "POST /x HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+    ];
+    for earlier in earlier {
+        let mut stream = TcpStream::connect(serve_lengths()).unwrap();
+        stream
+            .set_read_timeout(Some(Duration::from_secs(5)))
+            .unwrap();
+        // Less than the limit on a body, so that only the framing is at fault.
+        let body = format!("{start}{}", repeated.repeat(60_000 / repeated.len()));
+        stream
+            .write_all(format!("{earlier}{head}{body}").as_bytes())
+            .unwrap();
+        let mut responses = Vec::new();
+        let mut part = [0; 4096];
+        while let Ok(count @ 1..) = stream.read(&mut part) {
+            responses.extend_from_slice(&part[..count]);
+        }
+        let responses = String::from_utf8_lossy(&responses);
+        let refused = responses.matches("HTTP/1.1 400").count();
+        let answered = responses.matches("HTTP/1.1 200").count();
+        assert_eq!(
+            (refused, answered),
+            (1, usize::from(!earlier.is_empty())),
+            "{responses}"
+        );
+    }
+}
+
+/// Requests of all kinds follow each other on one connection, in writes of any size.
+#[test]
+fn sound_requests_of_one_connection_are_all_read() {
+    let chunked = |sizes: &[usize]| {
+        let mut text =
+            "POST /x HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n".to_owned();
+        for size in sizes {
+            text.push_str(&format!("{size:x}\r\n{}\r\n", "y".repeat(*size)));
+        }
+        text + "0\r\n\r\n"
+    };
+    let fixed = |length: usize| {
+        let body = "\r\n".repeat(length / 2);
+        format!("POST /x HTTP/1.1\r\nhost: x\r\ncontent-length: {length}\r\n\r\n{body}")
+    };
+    let requests = [
+        (fixed(0), 0),
+        (chunked(&[1, 16, 70_000]), 70_017),
+        ("GET /x HTTP/1.1\r\nhost: x\r\n\r\n".to_owned(), 0),
+        (fixed(40_000), 40_000),
+        (chunked(&[]), 0),
+        (chunked(&[255; 300]), 255 * 300),
+        ("\r\nGET /x HTTP/1.1\r\nhost: x\r\n\r\n".to_owned(), 0),
+        (fixed(6), 6),
+    ];
+    for write_bytes in [7, 1000, 50_000, 1 << 20] {
+        let mut stream = TcpStream::connect(serve_lengths()).unwrap();
+        stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+        stream.set_nodelay(true).unwrap();
+        let mut reader = stream.try_clone().unwrap();
+        let all: String = requests.iter().map(|(text, _)| text.as_str()).collect();
+        let writer = std::thread::spawn(move || {
+            for part in all.as_bytes().chunks(write_bytes) {
+                stream.write_all(part).unwrap();
+            }
+            stream
+        });
+        let expected: Vec<String> = requests
+            .iter()
+            .map(|(_, length)| length.to_string())
+            .collect();
+        let mut received = String::new();
+        let mut part = [0; 4096];
+        let bodies = |text: &str| -> Vec<String> {
+            let responses = text.split("HTTP/1.1 200 OK").skip(1);
+            let body = |response: &str| response.split_once("\r\n\r\n").map(|(_, b)| b.to_owned());
+            responses
+                .filter_map(body)
+                .filter(|body| !body.is_empty())
+                .collect()
+        };
+        while bodies(&received).len() < expected.len() {
+            let count = reader.read(&mut part).unwrap();
+            assert!(count > 0, "closed after {received}");
+            received.push_str(std::str::from_utf8(&part[..count]).unwrap());
+        }
+        assert_eq!(bodies(&received), expected, "writes of {write_bytes} bytes");
+        drop(writer.join().unwrap());
+    }
+}
