http: a caller that doesn't read a large response doesn't keep its memory

What callers would have seen: with a few callers that don't read responses of more than 64 KiB, no other such response is begun until they close, as a permit lasts until its response is written.

Cause: the permit had no end of its own, and a write none either.

Ruled out: returning the permit before the response is written, as it is still in memory.

Larger responses are written in parts, and a caller that takes none for 5 s is disconnected. The new test's second response waits for good without it (the write of the first one never ends).

--- a/crates/node/src/http/server.rs
+++ b/crates/node/src/http/server.rs
@@ -25,7 +25,7 @@
 use monoio_http::common::error::HttpError;
 use monoio_http::h1::codec::decoder::{FillPayload, RequestDecoder};
 
-use super::budget::Budget;
+use super::budget::{Budget, SMALL_BODY_BYTES};
 use super::chunks::{Delimiter, TooLong};
 use super::guard::{LimitedReader, ReadAllowance, check_body_length};
 use super::respond::{Exchange, OpenResponse, ResponsePart, requests_close};
@@ -470,6 +470,10 @@
             write::head(writer, status, &headers, Framing::Absent(length)).await?;
             return Ok(Progress::Complete);
         }
+        ResponsePart::Complete(status, headers, body) if body.len() > SMALL_BODY_BYTES => {
+            write::large_response(writer, status, headers, body).await?;
+            return Ok(Progress::Complete);
+        }
         ResponsePart::Complete(status, headers, body) => {
             write::response(writer, status, headers, body).await?;
             return Ok(Progress::Complete);
--- a/crates/node/src/http/write.rs
+++ b/crates/node/src/http/write.rs
@@ -4,8 +4,10 @@
 //! library's encoder buffers up to 8 KiB, which would delay the first tokens of a model.
 
 use std::io::Write as _;
+use std::time::Duration;
 
 use bytes::Bytes;
+use http::header::CONTENT_LENGTH;
 use http::{HeaderMap, StatusCode};
 use monoio::io::{AsyncWriteRent, AsyncWriteRentExt};
 use monoio_http::common::response::Response;
@@ -17,6 +19,12 @@
 /// The chunk that ends a chunked body.
 const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 
+/// Size of the parts in which a large response is written.
+const PART_BYTES: usize = 64 << 10;
+
+/// Time in which the peer must take a part of a large response: other bodies wait for its memory.
+pub const STALL_MAX: Duration = Duration::from_secs(5);
+
 /// The interim response that tells a client to send its body.
 const CONTINUE_RESPONSE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -43,12 +51,33 @@
         .map_err(Error::protocol)
 }
 
+/// Writes a complete response with its length, in parts; an error if the peer takes none for [`STALL_MAX`].
+pub async fn large_response<W: AsyncWriteRent>(
+    io: &mut W,
+    status: StatusCode,
+    mut headers: HeaderMap,
+    body: Bytes,
+) -> Result<()> {
+    headers.remove(CONTENT_LENGTH);
+    let framing = Framing::Absent(Some(body.len()));
+    head(io, status, &headers, framing).await?;
+    for part in body.chunks(PART_BYTES) {
+        let writing = write_all(io, part.to_vec());
+        match monoio::time::timeout(STALL_MAX, writing).await {
+            Ok(written) => written?,
+            Err(_) => return Err(Error::Timeout(STALL_MAX)),
+        }
+    }
+    Ok(())
+}
+
 /// How the body that follows a head is delimited.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
     /// With chunked transfer encoding.
     Chunked,
-    /// No body; the value is the length that a `GET` response would have, if known.
+    /// No body, or one that is written apart; the value is its length or the one that a `GET` response would have,
+    /// if known.
     Absent(Option<usize>),
 }
 
--- a/crates/node/tests/memory.rs
+++ b/crates/node/tests/memory.rs
@@ -392,3 +392,46 @@
         drop(writer.join().unwrap());
     }
 }
+
+/// A caller that doesn't read its response must not keep the memory from the responses of others.
+#[test]
+fn response_that_its_caller_does_not_read_is_broken_off() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (sender, receiver) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        block_on(async move {
+            listener.set_nonblocking(true).unwrap();
+            let listener = monoio::net::TcpListener::from_std(listener).unwrap();
+            let budget = Budget::new(BUDGET_BYTES);
+            let handler: Handler = Rc::new(move |request, responder: Responder| {
+                let (budget, sender) = (budget.clone(), sender.clone());
+                monoio::spawn(async move {
+                    let permit = budget.acquire(request.peer, BUDGET_BYTES).await;
+                    responder.hold(Some(permit));
+                    // More than the buffers of the sockets hold.
+                    responder.respond(StatusCode::OK, HeaderMap::new(), vec![b'x'; 64 << 20]);
+                    sender.send(()).unwrap();
+                });
+            });
+            server::serve(listener, Options::default(), handler).await;
+        })
+        .unwrap();
+    });
+    let request = b"GET /x HTTP/1.1\r\nhost: x\r\n\r\n";
+    let mut silent = TcpStream::connect(address).unwrap();
+    silent.write_all(request).unwrap();
+    receiver.recv_timeout(TEST_TIMEOUT).unwrap();
+    let mut reading = TcpStream::connect(address).unwrap();
+    reading.write_all(request).unwrap();
+    reading.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+    // The second response waits for the memory of the first one, and is complete.
+    let mut received = 0;
+    let mut part = vec![0; 1 << 20];
+    while received < 64 << 20 {
+        let count = reading.read(&mut part).unwrap();
+        assert!(count > 0, "closed after {received} bytes");
+        received += count;
+    }
+    drop(silent);
+}
