http: chunks of a request are joined as they arrive

What callers saw: a few clients with bodies in small chunks ended a process, out of memory.

Cause: the library's decoder keeps each chunk as an item of its own until the body is complete; a byte in a chunk of its own took about fifty. The limits on bodies count bytes on the wire.

Ruled out: a lower limit on the wire or on the number of chunks, which refuses requests within the limits.

http::body decodes request bodies itself, into one buffer whose capacity it knows and which grows twofold. As it finds the end of a body, the tracker that followed all requests before the decoder is not needed any more. Extensions of chunks and trailers, which the decoder refused, are read and dropped within their limits.

--- a/crates/node/src/http/guard.rs
+++ b/crates/node/src/http/guard.rs
@@ -17,7 +17,7 @@
 use monoio::io::AsyncReadRent;
 
 use super::budget::{Budget, Permit, SMALL_BODY_BYTES};
-use super::chunks::{Delimiter, Scanner, TooLong, Tracker};
+use super::chunks::{Scanner, TooLong};
 
 /// Maximum size of a read, in bytes.
 ///
@@ -46,8 +46,6 @@
     permit: Option<Permit>,
     /// Follows a chunked response.
     scanner: Option<Scanner>,
-    /// Follows the requests of a caller.
-    tracker: Option<Tracker>,
 }
 
 impl BodyState {
@@ -69,12 +67,6 @@
         self.body.borrow_mut().budget = Some((budget, peer));
     }
 
-    /// Follows the requests of the connection from its first byte on, and fails reads of those whose framing is too
-    /// long.
-    pub fn track_requests(&self) {
-        self.body.borrow_mut().tracker = Some(Tracker::default());
-    }
-
     /// Begins to read the body of a response, of at most `bytes_max` bytes. `scanned` are bytes of a chunked body that
     /// have been read with the head; an error if its framing is too long already.
     pub fn begin_response(&self, bytes_max: usize, scanned: Option<&[u8]>) -> Result<(), TooLong> {
@@ -88,13 +80,8 @@
     }
 
     /// Begins to read the body of a request, of at most `bytes_max` bytes.
-    pub fn begin_request(&self, bytes_max: usize, delimiter: Delimiter) -> Result<(), TooLong> {
-        let mut body = self.body.borrow_mut();
-        body.begin(bytes_max);
-        match &mut body.tracker {
-            Some(tracker) => tracker.begin_body(delimiter),
-            None => Ok(()),
-        }
+    pub fn begin_request(&self, bytes_max: usize) {
+        self.body.borrow_mut().begin(bytes_max);
     }
 
     /// Records that what was read of the body has been passed on.
@@ -147,10 +134,7 @@
         if let Some(scanner) = &mut body.scanner {
             scanner.follow(bytes)?;
         }
-        match &mut body.tracker {
-            Some(tracker) => tracker.follow(bytes),
-            None => Ok(()),
-        }
+        Ok(())
     }
 
     /// Makes the reader discard up to `bytes` bytes and then report the end of the stream.
@@ -204,8 +188,8 @@
 }
 
 impl<R: AsyncReadRent> LimitedReader<R> {
-    /// Reads at most `capacity` bytes, within the allowance.
-    async fn read_within_allowance(&mut self, capacity: usize) -> io::Result<Vec<u8>> {
+    /// Reads at most `capacity` bytes, within the allowance; none at the end of the stream.
+    pub async fn read_within_allowance(&mut self, capacity: usize) -> io::Result<Vec<u8>> {
         loop {
             let discarding = self.allowance.discarding.get();
             if self.allowance.is_exhausted() {
--- a/crates/node/src/http/mod.rs
+++ b/crates/node/src/http/mod.rs
@@ -1,8 +1,8 @@
 //! HTTP/1.1 server and client, based on `monoio-http`.
 //!
-//! The library decodes heads and bodies and encodes responses of known length. Four modules add to
-//! it: [`guard`] limits the size of what a peer may send, because the decoder does not; [`budget`] limits the memory of
-//! all bodies together;
+//! The library decodes heads and the bodies of responses, and encodes responses of known length. Five modules add to
+//! it: [`guard`] limits the size of what a peer may send, because the decoder does not; [`body`] decodes the bodies of
+//! requests; [`budget`] limits the memory of all bodies together;
 //! [`mod@write`] writes each part of a streamed response at once, because the encoder buffers them;
 //! and [`pool`] reuses client connections.
 
@@ -11,6 +11,7 @@
 use http::StatusCode;
 use thiserror::Error;
 
+pub mod body;
 pub mod budget;
 pub mod chunks;
 pub mod client;
--- a/crates/node/src/http/server.rs
+++ b/crates/node/src/http/server.rs
@@ -21,12 +21,16 @@
 use monoio::io::stream::Stream as _;
 use monoio::io::{OwnedReadHalf, OwnedWriteHalf, Splitable};
 use monoio::net::{TcpListener, TcpStream};
-use monoio_http::common::body::BodyExt;
 use monoio_http::common::error::HttpError;
-use monoio_http::h1::codec::decoder::{FillPayload, RequestDecoder};
+use monoio_http::common::request::RequestHead;
+use monoio_http::h1::FramedRead;
+use monoio_http::h1::codec::decoder::{
+    ChunkedBodyDecoder, DirectWrapper, FixedBodyDecoder, GenericHeadDecoder, PayloadDecoder,
+    RequestHeadDecoder,
+};
 
+use super::body::{self, Body, Delimiter};
 use super::budget::{Budget, SMALL_BODY_BYTES};
-use super::chunks::{Delimiter, TooLong};
 use super::guard::{LimitedReader, ReadAllowance, check_body_length};
 use super::respond::{Exchange, OpenResponse, ResponsePart, requests_close};
 use super::write::Framing;
@@ -40,6 +44,9 @@
 /// Maximum time for which input is discarded after a rejected request.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Most bytes that are read for each byte that a body may have: a chunk of one byte has six.
+const FRAMING_FACTOR_MAX: usize = 16;
+
 /// Limits of a port.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
@@ -141,8 +148,14 @@
     }
 }
 
-type Decoder = RequestDecoder<LimitedReader<OwnedReadHalf<TcpStream>>>;
-type DecodedHead = Option<Result<monoio_http::common::request::Request, HttpError>>;
+type HeadDecoder = GenericHeadDecoder<http::Request<()>, RequestHeadDecoder, DirectWrapper>;
+type Decoder = FramedRead<LimitedReader<OwnedReadHalf<TcpStream>>, HeadDecoder>;
+/// A head; its body is read apart.
+type Head = (
+    RequestHead,
+    PayloadDecoder<FixedBodyDecoder, ChunkedBodyDecoder>,
+);
+type DecodedHead = Option<Result<Head, HttpError>>;
 
 /// What to do on a connection after a response.
 enum AfterResponse {
@@ -159,6 +172,18 @@
     Closed,
 }
 
+fn invalid_body(error: body::Error) -> ReadOutcome {
+    match error {
+        body::Error::Malformed => {
+            ReadOutcome::Invalid(StatusCode::BAD_REQUEST, "the request body is malformed")
+        }
+        body::Error::TooLarge => ReadOutcome::Invalid(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "the request body is too large",
+        ),
+    }
+}
+
 struct Connection {
     decoder: Decoder,
     writer: OwnedWriteHalf<TcpStream>,
@@ -172,9 +197,8 @@
     fn new(stream: TcpStream, peer: SocketAddr, options: Options, body_limit: BodyLimit) -> Self {
         let (read_half, writer) = stream.into_split();
         let (reader, allowance) = LimitedReader::new(read_half);
-        allowance.track_requests();
         Self {
-            decoder: RequestDecoder::new(reader),
+            decoder: FramedRead::new(reader, HeadDecoder::new(RequestHeadDecoder)),
             writer,
             allowance,
             peer,
@@ -234,8 +258,8 @@
                 }
             }
         };
-        let request = match decoded {
-            Some(Ok(request)) => request,
+        let head = match decoded {
+            Some(Ok((head, _))) => head,
             Some(Err(_)) if self.allowance.is_exhausted() => {
                 return ReadOutcome::Invalid(
                     StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
@@ -250,29 +274,29 @@
                 );
             }
         };
-        self.read_body(request).await
+        self.read_body(head).await
     }
 
     /// Checks the head and reads the body within its limit.
-    async fn read_body(&mut self, request: monoio_http::common::request::Request) -> ReadOutcome {
-        let length = match check_body_length(request.headers()) {
+    async fn read_body(&mut self, head: RequestHead) -> ReadOutcome {
+        let length = match check_body_length(&head.headers) {
             Ok(length) => length.unwrap_or(0),
             Err(problem) => return ReadOutcome::Invalid(StatusCode::BAD_REQUEST, problem),
         };
-        let body_bytes_max = (self.body_limit)(request.headers());
+        let body_bytes_max = (self.body_limit)(&head.headers);
         if length > body_bytes_max {
             return ReadOutcome::Invalid(
                 StatusCode::PAYLOAD_TOO_LARGE,
                 "the request body is too large",
             );
         }
-        if request.method() == Method::CONNECT || request.version() != Version::HTTP_11 {
+        if head.method == Method::CONNECT || head.version != Version::HTTP_11 {
             return ReadOutcome::Invalid(
                 StatusCode::BAD_REQUEST,
                 "only HTTP/1.1 requests other than CONNECT are supported",
             );
         }
-        match request.headers().get(EXPECT) {
+        match head.headers.get(EXPECT) {
             None => {}
             Some(expected) if expected.as_bytes().eq_ignore_ascii_case(b"100-continue") => {
                 if write::continue_interim(&mut self.writer).await.is_err() {
@@ -287,62 +311,70 @@
             }
         }
 
-        let is_chunked = request.headers().contains_key(TRANSFER_ENCODING);
-        let bytes_max = match is_chunked {
-            true => body_bytes_max,
-            false => length,
-        };
-        let delimiter = match is_chunked {
-            true => Delimiter::Chunked,
-            false => Delimiter::Length(length as u64),
+        let (delimiter, bytes_max) = match head.headers.contains_key(TRANSFER_ENCODING) {
+            true => (Delimiter::Chunked, body_bytes_max),
+            false => (Delimiter::Length(length), length),
         };
-        if let Err(TooLong) = self.allowance.begin_request(bytes_max, delimiter) {
-            return ReadOutcome::Invalid(StatusCode::BAD_REQUEST, "the request body is malformed");
-        }
-        // The extra bytes are for the framing of a chunked body.
-        self.allowance.set(body_bytes_max + HEAD_BYTES_MAX);
-        let result =
-            monoio::time::timeout(self.options.idle_timeout, self.decoder.fill_payload()).await;
-        match result {
+        self.allowance.begin_request(bytes_max);
+        let allowance = body_bytes_max.saturating_mul(FRAMING_FACTOR_MAX);
+        self.allowance.set(allowance.saturating_add(HEAD_BYTES_MAX));
+        let timeout = self.options.idle_timeout;
+        let receiving = self.receive(Body::new(delimiter, body_bytes_max));
+        let body = match monoio::time::timeout(timeout, receiving).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(outcome)) => return outcome,
             Err(_) => {
                 return ReadOutcome::Invalid(
                     StatusCode::REQUEST_TIMEOUT,
                     "the request body was not received in time",
                 );
             }
-            Ok(Err(_)) if self.allowance.is_exhausted() => {
-                return ReadOutcome::Invalid(
-                    StatusCode::PAYLOAD_TOO_LARGE,
-                    "the request body is too large",
-                );
-            }
-            Ok(Err(_)) => {
-                return ReadOutcome::Invalid(
-                    StatusCode::BAD_REQUEST,
-                    "the request body is malformed",
-                );
-            }
-            Ok(Ok(())) => {}
-        }
-        let (head, payload) = request.into_parts();
-        let Ok(body) = payload.bytes().await else {
-            return ReadOutcome::Invalid(StatusCode::BAD_REQUEST, "the request body is malformed");
         };
-        if body.len() > body_bytes_max {
-            return ReadOutcome::Invalid(
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "the request body is too large",
-            );
-        }
         ReadOutcome::Request(Request {
             method: head.method,
             uri: head.uri,
             headers: head.headers,
-            body,
+            body: body.into_bytes(),
             peer: self.peer,
         })
     }
 
+    /// Receives a body; what follows it is left for the next head.
+    async fn receive(&mut self, mut body: Body) -> Result<Body, ReadOutcome> {
+        while !body.is_complete() {
+            if body.spare() == 0 {
+                body.grow(body.next_capacity());
+            }
+            let buffer = self.decoder.read_buffer_mut();
+            let count = buffer.len().min(body.spare());
+            if count > 0 {
+                let part = buffer.split_to(count);
+                let rest = body.decode(&part).map_err(invalid_body)?;
+                if !rest.is_empty() {
+                    // The rest of the buffer follows it.
+                    let mut next = bytes::BytesMut::from(rest);
+                    next.unsplit(std::mem::take(buffer));
+                    *buffer = next;
+                }
+                continue;
+            }
+            let reading = self.decoder.get_mut().read_within_allowance(body.spare());
+            let part = match reading.await {
+                Ok(part) => part,
+                Err(_) if self.allowance.is_exhausted() => {
+                    return Err(invalid_body(body::Error::TooLarge));
+                }
+                Err(_) => return Err(ReadOutcome::Closed),
+            };
+            if part.is_empty() {
+                return Err(invalid_body(body::Error::Malformed));
+            }
+            let rest = body.decode(&part).map_err(invalid_body)?;
+            self.decoder.read_buffer_mut().extend_from_slice(rest);
+        }
+        Ok(body)
+    }
+
     /// Hands the request over with `answer` and writes the response, while it reads ahead to detect that
     /// the peer disconnects.
     ///
@@ -440,13 +472,8 @@
 
         let _ = self.writer.shutdown().await;
         self.allowance.discard_up_to(DRAIN_BYTES_MAX);
-        let _ = monoio::time::timeout(DRAIN_TIMEOUT, async {
-            // After an error the decoder first reports the end of the stream before it reads again.
-            for _ in 0..3 {
-                let _ = self.decoder.next().await;
-            }
-        })
-        .await;
+        let discarding = self.decoder.get_mut().read_within_allowance(usize::MAX);
+        let _ = monoio::time::timeout(DRAIN_TIMEOUT, discarding).await;
     }
 }
 
