http: all requests of a port share a part of the process's memory

What callers saw: clients whose bodies or heads stop just short of their end, or which send far too much, took more memory than the process has (415 MiB at control, 1.9 GiB at the ports for peers and metrics), and one stalled body with or without a length kept all requests over 64 KiB waiting for 30 s.

Cause: only the callers' port had a budget; it counted bodies beyond 64 KiB, by their limit and not by what they take. 64 KiB of each body and 32 KiB of each head had no sum. Whoever waited did so behind connections that made no progress, without a limit, in turns by IP address and port, and larger bodies in front of smaller ones.

Ruled out: permits as bytes arrive for all bodies (many half received ones wait for each other), an order of arrival, a limit of pages without a body that is that of a configuration.

http::intake has the memory of a port's requests and its connections: 4 KiB of a request belong to the connection, all else needs a permit. Health and metrics take no body over 1 KiB. Who waits closes the longest stalled holder (408); after a second it is refused (503, not run). Bodies given up leave the queue, which kept them as long as the memory was used. A connection need not close after a large request any more, as its decoder keeps none of it.

tests/memory.rs: the server of one test gets an intake in place of the budget, with the same size and assertions. tests/hostile.rs: max_connections moved from the options to the intake.

--- a/crates/node/src/http/body.rs
+++ b/crates/node/src/http/body.rs
@@ -112,6 +112,11 @@
         }
     }
 
+    /// Bytes of memory that it takes.
+    pub fn capacity(&self) -> usize {
+        self.bytes.capacity()
+    }
+
     /// The capacity that the body needs next: all of a body with a length, twice as much of a chunked one.
     pub fn next_capacity(&self) -> usize {
         match self.position {
--- a/crates/node/src/http/guard.rs
+++ b/crates/node/src/http/guard.rs
@@ -79,11 +79,6 @@
         Ok(())
     }
 
-    /// Begins to read the body of a request, of at most `bytes_max` bytes.
-    pub fn begin_request(&self, bytes_max: usize) {
-        self.body.borrow_mut().begin(bytes_max);
-    }
-
     /// Records that what was read of the body has been passed on.
     pub fn release_read(&self) {
         let mut body = self.body.borrow_mut();
--- a/crates/node/src/http/mod.rs
+++ b/crates/node/src/http/mod.rs
@@ -1,8 +1,8 @@
 //! HTTP/1.1 server and client, based on `monoio-http`.
 //!
-//! The library decodes heads and the bodies of responses, and encodes responses of known length. Five modules add to
+//! The library decodes heads and the bodies of responses, and encodes responses of known length. Six modules add to
 //! it: [`guard`] limits the size of what a peer may send, because the decoder does not; [`body`] decodes the bodies of
-//! requests; [`budget`] limits the memory of all bodies together;
+//! requests; [`budget`] limits the memory of all bodies together and [`intake`] what all connections of a port hold;
 //! [`mod@write`] writes each part of a streamed response at once, because the encoder buffers them;
 //! and [`pool`] reuses client connections.
 
@@ -17,6 +17,7 @@
 pub mod client;
 pub mod events;
 pub mod guard;
+pub mod intake;
 pub mod pool;
 mod respond;
 pub mod server;
--- a/crates/node/src/http/respond.rs
+++ b/crates/node/src/http/respond.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use futures_channel::mpsc::UnboundedSender;
 use http::header::CONNECTION;
-use http::{HeaderMap, HeaderValue, StatusCode};
+use http::{HeaderMap, StatusCode};
 
 use super::budget::Permit;
 
@@ -111,8 +111,6 @@
     pub on_disconnect: RefCell<Option<Box<dyn FnOnce()>>>,
     /// Memory of the bodies of the request and of the response, until the response is written.
     permits: RefCell<Vec<Permit>>,
-    /// Whether the connection must close after the response: its decoder keeps the memory of a large request.
-    must_close: Cell<bool>,
 }
 
 impl Exchange {
@@ -124,23 +122,9 @@
         }
     }
 
-    /// Keeps the permit for the memory of a request until the response is written, and closes the connection then.
-    pub(super) fn hold_request(&self, permit: Option<Permit>) {
-        self.must_close.set(permit.is_some());
-        self.hold(permit);
-    }
-
-    /// Keeps the permit for the memory of a body until the response is written.
-    fn hold(&self, permit: Option<Permit>) {
-        self.permits.borrow_mut().extend(permit);
-    }
-
-    /// Records whether the connection closes after a response with these header fields, which state so if it must.
-    fn announce_close(&self, headers: &mut HeaderMap) {
-        if self.must_close.get() {
-            headers.insert(CONNECTION, HeaderValue::from_static("close"));
-        }
-        self.closes_connection.set(requests_close(headers));
+    /// Keeps permits for the memory of a body until the response is written.
+    pub(super) fn hold(&self, permits: impl IntoIterator<Item = Permit>) {
+        self.permits.borrow_mut().extend(permits);
     }
 
     /// Records that all parts of the response are queued.
@@ -187,15 +171,19 @@
     }
 
     /// Sends a complete response.
-    pub fn respond(self, status: StatusCode, mut headers: HeaderMap, body: impl Into<Bytes>) {
-        self.exchange.announce_close(&mut headers);
+    pub fn respond(self, status: StatusCode, headers: HeaderMap, body: impl Into<Bytes>) {
+        self.exchange
+            .closes_connection
+            .set(requests_close(&headers));
         self.exchange.set_queued();
         self.send_part(ResponsePart::Complete(status, headers, body.into()));
     }
 
     /// Starts a streamed response.
-    pub fn start_stream(&self, status: StatusCode, mut headers: HeaderMap) {
-        self.exchange.announce_close(&mut headers);
+    pub fn start_stream(&self, status: StatusCode, headers: HeaderMap) {
+        self.exchange
+            .closes_connection
+            .set(requests_close(&headers));
         self.send_part(ResponsePart::Head(status, headers));
     }
 
--- a/crates/node/src/http/server.rs
+++ b/crates/node/src/http/server.rs
@@ -5,18 +5,18 @@
 //! through the responder, from any task of the thread. An invalid request is rejected with a 4xx
 //! status, and the connection is closed.
 
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_channel::mpsc::{UnboundedSender, unbounded};
+use futures_channel::oneshot;
 use futures_util::future::{Either, select};
 use futures_util::{FutureExt, StreamExt};
-use http::header::{CONNECTION, EXPECT, TRANSFER_ENCODING};
+use http::header::{CONNECTION, EXPECT, RETRY_AFTER, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri, Version};
 use monoio::io::stream::Stream as _;
 use monoio::io::{OwnedReadHalf, OwnedWriteHalf, Splitable};
@@ -30,8 +30,9 @@
 };
 
 use super::body::{self, Body, Delimiter};
-use super::budget::{Budget, SMALL_BODY_BYTES};
+use super::budget::{Permit, SMALL_BODY_BYTES};
 use super::guard::{LimitedReader, ReadAllowance, check_body_length};
+use super::intake::{FREE_BYTES, Intake, Limits, Registration, Unavailable, yield_now};
 use super::respond::{Exchange, OpenResponse, ResponsePart, requests_close};
 use super::write::Framing;
 use super::{HEAD_BYTES_MAX, has_no_body, write};
@@ -44,14 +45,37 @@
 /// Maximum time for which input is discarded after a rejected request.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// The end of a head.
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
+/// Largest buffer that a connection keeps after a request, in bytes.
+const IDLE_BUFFER_BYTES_MAX: usize = 8 << 10;
+
 /// Most bytes that are read for each byte that a body may have: a chunk of one byte has six.
 const FRAMING_FACTOR_MAX: usize = 16;
 
+/// Maximum number of concurrent connections of a port without limits of its own.
+const DEFAULT_CONNECTIONS_MAX: usize = 4096;
+
+/// Memory of small and of large requests of a port without limits of its own, in bytes.
+const DEFAULT_MEMORY_BYTES: usize = 64 << 20;
+
+/// Maximum time for which a body waits for memory unless its sender states its time limit. Callers abandon
+/// a request that is not read within a second.
+pub const MEMORY_WAIT_MAX: Duration = Duration::from_secs(1);
+
+/// Time after which the sender of a request that found no memory may return, in seconds.
+const RETRY_AFTER_S: HeaderValue = HeaderValue::from_static("1");
+
+/// Memory of a head of more than [`FREE_BYTES`], in bytes; its buffer grows twofold.
+const LARGE_HEAD_BYTES: usize = 2 * HEAD_BYTES_MAX;
+
+/// Maximum time for the response on a connection that closes for others.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Limits of a port.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
-    /// Maximum number of concurrent connections.
-    pub max_connections: usize,
     /// Time limit for receiving a head, for receiving a body, and between requests.
     pub idle_timeout: Duration,
     /// Maximum size of a request body, in bytes.
@@ -66,7 +90,6 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
-            max_connections: 4096,
             idle_timeout: Duration::from_secs(30),
             body_bytes_max: 1 << 20,
             cancel_on_close: false,
@@ -92,31 +115,59 @@
 /// Handles the requests of a port.
 pub type Handler = Rc<dyn Fn(Request, Responder)>;
 
-/// Returns the maximum body size for a request with these header fields, in bytes.
-pub type BodyLimit = Rc<dyn Fn(&HeaderMap) -> usize>;
+/// Terms of a request body.
+#[derive(Clone, Copy, Debug)]
+pub struct BodyTerms {
+    /// Maximum size, in bytes.
+    pub bytes_max: usize,
+    /// Maximum time for which the body waits for memory.
+    pub wait_max: Duration,
+}
 
-/// Accepts connections on `listener` until the runtime ends.
-pub async fn serve(listener: TcpListener, options: Options, handler: Handler) {
-    let body_limit = fixed_body_limit(options);
-    serve_counted(listener, options, body_limit, None, Rc::default(), handler).await;
+/// Returns the terms of the body of a request with these header fields.
+pub type BodyPolicy = Rc<dyn Fn(&HeaderMap) -> BodyTerms>;
+
+/// A port and what it shares with others.
+#[derive(Clone)]
+pub struct Port {
+    /// Its limits.
+    pub options: Options,
+    /// Sets the terms of each body by its head.
+    pub body_policy: BodyPolicy,
+    /// What its connections may hold together.
+    pub intake: Rc<Intake>,
+    /// Counts the responses.
+    pub unwritten: Rc<Unwritten>,
 }
 
-/// A limit that is the same for all bodies.
-pub fn fixed_body_limit(options: Options) -> BodyLimit {
-    Rc::new(move |_: &HeaderMap| options.body_bytes_max)
+impl Port {
+    /// A port whose requests share `intake`.
+    pub fn new(options: Options, intake: Rc<Intake>) -> Self {
+        let terms = BodyTerms {
+            bytes_max: options.body_bytes_max,
+            wait_max: MEMORY_WAIT_MAX,
+        };
+        Self {
+            options,
+            body_policy: Rc::new(move |_: &HeaderMap| terms),
+            intake,
+            unwritten: Rc::default(),
+        }
+    }
 }
 
-/// Accepts connections until the runtime ends; `body_limit` sets the limit of each body by its
-/// head, the larger ones are charged to `memory`, and `unwritten` counts the responses.
-pub async fn serve_counted(
-    listener: TcpListener,
-    options: Options,
-    body_limit: BodyLimit,
-    memory: Option<Rc<Budget>>,
-    unwritten: Rc<Unwritten>,
-    handler: Handler,
-) {
-    let open_connections = Rc::new(Cell::new(0));
+/// Accepts connections on `listener` until the runtime ends, with memory for many requests.
+pub async fn serve(listener: TcpListener, options: Options, handler: Handler) {
+    let intake = Intake::new(Limits {
+        connections_max: DEFAULT_CONNECTIONS_MAX,
+        small_bytes_max: DEFAULT_MEMORY_BYTES,
+        large_bytes_max: DEFAULT_MEMORY_BYTES.max(options.body_bytes_max),
+    });
+    serve_port(listener, Port::new(options, intake), handler).await;
+}
+
+/// Accepts connections until the runtime ends.
+pub async fn serve_port(listener: TcpListener, port: Port, handler: Handler) {
     loop {
         let (stream, peer) = match listener.accept().await {
             Ok(accepted) => accepted,
@@ -127,23 +178,19 @@
                 continue;
             }
         };
-        if open_connections.get() >= options.max_connections {
+        let Some((registration, closed)) = port.intake.register(peer).await else {
+            metrics::counter!("eelgrassdyke_connections_refused_total").increment(1);
+            drop(stream);
+            // A burst of connections must not keep the other tasks waiting.
+            yield_now().await;
             continue;
-        }
-        open_connections.set(open_connections.get() + 1);
+        };
         let handler = handler.clone();
-        let body_limit = body_limit.clone();
-        let memory = memory.clone();
-        let unwritten = unwritten.clone();
-        let open_connections = open_connections.clone();
+        let port = port.clone();
         monoio::spawn(async move {
             let _ = stream.set_nodelay(true);
-            let connection = Connection::new(stream, peer, options, body_limit);
-            if let Some(memory) = memory {
-                connection.allowance.charge_to(memory, peer);
-            }
-            connection.run(handler, &unwritten).await;
-            open_connections.set(open_connections.get() - 1);
+            let connection = Connection::new(stream, peer, port, registration);
+            connection.run(handler, closed).await;
         });
     }
 }
@@ -169,6 +216,8 @@
 enum ReadOutcome {
     Request(Request),
     Invalid(StatusCode, &'static str),
+    /// There is no memory for the request.
+    Unavailable,
     Closed,
 }
 
@@ -184,41 +233,182 @@
     }
 }
 
-struct Connection {
+/// Receives the requests of a connection.
+struct Receiver {
     decoder: Decoder,
-    writer: OwnedWriteHalf<TcpStream>,
     allowance: ReadAllowance,
+    registration: Rc<Registration>,
+    /// Memory of the request that is being received.
+    permits: Vec<Permit>,
+}
+
+impl Receiver {
+    /// Receives the next head; none at the end of the stream.
+    async fn next_head(&mut self) -> DecodedHead {
+        let buffer = self.decoder.read_buffer_mut();
+        if buffer.is_empty() && buffer.capacity() > IDLE_BUFFER_BYTES_MAX {
+            *buffer = BytesMut::new();
+        }
+        let mut searched = 0;
+        loop {
+            let buffer = self.decoder.read_buffer();
+            if !buffer.is_empty() {
+                self.registration.start_receiving();
+            }
+            let end = memchr::memmem::find(&buffer[searched..], HEAD_END);
+            if end.is_some() {
+                return self.decoder.next().await;
+            }
+            searched = buffer.len().saturating_sub(HEAD_END.len() - 1);
+            let free_bytes = FREE_BYTES.saturating_sub(buffer.len());
+            if free_bytes == 0 && self.permits.is_empty() {
+                let acquiring = self
+                    .registration
+                    .acquire(LARGE_HEAD_BYTES, LARGE_HEAD_BYTES, None);
+                if let Ok(permit) = acquiring.await {
+                    self.hold(permit);
+                }
+            }
+            let limit = match self.permits.is_empty() {
+                true => free_bytes,
+                false => usize::MAX,
+            };
+            let part = match self.decoder.get_mut().read_within_allowance(limit).await {
+                Ok(part) if part.is_empty() => return None,
+                Ok(part) => part,
+                Err(error) => return Some(Err(HttpError::IOError(error))),
+            };
+            self.registration.record_progress(part.len());
+            self.decoder.read_buffer_mut().extend_from_slice(&part);
+        }
+    }
+
+    /// Receives a body; what follows it is left for the next head.
+    async fn receive(&mut self, mut body: Body, wait_max: Duration) -> Result<Body, ReadOutcome> {
+        while !body.is_complete() {
+            if body.spare() == 0 {
+                self.grow(&mut body, wait_max).await?;
+            }
+            let buffer = self.decoder.read_buffer_mut();
+            let count = buffer.len().min(body.spare());
+            if count > 0 {
+                let part = buffer.split_to(count);
+                let rest = body.decode(&part).map_err(invalid_body)?;
+                if !rest.is_empty() {
+                    // The rest of the buffer follows it.
+                    let mut next = BytesMut::from(rest);
+                    next.unsplit(std::mem::take(buffer));
+                    *buffer = next;
+                }
+                continue;
+            }
+            let reading = self.decoder.get_mut().read_within_allowance(body.spare());
+            let part = match reading.await {
+                Ok(part) => part,
+                Err(_) if self.allowance.is_exhausted() => {
+                    return Err(invalid_body(body::Error::TooLarge));
+                }
+                Err(_) => return Err(ReadOutcome::Closed),
+            };
+            if part.is_empty() {
+                return Err(invalid_body(body::Error::Malformed));
+            }
+            self.registration.record_progress(part.len());
+            let rest = body.decode(&part).map_err(invalid_body)?;
+            self.decoder.read_buffer_mut().extend_from_slice(rest);
+        }
+        Ok(body)
+    }
+
+    /// Waits for the memory that a body needs next.
+    async fn grow(&mut self, body: &mut Body, wait_max: Duration) -> Result<(), ReadOutcome> {
+        let capacity = body.next_capacity();
+        let additional = capacity - body.capacity();
+        if capacity > FREE_BYTES {
+            let acquiring = self
+                .registration
+                .acquire(capacity, additional, Some(wait_max));
+            match acquiring.await {
+                Ok(permit) => self.hold(permit),
+                Err(Unavailable) => return Err(ReadOutcome::Unavailable),
+            }
+        }
+        body.grow(capacity);
+        Ok(())
+    }
+
+    fn hold(&mut self, permit: Permit) {
+        self.permits.push(permit);
+        self.registration.set_holds_memory(true);
+    }
+}
+
+struct Connection {
+    receiver: Receiver,
+    writer: OwnedWriteHalf<TcpStream>,
     peer: SocketAddr,
-    options: Options,
-    body_limit: BodyLimit,
+    port: Port,
 }
 
 impl Connection {
-    fn new(stream: TcpStream, peer: SocketAddr, options: Options, body_limit: BodyLimit) -> Self {
+    fn new(stream: TcpStream, peer: SocketAddr, port: Port, registration: Registration) -> Self {
         let (read_half, writer) = stream.into_split();
         let (reader, allowance) = LimitedReader::new(read_half);
+        let decoder = FramedRead::with_capacity(reader, HeadDecoder::new(RequestHeadDecoder), 0);
         Self {
-            decoder: FramedRead::new(reader, HeadDecoder::new(RequestHeadDecoder)),
+            receiver: Receiver {
+                decoder,
+                allowance,
+                registration: Rc::new(registration),
+                permits: Vec::new(),
+            },
             writer,
-            allowance,
             peer,
-            options,
-            body_limit,
+            port,
         }
     }
 
-    async fn run(mut self, handler: Handler, unwritten: &Unwritten) {
+    /// Serves requests until the connection ends, or until it has to close for others.
+    async fn run(mut self, handler: Handler, closed: oneshot::Receiver<()>) {
+        let is_closed = {
+            let serving = pin!(self.serve(handler));
+            matches!(select(closed, serving).await, Either::Left(_))
+        };
+        if is_closed {
+            metrics::counter!("eelgrassdyke_connections_closed_for_others_total").increment(1);
+            if !self.receiver.registration.is_idle() {
+                self.receiver.permits.clear();
+                let problem = "the request made no progress while others waited";
+                // Others wait for its descriptor, too, so the rest of its input is not discarded.
+                let refusing = self.refuse(StatusCode::REQUEST_TIMEOUT, problem);
+                let _ = monoio::time::timeout(CLOSE_TIMEOUT, refusing).await;
+            }
+        }
+    }
+
+    async fn serve(&mut self, handler: Handler) {
         let mut early_head = None;
         loop {
-            let request = match self.next_request(early_head.take()).await {
+            let outcome = self.next_request(early_head.take()).await;
+            // What was received of a request that is not handed over has been dropped.
+            if !matches!(outcome, ReadOutcome::Request(_)) {
+                self.receiver.permits.clear();
+            }
+            let request = match outcome {
                 ReadOutcome::Request(request) => request,
                 ReadOutcome::Invalid(status, problem) => return self.reject(status, problem).await,
+                ReadOutcome::Unavailable => {
+                    metrics::counter!("eelgrassdyke_requests_without_memory_total").increment(1);
+                    let problem = "the process has no memory for the request";
+                    return self.reject(StatusCode::SERVICE_UNAVAILABLE, problem).await;
+                }
                 ReadOutcome::Closed => return,
             };
             let close_requested = requests_close(&request.headers);
             let is_head = request.method == Method::HEAD;
-            let exchange = Rc::new(Exchange::new(unwritten.latest()));
-            exchange.hold_request(self.allowance.end_body());
+            let exchange = Rc::new(Exchange::new(self.port.unwritten.latest()));
+            exchange.hold(self.receiver.permits.drain(..));
+            self.receiver.registration.start_handling();
             let open_response = OpenResponse::new(exchange.clone());
             let answer = |parts| {
                 let exchange = exchange.clone();
@@ -240,13 +430,15 @@
 
     /// Reads the next request; `early_head` is a head that arrived during the previous response.
     async fn next_request(&mut self, early_head: Option<DecodedHead>) -> ReadOutcome {
+        let allowance = self.receiver.allowance.clone();
         let decoded = match early_head {
             Some(decoded) => decoded,
             None => {
-                self.allowance.set(HEAD_BYTES_MAX);
-                match monoio::time::timeout(self.options.idle_timeout, self.decoder.next()).await {
+                allowance.set(HEAD_BYTES_MAX);
+                let timeout = self.port.options.idle_timeout;
+                match monoio::time::timeout(timeout, self.receiver.next_head()).await {
                     Ok(decoded) => decoded,
-                    Err(_) if self.allowance.remaining() == HEAD_BYTES_MAX => {
+                    Err(_) if allowance.remaining() == HEAD_BYTES_MAX => {
                         return ReadOutcome::Closed;
                     }
                     Err(_) => {
@@ -260,7 +452,7 @@
         };
         let head = match decoded {
             Some(Ok((head, _))) => head,
-            Some(Err(_)) if self.allowance.is_exhausted() => {
+            Some(Err(_)) if allowance.is_exhausted() => {
                 return ReadOutcome::Invalid(
                     StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
                     "the request head is too large",
@@ -283,7 +475,8 @@
             Ok(length) => length.unwrap_or(0),
             Err(problem) => return ReadOutcome::Invalid(StatusCode::BAD_REQUEST, problem),
         };
-        let body_bytes_max = (self.body_limit)(&head.headers);
+        let terms = (self.port.body_policy)(&head.headers);
+        let body_bytes_max = terms.bytes_max.min(self.port.intake.request_bytes_max());
         if length > body_bytes_max {
             return ReadOutcome::Invalid(
                 StatusCode::PAYLOAD_TOO_LARGE,
@@ -311,15 +504,15 @@
             }
         }
 
-        let (delimiter, bytes_max) = match head.headers.contains_key(TRANSFER_ENCODING) {
-            true => (Delimiter::Chunked, body_bytes_max),
-            false => (Delimiter::Length(length), length),
+        let delimiter = match head.headers.contains_key(TRANSFER_ENCODING) {
+            true => Delimiter::Chunked,
+            false => Delimiter::Length(length),
         };
-        self.allowance.begin_request(bytes_max);
         let allowance = body_bytes_max.saturating_mul(FRAMING_FACTOR_MAX);
-        self.allowance.set(allowance.saturating_add(HEAD_BYTES_MAX));
-        let timeout = self.options.idle_timeout;
-        let receiving = self.receive(Body::new(delimiter, body_bytes_max));
+        (self.receiver.allowance).set(allowance.saturating_add(HEAD_BYTES_MAX));
+        let timeout = self.port.options.idle_timeout;
+        let body = Body::new(delimiter, body_bytes_max);
+        let receiving = self.receiver.receive(body, terms.wait_max);
         let body = match monoio::time::timeout(timeout, receiving).await {
             Ok(Ok(body)) => body,
             Ok(Err(outcome)) => return outcome,
@@ -339,42 +532,6 @@
         })
     }
 
-    /// Receives a body; what follows it is left for the next head.
-    async fn receive(&mut self, mut body: Body) -> Result<Body, ReadOutcome> {
-        while !body.is_complete() {
-            if body.spare() == 0 {
-                body.grow(body.next_capacity());
-            }
-            let buffer = self.decoder.read_buffer_mut();
-            let count = buffer.len().min(body.spare());
-            if count > 0 {
-                let part = buffer.split_to(count);
-                let rest = body.decode(&part).map_err(invalid_body)?;
-                if !rest.is_empty() {
-                    // The rest of the buffer follows it.
-                    let mut next = bytes::BytesMut::from(rest);
-                    next.unsplit(std::mem::take(buffer));
-                    *buffer = next;
-                }
-                continue;
-            }
-            let reading = self.decoder.get_mut().read_within_allowance(body.spare());
-            let part = match reading.await {
-                Ok(part) => part,
-                Err(_) if self.allowance.is_exhausted() => {
-                    return Err(invalid_body(body::Error::TooLarge));
-                }
-                Err(_) => return Err(ReadOutcome::Closed),
-            };
-            if part.is_empty() {
-                return Err(invalid_body(body::Error::Malformed));
-            }
-            let rest = body.decode(&part).map_err(invalid_body)?;
-            self.decoder.read_buffer_mut().extend_from_slice(rest);
-        }
-        Ok(body)
-    }
-
     /// Hands the request over with `answer` and writes the response, while it reads ahead to detect that
     /// the peer disconnects.
     ///
@@ -387,8 +544,10 @@
         is_head: bool,
         close_requested: bool,
     ) -> Option<AfterResponse> {
-        self.allowance.set(HEAD_BYTES_MAX);
-        let mut next_head = pin!(self.decoder.next().fuse());
+        let options = self.port.options;
+        let registration = self.receiver.registration.clone();
+        self.receiver.allowance.set(HEAD_BYTES_MAX);
+        let mut next_head = pin!(self.receiver.next_head().fuse());
         // What has arrived by now shows whether the peer has closed its sending side; the read that finds
         // it is the same as below.
         let mut early_head = match futures_util::poll!(next_head.as_mut()) {
@@ -398,7 +557,7 @@
         let reset = matches!(early_head, Some(Some(Err(HttpError::IOError(_)))));
         let ended = matches!(early_head, Some(None));
         exchange.closed_early.set(reset || ended);
-        let is_cancelled = reset || ended && self.options.cancel_on_close;
+        let is_cancelled = reset || ended && options.cancel_on_close;
         let (part_sender, mut parts) = unbounded();
         answer(part_sender);
         let mut without_body = is_head;
@@ -411,7 +570,7 @@
                     Either::Left((part, _)) => part,
                     Either::Right((decoded, _)) => {
                         let reset = matches!(decoded, Some(Err(HttpError::IOError(_))));
-                        if reset || decoded.is_none() && self.options.cancel_on_close {
+                        if reset || decoded.is_none() && options.cancel_on_close {
                             return None;
                         }
                         early_head = Some(decoded);
@@ -438,6 +597,7 @@
 
         // The connection may stay idle from now on, which must not hold up a shutdown.
         drop(open_response);
+        registration.end_handling();
 
         // The response is complete. The read-ahead must not be dropped: the bytes that it has read
         // belong to the next request.
@@ -446,23 +606,29 @@
                 Some(AfterResponse::CloseConnection)
             }
             Some(decoded) => Some(AfterResponse::ReadRequest(decoded)),
-            None => {
-                match monoio::time::timeout(self.options.idle_timeout, next_head.as_mut()).await {
-                    Ok(decoded) => Some(AfterResponse::ReadRequest(decoded)),
-                    Err(_) => Some(AfterResponse::CloseConnection),
-                }
-            }
+            None => match monoio::time::timeout(options.idle_timeout, next_head.as_mut()).await {
+                Ok(decoded) => Some(AfterResponse::ReadRequest(decoded)),
+                Err(_) => Some(AfterResponse::CloseConnection),
+            },
         }
     }
 
     async fn reject(&mut self, status: StatusCode, problem: &'static str) {
+        self.refuse(status, problem).await;
+        self.drain().await;
+    }
+
+    /// Writes the response to a request that is not handed over.
+    async fn refuse(&mut self, status: StatusCode, problem: &'static str) {
         log::debug!("rejected a request from {}: {problem}", self.peer);
         let mut headers = HeaderMap::new();
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
         headers.insert("eelgrassdyke-run", HeaderValue::from_static("no"));
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            headers.insert(RETRY_AFTER, RETRY_AFTER_S);
+        }
         let body = format!("{{\"error\":{{\"message\":\"{problem}\",\"run\":\"no\"}}}}\n");
         let _ = write::response(&mut self.writer, status, headers, body.into()).await;
-        self.drain().await;
     }
 
     /// Discards input for a while, so that a peer that is still sending can read the response
@@ -471,8 +637,12 @@
         use monoio::io::AsyncWriteRent as _;
 
         let _ = self.writer.shutdown().await;
-        self.allowance.discard_up_to(DRAIN_BYTES_MAX);
-        let discarding = self.decoder.get_mut().read_within_allowance(usize::MAX);
+        self.receiver.allowance.discard_up_to(DRAIN_BYTES_MAX);
+        let discarding = self
+            .receiver
+            .decoder
+            .get_mut()
+            .read_within_allowance(usize::MAX);
         let _ = monoio::time::timeout(DRAIN_TIMEOUT, discarding).await;
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod role;
 pub mod runtime;
 pub mod secret;
+pub mod shares;
 pub mod timeline;
 
 pub use node::Node;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -22,19 +22,15 @@
 use crate::adapter::Adapter;
 use crate::clock::Clock;
 use crate::errors::{Error, Result};
-use crate::http::budget::Budget;
 use crate::http::pool::Pool;
-use crate::http::server::{self, Request, Responder};
+use crate::http::server::{self, BodyTerms, MEMORY_WAIT_MAX, Request, Responder};
 use crate::mail::Outboxes;
 use crate::role::{self, Context};
 use crate::secret::{OperatorTokens, PeerSecret};
+use crate::shares::{self, Shares};
 use crate::timeline::Timeline;
 use crate::{gauges, operator, peer};
 
-/// Part of a process's memory that the larger bodies of each direction may take. A body is copied while it is received,
-/// so it may take twice its size for a moment.
-const BODY_MEMORY_PARTS: u64 = 8;
-
 /// Maximum body size of a caller's request, in bytes; services may set lower limits.
 const CALL_BYTES_MAX: usize = 32 << 20;
 
@@ -46,6 +42,9 @@
 /// are configurations from the platform's operators.
 const PUBLICATION_BYTES_MAX: usize = 8 << 20;
 
+/// Maximum body size on ports whose pages take no body, in bytes.
+const PAGE_BYTES_MAX: usize = 1 << 10;
+
 /// Time for opening a connection to another process. A connection request to a host without power gets
 /// no answer; a short timeout lets the next one reach the host soon after its start.
 const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -255,7 +254,6 @@
         let listener = into_async(ports.peers)?;
         let limits = &self.settings.limits;
         let options = server::Options {
-            max_connections: limits.connections,
             idle_timeout: Duration::from_millis(limits.idle_ms),
             body_bytes_max: BATCH_BYTES_MAX,
             cancel_on_close: true,
@@ -263,25 +261,39 @@
         let node = self.clone();
         let handler = Rc::new(move |request, responder| node.handle_request(request, responder));
         let node = self.clone();
-        let body_limit = Rc::new(
-            move |headers: &HeaderMap| match node.is_authenticated(headers) {
+        let body_policy = Rc::new(move |headers: &HeaderMap| BodyTerms {
+            bytes_max: match node.is_authenticated(headers) {
                 true => BATCH_BYTES_MAX,
                 // The platform's operators have no token.
                 false if node.adapter.is_some() => PUBLICATION_BYTES_MAX,
                 false => UNAUTHENTICATED_BYTES_MAX,
             },
-        );
-        let unwritten = self.unwritten.clone();
-        monoio::spawn(server::serve_counted(
-            listener, options, body_limit, None, unwritten, handler,
-        ));
+            wait_max: MEMORY_WAIT_MAX,
+        });
+        let shares = Shares::new(limits);
+        let kind = match ports.callers {
+            Some(_) => shares::Port::Peers,
+            None => shares::Port::Main,
+        };
+        let port = server::Port {
+            options,
+            body_policy,
+            intake: shares.intake(kind),
+            unwritten: self.unwritten.clone(),
+        };
+        monoio::spawn(server::serve_port(listener, port, handler));
 
+        let page_options = server::Options {
+            body_bytes_max: PAGE_BYTES_MAX,
+            ..options
+        };
         if let Some(health) = ports.health {
             let listener = into_async(health)?;
             let node = self.clone();
             let handler =
                 Rc::new(move |request, responder| node.handle_request(request, responder));
-            monoio::spawn(server::serve(listener, options, handler));
+            let port = server::Port::new(page_options, shares.intake(shares::Port::Pages));
+            monoio::spawn(server::serve_port(listener, port, handler));
         }
         if let Some(metrics) = ports.metrics {
             let listener = into_async(metrics)?;
@@ -289,7 +301,8 @@
             let handler = Rc::new(move |request: Request, responder| {
                 node.serve_public_page(request.uri.path(), responder);
             });
-            monoio::spawn(server::serve(listener, options, handler));
+            let port = server::Port::new(page_options, shares.intake(shares::Port::Pages));
+            monoio::spawn(server::serve_port(listener, port, handler));
         }
         let Some(callers) = ports.callers else {
             return Ok(());
@@ -329,17 +342,10 @@
         options: server::Options,
         handler: server::Handler,
     ) {
-        let body_limit = server::fixed_body_limit(options);
-        let memory = body_memory(&self.settings);
-        let unwritten = self.unwritten.clone();
-        monoio::spawn(server::serve_counted(
-            listener,
-            options,
-            body_limit,
-            Some(memory),
-            unwritten,
-            handler,
-        ));
+        let intake = Shares::new(&self.settings.limits).intake(shares::Port::Main);
+        let mut port = server::Port::new(options, intake);
+        port.unwritten = self.unwritten.clone();
+        monoio::spawn(server::serve_port(listener, port, handler));
     }
 
     /// Whether a request carries the peers' secret or an operator's token.
@@ -675,16 +681,10 @@
         pool,
         outboxes,
         timeline,
-        response_memory: body_memory(settings),
+        response_memory: Shares::new(&settings.limits).responses(),
     }
 }
 
-/// Budget for the bodies of one direction.
-fn body_memory(settings: &Settings) -> Rc<Budget> {
-    let memory_bytes = settings.limits.memory_mb.saturating_mul(1 << 20);
-    Budget::new((memory_bytes / BODY_MEMORY_PARTS) as usize)
-}
-
 /// Binds a port. Uses the standard library's listener because it doesn't share the port with other
 /// processes.
 fn bind(address: SocketAddr) -> Result<StdListener> {
--- a/crates/node/tests/hostile.rs
+++ b/crates/node/tests/hostile.rs
@@ -13,7 +13,8 @@
 
 use bytes::Bytes;
 use eelgrassdyke_node::http::client::{self, Connection};
-use eelgrassdyke_node::http::server::{self, Handler, Options, Request, Responder};
+use eelgrassdyke_node::http::intake::{Intake, Limits};
+use eelgrassdyke_node::http::server::{self, Handler, Options, Port, Request, Responder};
 use eelgrassdyke_node::runtime::block_on;
 use http::{HeaderMap, Method, StatusCode};
 use monoio::net::TcpListener;
@@ -28,11 +29,12 @@
 /// Idle timeout of the server.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Streams two tokens on `/stream`, the second when `/next` is requested; responds to other paths
-/// with the method and the length of the body.
+/// Streams two tokens on `/stream`, the second when `/next` is requested, and begins a stream on `/hold` that doesn't end;
+/// responds to other paths with the method and the length of the body.
 #[derive(Default)]
 struct App {
     stream: RefCell<Option<Responder>>,
+    held: RefCell<Vec<Responder>>,
 }
 
 impl App {
@@ -43,6 +45,10 @@
                 responder.send_data(Bytes::from_static(b"token-0;"));
                 *self.stream.borrow_mut() = Some(responder);
             }
+            "/hold" => {
+                responder.start_stream(StatusCode::OK, HeaderMap::new());
+                self.held.borrow_mut().push(responder);
+            }
             "/next" => {
                 if let Some(stream) = self.stream.borrow_mut().take() {
                     stream.send_data(Bytes::from_static(b"token-1;"));
@@ -66,6 +72,17 @@
 
 /// Starts the server; its thread ends with the test process.
 fn start(options: Options) -> SocketAddr {
+    start_port(move || {
+        let limits = Limits {
+            connections_max: 64,
+            small_bytes_max: 1 << 20,
+            large_bytes_max: 1 << 20,
+        };
+        Port::new(options, Intake::new(limits))
+    })
+}
+
+fn start_port(port: impl FnOnce() -> Port + Send + 'static) -> SocketAddr {
     let (sender, receiver) = mpsc::channel();
     std::thread::spawn(move || {
         let result = block_on(async move {
@@ -74,7 +91,7 @@
             let app = Rc::new(App::default());
             let handler: Handler =
                 Rc::new(move |request, responder| app.handle_request(request, responder));
-            server::serve(listener, options, handler).await;
+            server::serve_port(listener, port(), handler).await;
         });
         result.unwrap();
     });
@@ -83,7 +100,6 @@
 
 fn options() -> Options {
     Options {
-        max_connections: 64,
         idle_timeout: IDLE_TIMEOUT,
         body_bytes_max: BODY_BYTES_MAX,
         cancel_on_close: false,
@@ -374,13 +390,25 @@
     assert!(rest.ends_with("GET 0"), "{response}");
 }
 
-#[test]
-fn connections_beyond_the_limit_are_closed_and_the_others_served() {
-    let address = start(Options {
-        max_connections: 2,
+/// Starts the server with at most two connections.
+fn start_with_two_connections() -> SocketAddr {
+    let options = Options {
         idle_timeout: TEST_TIMEOUT,
         ..options()
-    });
+    };
+    let intake = || {
+        Intake::new(Limits {
+            connections_max: 2,
+            small_bytes_max: 1 << 20,
+            large_bytes_max: 1 << 20,
+        })
+    };
+    start_port(move || Port::new(options, intake()))
+}
+
+#[test]
+fn connections_beyond_the_limit_are_closed_and_the_others_served() {
+    let address = start_with_two_connections();
     let mut streams = [connect(address), connect(address)];
     for stream in &mut streams {
         stream.write_all(b"GET / HTTP/1.1\r\n\r\n").unwrap();
@@ -389,9 +417,20 @@
         assert_eq!(&response, b"HTTP/1.1 200");
     }
     assert_eq!(exchange(address, b"GET / HTTP/1.1\r\n\r\n"), "");
-    streams[0].write_all(b"GET / HTTP/1.1\r\n\r\n").unwrap();
-    let mut rest = [0; 16];
-    streams[0].read_exact(&mut rest).unwrap();
+    assert!(streams.iter_mut().all(is_open));
+}
+
+/// Whether the server keeps a connection open, after what it has sent so far.
+fn is_open(stream: &mut TcpStream) -> bool {
+    stream.set_read_timeout(Some(IDLE_TIMEOUT)).unwrap();
+    let mut part = [0; 4096];
+    loop {
+        match stream.read(&mut part) {
+            Ok(0) => return false,
+            Ok(_) => {}
+            Err(error) => return is_timeout(&error),
+        }
+    }
 }
 
 #[test]
--- a/crates/node/tests/memory.rs
+++ b/crates/node/tests/memory.rs
@@ -8,7 +8,8 @@
 
 use eelgrassdyke_node::http::budget::{Budget, SMALL_BODY_BYTES};
 use eelgrassdyke_node::http::client::{Connection, Request};
-use eelgrassdyke_node::http::server::{self, Handler, Options, Responder};
+use eelgrassdyke_node::http::intake::{Intake, Limits};
+use eelgrassdyke_node::http::server::{self, Handler, Options, Port, Responder};
 use eelgrassdyke_node::runtime::block_on;
 use futures_util::FutureExt as _;
 use futures_util::future::join_all;
@@ -214,7 +215,6 @@
         block_on(async move {
             listener.set_nonblocking(true).unwrap();
             let listener = monoio::net::TcpListener::from_std(listener).unwrap();
-            let budget = Budget::new(BUDGET_BYTES);
             let open = Rc::new(Cell::new(0));
             let handler: Handler = Rc::new(move |request, responder: Responder| {
                 let (open, sender) = (open.clone(), sender.clone());
@@ -235,9 +235,12 @@
                 body_bytes_max: BODY_BYTES_MAX,
                 ..Options::default()
             };
-            let limit = server::fixed_body_limit(options);
-            let memory = Some(budget);
-            server::serve_counted(listener, options, limit, memory, Rc::default(), handler).await;
+            let intake = Intake::new(Limits {
+                connections_max: 64,
+                small_bytes_max: BUDGET_BYTES,
+                large_bytes_max: BUDGET_BYTES,
+            });
+            server::serve_port(listener, Port::new(options, intake), handler).await;
         })
         .unwrap();
     });
