http: idle connections leave descriptors to others

What callers saw: 320 clients that connect and send nothing, at a process with 160 descriptors, left none of an ordinary caller's requests answered, at whichever port they were connected.

Cause: limits.connections (4096 on each port) knew nothing of the descriptors, and a new connection was closed while idle ones stayed.

Ruled out: a shorter idle timeout, which callers inside the limits of the configuration would meet.

Each port has a part of limits.descriptors (default: the limit of the system), a quarter is left for servers, other processes and files. A new connection takes the place of the longest idle one, or of the longest stalled one. A task that wakes itself runs first on this runtime, so the accept loop yields through another task.

tests/hostile.rs: connections_beyond_the_limit_are_closed_and_the_others_served held idle connections and asked that the new one is closed, which is the fault. It now holds connections in use, and checks that both stay open; longest_idle_connection_is_closed_for_a_new_one is the other half.

--- a/crates/core/src/settings/mod.rs
+++ b/crates/core/src/settings/mod.rs
@@ -85,6 +85,9 @@
         /// Memory that the process may use, in MiB; bounds what it holds of the bodies of requests and
         /// responses.
         pub memory_mb: u64,
+        /// Descriptors that the process may use; the limit of the system if it is not set.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        pub descriptors: Option<usize>,
     }
 
     /// The entry role.
@@ -224,6 +227,7 @@
             idle_ms: 30_000,
             drain_ms: 120_000,
             memory_mb: 512,
+            descriptors: None,
         }
     }
 }
--- a/crates/core/src/settings/read.rs
+++ b/crates/core/src/settings/read.rs
@@ -215,8 +215,14 @@
     let idle_ms = section.value_or("idle_ms", default.idle_ms, MILLISECONDS_REMEDY);
     let drain_ms = section.value_or("drain_ms", default.drain_ms, MILLISECONDS_REMEDY);
     let memory_mb = section.value_or("memory_mb", default.memory_mb, COUNT_REMEDY);
+    let descriptors = section.optional("descriptors", COUNT_REMEDY);
     section.report_unknown_fields();
     check_positive(section, "memory_mb", memory_mb);
+    check_positive(
+        section,
+        "descriptors",
+        descriptors.map(|count: usize| count as u64),
+    );
     check_positive(
         section,
         "connections",
@@ -228,6 +234,7 @@
         idle_ms: idle_ms?,
         drain_ms: drain_ms?,
         memory_mb: memory_mb?,
+        descriptors,
     })
 }
 
--- a/crates/core/tests/settings.rs
+++ b/crates/core/tests/settings.rs
@@ -85,6 +85,7 @@
 #[test_case("\"debug\"", "\"loud\"", "log.level"; "log level")]
 #[test_case("\"ring\": 64", "\"ring\": 0", "log.ring"; "no ring")]
 #[test_case("\"connections\": 9", "\"connections\": 0", "limits.connections"; "no connections")]
+#[test_case("\"connections\": 9", "\"descriptors\": 0", "limits.descriptors"; "no descriptors")]
 #[test_case("\"drain_ms\": 7", "\"drain\": 7", "limits.drain"; "unknown limit")]
 #[test_case("\"127.0.0.1:7101\", \"127.0.0.1:7102\"", "", "control"; "no control")]
 #[test_case("7102\"", "7101\"", "control.1"; "control twice")]
--- a/crates/node/src/http/intake.rs
+++ b/crates/node/src/http/intake.rs
@@ -6,7 +6,8 @@
 //! the small ones.
 //!
 //! Whoever asks in vain doesn't wait for those that make no progress: connections that hold memory of a request and have
-//! sent next to nothing of it for [`STALL_MIN`] are closed for it, the longest stalled first. Connections whose request has been handed over are never closed.
+//! sent next to nothing of it for [`STALL_MIN`] are closed for it, the longest stalled first. In the same way a new
+//! connection takes the place of the longest idle one. Connections whose request has been handed over are never closed.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -128,13 +129,16 @@
         state.open.len() - state.closing
     }
 
-    /// Admits a new connection; none if there are too many. The receiver resolves when the connection has to close for others.
+    /// Admits a new connection, in place of an idle or stalled one if there are too many; none if all are in use. The
+    /// receiver resolves when the connection has to close for others.
     pub async fn register(
         self: &Rc<Self>,
         peer: SocketAddr,
     ) -> Option<(Registration, oneshot::Receiver<()>)> {
         if self.open_connections() >= self.connections_max {
-            return None;
+            self.replace(Instant::now())?;
+            // The task of the other one closes it first.
+            yield_now().await;
         }
         let (close, closed) = oneshot::channel();
         let mut state = self.state.borrow_mut();
@@ -158,6 +162,13 @@
         Some((registration, closed))
     }
 
+    /// Closes the longest idle connection, or else the longest stalled one; none if there is neither.
+    fn replace(&self, now: Instant) -> Option<()> {
+        let is_idle = |open: &Open| open.phase == Phase::Idle;
+        self.close_oldest(is_idle)
+            .or_else(|| self.close_oldest(|open| open.is_stalled(now)))
+    }
+
     /// Closes the longest stalled connection that holds memory; none if there is none.
     fn reclaim(&self, now: Instant) -> Option<()> {
         self.close_oldest(|open| open.holds_memory && !open.waits && open.is_stalled(now))
--- a/crates/node/src/shares.rs
+++ b/crates/node/src/shares.rs
@@ -1,6 +1,7 @@
-//! How the memory of a process is divided among its ports.
+//! How the memory and the descriptors of a process are divided among its ports.
 //!
-//! Whatever arrives at one port, the others keep their part. All parts together leave some of it to the state of the process.
+//! Whatever arrives at one port, the others keep their part, and so do servers, other processes and files. All parts of the
+//! memory together leave some of it to the state of the process.
 
 use std::rc::Rc;
 
@@ -28,10 +29,11 @@
     Pages,
 }
 
-/// The memory of a process.
+/// The memory and the descriptors of a process.
 #[derive(Clone, Copy, Debug)]
 pub struct Shares {
     memory_bytes: u64,
+    descriptors: usize,
     connections_max: usize,
 }
 
@@ -43,6 +45,8 @@
     small: u64,
     /// Of the memory, for large requests.
     large: u64,
+    /// Of the descriptors.
+    descriptors: usize,
 }
 
 impl Port {
@@ -52,16 +56,19 @@
                 connections: 4,
                 small: 32,
                 large: 8,
+                descriptors: 2,
             },
             Self::Peers => Parts {
                 connections: 16,
                 small: 32,
                 large: 8,
+                descriptors: 8,
             },
             Self::Pages => Parts {
                 connections: 32,
                 small: 64,
                 large: 64,
+                descriptors: 16,
             },
         }
     }
@@ -72,6 +79,7 @@
     pub fn new(limits: &LimitSettings) -> Self {
         Self {
             memory_bytes: limits.memory_mb.saturating_mul(1 << 20),
+            descriptors: limits.descriptors.unwrap_or_else(descriptor_limit),
             connections_max: limits.connections,
         }
     }
@@ -80,7 +88,8 @@
     pub fn limits(&self, port: Port) -> intake::Limits {
         let parts = port.parts();
         let by_memory = (self.memory_bytes / parts.connections / CONNECTION_BYTES) as usize;
-        let connections_max = self.connections_max.min(by_memory);
+        let by_descriptors = self.descriptors / parts.descriptors;
+        let connections_max = self.connections_max.min(by_memory).min(by_descriptors);
         intake::Limits {
             connections_max: connections_max.max(1),
             small_bytes_max: (self.memory_bytes / parts.small) as usize,
@@ -98,3 +107,16 @@
         Budget::new((self.memory_bytes / RESPONSE_PART) as usize)
     }
 }
+
+/// Descriptors that the system allows the process.
+fn descriptor_limit() -> usize {
+    use nix::sys::resource::{Resource, getrlimit};
+
+    match getrlimit(Resource::RLIMIT_NOFILE) {
+        Ok((soft, _)) => usize::try_from(soft).unwrap_or(usize::MAX),
+        Err(error) => {
+            log::warn!("can't read the limit on descriptors ({error}); set limits.descriptors");
+            usize::MAX
+        }
+    }
+}
--- a/crates/node/tests/hostile.rs
+++ b/crates/node/tests/hostile.rs
@@ -411,7 +411,8 @@
     let address = start_with_two_connections();
     let mut streams = [connect(address), connect(address)];
     for stream in &mut streams {
-        stream.write_all(b"GET / HTTP/1.1\r\n\r\n").unwrap();
+        // The response stays open, so the connections are in use.
+        stream.write_all(b"GET /hold HTTP/1.1\r\n\r\n").unwrap();
         let mut response = [0; 12];
         stream.read_exact(&mut response).unwrap();
         assert_eq!(&response, b"HTTP/1.1 200");
@@ -433,6 +434,21 @@
     }
 }
 
+/// Connections that sent nothing kept new ones out.
+#[test]
+fn longest_idle_connection_is_closed_for_a_new_one() {
+    let address = start_with_two_connections();
+    let mut streams = [connect(address), connect(address)];
+    for stream in &mut streams {
+        stream.write_all(b"GET / HTTP/1.1\r\n\r\n").unwrap();
+        let mut response = [0; 12];
+        stream.read_exact(&mut response).unwrap();
+        assert_eq!(&response, b"HTTP/1.1 200");
+    }
+    assert_still_serving(address);
+    assert_eq!(streams.each_mut().map(is_open), [false, true]);
+}
+
 #[test]
 fn dropped_responder_closes_the_connection() {
     let address = start(options());
--- a/crates/node/tests/intake.rs
+++ b/crates/node/tests/intake.rs
@@ -224,13 +224,14 @@
     .unwrap();
 }
 
-/// All ports of a process together leave memory to the rest of it.
-#[test_case(32; "small")]
-#[test_case(260; "usual")]
-#[test_case(4096; "large")]
-fn shares_of_all_ports_fit_into_the_process(memory_mb: u64) {
+/// All ports of a process together leave memory and descriptors to the rest of it.
+#[test_case(32, 256; "small")]
+#[test_case(260, 4100; "usual")]
+#[test_case(4096, 65_536; "large")]
+fn shares_of_all_ports_fit_into_the_process(memory_mb: u64, descriptors: usize) {
     let shares = Shares::new(&LimitSettings {
         memory_mb,
+        descriptors: Some(descriptors),
         connections: usize::MAX,
         ..LimitSettings::default()
     });
@@ -241,4 +242,5 @@
     let connections: usize = limits.iter().map(|limits| limits.connections_max).sum();
     let total = permits + shares.responses().bytes_max() + connections * (64 << 10);
     assert!(total <= (memory_mb as usize) << 20, "{total}");
+    assert!(connections <= descriptors * 3 / 4, "{connections}");
 }
