node: receive buffers of connections have a size

What callers saw: nothing by itself; a process with many connections that wait unread uses more memory than its machine has.

Cause: the kernel enlarges the receive buffer of a connection that isn't read, up to megabytes, and what waits there counts towards the memory of the machine. Connections that wait to be accepted have such buffers, too.

Ruled out: reading and dropping, which would refuse those that only wait for memory; a smaller buffer, as far callers with large bodies would be slower (a window for each round trip).

The listening sockets set 32 KiB (the kernel keeps up to 48 KiB of it as bytes), 4 KiB for pages. The number of connections reckons with it, and with the backlog.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -18,6 +18,7 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use monoio::net::TcpListener;
 use rand::RngExt as _;
+use socket2::SockRef;
 
 use crate::adapter::Adapter;
 use crate::clock::Clock;
@@ -123,15 +124,17 @@
             .and_then(|entry| entry.direct.as_ref())
             .map(|direct| direct.health);
         let mut ports = Self::bind(settings.listen, callers)?;
-        ports.health = health.map(bind).transpose()?;
-        ports.metrics = settings.metrics.map(bind).transpose()?;
+        let bind_pages = |address| bind(address, shares::Port::Pages);
+        ports.health = health.map(bind_pages).transpose()?;
+        ports.metrics = settings.metrics.map(bind_pages).transpose()?;
         Ok(ports)
     }
 
     /// Binds the port for peers and operators and the port for callers; port 0 selects a free port.
     pub fn bind(listen: SocketAddr, callers: Option<SocketAddr>) -> Result<Self> {
-        let peers = bind(listen)?;
-        let callers = callers.map(bind).transpose()?;
+        let peers = bind(listen, shares::Port::Peers)?;
+        let callers = callers.map(|address| bind(address, shares::Port::Main));
+        let callers = callers.transpose()?;
         Ok(Self {
             peers,
             callers,
@@ -687,10 +690,15 @@
 
 /// Binds a port. Uses the standard library's listener because it doesn't share the port with other
 /// processes.
-fn bind(address: SocketAddr) -> Result<StdListener> {
+fn bind(address: SocketAddr, port: shares::Port) -> Result<StdListener> {
+    let receive_buffer_bytes = Shares::receive_buffer_bytes(port);
     let fail = |error| Error::bind(address, error);
     let listener = StdListener::bind(address).map_err(fail)?;
     listener.set_nonblocking(true).map_err(fail)?;
+    // Connections inherit it; without a limit the kernel enlarges the buffers of those that are not read.
+    if let Err(error) = SockRef::from(&listener).set_recv_buffer_size(receive_buffer_bytes) {
+        log::warn!("can't limit the receive buffers at {address}: {error}");
+    }
     Ok(listener)
 }
 
--- a/crates/node/src/shares.rs
+++ b/crates/node/src/shares.rs
@@ -14,6 +14,12 @@
 /// of a request and the connection's state.
 const CONNECTION_BYTES: u64 = 64 << 10;
 
+/// Connections that wait in the kernel to be accepted; what they have sent counts too.
+const BACKLOG: usize = 128;
+
+/// Divisor of a port's connections that are admitted however small its memory is.
+const ADMITTED_PART: usize = 4;
+
 /// Part of the memory that the larger responses of servers may take. A body is copied while it is received, so it may
 /// take twice its size for a moment.
 const RESPONSE_PART: u64 = 8;
@@ -84,10 +90,19 @@
         }
     }
 
+    /// Receive buffer of a connection to a port, in bytes. The kernel keeps half as much again.
+    pub fn receive_buffer_bytes(port: Port) -> usize {
+        match port {
+            Port::Main | Port::Peers => 32 << 10,
+            Port::Pages => 4 << 10,
+        }
+    }
+
     /// Limits of what the connections of a port may hold together.
     pub fn limits(&self, port: Port) -> intake::Limits {
         let parts = port.parts();
         let by_memory = (self.memory_bytes / parts.connections / CONNECTION_BYTES) as usize;
+        let by_memory = (by_memory / ADMITTED_PART).max(by_memory.saturating_sub(BACKLOG));
         let by_descriptors = self.descriptors / parts.descriptors;
         let connections_max = self.connections_max.min(by_memory).min(by_descriptors);
         intake::Limits {
