http: a number over 599 is no status

But 600 and 999 were passed on with their seal and, on routes that may be repeated, counted as an answer of the server.

Cause: the decoder accepts 100 to 999; HTTP has 100 to 599.

The client refuses a higher number as a violation of the protocol, for calls, health checks, watches and operators' tools alike.

--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -31,6 +31,9 @@
 /// Buffer size for reading a body that is delimited by the end of the connection, in bytes.
 const READ_BYTES: usize = 16 << 10;
 
+/// Highest status of HTTP.
+const STATUS_MAX: u16 = 599;
+
 /// Timeout for opening a connection.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -219,6 +222,10 @@
                     "the peer switched protocols without a request to do so".to_owned(),
                 ));
             }
+            // The decoder accepts all numbers of three digits from 100 on.
+            if head.status.as_u16() > STATUS_MAX {
+                return Err(Error::Protocol(format!("{} is no status", head.status)));
+            }
             // Interim responses (1xx) precede the final one.
             if !head.status.is_informational() {
                 break (head, decoder);
--- a/crates/node/tests/hostile.rs
+++ b/crates/node/tests/hostile.rs
@@ -526,6 +526,8 @@
 #[test_case(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\ncut\r\n", None; "cut chunks")]
 #[test_case(b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\ncontent-length: 4\r\n\r\ncutt", None; "two lengths")]
 #[test_case(b"HTTP/1.1 101 Switching Protocols\r\n\r\n", None; "other protocol")]
+#[test_case(b"HTTP/1.1 000 OK\r\ncontent-length: 2\r\n\r\nab", None; "status 000")]
+#[test_case(b"HTTP/1.1 600 OK\r\ncontent-length: 2\r\n\r\nab", None; "status 600")]
 #[test_case(b"rubbish\r\n\r\n", None; "rubbish")]
 #[test_case(b"", None; "nothing")]
 fn response_is_read_completely_or_fails(response: &'static [u8], body: Option<&str>) {
