http: a new connection is not refused while others have sent no complete request

What callers saw: beside 1,500 clients that stop within a head, 18 of 48 small requests of ordinary callers were closed unanswered in 8 s, as all connections of the port were in use and none had been stalled for 250 ms yet.

The place of the connection whose request has made no progress for the longest is taken at once. Idle connections that have sent no request yet go before those of callers that keep theirs.

--- a/crates/node/src/http/intake.rs
+++ b/crates/node/src/http/intake.rs
@@ -6,8 +6,9 @@
 //! the small ones.
 //!
 //! Whoever asks in vain doesn't wait for those that make no progress: connections that hold memory of a request and have
-//! sent next to nothing of it for [`STALL_MIN`] are closed for it, the longest stalled first. In the same way a new
-//! connection takes the place of the longest idle one. Connections whose request has been handed over are never closed.
+//! sent next to nothing of it for [`STALL_MIN`] are closed for it, the longest stalled first. A new connection takes the place
+//! of the longest idle one, of those that have sent no request yet if there are any, or else of the longest without
+//! progress. Connections whose request has been handed over are never closed.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -65,6 +66,8 @@
 #[derive(Debug)]
 struct Open {
     phase: Phase,
+    /// Whether a request of it has been answered.
+    has_served: bool,
     /// Whether it holds a permit.
     holds_memory: bool,
     /// Whether it waits for a permit, and so can't make progress.
@@ -129,14 +132,14 @@
         state.open.len() - state.closing
     }
 
-    /// Admits a new connection, in place of an idle or stalled one if there are too many; none if all are in use. The
-    /// receiver resolves when the connection has to close for others.
+    /// Admits a new connection, in place of one without a complete request if there are too many; none if all have one.
+    /// The receiver resolves when the connection has to close for others.
     pub async fn register(
         self: &Rc<Self>,
         peer: SocketAddr,
     ) -> Option<(Registration, oneshot::Receiver<()>)> {
         if self.open_connections() >= self.connections_max {
-            self.replace(Instant::now())?;
+            self.replace()?;
             // The task of the other one closes it first.
             yield_now().await;
         }
@@ -146,6 +149,7 @@
         let id = state.last_id;
         let open = Open {
             phase: Phase::Idle,
+            has_served: false,
             holds_memory: false,
             waits: false,
             since: Instant::now(),
@@ -162,11 +166,13 @@
         Some((registration, closed))
     }
 
-    /// Closes the longest idle connection, or else the longest stalled one; none if there is neither.
-    fn replace(&self, now: Instant) -> Option<()> {
+    /// Closes the longest idle connection, first of those without a request so far, or else the one whose request made no
+    /// progress for the longest; none if all requests have been handed over.
+    fn replace(&self) -> Option<()> {
         let is_idle = |open: &Open| open.phase == Phase::Idle;
-        self.close_oldest(is_idle)
-            .or_else(|| self.close_oldest(|open| open.is_stalled(now)))
+        self.close_oldest(|open| is_idle(open) && !open.has_served)
+            .or_else(|| self.close_oldest(is_idle))
+            .or_else(|| self.close_oldest(|open| open.phase == Phase::Receiving))
     }
 
     /// Closes the longest stalled connection that holds memory; none if there is none.
@@ -222,6 +228,7 @@
 
     /// Records that a response is complete.
     pub fn end_handling(&self) {
+        self.update(|open| open.has_served = true);
         self.set_phase(match self.has_part.get() {
             true => Phase::Receiving,
             false => Phase::Idle,
--- a/crates/node/tests/hostile.rs
+++ b/crates/node/tests/hostile.rs
@@ -449,6 +449,20 @@
     assert_eq!(streams.each_mut().map(is_open), [false, true]);
 }
 
+/// Clients that only connect don't take the place of those that send requests.
+#[test]
+fn idle_connection_without_a_request_is_closed_first() {
+    let address = start_with_two_connections();
+    let mut served = connect(address);
+    served.write_all(b"GET / HTTP/1.1\r\n\r\n").unwrap();
+    let mut response = [0; 12];
+    served.read_exact(&mut response).unwrap();
+    let mut silent = connect(address);
+    std::thread::sleep(Duration::from_millis(50));
+    assert_still_serving(address);
+    assert_eq!([is_open(&mut served), is_open(&mut silent)], [true, false]);
+}
+
 #[test]
 fn dropped_responder_closes_the_connection() {
     let address = start(options());
