entry: a response that waits for the entry's memory is no silence of its server

Cause: responses wait for their part of memory_mb. The servers whose responses waited made no progress in the entry's books, so after three times the latency target they counted as hung beside one whose responses were read; all their attempts were called off, though they had run, and their retries met the same wait. Traced: 50 attempts at two servers broken off 1,200 ms after their start, in one millisecond, memory at 40 of 112 MiB.

Ruled out: late heartbeats (no server left the directory); the crowd's memory (no crowd).

While a body waits for memory, the entry reports it every 50 ms as progress.

--- a/crates/entry/src/direct/io.rs
+++ b/crates/entry/src/direct/io.rs
@@ -99,6 +99,13 @@
         /// Number of the attempt that produced the event.
         attempt: u32,
     },
+    /// A response has begun, and its body waits for memory of this process.
+    ResponseWaits {
+        /// The caller.
+        ticket: Ticket,
+        /// Number of the attempt that received it.
+        attempt: u32,
+    },
     /// An attempt ended.
     AttemptEnded {
         /// The caller.
--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -105,11 +105,14 @@
         if let Input::EventForwarded { ticket, attempt } = input {
             self.handle_event_forwarded(now, ticket, attempt, out);
         }
+        if let Input::ResponseWaits { ticket, attempt } = input {
+            self.handle_response_waits(now, ticket, attempt);
+        }
         self.run_timers(now, out);
         match input {
             Input::Call { ticket, call } => self.handle_call(now, ticket, call, out),
             Input::CallerGone { ticket } => self.handle_caller_gone(now, ticket, out),
-            Input::EventForwarded { .. } => {}
+            Input::EventForwarded { .. } | Input::ResponseWaits { .. } => {}
             Input::AttemptEnded {
                 ticket,
                 attempt,
@@ -496,6 +499,23 @@
         self.insert_request(ticket, request);
     }
 
+    /// Records that a response waits for this process, which says nothing against its server.
+    fn handle_response_waits(&mut self, now: Instant, ticket: Ticket, attempt: u32) {
+        let Some(mut request) = self.remove_if_current(ticket, attempt) else {
+            return;
+        };
+        if let Stage::Running {
+            server,
+            last_progress,
+            ..
+        } = &mut request.stage
+        {
+            *last_progress = now;
+            self.pool.record_progress(now, server);
+        }
+        self.insert_request(ticket, request);
+    }
+
     /// Processes the end of an attempt.
     fn handle_attempt_end(
         &mut self,
--- a/crates/entry/tests/direct.rs
+++ b/crates/entry/tests/direct.rs
@@ -1585,3 +1585,38 @@
         }
     });
 }
+
+/// Sound servers were ejected, and their requests failed, while their responses waited for memory of the entry.
+#[test]
+fn server_whose_response_waits_for_the_entry_does_not_count_as_hung() {
+    let mut harness = Harness::new(2, Options::default());
+    let mut document = document();
+    for mount in document.mounts.values_mut() {
+        mount.latency_target_ms = 20;
+    }
+    harness.version = 2;
+    harness.apply_update(Some(document), server_infos(2, 1));
+    let first = sent_attempt(&harness.submit_call(1, "idempotent")).unwrap();
+    // Other calls show that the other server makes progress.
+    let mut number = 2;
+    let mut advance = |harness: &mut Harness, waits: bool| {
+        number += 1;
+        let other = sent_attempt(&harness.submit_call(number, "idempotent")).unwrap();
+        let mut out = harness.advance(Duration::from_millis(50));
+        if waits {
+            let (ticket, attempt) = (Ticket(1), 1);
+            out.extend(harness.feed(Input::ResponseWaits { ticket, attempt }));
+        }
+        if other.server != first.server {
+            let outcome = AttemptOutcome::Responded(200);
+            out.extend(harness.end_attempt(number, 1, outcome));
+        }
+        let retried = |output: &Output| matches!(output, Output::StartAttempt { ticket, .. } if *ticket == Ticket(1));
+        out.iter().any(retried)
+    };
+    let while_waiting = (0..6).any(|_| advance(&mut harness, true));
+    assert!(!while_waiting, "called again while its response waited");
+    // A server that stops is still found.
+    let afterwards = (0..6).any(|_| advance(&mut harness, false));
+    assert!(afterwards, "not called again after it stopped");
+}
--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -324,6 +324,11 @@
         self.allowance.release_read();
     }
 
+    /// The allowance of its connection, which tells whether the body waits for memory while it is read.
+    pub fn allowance(&self) -> ReadAllowance {
+        self.allowance.clone()
+    }
+
     /// Ends the body; returns the permit for the memory of its parts, if they needed one.
     pub fn take_permit(&self) -> Option<Permit> {
         self.allowance.end_body()
--- a/crates/node/src/http/guard.rs
+++ b/crates/node/src/http/guard.rs
@@ -44,6 +44,8 @@
     /// Bytes of the permit that is needed beyond that; 0 if none is.
     permit_bytes: usize,
     permit: Option<Permit>,
+    /// Whether the body waits for a permit.
+    waits: bool,
     /// Follows a chunked response.
     scanner: Option<Scanner>,
 }
@@ -53,6 +55,7 @@
         self.free_bytes = SMALL_BODY_BYTES;
         self.permit_bytes = bytes_max;
         self.permit = None;
+        self.waits = false;
     }
 }
 
@@ -106,6 +109,11 @@
         self.wait_for_memory().await;
     }
 
+    /// Whether the body waits for memory of this process.
+    pub fn waits_for_memory(&self) -> bool {
+        self.body.borrow().waits
+    }
+
     /// Waits until more of the body may be kept in memory.
     async fn wait_for_memory(&self) {
         let (budget, peer, bytes) = {
@@ -118,8 +126,10 @@
             }
             (budget.clone(), *peer, body.permit_bytes)
         };
+        self.body.borrow_mut().waits = true;
         let permit = budget.acquire(peer, bytes).await;
-        self.body.borrow_mut().permit = Some(permit);
+        let mut body = self.body.borrow_mut();
+        (body.permit, body.waits) = (Some(permit), false);
     }
 
     /// Follows the framing of chunked bodies.
--- a/crates/node/src/role/direct.rs
+++ b/crates/node/src/role/direct.rs
@@ -3,9 +3,12 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
+
 use eelgrassdyke_core::event::{Code, Event};
 use eelgrassdyke_core::id::{Incarnation, Server, Ticket};
 use eelgrassdyke_core::time::Instant;
@@ -33,6 +36,10 @@
 /// Delay before a server is checked: a process that ends closes its sockets in any order.
 const CHECK_DELAY: Duration = Duration::from_millis(10);
 
+/// Interval of the checks whether a response waits for memory; below the shortest time after which an attempt
+/// counts as hung.
+const MEMORY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Maximum size of a response that is not streamed, in bytes.
 const RESPONSE_BYTES_MAX: usize = 8 << 20;
 
@@ -410,7 +417,7 @@
             let reusable = outcome == AttemptOutcome::Streamed && server_response.keeps_alive();
             return Ok((outcome.into(), reusable));
         }
-        let body = server_response.read_to_end().await?;
+        let body = self.read_body(attempt, &mut server_response).await?;
         let response = Response {
             status: server_response.status,
             headers: end_to_end_headers(&server_response.headers),
@@ -426,6 +433,26 @@
         Ok((result, reusable))
     }
 
+    /// Reads the whole body of a response, and reports while it waits for memory of this process.
+    async fn read_body(
+        self: &Rc<Self>,
+        attempt: &Attempt,
+        response: &mut client::Response<'_>,
+    ) -> crate::http::Result<Bytes> {
+        let (ticket, attempt) = (attempt.ticket, attempt.spec.attempt);
+        let allowance = response.allowance();
+        let mut reading = pin!(response.read_to_end());
+        loop {
+            match monoio::time::timeout(MEMORY_CHECK_INTERVAL, reading.as_mut()).await {
+                Ok(body) => return body,
+                Err(_) if allowance.waits_for_memory() => {
+                    self.handle_input(Input::ResponseWaits { ticket, attempt });
+                }
+                Err(_) => {}
+            }
+        }
+    }
+
     /// Forwards a stream in complete events.
     async fn relay_stream(
         self: &Rc<Self>,
