node: a request waits for memory for a third of its caller's time at most

What callers saw: a request with Deadline-Ms 8000 that waited for memory got its answer after 30 s; one with 600 would wait as long.

Cause: the wait knew nothing of the time limit that the head states.

The adapter reads it from the head, and the wait is a third of it, at most a second: callers abandon a request that isn't read by then. Then it is refused as not run, with Retry-After. time_limit_of_a_caller_is_read_from_the_head is the test of the reading; that a wait ends is request_without_memory_is_refused_and_the_running_one_is_kept.

--- a/crates/node/src/adapter.rs
+++ b/crates/node/src/adapter.rs
@@ -5,6 +5,7 @@
 //! makes no decisions.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use eelgrassdyke_control::{OperatorResponse, ServerNotice};
@@ -23,6 +24,9 @@
     /// Decodes a caller's request; an invalid one yields the response to send.
     fn decode_call(&self, request: &Request) -> std::result::Result<Call, Box<Response>>;
 
+    /// Time for which the sender of a caller's request waits, if its header fields state it.
+    fn time_left(&self, headers: &HeaderMap) -> Option<Duration>;
+
     /// Header fields of the request that an attempt sends to a backend server.
     fn attempt_headers(
         &self,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -46,6 +46,10 @@
 /// Maximum body size on ports whose pages take no body, in bytes.
 const PAGE_BYTES_MAX: usize = 1 << 10;
 
+/// Divisor of a caller's time limit that gives the time for which its request waits for memory. Callers abandon a
+/// request that is not read within that time.
+const MEMORY_WAIT_DIVISOR: u32 = 3;
+
 /// Time for opening a connection to another process. A connection request to a host without power gets
 /// no answer; a short timeout lets the next one reach the host soon after its start.
 const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -347,6 +351,14 @@
     ) {
         let intake = Shares::new(&self.settings.limits).intake(shares::Port::Main);
         let mut port = server::Port::new(options, intake);
+        if let Some(adapter) = self.adapter.clone() {
+            port.body_policy = Rc::new(move |headers: &HeaderMap| BodyTerms {
+                bytes_max: options.body_bytes_max,
+                wait_max: (adapter.time_left(headers))
+                    .map_or(MEMORY_WAIT_MAX, |time_left| time_left / MEMORY_WAIT_DIVISOR)
+                    .min(MEMORY_WAIT_MAX),
+            });
+        }
         port.unwritten = self.unwritten.clone();
         monoio::spawn(server::serve_port(listener, port, handler));
     }
