http: the unsent parts of streams have a limit together

What callers saw: nothing by itself; callers that don't read their streams made a process hold all of them.

Cause: beyond 4 MiB a stream was marked for its connection to be closed, but the connection's task was in a write that the caller doesn't take, so it never saw the mark, and the stream went on being queued: 230 MB for eight streams of 32 MB. What was within the limit of a stream had no sum.

A stream over its limit is queued no further and its connection closes at once, also within a write. Together the unsent parts may take 1/32 of memory_mb; beyond it the streams that have more than 64 KiB unsent are closed. streams_that_are_not_read_share_the_memory: 230,047,744 bytes before, and with the sum alone (the mark unseen) as well; bound 3 MiB.

--- a/crates/node/src/http/respond.rs
+++ b/crates/node/src/http/respond.rs
@@ -5,10 +5,11 @@
 
 use bytes::Bytes;
 use futures_channel::mpsc::UnboundedSender;
+use futures_channel::oneshot;
 use http::header::CONNECTION;
 use http::{HeaderMap, StatusCode};
 
-use super::budget::Permit;
+use super::budget::{Permit, SMALL_BODY_BYTES};
 
 /// Maximum size of the unsent part of a stream, in bytes; beyond it, the connection is closed
 /// because the reader is too slow.
@@ -27,9 +28,44 @@
 #[derive(Debug, Default)]
 pub struct Unwritten {
     latest: RefCell<Rc<Group>>,
+    unsent: Rc<Unsent>,
+}
+
+/// The unsent parts of all streams of a process.
+#[derive(Debug)]
+struct Unsent {
+    bytes: Cell<usize>,
+    bytes_max: usize,
+}
+
+impl Default for Unsent {
+    fn default() -> Self {
+        Self {
+            bytes: Cell::default(),
+            bytes_max: usize::MAX,
+        }
+    }
 }
 
 impl Unwritten {
+    /// Counts responses whose unsent parts may have `unsent_bytes_max` bytes together; beyond it, the streams that have
+    /// more than [`SMALL_BODY_BYTES`] are closed.
+    pub fn new(unsent_bytes_max: usize) -> Rc<Self> {
+        let unsent = Unsent {
+            bytes: Cell::default(),
+            bytes_max: unsent_bytes_max,
+        };
+        Rc::new(Self {
+            unsent: Rc::new(unsent),
+            ..Self::default()
+        })
+    }
+
+    /// Bytes of streams that are not sent yet.
+    pub fn unsent_bytes(&self) -> usize {
+        self.unsent.bytes.get()
+    }
+
     /// The responses to the requests received so far; those received from now on belong to the next group.
     pub fn split_off(&self) -> Rc<Group> {
         self.latest.take()
@@ -76,6 +112,7 @@
 impl Drop for OpenResponse {
     fn drop(&mut self) {
         drop(self.exchange.permits.take());
+        self.exchange.record_sent(self.exchange.unsent_bytes.get());
         let group = &self.exchange.group;
         group.open.set(group.open.get() - 1);
         if self.exchange.progress.replace(Progress::Closed) == Progress::Queued {
@@ -101,8 +138,11 @@
 pub struct Exchange {
     group: Rc<Group>,
     progress: Cell<Progress>,
-    pub unsent_bytes: Cell<usize>,
-    pub is_overflowed: Cell<bool>,
+    unsent: Rc<Unsent>,
+    unsent_bytes: Cell<usize>,
+    is_overflowed: Cell<bool>,
+    /// Tells the connection's task, which may be writing, that too much is unsent.
+    overflow: RefCell<Option<oneshot::Sender<()>>>,
     pub disconnected: Cell<bool>,
     /// Whether the peer had closed its sending side when the request was handed over.
     pub closed_early: Cell<bool>,
@@ -114,14 +154,39 @@
 }
 
 impl Exchange {
-    /// An exchange whose response counts as one of `group`.
-    pub(super) fn new(group: Rc<Group>) -> Self {
+    /// An exchange whose response counts as one of the latest.
+    pub(super) fn new(unwritten: &Unwritten) -> Self {
         Self {
-            group,
+            group: unwritten.latest(),
+            unsent: unwritten.unsent.clone(),
             ..Self::default()
         }
     }
 
+    /// Resolves when so much of the stream is unsent that the connection has to close.
+    pub(super) fn overflow(&self) -> oneshot::Receiver<()> {
+        let (sender, receiver) = oneshot::channel();
+        *self.overflow.borrow_mut() = Some(sender);
+        receiver
+    }
+
+    /// Records that bytes of a stream are queued for the connection; false if they are too many.
+    fn record_unsent(&self, bytes: usize) -> bool {
+        self.unsent_bytes.set(self.unsent_bytes.get() + bytes);
+        self.unsent.bytes.set(self.unsent.bytes.get() + bytes);
+        let bytes_max = match self.unsent.bytes.get() > self.unsent.bytes_max {
+            true => SMALL_BODY_BYTES,
+            false => UNSENT_BYTES_MAX,
+        };
+        self.unsent_bytes.get() <= bytes_max
+    }
+
+    /// Records that bytes of a stream are written or dropped.
+    pub(super) fn record_sent(&self, bytes: usize) {
+        self.unsent_bytes.set(self.unsent_bytes.get() - bytes);
+        self.unsent.bytes.set(self.unsent.bytes.get() - bytes);
+    }
+
     /// Keeps permits for the memory of a body until the response is written.
     pub(super) fn hold(&self, permits: impl IntoIterator<Item = Permit>) {
         self.permits.borrow_mut().extend(permits);
@@ -189,11 +254,15 @@
 
     /// Sends the next part of a streamed response, without buffering.
     pub fn send_data(&self, data: Bytes) {
-        let unsent_bytes = self.exchange.unsent_bytes.get() + data.len();
-        self.exchange.unsent_bytes.set(unsent_bytes);
-        if unsent_bytes > UNSENT_BYTES_MAX {
+        if self.exchange.progress.get() == Progress::Closed || self.exchange.is_overflowed.get() {
+            return;
+        }
+        if !self.exchange.record_unsent(data.len()) {
             // Closed by the connection's task: the disconnect hook must not run within this call.
             self.exchange.is_overflowed.set(true);
+            if let Some(overflow) = self.exchange.overflow.take() {
+                let _ = overflow.send(());
+            }
         }
         self.send_part(ResponsePart::Data(data));
     }
--- a/crates/node/src/http/server.rs
+++ b/crates/node/src/http/server.rs
@@ -406,7 +406,7 @@
             };
             let close_requested = requests_close(&request.headers);
             let is_head = request.method == Method::HEAD;
-            let exchange = Rc::new(Exchange::new(self.port.unwritten.latest()));
+            let exchange = Rc::new(Exchange::new(&self.port.unwritten));
             exchange.hold(self.receiver.permits.drain(..));
             self.receiver.registration.start_handling();
             let open_response = OpenResponse::new(exchange.clone());
@@ -561,6 +561,7 @@
         let (part_sender, mut parts) = unbounded();
         answer(part_sender);
         let mut without_body = is_head;
+        let mut overflow = pin!(exchange.overflow());
         loop {
             let next = match early_head.is_none() {
                 // A peer that has closed its sending side may still read what is ready.
@@ -578,19 +579,19 @@
                     }
                 },
             };
-            if exchange.is_overflowed.get() {
-                return None;
-            }
-            if let Progress::Complete = write_part(
+            let writing = pin!(write_part(
                 &mut self.writer,
                 next?,
                 exchange,
                 is_head,
                 &mut without_body,
-            )
-            .await
-            .ok()?
-            {
+            ));
+            // The peer may take nothing of what is written.
+            let written = match select(overflow.as_mut(), writing).await {
+                Either::Left(_) => return None,
+                Either::Right((written, _)) => written,
+            };
+            if let Progress::Complete = written.ok()? {
                 break;
             }
         }
@@ -684,11 +685,10 @@
             write::head(writer, status, &headers, framing).await?;
         }
         ResponsePart::Data(data) => {
-            let unsent_bytes = exchange.unsent_bytes.get().saturating_sub(data.len());
-            exchange.unsent_bytes.set(unsent_bytes);
             if !*without_body {
                 write::chunk(writer, &data).await?;
             }
+            exchange.record_sent(data.len());
         }
         ResponsePart::End => {
             if !*without_body {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -228,6 +228,7 @@
             role::watch::Role::start(core, watch, adapter, context.clone())
         });
         let draining = Cell::new(false);
+        let unsent_bytes_max = Shares::new(&settings.limits).unsent_bytes_max();
         let node = Rc::new(Self {
             settings,
             context,
@@ -241,7 +242,7 @@
             adapter,
             metrics,
             draining,
-            unwritten: Rc::default(),
+            unwritten: server::Unwritten::new(unsent_bytes_max),
         });
         let detail = match ports.caller_address()? {
             Some(callers) => format!("peers {address} callers {callers}"),
--- a/crates/node/src/shares.rs
+++ b/crates/node/src/shares.rs
@@ -24,6 +24,9 @@
 /// take twice its size for a moment.
 const RESPONSE_PART: u64 = 8;
 
+/// Part of the memory that the unsent parts of streams may take.
+const UNSENT_PART: u64 = 32;
+
 /// A port of a process, by its share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Port {
@@ -117,6 +120,11 @@
         Intake::new(self.limits(port))
     }
 
+    /// Memory for the unsent parts of all streams, in bytes.
+    pub fn unsent_bytes_max(&self) -> usize {
+        (self.memory_bytes / UNSENT_PART) as usize
+    }
+
     /// Memory for the larger responses of servers.
     pub fn responses(&self) -> Rc<Budget> {
         Budget::new((self.memory_bytes / RESPONSE_PART) as usize)
--- a/crates/node/tests/intake.rs
+++ b/crates/node/tests/intake.rs
@@ -240,7 +240,8 @@
     let memory = |limits: &Limits| limits.small_bytes_max + limits.large_bytes_max;
     let permits: usize = limits.iter().map(memory).sum();
     let connections: usize = limits.iter().map(|limits| limits.connections_max).sum();
-    let total = permits + shares.responses().bytes_max() + connections * (64 << 10);
+    let responses = shares.responses().bytes_max() + shares.unsent_bytes_max();
+    let total = permits + responses + connections * (64 << 10);
     assert!(total <= (memory_mb as usize) << 20, "{total}");
     assert!(connections <= descriptors * 3 / 4, "{connections}");
 }
--- a/crates/node/tests/memory.rs
+++ b/crates/node/tests/memory.rs
@@ -9,7 +9,7 @@
 use eelgrassdyke_node::http::budget::{Budget, SMALL_BODY_BYTES};
 use eelgrassdyke_node::http::client::{Connection, Request};
 use eelgrassdyke_node::http::intake::{Intake, Limits};
-use eelgrassdyke_node::http::server::{self, Handler, Options, Port, Responder};
+use eelgrassdyke_node::http::server::{self, Handler, Options, Port, Responder, Unwritten};
 use eelgrassdyke_node::runtime::block_on;
 use futures_util::FutureExt as _;
 use futures_util::future::join_all;
@@ -438,3 +438,69 @@
     }
     drop(silent);
 }
+
+/// The unsent parts of streams had a limit each, but none together.
+#[test]
+fn streams_that_are_not_read_share_the_memory() {
+    const PIECE_BYTES: usize = 16 << 10;
+    const CALLERS: usize = 8;
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (sender, receiver) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        block_on(async move {
+            listener.set_nonblocking(true).unwrap();
+            let listener = monoio::net::TcpListener::from_std(listener).unwrap();
+            let unwritten = Unwritten::new(BUDGET_BYTES);
+            let most = Rc::new(Cell::new(0));
+            let counter = unwritten.clone();
+            let handler: Handler = Rc::new(move |request, responder: Responder| {
+                let (most, counter, sender) = (most.clone(), counter.clone(), sender.clone());
+                // More than the buffers of the sockets hold; a caller that reads can keep up.
+                let pieces = match request.uri.path() {
+                    "/long" => 2000,
+                    _ => 20,
+                };
+                monoio::spawn(async move {
+                    responder.start_stream(StatusCode::OK, HeaderMap::new());
+                    for _ in 0..pieces {
+                        responder.send_data(vec![b'x'; PIECE_BYTES].into());
+                        most.set(most.get().max(counter.unsent_bytes()));
+                        monoio::time::sleep(Duration::from_millis(1)).await;
+                    }
+                    responder.end_stream();
+                    monoio::time::sleep(Duration::from_millis(100)).await;
+                    sender.send((most.get(), counter.unsent_bytes())).unwrap();
+                });
+            });
+            let intake = Intake::new(Limits {
+                connections_max: 64,
+                small_bytes_max: BUDGET_BYTES,
+                large_bytes_max: BUDGET_BYTES,
+            });
+            let mut port = Port::new(Options::default(), intake);
+            port.unwritten = unwritten;
+            server::serve_port(listener, port, handler).await;
+        })
+        .unwrap();
+    });
+    let open = |path: &str| {
+        let mut stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+        let request = format!("GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
+        stream.write_all(request.as_bytes()).unwrap();
+        stream
+    };
+    let silent: Vec<TcpStream> = (0..CALLERS).map(|_| open("/long")).collect();
+    for _ in 0..CALLERS {
+        receiver.recv_timeout(TEST_TIMEOUT).unwrap();
+    }
+    let mut received = Vec::new();
+    open("/short").read_to_end(&mut received).unwrap();
+    assert!(received.ends_with(b"0\r\n\r\n"), "broken off");
+    let (most, left) = receiver.recv_timeout(TEST_TIMEOUT).unwrap();
+    let free = CALLERS * (SMALL_BODY_BYTES + PIECE_BYTES);
+    assert!(most <= BUDGET_BYTES + free, "{most} bytes at a time");
+    drop(silent);
+    assert_eq!(left, 0);
+}
