http: a peer that takes nothing of its responses is disconnected

What callers saw: nothing by itself; a client that sends requests and reads no response kept its connection and the memory of a response for good, and as its request counts as handed over, neither was given to others.

Cause: only responses over 64 KiB were written with a time limit.

--- a/crates/node/src/http/write.rs
+++ b/crates/node/src/http/write.rs
@@ -19,10 +19,11 @@
 /// The chunk that ends a chunked body.
 const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 
-/// Size of the parts in which a large response is written.
+/// Size of the parts in which large responses and events are written.
 const PART_BYTES: usize = 64 << 10;
 
-/// Time in which the peer must take a part of a large response: other bodies wait for its memory.
+/// Time in which the peer must take what is written, up to [`PART_BYTES`]: others wait for its memory and for its
+/// connection.
 pub const STALL_MAX: Duration = Duration::from_secs(5);
 
 /// The interim response that tells a client to send its body.
@@ -45,13 +46,14 @@
     *response.status_mut() = status;
     *response.headers_mut() = headers;
     let mut encoder = GenericEncoder::new(io);
-    encoder
-        .send_and_flush(response)
-        .await
-        .map_err(Error::protocol)
+    let writing = encoder.send_and_flush(response);
+    match monoio::time::timeout(STALL_MAX, writing).await {
+        Ok(written) => written.map_err(Error::protocol),
+        Err(_) => Err(Error::Timeout(STALL_MAX)),
+    }
 }
 
-/// Writes a complete response with its length, in parts; an error if the peer takes none for [`STALL_MAX`].
+/// Writes a complete response with its length, in parts.
 pub async fn large_response<W: AsyncWriteRent>(
     io: &mut W,
     status: StatusCode,
@@ -61,14 +63,7 @@
     headers.remove(CONTENT_LENGTH);
     let framing = Framing::Absent(Some(body.len()));
     head(io, status, &headers, framing).await?;
-    for part in body.chunks(PART_BYTES) {
-        let writing = write_all(io, part.to_vec());
-        match monoio::time::timeout(STALL_MAX, writing).await {
-            Ok(written) => written?,
-            Err(_) => return Err(Error::Timeout(STALL_MAX)),
-        }
-    }
-    Ok(())
+    write_parts(io, &body).await
 }
 
 /// How the body that follows a head is delimited.
@@ -122,7 +117,10 @@
     let _ = write!(text, "{:X}\r\n", data.len());
     text.extend_from_slice(data);
     text.extend_from_slice(b"\r\n");
-    write_all(io, text).await
+    match text.len() > PART_BYTES {
+        true => write_parts(io, &text).await,
+        false => write_all(io, text).await,
+    }
 }
 
 /// Ends a streamed body.
@@ -135,12 +133,25 @@
     write_all(io, CONTINUE_RESPONSE.to_vec()).await
 }
 
-async fn write_all<W: AsyncWriteRent>(io: &mut W, bytes: Vec<u8>) -> Result<()> {
-    let (result, _) = io.write_all(bytes).await;
-    result?;
+/// Writes bytes in parts.
+async fn write_parts<W: AsyncWriteRent>(io: &mut W, bytes: &[u8]) -> Result<()> {
+    for part in bytes.chunks(PART_BYTES) {
+        write_all(io, part.to_vec()).await?;
+    }
     Ok(())
 }
 
+/// Writes bytes; an error if the peer doesn't take them within [`STALL_MAX`].
+async fn write_all<W: AsyncWriteRent>(io: &mut W, bytes: Vec<u8>) -> Result<()> {
+    match monoio::time::timeout(STALL_MAX, io.write_all(bytes)).await {
+        Ok((result, _)) => {
+            result?;
+            Ok(())
+        }
+        Err(_) => Err(Error::Timeout(STALL_MAX)),
+    }
+}
+
 fn reason_phrase(status: StatusCode) -> &'static str {
     status.canonical_reason().unwrap_or("Other")
 }
--- a/crates/node/tests/memory.rs
+++ b/crates/node/tests/memory.rs
@@ -10,6 +10,7 @@
 use eelgrassdyke_node::http::client::{Connection, Request};
 use eelgrassdyke_node::http::intake::{Intake, Limits};
 use eelgrassdyke_node::http::server::{self, Handler, Options, Port, Responder, Unwritten};
+use eelgrassdyke_node::http::write::STALL_MAX;
 use eelgrassdyke_node::runtime::block_on;
 use futures_util::FutureExt as _;
 use futures_util::future::join_all;
@@ -504,3 +505,34 @@
     drop(silent);
     assert_eq!(left, 0);
 }
+
+/// A caller that sent requests and read no response kept its connection for good.
+#[test]
+fn caller_that_reads_no_response_is_disconnected() {
+    const RESPONSES: usize = 400;
+    const RESPONSE_BYTES: usize = 60_000;
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        block_on(async move {
+            listener.set_nonblocking(true).unwrap();
+            let listener = monoio::net::TcpListener::from_std(listener).unwrap();
+            let handler: Handler = Rc::new(|_, responder: Responder| {
+                responder.respond(StatusCode::OK, HeaderMap::new(), vec![b'x'; RESPONSE_BYTES]);
+            });
+            server::serve(listener, Options::default(), handler).await;
+        })
+        .unwrap();
+    });
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+    let requests = "GET /x HTTP/1.1\r\nhost: x\r\n\r\n".repeat(RESPONSES);
+    stream.write_all(requests.as_bytes()).unwrap();
+    std::thread::sleep(STALL_MAX + Duration::from_secs(1));
+    let mut received = 0;
+    let mut part = vec![0; 1 << 20];
+    while let Ok(count @ 1..) = stream.read(&mut part) {
+        received += count;
+    }
+    assert!(received < RESPONSES * RESPONSE_BYTES, "{received} bytes");
+}
