entry: the body limit of the configuration is applied

What callers saw: with max_body_bytes 1,000,000 bodies of 1,000,001 bytes and of 20 MiB got 200.

Cause: the limit was decoded into every service's body_max, and the direct path used a constant of 32 MiB.

Ruled out: applying a lower limit at once, which would refuse what the version before it allows while the change spreads.

--- a/crates/entry/src/direct/mod.rs
+++ b/crates/entry/src/direct/mod.rs
@@ -8,6 +8,7 @@
 //! [`Direct`] makes the decisions and never sees a body: the node runtime holds request and
 //! response by ticket.
 
+mod body_limit;
 mod budget;
 mod choice;
 mod cold;
--- a/crates/entry/src/direct/path.rs
+++ b/crates/entry/src/direct/path.rs
@@ -11,12 +11,14 @@
 use eelgrassdyke_core::follow::Follower;
 use eelgrassdyke_core::id::{Server, Service, Team, Ticket, Version};
 use eelgrassdyke_core::time::Instant;
+use eelgrassdyke_core::unit::Bytes;
 use eelgrassdyke_core::wire::refusal::{Reason, Refusal, RunStatus};
 use eelgrassdyke_core::wire::report::ReportSource;
 use eelgrassdyke_core::wire::{Message, Sender};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
+use super::body_limit::BodyLimit;
 use super::budget::RetryWindow;
 use super::cold::ColdWatch;
 use super::crash::{CrashWatch, Verdict};
@@ -54,6 +56,7 @@
     pub(super) mounts: MountTable,
     pub(super) pool: ServerPool,
     pub(super) cold: ColdWatch,
+    pub(super) body_limit: BodyLimit,
     pub(super) queues: BTreeMap<Service, WaitQueue>,
     pub(super) retry_windows: BTreeMap<Service, RetryWindow>,
     pub(super) demands: BTreeMap<Service, DemandMeter>,
@@ -83,6 +86,7 @@
             mounts: MountTable::default(),
             pool: ServerPool::default(),
             cold: ColdWatch::default(),
+            body_limit: BodyLimit::default(),
             queues: BTreeMap::new(),
             retry_windows: BTreeMap::new(),
             demands: BTreeMap::new(),
@@ -173,6 +177,11 @@
         self.follower.version()
     }
 
+    /// Maximum size of a request body by the configuration; none without one.
+    pub fn body_max(&self, now: Instant) -> Option<Bytes> {
+        self.body_limit.get(now)
+    }
+
     /// Number of requests in progress.
     pub fn open_requests(&self) -> usize {
         self.requests.len()
--- a/crates/entry/src/direct/updates.rs
+++ b/crates/entry/src/direct/updates.rs
@@ -43,6 +43,7 @@
         let mut evacuation_changed = false;
         if effect.config_changed {
             self.mounts = MountTable::new(self.follower.document());
+            self.body_limit.apply(now, self.follower.document());
             let detail = format!("version {}", self.follower.version());
             out.push(Output::Event(Event::new(Code::ConfigApplied, detail)));
             evacuation_changed = self.apply_evacuation(now, out);
--- a/crates/entry/tests/direct.rs
+++ b/crates/entry/tests/direct.rs
@@ -12,7 +12,7 @@
 use eelgrassdyke_core::id::{Incarnation, PromptPart, Server, Ticket, Version};
 use eelgrassdyke_core::limit::{LimitLedger, LimitRecord};
 use eelgrassdyke_core::time::Instant;
-use eelgrassdyke_core::unit::{MilliRequestRate, Permille, TokenRate};
+use eelgrassdyke_core::unit::{Bytes, MilliRequestRate, Permille, TokenRate};
 use eelgrassdyke_core::wire::directory::{ServerInfo, ServerState};
 use eelgrassdyke_core::wire::follow::{ConfigUpdate, DirectoryRevision, DirectoryUpdate, Update};
 use eelgrassdyke_core::wire::rank::SlowEngine;
@@ -1620,3 +1620,28 @@
     let afterwards = (0..6).any(|_| advance(&mut harness, false));
     assert!(afterwards, "not called again after it stopped");
 }
+
+/// The limit of the configuration on bodies was not applied.
+#[test]
+fn lower_body_limit_applies_once_the_change_is_in_force_everywhere() {
+    let mut harness = Harness::new(1, Options::default());
+    let mut publish = |harness: &mut Harness, bytes: u64| {
+        let mut document = document();
+        for service in document.services.values_mut() {
+            service.body_max = Bytes(bytes);
+        }
+        harness.version += 1;
+        harness.apply_update(Some(document), server_infos(1, 1));
+        harness.direct.body_max(harness.now)
+    };
+    publish(&mut harness, 1000);
+    harness.advance(Duration::from_secs(60));
+    assert_eq!(harness.direct.body_max(harness.now), Some(Bytes(1000)));
+    assert_eq!(publish(&mut harness, 4000), Some(Bytes(4000)));
+    harness.advance(Duration::from_secs(5));
+    assert_eq!(publish(&mut harness, 2000), Some(Bytes(4000)));
+    harness.advance(Duration::from_secs(5));
+    assert_eq!(publish(&mut harness, 500), Some(Bytes(4000)));
+    harness.advance(Duration::from_secs(60));
+    assert_eq!(harness.direct.body_max(harness.now), Some(Bytes(500)));
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -352,9 +352,17 @@
     ) {
         let intake = Shares::new(&self.settings.limits).intake(shares::Port::Main);
         let mut port = server::Port::new(options, intake);
-        if let Some(adapter) = self.adapter.clone() {
+        if let Some((direct, adapter)) = self.direct.clone().zip(self.adapter.clone()) {
+            let clock = self.context.clock;
+            let body_bytes_max = move || {
+                let limit = direct.read(|core| core.body_max(clock.now()));
+                let limit = limit.and_then(|limit| usize::try_from(limit.0).ok());
+                limit.map_or(options.body_bytes_max, |limit| {
+                    limit.min(options.body_bytes_max)
+                })
+            };
             port.body_policy = Rc::new(move |headers: &HeaderMap| BodyTerms {
-                bytes_max: options.body_bytes_max,
+                bytes_max: body_bytes_max(),
                 wait_max: (adapter.time_left(headers))
                     .map_or(MEMORY_WAIT_MAX, |time_left| time_left / MEMORY_WAIT_DIVISOR)
                     .min(MEMORY_WAIT_MAX),
