http: a head that is sent ahead takes no memory of others

What callers saw: nothing by itself. Found by a mutation that survived: closing connections whose request has been handed over failed no test.

Cause: a connection reads the next head while its request is being answered. A large part of one took a permit, and as such a connection is never closed for others, a few clients with long answers could keep the memory of all heads over 4 KiB and of small bodies.

What is sent ahead beyond 4 KiB waits unread until the answer is complete. head_that_is_sent_ahead_waits_for_the_answer failed before (the other's head got no answer in 10 s); large_heads_follow_each_other passes before and after.

--- a/crates/node/src/http/intake.rs
+++ b/crates/node/src/http/intake.rs
@@ -99,6 +99,8 @@
     peer: SocketAddr,
     /// Whether a part of the next request has arrived.
     has_part: Cell<bool>,
+    /// Told when the request that is handed over has been answered.
+    answered: RefCell<Option<oneshot::Sender<()>>>,
 }
 
 /// No memory became free in time.
@@ -162,6 +164,7 @@
             id,
             peer,
             has_part: Cell::new(false),
+            answered: RefCell::default(),
         };
         Some((registration, closed))
     }
@@ -226,8 +229,21 @@
         self.set_phase(Phase::Handling);
     }
 
+    /// Waits until no request of the connection is handed over and unanswered.
+    pub async fn until_answered(&self) {
+        if self.phase() != Some(Phase::Handling) {
+            return;
+        }
+        let (sender, receiver) = oneshot::channel();
+        *self.answered.borrow_mut() = Some(sender);
+        let _ = receiver.await;
+    }
+
     /// Records that a response is complete.
     pub fn end_handling(&self) {
+        if let Some(answered) = self.answered.take() {
+            let _ = answered.send(());
+        }
         self.update(|open| open.has_served = true);
         self.set_phase(match self.has_part.get() {
             true => Phase::Receiving,
@@ -245,8 +261,12 @@
 
     /// Whether nothing of a request has arrived.
     pub fn is_idle(&self) -> bool {
+        self.phase() == Some(Phase::Idle)
+    }
+
+    fn phase(&self) -> Option<Phase> {
         let state = self.intake.state.borrow();
-        (state.open.get(&self.id)).is_some_and(|open| open.phase == Phase::Idle)
+        state.open.get(&self.id).map(|open| open.phase)
     }
 
     /// Records whether the connection holds a permit for a request that is being received.
--- a/crates/node/src/http/server.rs
+++ b/crates/node/src/http/server.rs
@@ -262,6 +262,8 @@
             searched = buffer.len().saturating_sub(HEAD_END.len() - 1);
             let free_bytes = FREE_BYTES.saturating_sub(buffer.len());
             if free_bytes == 0 && self.permits.is_empty() {
+                // Its connection can't be closed for others while a request is being answered.
+                self.registration.until_answered().await;
                 let acquiring = self
                     .registration
                     .acquire(LARGE_HEAD_BYTES, LARGE_HEAD_BYTES, None);
--- a/crates/node/tests/intake.rs
+++ b/crates/node/tests/intake.rs
@@ -179,6 +179,52 @@
     assert!(response(&mut stalled[0]).starts_with("HTTP/1.1 408"));
 }
 
+/// Connections whose request is being answered can't be closed for others, so what they send ahead must not take their
+/// memory.
+#[test]
+fn head_that_is_sent_ahead_waits_for_the_answer() {
+    let (address, _used) = start();
+    let ahead = [
+        b"GET /hold HTTP/1.1\r\nhost: x\r\n\r\nGET /x HTTP/1.1\r\nx: ".as_slice(),
+        &[b'x'; 10_000],
+    ]
+    .concat();
+    let mut answering: Vec<TcpStream> = (0..3).map(|_| connect(address)).collect();
+    for stream in &mut answering {
+        stream.write_all(&ahead).unwrap();
+    }
+    std::thread::sleep(Duration::from_millis(100));
+    let mut other = connect(address);
+    let large_head = [b"GET /x HTTP/1.1\r\nx: ".as_slice(), &[b'x'; 10_000]].concat();
+    other
+        .write_all(&[&large_head, b"\r\n\r\n".as_slice()].concat())
+        .unwrap();
+    assert!(response(&mut other).starts_with("HTTP/1.1 200"));
+    for stream in &mut answering {
+        stream.set_nonblocking(true).unwrap();
+        let kept = stream.read(&mut [0]).unwrap_err();
+        assert_eq!(kept.kind(), ErrorKind::WouldBlock);
+    }
+}
+
+/// A large head that was sent ahead is read after the answer.
+#[test]
+fn large_heads_follow_each_other() {
+    let (address, _used) = start();
+    let large_head = [
+        b"GET /x HTTP/1.1\r\nx: ".as_slice(),
+        &[b'x'; 10_000],
+        b"\r\n\r\n",
+    ]
+    .concat();
+    let mut stream = connect(address);
+    stream.write_all(&large_head.repeat(5)).unwrap();
+    let mut answers = String::new();
+    while answers.matches("HTTP/1.1 200").count() < 5 {
+        answers += &response(&mut stream);
+    }
+}
+
 /// Nothing is left of requests that were answered, refused or broken off.
 #[test]
 fn memory_of_requests_is_returned() {
