--- a/crates/entry/tests/direct.rs
+++ b/crates/entry/tests/direct.rs
@@ -1625,7 +1625,7 @@
 #[test]
 fn lower_body_limit_applies_once_the_change_is_in_force_everywhere() {
     let mut harness = Harness::new(1, Options::default());
-    let mut publish = |harness: &mut Harness, bytes: u64| {
+    let publish = |harness: &mut Harness, bytes: u64| {
         let mut document = document();
         for service in document.services.values_mut() {
             service.body_max = Bytes(bytes);
