--- a/crates/node/src/http/write.rs
+++ b/crates/node/src/http/write.rs
@@ -22,7 +22,7 @@
 /// Size of the parts in which large responses and events are written.
 const PART_BYTES: usize = 64 << 10;
 
-/// Time in which the peer must take what is written, up to [`PART_BYTES`]: others wait for its memory and for its
+/// Time in which the peer must take what is written, up to 64 KiB: others wait for its memory and for its
 /// connection.
 pub const STALL_MAX: Duration = Duration::from_secs(5);
 
