node: the shares of a process are worked out once

Read again: Node worked out its shares in four places (start, context, peers' port, callers' port), and each read the limit on descriptors from the system where the settings have none. They are a field of Node now; no share, limit or default changed.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -79,6 +79,7 @@
     metrics: Option<PrometheusHandle>,
     draining: Cell<bool>,
     unwritten: Rc<server::Unwritten>,
+    shares: Shares,
 }
 
 eelgrassdyke_core::data! {
@@ -191,7 +192,8 @@
             incarnation: Clock::new_incarnation(),
             address: settings.advertise.unwrap_or(address),
         };
-        let context = build_context(&settings, me, &secret);
+        let shares = Shares::new(&settings.limits);
+        let context = build_context(&settings, &shares, me, &secret);
         let seed = rand::rng().random();
         let uses_agents = |entry: &&settings::EntrySettings| entry.direct.is_none();
         let entry = settings.entry_role.as_ref().filter(uses_agents);
@@ -228,7 +230,6 @@
             role::watch::Role::start(core, watch, adapter, context.clone())
         });
         let draining = Cell::new(false);
-        let unsent_bytes_max = Shares::new(&settings.limits).unsent_bytes_max();
         let node = Rc::new(Self {
             settings,
             context,
@@ -242,7 +243,8 @@
             adapter,
             metrics,
             draining,
-            unwritten: server::Unwritten::new(unsent_bytes_max),
+            unwritten: server::Unwritten::new(shares.unsent_bytes_max()),
+            shares,
         });
         let detail = match ports.caller_address()? {
             Some(callers) => format!("peers {address} callers {callers}"),
@@ -278,7 +280,7 @@
             },
             wait_max: MEMORY_WAIT_MAX,
         });
-        let shares = Shares::new(limits);
+        let shares = self.shares;
         let kind = match ports.callers {
             Some(_) => shares::Port::Peers,
             None => shares::Port::Main,
@@ -350,7 +352,7 @@
         options: server::Options,
         handler: server::Handler,
     ) {
-        let intake = Shares::new(&self.settings.limits).intake(shares::Port::Main);
+        let intake = self.shares.intake(shares::Port::Main);
         let mut port = server::Port::new(options, intake);
         if let Some((direct, adapter)) = self.direct.clone().zip(self.adapter.clone()) {
             let clock = self.context.clock;
@@ -690,7 +692,7 @@
     }
 }
 
-fn build_context(settings: &Settings, me: Sender, secret: &PeerSecret) -> Context {
+fn build_context(settings: &Settings, shares: &Shares, me: Sender, secret: &PeerSecret) -> Context {
     let clock = Clock::default();
     let pool = Rc::new(Pool::with_connect_timeout(PEER_CONNECT_TIMEOUT));
     let timeline = Rc::new(Timeline::new(
@@ -706,7 +708,7 @@
         pool,
         outboxes,
         timeline,
-        response_memory: Shares::new(&settings.limits).responses(),
+        response_memory: shares.responses(),
     }
 }
 
