--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,11 +1,12 @@
 """A server whose response has a valid head and then bytes that are no events, without end; see claim.txt."""
 import os
 import random
+import signal
 import sys
 import threading
 import time
 
-from rig import Record, Rig, Server, answer, attempt_id, close, configuration, request, route
+from rig import Record, Rig, Server, answer, attempt_id, configuration, request, route
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 BYTES = os.environ.get("BYTES", "random")
@@ -127,5 +128,12 @@
     return 1 if broken else 0
 
 
+def stop(*_):
+    """Ends the processes when the time limit of run.sh is over; its signal comes more than once."""
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    sys.exit(2)
+
+
 if __name__ == "__main__":
+    signal.signal(signal.SIGTERM, stop)
     sys.exit(main())
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,12 +1,12 @@
 """Requests whose long prompts share a part that crashes servers; see claim.txt."""
 import os
 import random
+import signal
 import sys
 import threading
 import time
 
-import rig as stand
-from rig import Record, Rig, Server, answer, attempt_id, configuration, request, route
+from rig import Record, Rig, Server, attempt_id, configuration, request, route
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 PARTS = int(os.environ.get("PARTS", "20"))
@@ -112,5 +112,12 @@
     return 1 if late > 3 else 0
 
 
+def stop(*_):
+    """Ends the processes when the time limit of run.sh is over; its signal comes more than once."""
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    sys.exit(2)
+
+
 if __name__ == "__main__":
+    signal.signal(signal.SIGTERM, stop)
     sys.exit(main())
